Words, decisions and the platform's adapter, before the daemon

Cause: an empty repository. Change: the crates model (ids, units, checked configuration), policy (decisions without I/O) and platform (store traits, HTTP adapter, commit by one conditional write, claims).

--- /dev/null
+++ b/crates/model/src/ids.rs
@@ -0,0 +1,293 @@
+//! Ids of everything the system names. Each has `Display` and `FromStr`, so that a
+//! value of one kind is never taken for another.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use bincode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// The longest name accepted, in bytes.
+pub const MAX_NAME_LEN: usize = 64;
+
+/// Why a text is not an id.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ParseIdError {
+    /// The text has no characters.
+    #[error("a {0} must not be empty")]
+    Empty(&'static str),
+    /// The text is longer than [`MAX_NAME_LEN`].
+    #[error("a {0} has at most {MAX_NAME_LEN} characters")]
+    TooLong(&'static str),
+    /// Only lower-case letters, digits, `-`, `_` and `.` are names.
+    #[error("a {kind} holds only a-z, 0-9, '-', '_' and '.', not {found:?}")]
+    BadCharacter {
+        /// What was being read.
+        kind: &'static str,
+        /// The first character that is not allowed.
+        found: char,
+    },
+    /// The text is not a number of the wanted form.
+    #[error("{text:?} is not a {kind}")]
+    NotNumber {
+        /// What was being read.
+        kind: &'static str,
+        /// The text found.
+        text: String,
+    },
+}
+
+fn check_name(kind: &'static str, text: &str) -> Result<(), ParseIdError> {
+    if text.is_empty() {
+        return Err(ParseIdError::Empty(kind));
+    }
+    if text.len() > MAX_NAME_LEN {
+        return Err(ParseIdError::TooLong(kind));
+    }
+    let allowed = |c: &char| matches!(c, 'a'..='z' | '0'..='9' | '-' | '_' | '.');
+    match text.chars().find(|c| !allowed(c)) {
+        Some(found) => Err(ParseIdError::BadCharacter { kind, found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Encode, Decode)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                check_name($kind, text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, ParseIdError> {
+                check_name($kind, &text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_id!(
+    /// Names an index: what callers query.
+    IndexName, "index name"
+);
+name_id!(
+    /// Names an upstream: a group of servers holding the same shards.
+    UpstreamName, "upstream name"
+);
+name_id!(
+    /// Names a caller.
+    CallerName, "caller name"
+);
+name_id!(
+    /// Names a failure domain.
+    FailureDomain, "failure domain"
+);
+name_id!(
+    /// Names a node: one VM's daemon, across its restarts.
+    NodeId, "node id"
+);
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize, Encode, Decode)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                let bad = |_| ParseIdError::NotNumber { kind: $kind, text: text.chars().take(MAX_NAME_LEN).collect() };
+                text.parse().map(Self).map_err(bad)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+number_id!(
+    /// A shard of one index layout, counted from 0.
+    ShardId, u32, "shard number"
+);
+number_id!(
+    /// A version of an index's data; a higher one is newer.
+    IndexVersion, u64, "index version"
+);
+number_id!(
+    /// A version of the configuration; it only rises. 0 stands for none.
+    ConfigVersion, u64, "configuration version"
+);
+number_id!(
+    /// One run of a node: milliseconds since 1970 at its start, used only to tell runs apart.
+    Incarnation, u64, "incarnation"
+);
+
+impl ConfigVersion {
+    /// The version that follows this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Position of an upstream in the configuration it was read from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct UpstreamIndex(pub u32);
+
+macro_rules! hex_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Encode, Decode)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(pub u128);
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                let bad = || ParseIdError::NotNumber { kind: $kind, text: text.chars().take(MAX_NAME_LEN).collect() };
+                if text.len() != 32 {
+                    return Err(bad());
+                }
+                u128::from_str_radix(text, 16).map(Self).map_err(|_| bad())
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, ParseIdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.to_string()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+    };
+}
+
+hex_id!(
+    /// One caller's request, random, 32 hex digits.
+    RequestId, "request id"
+);
+hex_id!(
+    /// One attempt at one server, random, 32 hex digits; the answer must echo it.
+    AttemptId, "attempt id"
+);
+hex_id!(
+    /// One change of the configuration, chosen by the operator's tool; a retry keeps it.
+    ChangeId, "change id"
+);
+
+/// Where a server listens: an IP number and a port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServerAddress(pub SocketAddr);
+
+impl FromStr for ServerAddress {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let bad = |_| ParseIdError::NotNumber { kind: "server address (IP number and port)", text: text.to_owned() };
+        text.parse().map(Self).map_err(bad)
+    }
+}
+
+impl fmt::Display for ServerAddress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A SHA-256 digest, 64 hex digits: of a configuration section or of a caller's token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Encode, Decode)]
+#[serde(try_from = "String", into = "String")]
+pub struct ContentDigest(pub [u8; 32]);
+
+impl ContentDigest {
+    /// The digest of some bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+}
+
+impl FromStr for ContentDigest {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let mut digest = [0; 32];
+        let bad = |_| ParseIdError::NotNumber {
+            kind: "SHA-256 digest of 64 hex digits",
+            text: text.chars().take(MAX_NAME_LEN).collect(),
+        };
+        hex::decode_to_slice(text, &mut digest).map_err(bad)?;
+        Ok(Self(digest))
+    }
+}
+
+impl TryFrom<String> for ContentDigest {
+    type Error = ParseIdError;
+
+    fn try_from(text: String) -> Result<Self, ParseIdError> {
+        text.parse()
+    }
+}
+
+impl From<ContentDigest> for String {
+    fn from(digest: ContentDigest) -> String {
+        digest.to_string()
+    }
+}
+
+impl fmt::Display for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/latency.rs
@@ -0,0 +1,63 @@
+//! A quantile of recent latencies in a few words of memory.
+
+use std::time::Duration;
+
+/// Buckets of a factor 2^(1/4), from 16 us up; the last is open.
+const BUCKETS: usize = 96;
+const FIRST_BUCKET_US: f64 = 16.0;
+const BUCKETS_PER_DOUBLING: f64 = 4.0;
+/// At this many samples all counts are halved, so that old ones fade.
+const HALVE_AT: u32 = 2_000;
+
+/// A fading histogram of latencies.
+#[derive(Debug, Clone)]
+pub struct LatencyTrack {
+    counts: Vec<u32>,
+    total: u32,
+}
+
+impl Default for LatencyTrack {
+    fn default() -> Self {
+        Self { counts: vec![0; BUCKETS], total: 0 }
+    }
+}
+
+impl LatencyTrack {
+    /// Adds a sample.
+    pub fn add(&mut self, latency: Duration) {
+        let doublings = (latency.as_micros() as f64 / FIRST_BUCKET_US).max(1.0).log2();
+        let bucket = ((doublings * BUCKETS_PER_DOUBLING) as usize).min(BUCKETS - 1);
+        self.counts[bucket] += 1;
+        self.total += 1;
+        if self.total >= HALVE_AT {
+            self.halve();
+        }
+    }
+
+    fn halve(&mut self) {
+        for count in &mut self.counts {
+            *count /= 2;
+        }
+        self.total = self.counts.iter().sum();
+    }
+
+    /// Samples still counted.
+    pub fn samples(&self) -> u32 {
+        self.total
+    }
+
+    /// The upper edge of the bucket in which the quantile lies; `None` without samples.
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+        if self.total == 0 {
+            return None;
+        }
+        let rank = (f64::from(self.total) * quantile).ceil().max(1.0) as u32;
+        let mut seen = 0;
+        let reached = self.counts.iter().position(|count| {
+            seen += count;
+            seen >= rank
+        })?;
+        let edge = FIRST_BUCKET_US * 2f64.powf((reached + 1) as f64 / BUCKETS_PER_DOUBLING);
+        Some(Duration::from_micros(edge as u64))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,26 @@
+//! Decisions of streamfold: replica choice, limits, queues, hedges, retries, pinning,
+//! admission and ownership.
+//!
+//! Nothing here does I/O or reads a clock; the moment and the dice are passed in. That
+//! makes every rule a function that tests can drive to any state.
+
+pub mod admission;
+pub mod budget;
+pub mod finish;
+pub mod latency;
+pub mod moment;
+pub mod owner;
+pub mod pin;
+pub mod queue;
+pub mod rules;
+pub mod server;
+
+pub use admission::{AdmissionRefusal, CallerGate};
+pub use budget::TokenBudget;
+pub use finish::FinishRule;
+pub use latency::LatencyTrack;
+pub use moment::Moment;
+pub use pin::{HeldVersions, VersionView};
+pub use queue::{QueueSubmission, StartedWork, UpstreamQueue, WorkItem};
+pub use rules::{AdaptiveRules, AttemptRules, BaselineRules};
+pub use server::{CallReport, ServerState};
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,243 @@
+//! The queue an owner keeps for one upstream. Work is bound to a server only when a slot
+//! frees (late binding), the earliest deadline first; expired work is dropped.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngCore;
+use streamfold_model::{IndexName, IndexVersion};
+
+use crate::budget::TokenBudget;
+use crate::latency::LatencyTrack;
+use crate::moment::Moment;
+use crate::pin::HeldVersions;
+use crate::rules::AttemptRules;
+use crate::server::{CallReport, ServerState};
+
+/// Tokens a quiet upstream keeps for hedges and for retries.
+const BUDGET_RESERVE: f64 = 10.0;
+
+/// What a piece of work needs of a server.
+#[derive(Debug, Clone)]
+pub struct WorkItem {
+    /// The index asked.
+    pub index: IndexName,
+    /// The version wanted, if pinned.
+    pub version: Option<IndexVersion>,
+    /// When it is worth nothing any more.
+    pub deadline: Moment,
+    /// A server to keep away from if another can take it.
+    pub avoid: Option<usize>,
+}
+
+/// What became of submitted work.
+#[derive(Debug, PartialEq, Eq)]
+pub enum QueueSubmission<T> {
+    /// It starts now on this server.
+    Started(usize, T),
+    /// It waits under this number, to be given to [`UpstreamQueue::cancel`].
+    Waiting(u64),
+    /// No server holds the version any more.
+    VersionGone(T),
+    /// Every server is leaving.
+    Leaving(T),
+}
+
+/// Waiting work that starts now.
+#[derive(Debug, PartialEq, Eq)]
+pub struct StartedWork<T> {
+    /// The server it is bound to.
+    pub server: usize,
+    /// What was submitted with it.
+    pub tag: T,
+}
+
+struct WaitingWork<T> {
+    item: WorkItem,
+    tag: T,
+}
+
+/// The queue, the servers behind it and the budgets for extra attempts.
+pub struct UpstreamQueue<T> {
+    rules: Arc<dyn AttemptRules>,
+    servers: Vec<ServerState>,
+    waiting: BTreeMap<(Moment, u64), WaitingWork<T>>,
+    deadlines: BTreeMap<u64, Moment>,
+    next_number: u64,
+    track: LatencyTrack,
+    hedges: TokenBudget,
+    retries: TokenBudget,
+}
+
+impl<T> UpstreamQueue<T> {
+    /// An empty queue before these servers.
+    pub fn new(rules: Arc<dyn AttemptRules>, servers: Vec<ServerState>) -> Self {
+        let hedges = TokenBudget::new(rules.hedge_share(), BUDGET_RESERVE);
+        let retries = TokenBudget::new(rules.retry_share(), BUDGET_RESERVE);
+        Self {
+            rules,
+            servers,
+            waiting: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
+            next_number: 0,
+            track: LatencyTrack::default(),
+            hedges,
+            retries,
+        }
+    }
+
+    /// The servers, for status and tests.
+    pub fn servers(&self) -> &[ServerState] {
+        &self.servers
+    }
+
+    /// A server, to note what it told of itself.
+    pub fn server_mut(&mut self, server: usize) -> &mut ServerState {
+        &mut self.servers[server]
+    }
+
+    /// Pieces of work waiting.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The versions that any server that is not leaving is believed to hold.
+    pub fn versions(&self, index: &IndexName) -> Option<HeldVersions> {
+        let servers = self.servers.iter().filter(|server| !server.is_leaving());
+        let held = servers.filter_map(|server| server.versions(index));
+        held.reduce(|a, b| HeldVersions { oldest: a.oldest.min(b.oldest), newest: a.newest.max(b.newest) })
+    }
+
+    fn pick(&self, item: &WorkItem, now: Moment, dice: &mut dyn RngCore) -> Option<usize> {
+        let able = |server: &ServerState| {
+            let dropped = item.version.is_some_and(|version| server.has_dropped(&item.index, version));
+            !server.is_leaving() && !dropped
+        };
+        let ready = |server: &ServerState| {
+            able(server) && !item.version.is_some_and(|version| server.lags_behind(&item.index, version))
+        };
+        let fresh = |index: usize, server: &ServerState| Some(index) != item.avoid && ready(server);
+        let pick = |allowed: &dyn Fn(usize, &ServerState) -> bool, dice: &mut dyn RngCore| {
+            self.rules.pick(&self.servers, allowed, now, dice)
+        };
+        if let Some(server) = pick(&fresh, dice) {
+            return Some(server);
+        }
+        let nobody_fresh = !self.servers.iter().enumerate().any(|(index, server)| fresh(index, server));
+        let avoided_resting = item.avoid.is_some() && self.servers.len() > 1;
+        if nobody_fresh || avoided_resting {
+            return pick(&|_, server| able(server), dice);
+        }
+        None
+    }
+
+    /// Starts a piece of work or lets it wait. `is_retry` work does not earn budget.
+    pub fn submit(
+        &mut self,
+        now: Moment,
+        item: WorkItem,
+        is_retry: bool,
+        tag: T,
+        dice: &mut dyn RngCore,
+    ) -> QueueSubmission<T> {
+        if self.servers.iter().all(ServerState::is_leaving) {
+            return QueueSubmission::Leaving(tag);
+        }
+        let gone = |server: &ServerState| {
+            server.is_leaving() || item.version.is_some_and(|version| server.has_dropped(&item.index, version))
+        };
+        if self.servers.iter().all(gone) {
+            return QueueSubmission::VersionGone(tag);
+        }
+        if !is_retry {
+            self.hedges.earn(1);
+            self.retries.earn(1);
+        }
+        let must_wait = self.rules.is_limited() && !self.waiting.is_empty();
+        if !must_wait && let Some(server) = self.pick(&item, now, dice) {
+            self.servers[server].start();
+            return QueueSubmission::Started(server, tag);
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        self.deadlines.insert(number, item.deadline);
+        self.waiting.insert((item.deadline, number), WaitingWork { item, tag });
+        QueueSubmission::Waiting(number)
+    }
+
+    /// Starts a second attempt on another server than `first`, if the budget and a free
+    /// slot allow it. A hedge never waits, and never goes ahead of waiting work.
+    pub fn hedge(&mut self, now: Moment, item: &WorkItem, first: usize, dice: &mut dyn RngCore) -> Option<usize> {
+        if !self.waiting.is_empty() {
+            return None;
+        }
+        let allowed = |index: usize, server: &ServerState| {
+            let missing = item.version.is_some_and(|version| {
+                server.has_dropped(&item.index, version) || server.lags_behind(&item.index, version)
+            });
+            index != first && !server.is_leaving() && !server.is_resting(now) && !missing
+        };
+        let server = self.rules.pick(&self.servers, &allowed, now, dice)?;
+        if !self.hedges.spend() {
+            return None;
+        }
+        self.servers[server].start();
+        Some(server)
+    }
+
+    /// When to hedge a call that starts now; `None` for never.
+    pub fn hedge_delay(&self) -> Option<Duration> {
+        self.rules.hedge_delay(&self.track)
+    }
+
+    /// Whether a failed piece of work may be tried again; spends from the budget.
+    pub fn may_retry(&mut self, left: Duration, tries: u32) -> bool {
+        self.rules.is_retry_worth(&self.track, left, tries) && self.retries.spend()
+    }
+
+    /// Notes how a call ended and starts waiting work that now fits.
+    pub fn finish(
+        &mut self,
+        now: Moment,
+        server: usize,
+        report: CallReport,
+        dice: &mut dyn RngCore,
+    ) -> Vec<StartedWork<T>> {
+        if let CallReport::Answered(latency) = report {
+            self.track.add(latency);
+        }
+        self.servers[server].finish(now, report);
+        self.start_waiting(now, dice)
+    }
+
+    /// Binds waiting work to free slots; drops what has expired.
+    pub fn start_waiting(&mut self, now: Moment, dice: &mut dyn RngCore) -> Vec<StartedWork<T>> {
+        let mut started = Vec::new();
+        let mut passed = Vec::new();
+        while let Some((key, work)) = self.waiting.pop_first() {
+            if key.0 <= now {
+                self.deadlines.remove(&key.1);
+                continue;
+            }
+            let Some(server) = self.pick(&work.item, now, dice) else {
+                passed.push((key, work));
+                if !self.servers.iter().any(ServerState::has_slot) {
+                    break;
+                }
+                continue;
+            };
+            self.deadlines.remove(&key.1);
+            self.servers[server].start();
+            started.push(StartedWork { server, tag: work.tag });
+        }
+        self.waiting.extend(passed);
+        started
+    }
+
+    /// Takes waiting work out again; false if it already started or expired.
+    pub fn cancel(&mut self, number: u64) -> bool {
+        let Some(deadline) = self.deadlines.remove(&number) else { return false };
+        self.waiting.remove(&(deadline, number)).is_some()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/server.rs
@@ -0,0 +1,207 @@
+//! What an owner knows of one server: its latency, limit, rest and versions.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use streamfold_model::IndexName;
+
+use crate::moment::Moment;
+use crate::pin::HeldVersions;
+
+/// Share of a new latency sample in the running mean.
+const MEAN_GAIN: f64 = 0.1;
+/// Failures in a row after which a server is rested.
+const REST_AFTER: u32 = 3;
+/// The first rest; each further failure doubles it up to [`MAX_REST`].
+const FIRST_REST: Duration = Duration::from_millis(100);
+/// The longest rest.
+const MAX_REST: Duration = Duration::from_secs(3);
+/// Factor on the limit when the server sheds.
+const SHED_FACTOR: f64 = 0.7;
+/// After this long without news a reported load no longer counts.
+const LOAD_FADES_AFTER: Duration = Duration::from_secs(2);
+
+/// How a call to a server ended, as the owner saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallReport {
+    /// It answered after this long.
+    Answered(Duration),
+    /// It shed the work.
+    Shed,
+    /// The connection or the answer failed.
+    Failed,
+    /// The call was cancelled after this long, for a reason that is not the server's.
+    Cancelled(Duration),
+}
+
+/// An owner's knowledge of one server.
+#[derive(Debug, Clone)]
+pub struct ServerState {
+    inflight: u32,
+    limit: f64,
+    max_limit: f64,
+    mean_us: f64,
+    failures: u32,
+    resting_until: Option<Moment>,
+    probing: bool,
+    leaving: bool,
+    load: Option<(f64, Moment)>,
+    versions: BTreeMap<IndexName, HeldVersions>,
+}
+
+impl ServerState {
+    /// A server nothing is known of yet; at most `max_limit` calls run on it at once, and
+    /// `start` of them at first.
+    pub fn new(start: u32, max_limit: u32) -> Self {
+        let max_limit = f64::from(max_limit.max(1));
+        Self {
+            inflight: 0,
+            limit: f64::from(start.max(1)).min(max_limit),
+            max_limit,
+            mean_us: 0.0,
+            failures: 0,
+            resting_until: None,
+            probing: false,
+            leaving: false,
+            load: None,
+            versions: BTreeMap::new(),
+        }
+    }
+
+    /// Calls running now.
+    pub fn inflight(&self) -> u32 {
+        self.inflight
+    }
+
+    /// Calls that may run at once.
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Whether another call may start under the limit.
+    pub fn has_slot(&self) -> bool {
+        self.inflight < self.limit()
+    }
+
+    /// Expected wait of one more call, in microseconds.
+    pub fn cost(&self) -> f64 {
+        (self.mean_us + 1.0) * f64::from(self.inflight + 1)
+    }
+
+    /// The reported load, 0 to 1, faded to 0 with its age.
+    pub fn load(&self, now: Moment) -> f64 {
+        let Some((load, told)) = self.load else { return 0.0 };
+        let age = now.since(told).as_secs_f64() / LOAD_FADES_AFTER.as_secs_f64();
+        load * (1.0 - age).max(0.0)
+    }
+
+    /// Whether it is to get no work because it failed lately; after the rest one probe may go.
+    pub fn is_resting(&self, now: Moment) -> bool {
+        match self.resting_until {
+            Some(until) if now < until => true,
+            Some(_) => self.probing,
+            None => false,
+        }
+    }
+
+    /// Whether it is leaving; this never turns back for the same server process.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Versions it is believed to hold of an index.
+    pub fn versions(&self, index: &IndexName) -> Option<HeldVersions> {
+        self.versions.get(index).copied()
+    }
+
+    /// Notes that a call starts.
+    pub fn start(&mut self) {
+        self.inflight += 1;
+        if self.resting_until.is_some() {
+            self.probing = true;
+        }
+    }
+
+    /// Notes how a call ended.
+    pub fn finish(&mut self, now: Moment, report: CallReport) {
+        let was_full = self.inflight >= self.limit();
+        self.inflight = self.inflight.saturating_sub(1);
+        match report {
+            CallReport::Answered(latency) => self.note_answer(latency, was_full),
+            CallReport::Shed => self.note_shed(now),
+            CallReport::Failed => self.note_failure(now),
+            CallReport::Cancelled(waited) => self.note_cancel(waited),
+        }
+    }
+
+    fn note_answer(&mut self, latency: Duration, was_full: bool) {
+        let sample = latency.as_micros() as f64;
+        self.mean_us = if self.mean_us == 0.0 { sample } else { self.mean_us + MEAN_GAIN * (sample - self.mean_us) };
+        self.failures = 0;
+        self.resting_until = None;
+        self.probing = false;
+        if was_full {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.max_limit);
+        }
+    }
+
+    fn note_shed(&mut self, now: Moment) {
+        self.limit = (self.limit * SHED_FACTOR).max(1.0);
+        self.note_failure(now);
+    }
+
+    fn note_failure(&mut self, now: Moment) {
+        self.failures += 1;
+        self.probing = false;
+        if self.failures >= REST_AFTER {
+            let doublings = (self.failures - REST_AFTER).min(8);
+            let rest = (FIRST_REST * 2u32.pow(doublings)).min(MAX_REST);
+            self.resting_until = Some(now.plus(rest));
+        }
+    }
+
+    /// A cancelled call took at least as long as it was waited for, so it may only raise the mean.
+    fn note_cancel(&mut self, waited: Duration) {
+        self.probing = false;
+        let sample = waited.as_micros() as f64;
+        if sample > self.mean_us {
+            self.mean_us += MEAN_GAIN * (sample - self.mean_us);
+        }
+    }
+
+    /// Starts again from one call at a time, for a server that came up anew.
+    pub fn restart_cold(&mut self) {
+        self.limit = 1.0;
+        self.leaving = false;
+    }
+
+    /// Marks it as leaving.
+    pub fn mark_leaving(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Notes a load report, 0 to 1.
+    pub fn learn_load(&mut self, now: Moment, load: f64) {
+        self.load = Some((load.clamp(0.0, 1.0), now));
+    }
+
+    /// Notes the versions it says it holds.
+    pub fn learn_versions(&mut self, index: &IndexName, report: HeldVersions) {
+        match self.versions.get_mut(index) {
+            Some(held) => held.learn(report),
+            None => {
+                self.versions.insert(index.clone(), report);
+            }
+        }
+    }
+
+    /// Whether it is believed to have dropped a version for good.
+    pub fn has_dropped(&self, index: &IndexName, version: streamfold_model::IndexVersion) -> bool {
+        self.versions(index).is_some_and(|held| held.oldest > version)
+    }
+
+    /// Whether it is believed not to have a version yet.
+    pub fn lags_behind(&self, index: &IndexName, version: streamfold_model::IndexVersion) -> bool {
+        self.versions(index).is_some_and(|held| held.newest < version)
+    }
+}
