--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,30 @@
-//! x
+//! The daemon `streamfoldd`: one node of the query tier. As a library it lets the lab run
+//! several nodes in one process.
+
+pub mod callers;
+pub mod clock;
+pub mod error;
+pub mod fold;
+pub mod gossip;
+pub mod http_server;
+pub mod keeper;
+pub mod link;
+pub mod links;
+pub mod logs;
+pub mod metered;
+pub mod metrics_text;
+pub mod node;
+pub mod operators;
+pub mod order;
+pub mod outcomes;
+pub mod owner;
+pub mod peers;
+pub mod pool;
+pub mod query;
+pub mod settings;
+pub mod stats;
+pub mod tickets;
+pub mod upstream;
+pub mod view;
+pub mod watch;
+pub mod wire;
--- /dev/null
+++ b/crates/daemon/src/link.rs
@@ -0,0 +1,167 @@
+//! The connection to another node, made when first wanted and made anew when it fails.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+use bincode::{Decode, Encode};
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::Request;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::task::AbortHandle;
+
+use crate::error::PeerError;
+use crate::wire::{BatchRequest, FrameReader, MAX_FRAME, PieceReply, encode_frame, send_frame};
+
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// After a failed connect the link counts as down for this long.
+const DOWN_FOR: Duration = Duration::from_millis(200);
+/// Calls in a row without an answer after which the connection is given up.
+const MAX_SILENT_CALLS: u32 = 2;
+/// Flow-control window of each stream and connection.
+pub const PEER_WINDOW: u32 = 8 << 20;
+/// The largest HTTP/2 frame between nodes.
+pub const PEER_FRAME: u32 = 256 << 10;
+
+/// A connection in use and the task that drives it.
+struct OpenLink {
+    sender: SendRequest<Bytes>,
+    driver: AbortHandle,
+}
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// The link to one node.
+pub struct PeerLink {
+    address: SocketAddr,
+    current: ArcSwapOption<OpenLink>,
+    failed: Mutex<Option<Instant>>,
+    silent: AtomicU32,
+}
+
+impl PeerLink {
+    /// A link that is not connected yet.
+    pub fn new(address: SocketAddr) -> Arc<Self> {
+        Arc::new(Self { address, current: ArcSwapOption::empty(), failed: Mutex::new(None), silent: AtomicU32::new(0) })
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    async fn sender(self: &Arc<Self>) -> Result<SendRequest<Bytes>, PeerError> {
+        if let Some(open) = self.current.load().as_ref() {
+            return Ok(open.sender.clone());
+        }
+        let mut failed = self.failed.lock().await;
+        if let Some(open) = self.current.load().as_ref() {
+            return Ok(open.sender.clone());
+        }
+        if failed.is_some_and(|at| at.elapsed() < DOWN_FOR) {
+            return Err(PeerError::NotConnected);
+        }
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
+        match connected {
+            Ok(Ok(sender)) => {
+                *failed = None;
+                Ok(sender)
+            }
+            _ => {
+                *failed = Some(Instant::now());
+                Err(PeerError::NotConnected)
+            }
+        }
+    }
+
+    async fn connect(self: &Arc<Self>) -> Result<SendRequest<Bytes>, PeerError> {
+        let stream = TcpStream::connect(self.address).await.map_err(|_| PeerError::NotConnected)?;
+        stream.set_nodelay(true).map_err(|_| PeerError::NotConnected)?;
+        let mut builder = h2::client::Builder::new();
+        builder.initial_window_size(PEER_WINDOW).initial_connection_window_size(PEER_WINDOW);
+        builder.max_frame_size(PEER_FRAME);
+        let (sender, connection) = builder.handshake(stream).await?;
+        let link = Arc::downgrade(self);
+        let driver = tokio::spawn(async move {
+            // Its error reaches every stream on it.
+            let _ = connection.await;
+            if let Some(link) = link.upgrade() {
+                link.current.store(None);
+            }
+        });
+        let open = OpenLink { sender: sender.clone(), driver: driver.abort_handle() };
+        self.current.store(Some(Arc::new(open)));
+        Ok(sender)
+    }
+
+    /// Sends a message and returns the frames of the answer as they come.
+    ///
+    /// # Errors
+    /// `NotConnected` if nothing was sent; any other error may come after the message arrived.
+    pub async fn stream<M: Encode>(self: &Arc<Self>, path: &str, message: &M) -> Result<FrameReader, PeerError> {
+        let frame = encode_frame(message)?;
+        let sender = self.sender().await?;
+        let mut sender = sender.ready().await.map_err(|_| PeerError::NotConnected)?;
+        let request = Request::post(format!("http://{}{path}", self.address)).body(())?;
+        let (response, mut body) = sender.send_request(request, false)?;
+        send_frame(&mut body, frame, true).await?;
+        let response = response.await?;
+        if !response.status().is_success() {
+            return Err(PeerError::BadStatus(response.status().as_u16()));
+        }
+        Ok(FrameReader::new(response.into_body(), MAX_FRAME))
+    }
+
+    /// Sends a message and returns its one answer.
+    ///
+    /// # Errors
+    /// As [`Self::stream`]; an answer that does not come within `wait` is `EndedEarly`.
+    pub async fn call<M: Encode, A: Decode<()>>(
+        self: &Arc<Self>,
+        path: &str,
+        message: &M,
+        wait: Duration,
+    ) -> Result<A, PeerError> {
+        let exchange = async {
+            let mut reader = self.stream(path, message).await?;
+            reader.next().await?.ok_or(PeerError::EndedEarly)
+        };
+        match tokio::time::timeout(wait, exchange).await {
+            Ok(answer) => {
+                self.silent.store(0, Ordering::Relaxed);
+                answer
+            }
+            Err(_) => {
+                self.note_silence();
+                Err(PeerError::EndedEarly)
+            }
+        }
+    }
+
+    /// Sends a batch of one piece and returns its reply.
+    ///
+    /// # Errors
+    /// As [`Self::stream`].
+    pub async fn call_batch(self: &Arc<Self>, path: &str, batch: &BatchRequest) -> Result<PieceReply, PeerError> {
+        let mut reader = self.stream(path, batch).await?;
+        reader.next().await?.ok_or(PeerError::EndedEarly)
+    }
+
+    /// A link that is cut without a word would wait for the network's own long time-outs, so
+    /// it is given up and made anew.
+    fn note_silence(&self) {
+        if self.silent.fetch_add(1, Ordering::Relaxed) + 1 >= MAX_SILENT_CALLS {
+            self.silent.store(0, Ordering::Relaxed);
+            self.current.store(None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metered.rs
@@ -0,0 +1,74 @@
+//! Counts every call to the platform's store, and never makes more than a set rate of them.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use streamfold_platform::store::StoreFuture;
+use streamfold_platform::{EntityTag, ObjectStore, PutCondition, StoreError, StoredObject};
+use streamfold_policy::{CallerGate, Moment};
+
+use crate::clock::NodeClock;
+use crate::stats;
+
+/// Calls a second of one node, at most.
+const MAX_CALL_RATE: f64 = 100.0;
+/// The status told for a call over that rate, which is not made.
+const OVER_RATE: u16 = 429;
+
+/// A store whose calls are counted and bounded.
+pub struct MeteredStore {
+    inner: Arc<dyn ObjectStore>,
+    clock: NodeClock,
+    gate: Mutex<CallerGate>,
+}
+
+impl MeteredStore {
+    /// Meters the calls to a store.
+    pub fn new(inner: Arc<dyn ObjectStore>) -> Self {
+        Self { inner, clock: NodeClock::start(), gate: Mutex::default() }
+    }
+
+    async fn meter<T>(&self, kind: &'static str, call: StoreFuture<'_, T>) -> Result<T, StoreError> {
+        if !self.admit(self.clock.now()) {
+            return Err(StoreError::Unavailable(OVER_RATE));
+        }
+        let result = call.await;
+        stats::count_store_call(kind, !matches!(&result, Err(error) if *error != StoreError::Conflict));
+        result
+    }
+
+    fn admit(&self, now: Moment) -> bool {
+        let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
+        let admitted = gate.admit(now, MAX_CALL_RATE, u32::MAX).is_ok();
+        gate.leave();
+        admitted
+    }
+}
+
+impl ObjectStore for MeteredStore {
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<StoredObject>> {
+        Box::pin(self.meter("get", self.inner.get(key)))
+    }
+
+    fn put<'a>(&'a self, key: &'a str, body: Bytes, condition: PutCondition) -> StoreFuture<'a, EntityTag> {
+        Box::pin(self.meter("put", self.inner.put(key, body, condition)))
+    }
+
+    fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()> {
+        Box::pin(self.meter("delete", self.inner.delete(key)))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Vec<String>> {
+        Box::pin(self.meter("list", self.inner.list(prefix)))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        known: Option<EntityTag>,
+        wait: Duration,
+    ) -> StoreFuture<'a, Option<StoredObject>> {
+        Box::pin(self.meter("watch", self.inner.watch(key, known, wait)))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,534 @@
+//! One node: what its parts share, how it starts and how it stops.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use streamfold_model::{CallerName, ConfigBundle, ConfigVersion, FailureDomain, Incarnation};
+use streamfold_platform::{ConfigStore, HttpPlatform, ObjectStore, RequestClaims, VmList};
+use streamfold_policy::{
+    AdaptiveRules, AttemptRules, BaselineRules, CallerGate, MemberEntry, MemberHealth, MemberState, MemberTable,
+    MemberTimes, Moment,
+};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+
+use crate::clock::{NodeClock, wall_ms};
+use crate::error::StartError;
+use crate::keeper::{ConfigKeeper, OfferResult};
+use crate::links::PeerLinks;
+use crate::metered::MeteredStore;
+use crate::outcomes::OutcomeTable;
+use crate::owner::OwnerPools;
+use crate::settings::{NodeSettings, PolicyChoice};
+use crate::tickets::{OrderTicket, TicketBook};
+use crate::view::{ClusterView, VersionTable, WorkTarget};
+use crate::wire::{AdoptRequest, PATH_ADOPT, TakenReply, TicketHandover};
+use crate::{callers, gossip, operators, peers, stats, watch as watcher};
+
+/// Heartbeats a node may miss before it is suspected, and before it gets no work.
+const SUSPECT_BEATS: u32 = 6;
+const DEAD_BEATS: u32 = 16;
+/// Callers' own keys remembered at most.
+const MAX_OWN_KEYS: usize = 100_000;
+/// How often the view is looked at again without news.
+const VIEW_EVERY: Duration = Duration::from_millis(100);
+/// How long handing over tickets to one node may take.
+const ADOPT_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long telling the others of the end may take.
+const FAREWELL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// No stop.
+    Serving,
+    /// It says that it is leaving and still takes work.
+    LameDuck,
+    /// It refuses new work and finishes what it has.
+    Refusing,
+    /// It is over.
+    Ended,
+}
+
+/// Where the ports of a running node are.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeAddresses {
+    /// Callers' port.
+    pub callers: SocketAddr,
+    /// Operators' port.
+    pub operators: SocketAddr,
+    /// Peers' port.
+    pub peers: SocketAddr,
+}
+
+/// One node and everything its parts share.
+pub struct Node {
+    /// Its settings.
+    pub settings: NodeSettings,
+    /// Its clock.
+    pub clock: NodeClock,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The configuration in force.
+    pub keeper: ConfigKeeper,
+    /// Configurations in the store.
+    pub store: ConfigStore,
+    /// Claims of callers' own keys.
+    pub claims: RequestClaims,
+    /// The platform's VM list.
+    pub vms: Arc<dyn VmList>,
+    /// Pools of owned upstreams.
+    pub pools: Arc<OwnerPools>,
+    /// Links to other nodes.
+    pub links: PeerLinks,
+    /// Outcomes of callers' own keys.
+    pub own_keys: OutcomeTable<(CallerName, String)>,
+    /// Told when news should not wait for the next heartbeat.
+    pub urgent: Notify,
+    members: Mutex<MemberTable>,
+    view: ArcSwap<ClusterView>,
+    own_book: TicketBook,
+    adopted: Mutex<Vec<Arc<TicketBook>>>,
+    gates: Mutex<HashMap<CallerName, CallerGate>>,
+    claim_gate: Mutex<CallerGate>,
+    listed_seeds: Mutex<Vec<SocketAddr>>,
+    phase: watch::Sender<StopPhase>,
+    work: Arc<AtomicUsize>,
+    orders: Arc<AtomicUsize>,
+}
+
+/// Counts one piece of work for as long as it lives.
+pub struct WorkCount(Arc<AtomicUsize>);
+
+impl WorkCount {
+    fn new(counter: &Arc<AtomicUsize>) -> Self {
+        counter.fetch_add(1, Ordering::SeqCst);
+        Self(counter.clone())
+    }
+}
+
+impl Drop for WorkCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// A node with its ports open and its tasks running.
+pub struct RunningNode {
+    /// The node.
+    pub node: Arc<Node>,
+    /// Its ports.
+    pub addresses: NodeAddresses,
+    tasks: JoinSet<()>,
+}
+
+async fn listen(port: &'static str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |source| StartError::Listen { port, address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+/// Opens the ports and starts a node.
+///
+/// # Errors
+/// A port cannot be opened.
+pub async fn start(settings: NodeSettings) -> Result<RunningNode, StartError> {
+    let (callers_listener, callers) = listen("callers", settings.callers).await?;
+    let (operators_listener, operators) = listen("operators", settings.operators).await?;
+    let (peers_listener, peers) = listen("peers", settings.peers).await?;
+    let addresses = NodeAddresses { callers, operators, peers };
+    let node = Arc::new(Node::new(settings, addresses));
+    tracing::info!(
+        event = "listening",
+        node = %node.settings.node,
+        failure_domain = %node.settings.domain,
+        callers = %callers,
+        operators = %operators,
+        peers = %peers
+    );
+    let mut tasks = JoinSet::new();
+    tasks.spawn(callers::serve(node.clone(), callers_listener));
+    tasks.spawn(operators::serve(node.clone(), operators_listener));
+    tasks.spawn(peers::serve(node.clone(), peers_listener));
+    tasks.spawn(gossip::run(node.clone()));
+    tasks.spawn(watcher::run(node.clone()));
+    tasks.spawn(keep_view(node.clone()));
+    Ok(RunningNode { node, addresses, tasks })
+}
+
+async fn keep_view(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(VIEW_EVERY).await;
+        node.refresh_view();
+        let now = node.clock.now();
+        node.own_book.sweep(now);
+        node.own_keys.sweep(now);
+        for book in node.books().iter() {
+            book.sweep(now);
+        }
+    }
+}
+
+fn own_entry(settings: &NodeSettings, addresses: NodeAddresses, incarnation: Incarnation) -> MemberEntry {
+    MemberEntry {
+        node: settings.node.clone(),
+        incarnation,
+        beat: 0,
+        domain: settings.domain.clone(),
+        peer_address: settings.advertise.unwrap_or(addresses.peers),
+        operator_address: addresses.operators,
+        state: MemberState::Live,
+        config: ConfigVersion(0),
+        config_age_ms: 0,
+    }
+}
+
+fn choose_rules(choice: PolicyChoice) -> Arc<dyn AttemptRules> {
+    match choice {
+        PolicyChoice::Adaptive => Arc::new(AdaptiveRules),
+        PolicyChoice::Baseline => Arc::new(BaselineRules),
+    }
+}
+
+impl Node {
+    fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
+        let clock = NodeClock::start();
+        let now = clock.now();
+        let incarnation = Incarnation(wall_ms());
+        let platform = Arc::new(HttpPlatform::new(settings.platform));
+        let store: Arc<dyn ObjectStore> = Arc::new(MeteredStore::new(platform.clone()));
+        let times = MemberTimes {
+            suspect_after: settings.heartbeat * SUSPECT_BEATS,
+            dead_after: settings.heartbeat * DEAD_BEATS,
+            forget_after: settings.ticket_life,
+        };
+        let rules = choose_rules(settings.policy);
+        let own_book = TicketBook::new(settings.node.clone(), incarnation, settings.ticket_life, now);
+        Self {
+            clock,
+            incarnation,
+            keeper: ConfigKeeper::new(clock),
+            store: ConfigStore::new(store.clone()),
+            claims: RequestClaims::new(store),
+            vms: platform,
+            pools: Arc::new(OwnerPools::new(clock, rules, settings.answer_limit.as_usize())),
+            links: PeerLinks::default(),
+            own_keys: OutcomeTable::new(settings.ticket_life, MAX_OWN_KEYS),
+            urgent: Notify::new(),
+            members: Mutex::new(MemberTable::new(own_entry(&settings, addresses, incarnation), times, now)),
+            view: ArcSwap::from_pointee(ClusterView::empty()),
+            own_book,
+            adopted: Mutex::default(),
+            gates: Mutex::default(),
+            claim_gate: Mutex::default(),
+            listed_seeds: Mutex::default(),
+            phase: watch::Sender::new(StopPhase::Serving),
+            work: Arc::default(),
+            orders: Arc::default(),
+            settings,
+        }
+    }
+
+    /// The membership table.
+    pub fn members(&self) -> MutexGuard<'_, MemberTable> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The view that a request works with.
+    pub fn view(&self) -> Arc<ClusterView> {
+        self.view.load_full()
+    }
+
+    /// Raises the own heartbeat.
+    pub fn beat(&self) {
+        let now = self.clock.now();
+        let phase = *self.phase.borrow();
+        let (config, config_age_ms) = (self.keeper.version(), self.keeper.age_ms());
+        self.members().update_own(now, |entry| {
+            entry.config = config;
+            entry.config_age_ms = config_age_ms;
+            entry.state = match phase {
+                StopPhase::Serving => MemberState::Live,
+                StopPhase::LameDuck | StopPhase::Refusing => MemberState::Leaving,
+                StopPhase::Ended => MemberState::Gone,
+            };
+        });
+    }
+
+    /// Takes a configuration if it is newer, and then tells others at once.
+    pub fn offer(&self, bundle: ConfigBundle) -> OfferResult {
+        let result = self.keeper.offer(bundle);
+        if result == OfferResult::Taken {
+            self.refresh_view();
+            self.urgent.notify_one();
+        }
+        result
+    }
+
+    /// Works the view out again if members or configuration changed.
+    pub fn refresh_view(&self) {
+        let now = self.clock.now();
+        let workers = self.find_workers(now);
+        let kept = self.keeper.current();
+        let config = kept.map(|kept| kept.config.clone());
+        let old = self.view.load_full();
+        let same_config = match (&config, &old.config) {
+            (Some(new), Some(old)) => Arc::ptr_eq(new, old),
+            (None, None) => true,
+            _ => false,
+        };
+        if same_config && is_same_set(&workers, &old.workers) {
+            self.keep_pools(&old);
+            return;
+        }
+        let beliefs = match (&config, same_config) {
+            (Some(config), false) => Arc::new(carry_beliefs(config, &old)),
+            _ => old.beliefs.clone(),
+        };
+        stats::set_workers(workers.values().map(Vec::len).sum());
+        let view = Arc::new(ClusterView::build(config, workers, beliefs, self.settings.owners));
+        self.keep_pools(&view);
+        self.view.store(view);
+    }
+
+    fn find_workers(&self, now: Moment) -> HashMap<FailureDomain, Vec<WorkTarget>> {
+        let mut members = self.members();
+        members.forget(now);
+        let all: HashMap<_, _> = members.entries().map(|entry| (entry.node.clone(), entry.peer_address)).collect();
+        self.links.keep(all, &self.seeds());
+        let mut workers: HashMap<FailureDomain, Vec<WorkTarget>> = HashMap::new();
+        for entry in members.workers(now) {
+            let is_own = entry.node == self.settings.node;
+            let suspect = members.health(now, &entry.node) == MemberHealth::Suspect;
+            let link = (!is_own).then(|| self.links.at(entry.peer_address));
+            let target = WorkTarget { node: entry.node.clone(), link, suspect };
+            workers.entry(entry.domain.clone()).or_default().push(target);
+        }
+        workers
+    }
+
+    fn keep_pools(&self, view: &ClusterView) {
+        let Some(config) = &view.config else { return };
+        let owners = view.owners.iter();
+        let is_own = |targets: &[WorkTarget]| targets.iter().any(|target| target.link.is_none());
+        let owned = config.upstreams.iter().zip(owners).filter(|(_, targets)| is_own(targets));
+        let owned: Vec<_> = owned.map(|(spec, _)| spec.clone()).collect();
+        self.pools.keep(&owned, self.settings.owners);
+    }
+
+    /// Peers' addresses to begin with, from the settings and the platform's VM list.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        let mut seeds = self.settings.seeds.clone();
+        seeds.extend(self.listed_seeds.lock().unwrap_or_else(PoisonError::into_inner).iter());
+        seeds
+    }
+
+    /// Notes the addresses in the platform's VM list.
+    pub fn learn_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.listed_seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+
+    /// The gates of callers.
+    pub fn gates(&self) -> MutexGuard<'_, HashMap<CallerName, CallerGate>> {
+        self.gates.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes one token of the claims this node may make a second.
+    pub fn take_claim_token(&self) -> bool {
+        let rate = self.settings.claim_rate;
+        if rate <= 0.0 {
+            return false;
+        }
+        let mut gate = self.claim_gate.lock().unwrap_or_else(PoisonError::into_inner);
+        let admitted = gate.admit(self.clock.now(), rate, u32::MAX).is_ok();
+        gate.leave();
+        admitted
+    }
+
+    /// The node's own tickets.
+    pub fn own_book(&self) -> &TicketBook {
+        &self.own_book
+    }
+
+    fn books(&self) -> Vec<Arc<TicketBook>> {
+        self.adopted.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes over tickets of a stopping node.
+    pub fn adopt(&self, books: Vec<TicketHandover>) {
+        let now = self.clock.now();
+        let mut adopted = self.adopted.lock().unwrap_or_else(PoisonError::into_inner);
+        for book in books {
+            tracing::info!(event = "tickets_taken_over", from = %book.node, incarnation = %book.incarnation, used = book.used.len());
+            adopted.push(Arc::new(TicketBook::adopt(book, self.settings.ticket_life, now)));
+        }
+    }
+
+    /// The book that a ticket belongs to, own or taken over.
+    pub fn find_book(self: &Arc<Self>, ticket: &OrderTicket) -> Option<BookRef> {
+        if self.own_book.is_own(ticket) {
+            return Some(BookRef::Own(self.clone()));
+        }
+        self.books().into_iter().find(|book| book.is_own(ticket)).map(BookRef::Adopted)
+    }
+
+    /// Counts work in flight, for the stop to wait for.
+    pub fn count_work(&self) -> WorkCount {
+        WorkCount::new(&self.work)
+    }
+
+    /// Counts an order under a ticket, for the hand-over to wait for.
+    pub fn count_order(&self) -> WorkCount {
+        WorkCount::new(&self.orders)
+    }
+
+    /// Requests and batches in flight.
+    pub fn work_in_flight(&self) -> usize {
+        self.work.load(Ordering::SeqCst)
+    }
+
+    /// How far a stop has come.
+    pub fn phase(&self) -> StopPhase {
+        *self.phase.borrow()
+    }
+
+    /// Whether new work is refused.
+    pub fn is_refusing(&self) -> bool {
+        self.phase() >= StopPhase::Refusing
+    }
+
+    /// Whether the node is over.
+    pub fn is_ended(&self) -> bool {
+        self.phase() == StopPhase::Ended
+    }
+
+    /// Follows the phases of a stop.
+    pub fn watch_phase(&self) -> watch::Receiver<StopPhase> {
+        self.phase.subscribe()
+    }
+
+    fn enter(&self, phase: StopPhase) {
+        self.phase.send_replace(phase);
+        self.beat();
+        self.urgent.notify_one();
+        tracing::info!(event = "stopping", phase = ?phase, in_flight = self.work_in_flight());
+    }
+}
+
+fn is_same_set(new: &HashMap<FailureDomain, Vec<WorkTarget>>, old: &HashMap<FailureDomain, Vec<WorkTarget>>) -> bool {
+    let same_target = |(a, b): (&WorkTarget, &WorkTarget)| {
+        let address = |target: &WorkTarget| target.link.as_ref().map(|link| link.address());
+        a.node == b.node && a.suspect == b.suspect && address(a) == address(b)
+    };
+    let same_domain = |domain: &FailureDomain, targets: &[WorkTarget]| {
+        old.get(domain).is_some_and(|old| old.len() == targets.len() && targets.iter().zip(old).all(same_target))
+    };
+    new.len() == old.len() && new.iter().all(|(domain, targets)| same_domain(domain, targets))
+}
+
+fn carry_beliefs(config: &streamfold_model::Configuration, old: &ClusterView) -> VersionTable {
+    let table = VersionTable::new(config);
+    if let Some(old_config) = &old.config {
+        table.carry_over(config, &old.beliefs, old_config);
+    }
+    table
+}
+
+/// A book of tickets, the node's own or one taken over.
+pub enum BookRef {
+    /// The own one.
+    Own(Arc<Node>),
+    /// One taken over.
+    Adopted(Arc<TicketBook>),
+}
+
+impl std::ops::Deref for BookRef {
+    type Target = TicketBook;
+
+    fn deref(&self) -> &TicketBook {
+        match self {
+            Self::Own(node) => &node.own_book,
+            Self::Adopted(book) => book,
+        }
+    }
+}
+
+impl RunningNode {
+    /// Stops as planned: says leaving, serves while balancers lag, refuses new work, finishes
+    /// what is in flight, hands over tickets and says good-bye. Nothing in flight is cut off
+    /// unless it outlasts the grace.
+    pub async fn stop(mut self) {
+        let node = self.node.clone();
+        node.enter(StopPhase::LameDuck);
+        tokio::time::sleep(node.settings.lame_duck).await;
+        node.enter(StopPhase::Refusing);
+        wait_for_zero(&node.orders, node.settings.grace).await;
+        hand_over(&node).await;
+        wait_for_zero(&node.work, node.settings.grace).await;
+        node.enter(StopPhase::Ended);
+        say_good_bye(&node).await;
+        self.tasks.shutdown().await;
+    }
+
+    /// Ends at once, as a crash would.
+    pub fn kill(mut self) {
+        self.tasks.abort_all();
+    }
+}
+
+async fn wait_for_zero(counter: &AtomicUsize, grace: Duration) {
+    const LOOK_EVERY: Duration = Duration::from_millis(5);
+    let zero = async {
+        while counter.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    };
+    if tokio::time::timeout(grace, zero).await.is_err() {
+        tracing::warn!(event = "stop_grace_over", in_flight = counter.load(Ordering::SeqCst));
+    }
+}
+
+/// Hands tickets to one live node of the own domain, else of another. The hand-over counts
+/// only once it is acknowledged and told, so at most one node ever answers for a ticket.
+async fn hand_over(node: &Arc<Node>) {
+    let now = node.clock.now();
+    let mut books = vec![node.own_book.hand_over(now)];
+    books.extend(node.books().iter().map(|book| book.hand_over(now)));
+    let records: Vec<_> = books.iter().map(|book| (book.node.clone(), book.incarnation)).collect();
+    let request = AdoptRequest { books };
+    let mut candidates: Vec<MemberEntry> = node.members().workers(now).cloned().collect();
+    candidates.retain(|entry| entry.node != node.settings.node);
+    candidates.sort_by_key(|entry| entry.domain != node.settings.domain);
+    for candidate in candidates {
+        let link = node.links.at(candidate.peer_address);
+        let taken = link.call::<_, TakenReply>(PATH_ADOPT, &request, ADOPT_TIMEOUT).await;
+        if taken.is_ok() {
+            let mut members = node.members();
+            for (minter, incarnation) in records {
+                let successor = candidate.node.clone();
+                let record = streamfold_policy::HandoverRecord { node: minter, incarnation, successor };
+                members.learn_handover(now, record);
+            }
+            return;
+        }
+    }
+    tracing::warn!(event = "tickets_not_handed_over");
+}
+
+/// Tells every live node of the end and of the hand-over, and waits for them to take it in.
+async fn say_good_bye(node: &Arc<Node>) {
+    let now = node.clock.now();
+    let others: Vec<SocketAddr> = node.members().workers(now).map(|entry| entry.peer_address).collect();
+    let mut told = JoinSet::new();
+    for address in others {
+        told.spawn(gossip::exchange(node.clone(), node.links.at(address)));
+    }
+    // Whoever is not reached learns it from the others.
+    let _ = tokio::time::timeout(FAREWELL_TIMEOUT, async { while told.join_next().await.is_some() {} }).await;
+}
--- /dev/null
+++ b/crates/daemon/src/operators.rs
@@ -0,0 +1,281 @@
+//! The operators' port: health, readiness, metrics, status, configuration and audit.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::{DefaultBodyLimit, RawQuery, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use serde::{Deserialize, Serialize};
+use streamfold_model::check::check_files;
+use streamfold_model::{
+    ChangeId, ConfigBundle, ConfigVersion, FailureDomain, HeadRecord, NodeId, ProblemDetails, RanState, SourceFile,
+};
+use streamfold_platform::{CommitError, CommitRequest};
+use streamfold_policy::{MemberEntry, MemberHealth};
+use tokio::net::TcpListener;
+
+use crate::clock::wall_ms;
+use crate::http_server;
+use crate::metrics_text;
+use crate::node::{Node, StopPhase};
+
+/// Connections of operators at most.
+const MAX_CONNECTIONS: usize = 100;
+/// The largest configuration taken, in bytes.
+const MAX_CONFIG: usize = 64 << 20;
+/// Audit records told at once, at most.
+const MAX_AUDIT: u64 = 200;
+const DEFAULT_AUDIT: u64 = 20;
+
+/// A configuration to check or to apply.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyRequest {
+    /// Its files.
+    pub files: Vec<SourceFile>,
+    /// The change's id; a retry keeps it.
+    pub change: ChangeId,
+    /// The version this change was made against.
+    pub expected: Option<ConfigVersion>,
+    /// Who applies it.
+    pub operator: String,
+    /// Why.
+    pub reason: String,
+    /// Only check.
+    #[serde(default)]
+    pub dry_run: bool,
+}
+
+/// What became of an apply.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ApplyAnswer {
+    /// The version now in force; after a dry run, the one before.
+    pub version: ConfigVersion,
+    /// Whether something was committed.
+    pub committed: bool,
+}
+
+/// A node as told in a status.
+#[derive(Debug, Serialize)]
+struct MemberStatus {
+    #[serde(flatten)]
+    entry: MemberEntry,
+    health: MemberHealth,
+}
+
+/// A server as told in a status.
+#[derive(Debug, Serialize)]
+struct ServerStatus {
+    upstream: String,
+    server: String,
+    reachable: bool,
+    leaving: bool,
+    in_flight: u32,
+    limit: u32,
+    connections: u32,
+}
+
+/// One node's status.
+#[derive(Debug, Serialize)]
+struct NodeStatus {
+    node: NodeId,
+    failure_domain: FailureDomain,
+    ready: bool,
+    phase: String,
+    config_version: ConfigVersion,
+    config_age_ms: u64,
+    in_flight: usize,
+    members: Vec<MemberStatus>,
+    servers: Vec<ServerStatus>,
+}
+
+/// Serves the operators' port until the node ends.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let router = Router::new()
+        .route("/healthz", get(|| async { "alive\n" }))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(metrics))
+        .route("/v1/status", get(status))
+        .route("/v1/config", get(read_config).post(apply))
+        .route("/v1/audit", get(audit))
+        .layer(DefaultBodyLimit::max(MAX_CONFIG))
+        .with_state(node.clone());
+    http_server::serve(node, listener, router, MAX_CONNECTIONS).await;
+}
+
+fn unready_cause(node: &Node) -> Option<&'static str> {
+    if node.phase() != StopPhase::Serving {
+        return Some("stopping");
+    }
+    node.keeper.current().is_none().then_some("no configuration yet")
+}
+
+async fn ready(State(node): State<Arc<Node>>) -> Response {
+    match unready_cause(&node) {
+        None => (StatusCode::OK, "ready\n").into_response(),
+        Some(cause) => (StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {cause}\n")).into_response(),
+    }
+}
+
+async fn metrics() -> String {
+    metrics_text::render()
+}
+
+async fn status(State(node): State<Arc<Node>>) -> Json<NodeStatus> {
+    let now = node.clock.now();
+    let members = {
+        let members = node.members();
+        let told = members
+            .entries()
+            .map(|entry| MemberStatus { health: members.health(now, &entry.node), entry: entry.clone() });
+        told.collect()
+    };
+    let pools = node.pools.all();
+    let servers = pools.iter().flat_map(|pool| {
+        pool.servers().into_iter().map(|(link, state)| ServerStatus {
+            upstream: pool.spec.name.to_string(),
+            server: link.address().to_string(),
+            reachable: link.state() == crate::upstream::LinkState::Up,
+            leaving: state.is_leaving(),
+            in_flight: state.inflight(),
+            limit: state.limit(),
+            connections: link.open_connections(),
+        })
+    });
+    Json(NodeStatus {
+        node: node.settings.node.clone(),
+        failure_domain: node.settings.domain.clone(),
+        ready: unready_cause(&node).is_none(),
+        phase: format!("{:?}", node.phase()).to_lowercase(),
+        config_version: node.keeper.version(),
+        config_age_ms: node.keeper.age_ms(),
+        in_flight: node.work_in_flight(),
+        members,
+        servers: servers.collect(),
+    })
+}
+
+fn problem(kind: &str, status: StatusCode, detail: String, ran: RanState, problems: Vec<String>) -> Response {
+    let details = ProblemDetails {
+        kind: kind.to_owned(),
+        status: status.as_u16(),
+        detail,
+        ran,
+        request: None,
+        ticket: None,
+        retry_after_ms: None,
+        problems,
+    };
+    (status, Json(details)).into_response()
+}
+
+async fn apply(State(node): State<Arc<Node>>, body: bytes::Bytes) -> Response {
+    let request: ApplyRequest = match serde_json::from_slice(&body) {
+        Ok(request) => request,
+        Err(error) => {
+            return problem("bad-request", StatusCode::BAD_REQUEST, error.to_string(), RanState::NotRun, Vec::new());
+        }
+    };
+    let next = node.keeper.version().next();
+    if let Err(errors) = check_files(next, &request.files) {
+        let detail = format!("the configuration has {} problem(s); nothing was applied", errors.len());
+        let problems = errors.iter().map(ToString::to_string).collect();
+        return problem("bad-configuration", StatusCode::UNPROCESSABLE_ENTITY, detail, RanState::NotRun, problems);
+    }
+    if request.dry_run {
+        return Json(ApplyAnswer { version: node.keeper.version(), committed: false }).into_response();
+    }
+    commit(&node, request).await
+}
+
+async fn commit(node: &Arc<Node>, request: ApplyRequest) -> Response {
+    let files = request.files;
+    let commit = CommitRequest {
+        files: files.clone(),
+        change: request.change,
+        expected: request.expected,
+        operator: request.operator,
+        reason: request.reason,
+        node: node.settings.node.to_string(),
+        time_ms: wall_ms(),
+    };
+    match node.store.commit(&commit).await {
+        Ok(head) => {
+            let version = head.version;
+            tracing::info!(event = "config_committed", version = %version, change = %head.change, operator = head.operator);
+            // A change retried under its id may have been followed by others, which are then newer.
+            node.offer(ConfigBundle { head, files });
+            Json(ApplyAnswer { version, committed: true }).into_response()
+        }
+        Err(error) => {
+            tracing::warn!(event = "config_not_committed", change = %commit.change, error = %error);
+            commit_problem(&error)
+        }
+    }
+}
+
+fn commit_problem(error: &CommitError) -> Response {
+    let (kind, status, ran) = match error {
+        CommitError::Conflict(_) => ("conflict", StatusCode::CONFLICT, RanState::NotRun),
+        CommitError::NotApplied(_) => ("store-unavailable", StatusCode::SERVICE_UNAVAILABLE, RanState::NotRun),
+        CommitError::Unknown => ("outcome-unknown", StatusCode::GATEWAY_TIMEOUT, RanState::Unknown),
+        CommitError::BadHead => ("bad-head", StatusCode::INTERNAL_SERVER_ERROR, RanState::NotRun),
+    };
+    problem(kind, status, error.to_string(), ran, Vec::new())
+}
+
+fn find_number(parameters: Option<&str>, name: &str) -> Option<u64> {
+    let pairs = parameters?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(found, _)| *found == name).and_then(|(_, value)| value.parse().ok())
+}
+
+async fn read_config(State(node): State<Arc<Node>>, RawQuery(parameters): RawQuery) -> Response {
+    let wanted = find_number(parameters.as_deref(), "version").map(ConfigVersion);
+    let kept = node.keeper.current();
+    if let Some(kept) = &kept
+        && wanted.is_none_or(|wanted| wanted == kept.bundle.head.version)
+    {
+        return Json(&kept.bundle).into_response();
+    }
+    let Some(wanted) = wanted else {
+        let detail = "there is no configuration yet".to_owned();
+        return problem("no-configuration", StatusCode::NOT_FOUND, detail, RanState::NotRun, Vec::new());
+    };
+    let read = async { node.store.read_bundle(node.store.read_audit(wanted).await?).await };
+    match read.await {
+        Ok(bundle) => Json(bundle).into_response(),
+        Err(error) => {
+            let detail = format!("reading version {wanted}: {error}");
+            problem("version-not-found", StatusCode::NOT_FOUND, detail, RanState::NotRun, Vec::new())
+        }
+    }
+}
+
+/// The newest audit records, newest first.
+async fn audit(State(node): State<Arc<Node>>, RawQuery(parameters): RawQuery) -> Response {
+    let most = find_number(parameters.as_deref(), "limit").unwrap_or(DEFAULT_AUDIT).min(MAX_AUDIT);
+    let mut records: Vec<HeadRecord> = Vec::new();
+    let newest = match node.store.read_head().await {
+        Ok(head) => head.map_or(ConfigVersion(0), |(head, _)| head.version),
+        Err(error) => {
+            let detail = format!("reading the audit trail: {error}");
+            return problem("store-unavailable", StatusCode::SERVICE_UNAVAILABLE, detail, RanState::NotRun, Vec::new());
+        }
+    };
+    let mut version = newest;
+    while version > ConfigVersion(0) && (records.len() as u64) < most {
+        match node.store.read_audit(version).await {
+            Ok(record) => records.push(record),
+            Err(error) => {
+                let detail = format!("reading audit record {version}: {error}");
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return problem("store-unavailable", status, detail, RanState::NotRun, Vec::new());
+            }
+        }
+        version = ConfigVersion(version.0 - 1);
+    }
+    Json(records).into_response()
+}
--- /dev/null
+++ b/crates/daemon/src/pool.rs
@@ -0,0 +1,472 @@
+//! What an owner keeps for one upstream: the queue, the links to its servers, and the
+//! attempts of pieces of work.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use serde_json::value::RawValue;
+use std::collections::BTreeMap;
+use streamfold_model::server::{
+    SERVER_ATTEMPT, SERVER_DEADLINE, SERVER_DRAINING, SERVER_HELD, SERVER_INCARNATION, SERVER_KEY, SERVER_LOAD,
+    SERVER_RAN, SERVER_REQUEST, SERVER_SHARDS, SERVER_VERSION, write_shards,
+};
+use streamfold_model::{
+    AttemptId, AttemptOutcome, IndexName, IndexVersion, MissingReason, RequestId, ShardId, UpstreamSpec,
+};
+use streamfold_policy::{
+    AttemptRules, CallReport, HeldVersions, Moment, QueueSubmission, ServerState, UpstreamQueue, WorkItem,
+};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use crate::clock::NodeClock;
+use crate::error::PieceFailure;
+use crate::stats;
+use crate::upstream::{HealthReport, ServerLink};
+
+/// Time between health checks of a server.
+const HEALTH_EVERY: Duration = Duration::from_secs(1);
+/// How long a health check may take.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limit on a health answer, in bytes.
+const HEALTH_LIMIT: usize = 1 << 20;
+/// An HTTP/2 connection carries many calls, so the limit there is a multiple of the slots.
+const LIMIT_PER_SLOT: u32 = 8;
+
+/// What every piece of one batch shares.
+#[derive(Debug, Clone)]
+pub struct PieceContext {
+    /// The request.
+    pub request: RequestId,
+    /// The index.
+    pub index: IndexName,
+    /// The pinned version; orders have none.
+    pub version: Option<IndexVersion>,
+    /// `query` or `order`.
+    pub verb: &'static str,
+    /// Whether an attempt with an unknown outcome may be repeated.
+    pub repeatable: bool,
+    /// The key of a request that is not repeatable.
+    pub key: Option<String>,
+    /// The caller's body.
+    pub body: Bytes,
+    /// The deadline by this node's clock.
+    pub deadline: Moment,
+    /// The largest answer taken.
+    pub answer_limit: usize,
+}
+
+/// What became of a piece of work.
+#[derive(Debug)]
+pub struct PieceResult {
+    /// Results by shard with the version they come from, or why there are none.
+    pub answer: Result<PieceAnswer, PieceFailure>,
+    /// Calls made for it.
+    pub calls: u32,
+}
+
+/// Results of one server.
+#[derive(Debug)]
+pub struct PieceAnswer {
+    /// The version they come from.
+    pub version: IndexVersion,
+    /// Results by shard.
+    pub shards: Vec<(ShardId, Vec<u8>)>,
+}
+
+/// The queue and the links of one upstream at one owner.
+pub struct UpstreamPool {
+    /// The upstream as configured when the pool was made.
+    pub spec: Arc<UpstreamSpec>,
+    clock: NodeClock,
+    queue: Mutex<UpstreamQueue<oneshot::Sender<SlotPermit>>>,
+    links: Vec<Arc<ServerLink>>,
+    keepers: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Drop for UpstreamPool {
+    fn drop(&mut self) {
+        let keepers = self.keepers.get_mut().unwrap_or_else(PoisonError::into_inner);
+        for keeper in keepers {
+            keeper.abort();
+        }
+    }
+}
+
+/// A slot at a server. Dropping it gives the slot back and starts waiting work.
+struct SlotPermit {
+    pool: Arc<UpstreamPool>,
+    server: usize,
+    started: Moment,
+    report: Option<CallReport>,
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        let now = self.pool.clock.now();
+        let waited = now.since(self.started);
+        let report = self.report.unwrap_or(CallReport::Cancelled(waited));
+        let started = self.pool.lock().finish(now, self.server, report, &mut rand::rng());
+        self.pool.hand_out(now, started);
+    }
+}
+
+impl UpstreamPool {
+    /// A pool with `share` connections to each server; its tasks end when it is dropped.
+    pub fn open(spec: Arc<UpstreamSpec>, share: u32, rules: Arc<dyn AttemptRules>, clock: NodeClock) -> Arc<Self> {
+        let max_limit = match spec.protocol {
+            streamfold_model::ServerProtocol::H2 => spec.slots.saturating_mul(LIMIT_PER_SLOT),
+            streamfold_model::ServerProtocol::Http1 => share,
+        };
+        let servers = spec.servers.iter().map(|_| ServerState::new(spec.slots, max_limit)).collect();
+        let opened = spec.servers.iter().map(|server| ServerLink::open(*server, spec.protocol, share));
+        let (links, keepers): (Vec<_>, Vec<_>) = opened.unzip();
+        let queue = Mutex::new(UpstreamQueue::new(rules, servers));
+        let pool = Arc::new(Self { spec, clock, queue, links, keepers: Mutex::new(keepers) });
+        pool.start_health_checks();
+        pool
+    }
+
+    fn start_health_checks(self: &Arc<Self>) {
+        let mut keepers = self.keepers.lock().unwrap_or_else(PoisonError::into_inner);
+        for server in 0..self.links.len() {
+            let pool = Arc::downgrade(self);
+            keepers.push(tokio::spawn(async move {
+                while let Some(pool) = pool.upgrade() {
+                    pool.check_health(server).await;
+                    drop(pool);
+                    tokio::time::sleep(HEALTH_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
+                }
+            }));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, UpstreamQueue<oneshot::Sender<SlotPermit>>> {
+        // The queue is consistent between its calls, so a panic elsewhere does not spoil it.
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The versions that the upstream's servers are believed to hold.
+    pub fn versions(&self, index: &IndexName) -> Option<HeldVersions> {
+        self.lock().versions(index)
+    }
+
+    /// A copy of what is known of each server, with its link.
+    pub fn servers(&self) -> Vec<(Arc<ServerLink>, ServerState)> {
+        let states = self.lock().servers().to_vec();
+        self.links.iter().cloned().zip(states).collect()
+    }
+
+    /// Pieces of work waiting for a slot.
+    pub fn waiting(&self) -> usize {
+        self.lock().waiting()
+    }
+
+    async fn check_health(&self, server: usize) {
+        let link = &self.links[server];
+        let request = Request::get(format!("http://{}/health", link.address())).body(Full::default());
+        let Ok(request) = request else { return };
+        let answered = tokio::time::timeout(HEALTH_TIMEOUT, link.call(request, HEALTH_LIMIT)).await;
+        let Ok(Ok(response)) = answered else { return };
+        let Ok(report) = serde_json::from_slice::<HealthReport>(response.body()) else { return };
+        let now = self.clock.now();
+        let mut queue = self.lock();
+        let state = queue.server_mut(server);
+        state.learn_incarnation(report.incarnation);
+        state.learn_load(now, report.load);
+        if report.draining {
+            state.mark_leaving();
+        }
+        for (index, range) in report.indexes {
+            state.learn_versions(&index, range.into());
+        }
+    }
+
+    fn permit(self: &Arc<Self>, server: usize, now: Moment) -> SlotPermit {
+        SlotPermit { pool: self.clone(), server, started: now, report: None }
+    }
+
+    /// Hands started work its permits; one that nobody waits for any more frees its slot at once.
+    fn hand_out(
+        self: &Arc<Self>,
+        now: Moment,
+        started: Vec<streamfold_policy::StartedWork<oneshot::Sender<SlotPermit>>>,
+    ) {
+        for work in started {
+            // A receiver that is gone gives the permit back, and dropping it frees the slot.
+            let _ = work.tag.send(self.permit(work.server, now));
+        }
+    }
+
+    async fn acquire(self: &Arc<Self>, item: WorkItem, is_retry: bool) -> Result<SlotPermit, MissingReason> {
+        let now = self.clock.now();
+        let (sender, receiver) = oneshot::channel();
+        let deadline = item.deadline;
+        let submission = self.lock().submit(now, item, is_retry, sender, &mut rand::rng());
+        let number = match submission {
+            QueueSubmission::Started(server, _) => return Ok(self.permit(server, now)),
+            QueueSubmission::VersionGone(_) => return Err(MissingReason::VersionGone),
+            QueueSubmission::Leaving(_) => return Err(MissingReason::Leaving),
+            QueueSubmission::Waiting(number) => number,
+        };
+        let _guard = WaitGuard { pool: self, number };
+        let granted = tokio::time::timeout(deadline.since(now), receiver).await;
+        match granted {
+            Ok(Ok(permit)) => Ok(permit),
+            _ => Err(MissingReason::Queued),
+        }
+    }
+
+    /// Runs one piece of work: attempts, hedges and retries within its deadline.
+    pub async fn run(self: &Arc<Self>, context: &PieceContext, shards: &[ShardId]) -> PieceResult {
+        let mut run = PieceRun { pool: self, context, shards, calls: 0, worst: AttemptOutcome::NotSent };
+        let left = context.deadline.since(self.clock.now());
+        let answer = tokio::time::timeout(left, run.run()).await;
+        let late = PieceFailure { reason: MissingReason::Late, outcome: run.worst };
+        PieceResult { answer: answer.unwrap_or(Err(late)), calls: run.calls }
+    }
+
+    /// Makes one call on a slot.
+    async fn call(
+        self: &Arc<Self>,
+        mut permit: SlotPermit,
+        context: &PieceContext,
+        shards: &[ShardId],
+    ) -> Result<PieceAnswer, CallFailure> {
+        let server = permit.server;
+        let attempt = AttemptId(rand::random());
+        let now = self.clock.now();
+        let request = self.build_request(server, attempt, context, shards, context.deadline.since(now));
+        let fail = |reason, outcome| CallFailure { server, failure: PieceFailure { reason, outcome } };
+        let Ok(request) = request else {
+            permit.report = Some(CallReport::Failed);
+            return Err(fail(MissingReason::BadAnswer, AttemptOutcome::NotSent));
+        };
+        let response = match self.links[server].call(request, context.answer_limit).await {
+            Ok(response) => response,
+            Err(outcome) => {
+                permit.report = Some(CallReport::Failed);
+                return Err(fail(MissingReason::Unreachable, outcome));
+            }
+        };
+        let latency = self.clock.now().since(now);
+        let (report, answer) = self.judge(server, attempt, context, shards, &response, latency);
+        permit.report = Some(report);
+        answer.map_err(|failure| CallFailure { server, failure })
+    }
+
+    fn build_request(
+        &self,
+        server: usize,
+        attempt: AttemptId,
+        context: &PieceContext,
+        shards: &[ShardId],
+        left: Duration,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let address = self.links[server].address();
+        let mut builder = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}/v1/shards/{}/{}", context.index, context.verb))
+            .header(SERVER_REQUEST, context.request.to_string())
+            .header(SERVER_ATTEMPT, attempt.to_string())
+            .header(SERVER_SHARDS, write_shards(shards))
+            .header(SERVER_DEADLINE, left.as_micros().to_string());
+        if let Some(version) = context.version {
+            builder = builder.header(SERVER_VERSION, version.0);
+        }
+        if let Some(key) = &context.key {
+            builder = builder.header(SERVER_KEY, key);
+        }
+        builder.body(Full::new(context.body.clone()))
+    }
+
+    /// Learns from an answer and says whether it may be folded.
+    fn judge(
+        &self,
+        server: usize,
+        attempt: AttemptId,
+        context: &PieceContext,
+        shards: &[ShardId],
+        response: &Response<Bytes>,
+        latency: Duration,
+    ) -> (CallReport, Result<PieceAnswer, PieceFailure>) {
+        let headers = response.headers();
+        let fail = |reason, outcome| Err(PieceFailure { reason, outcome });
+        if read_header::<AttemptId>(headers, SERVER_ATTEMPT) != Some(attempt) {
+            stats::count_foreign();
+            return (CallReport::Failed, fail(MissingReason::BadAnswer, AttemptOutcome::Unknown));
+        }
+        self.learn(server, &context.index, headers);
+        let refused = headers.get(SERVER_RAN).is_some_and(|ran| ran.as_bytes() == b"not_run");
+        let outcome = if refused { AttemptOutcome::Refused } else { AttemptOutcome::Unknown };
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::CONFLICT => {
+                return (CallReport::Cancelled(Duration::ZERO), fail(MissingReason::VersionGone, outcome));
+            }
+            StatusCode::SERVICE_UNAVAILABLE => return (CallReport::Shed, fail(MissingReason::Shed, outcome)),
+            _ => return (CallReport::Failed, fail(MissingReason::BadAnswer, outcome)),
+        }
+        match read_answer(context, shards, headers, response.body()) {
+            Some(answer) => (CallReport::Answered(latency), Ok(answer)),
+            None => (CallReport::Failed, fail(MissingReason::BadAnswer, AttemptOutcome::Unknown)),
+        }
+    }
+
+    fn learn(&self, server: usize, index: &IndexName, headers: &HeaderMap) {
+        let now = self.clock.now();
+        let mut queue = self.lock();
+        let state = queue.server_mut(server);
+        if let Some(incarnation) = read_header(headers, SERVER_INCARNATION) {
+            state.learn_incarnation(incarnation);
+        }
+        if let Some(load) = read_header(headers, SERVER_LOAD) {
+            state.learn_load(now, load);
+        }
+        if headers.get(SERVER_DRAINING).is_some_and(|draining| draining.as_bytes() == b"true") {
+            state.mark_leaving();
+        }
+        if let Some(held) = read_held(headers) {
+            state.learn_versions(index, held);
+        }
+    }
+}
+
+/// Takes waiting work out of the queue when nobody waits for it any more.
+struct WaitGuard<'a> {
+    pool: &'a Arc<UpstreamPool>,
+    number: u64,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.pool.lock().cancel(self.number);
+    }
+}
+
+fn read_header<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn read_held(headers: &HeaderMap) -> Option<HeldVersions> {
+    let text = headers.get(SERVER_HELD)?.to_str().ok()?;
+    let (oldest, newest) = text.split_once('-')?;
+    let held = HeldVersions { oldest: oldest.parse().ok()?, newest: newest.parse().ok()? };
+    (held.oldest <= held.newest).then_some(held)
+}
+
+/// Reads an answer's results; `None` if it is of another version than the pinned one, is
+/// malformed or holds shards that were not asked for.
+fn read_answer(context: &PieceContext, shards: &[ShardId], headers: &HeaderMap, body: &[u8]) -> Option<PieceAnswer> {
+    let version: IndexVersion = read_header(headers, SERVER_VERSION)?;
+    if context.version.is_some_and(|pinned| pinned != version) {
+        stats::count_other_version();
+        return None;
+    }
+    let results: BTreeMap<ShardId, &RawValue> = serde_json::from_slice(body).ok()?;
+    if !results.keys().all(|shard| shards.binary_search(shard).is_ok()) {
+        return None;
+    }
+    let own = results.into_iter().map(|(shard, raw)| (shard, raw.get().as_bytes().to_vec()));
+    Some(PieceAnswer { version, shards: own.collect() })
+}
+
+struct CallFailure {
+    server: usize,
+    failure: PieceFailure,
+}
+
+/// The attempts of one piece of work.
+struct PieceRun<'a> {
+    pool: &'a Arc<UpstreamPool>,
+    context: &'a PieceContext,
+    shards: &'a [ShardId],
+    calls: u32,
+    worst: AttemptOutcome,
+}
+
+impl PieceRun<'_> {
+    fn item(&self, avoid: Option<usize>) -> WorkItem {
+        WorkItem {
+            index: self.context.index.clone(),
+            version: self.context.version,
+            deadline: self.context.deadline,
+            avoid,
+        }
+    }
+
+    async fn run(&mut self) -> Result<PieceAnswer, PieceFailure> {
+        let mut avoid = None;
+        loop {
+            let acquired = self.pool.acquire(self.item(avoid), avoid.is_some()).await;
+            let permit = acquired.map_err(|reason| PieceFailure { reason, outcome: self.worst })?;
+            let failed = match self.run_round(permit).await {
+                Ok(answer) => return Ok(answer),
+                Err(failed) => failed,
+            };
+            self.note(failed.failure.outcome);
+            if !self.may_retry(&failed) {
+                return Err(PieceFailure { reason: failed.failure.reason, outcome: self.worst });
+            }
+            avoid = Some(failed.server);
+        }
+    }
+
+    /// Keeps the outcome that says least for certain.
+    fn note(&mut self, outcome: AttemptOutcome) {
+        if !outcome.is_not_run() || self.worst == AttemptOutcome::NotSent {
+            self.worst = outcome;
+        }
+    }
+
+    fn may_retry(&self, failed: &CallFailure) -> bool {
+        let certain = failed.failure.outcome.is_not_run();
+        if !self.context.repeatable && !certain {
+            return false;
+        }
+        let left = self.context.deadline.since(self.pool.clock.now());
+        let allowed = self.pool.lock().may_retry(left, self.calls);
+        stats::count_retry(allowed);
+        allowed
+    }
+
+    /// One attempt, and a hedge if it is slow and the request may be repeated.
+    async fn run_round(&mut self, permit: SlotPermit) -> Result<PieceAnswer, CallFailure> {
+        let first_server = permit.server;
+        self.calls += 1;
+        if !self.context.repeatable {
+            self.worst = AttemptOutcome::Unknown;
+            let result = self.pool.call(permit, self.context, self.shards).await;
+            self.worst = AttemptOutcome::NotSent;
+            return result;
+        }
+        let mut first = std::pin::pin!(self.pool.call(permit, self.context, self.shards));
+        let Some(delay) = self.pool.lock().hedge_delay() else { return first.await };
+        if let Ok(result) = tokio::time::timeout(delay, first.as_mut()).await {
+            return result;
+        }
+        let Some(permit) = self.try_hedge(first_server) else { return first.await };
+        self.calls += 1;
+        stats::count_hedge();
+        let mut second = std::pin::pin!(self.pool.call(permit, self.context, self.shards));
+        tokio::select! {
+            result = first.as_mut() => match result {
+                Ok(answer) => Ok(answer),
+                Err(_) => second.await,
+            },
+            result = second.as_mut() => match result {
+                Ok(answer) => Ok(answer),
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    fn try_hedge(&self, first: usize) -> Option<SlotPermit> {
+        let now = self.pool.clock.now();
+        let server = self.pool.lock().hedge(now, &self.item(None), first, &mut rand::rng())?;
+        Some(self.pool.permit(server, now))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,267 @@
+//! Settings of one process: a small YAML file, overridden by flags. Each setting is read by
+//! one small function, and all problems are told at once.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+use streamfold_model::{ByteSize, FailureDomain, NodeId, TimeSpan};
+
+use crate::error::{SettingError, SettingProblem, StartError};
+
+const DEFAULT_OWNERS: u32 = 4;
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(250);
+const DEFAULT_BODY_LIMIT: ByteSize = ByteSize(1 << 20);
+const DEFAULT_ANSWER_LIMIT: ByteSize = ByteSize(16 << 20);
+const DEFAULT_LAME_DUCK: Duration = Duration::from_secs(2);
+const DEFAULT_GRACE: Duration = Duration::from_secs(30);
+const DEFAULT_CLAIM_RATE: f64 = 20.0;
+const DEFAULT_TICKET_LIFE: Duration = Duration::from_secs(600);
+const DEFAULT_CONNECTIONS: u32 = 10_000;
+
+/// Which rules make attempts; `baseline` is for experiments.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PolicyChoice {
+    /// The rules of the product.
+    #[default]
+    Adaptive,
+    /// A plain client: random server, one retry, no hedge, no limits.
+    Baseline,
+}
+
+/// The settings as the file has them.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct SettingsFile {
+    node: Option<NodeId>,
+    failure_domain: Option<FailureDomain>,
+    callers: Option<SocketAddr>,
+    operators: Option<SocketAddr>,
+    peers: Option<SocketAddr>,
+    advertise: Option<SocketAddr>,
+    platform: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    owners: Option<Spanned<u32>>,
+    heartbeat: Option<Spanned<TimeSpan>>,
+    body_limit: Option<ByteSize>,
+    answer_limit: Option<ByteSize>,
+    lame_duck: Option<TimeSpan>,
+    grace: Option<TimeSpan>,
+    claim_rate: Option<Spanned<f64>>,
+    ticket_life: Option<TimeSpan>,
+    connections: Option<Spanned<u32>>,
+    policy: PolicyChoice,
+    log: Option<String>,
+}
+
+/// streamfoldd: one node of the query tier.
+///
+/// Every entry VM runs the same daemon. Settings come from a YAML file; flags override it.
+#[derive(Debug, Clone, Default, Bpaf)]
+#[bpaf(options, version)]
+pub struct DaemonArgs {
+    /// Read settings from this YAML file.
+    #[bpaf(short, long, argument("FILE"))]
+    pub settings: Option<PathBuf>,
+    /// This node's name, kept across restarts.
+    #[bpaf(argument("NAME"))]
+    pub node: Option<NodeId>,
+    /// The failure domain this node runs in.
+    #[bpaf(argument("DOMAIN"))]
+    pub failure_domain: Option<FailureDomain>,
+    /// Listen for callers here (HTTP/1.1 and HTTP/2).
+    #[bpaf(argument("IP:PORT"))]
+    pub callers: Option<SocketAddr>,
+    /// Listen for operators here (HTTP).
+    #[bpaf(argument("IP:PORT"))]
+    pub operators: Option<SocketAddr>,
+    /// Listen for other nodes here.
+    #[bpaf(argument("IP:PORT"))]
+    pub peers: Option<SocketAddr>,
+    /// Tell other nodes this address in place of the peers' port's own.
+    #[bpaf(argument("IP:PORT"))]
+    pub advertise: Option<SocketAddr>,
+    /// Where the platform's store and VM list are.
+    #[bpaf(argument("IP:PORT"))]
+    pub platform: Option<SocketAddr>,
+    /// The peers' port of another node to begin with; may be repeated.
+    #[bpaf(long("seed"), argument("IP:PORT"))]
+    pub seeds: Vec<SocketAddr>,
+    /// Log filter, such as `info` or `streamfold_daemon=debug`.
+    #[bpaf(argument("FILTER"))]
+    pub log: Option<String>,
+    /// Only check the settings, print every problem, and exit.
+    pub check: bool,
+}
+
+/// Checked settings of one node.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// This node's name.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    /// The peers' address told to others, if not `peers`.
+    pub advertise: Option<SocketAddr>,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// Peers' ports to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Owners of each upstream, at most the live nodes of its domain.
+    pub owners: usize,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// The largest body a caller may send.
+    pub body_limit: ByteSize,
+    /// The largest answer taken from a server.
+    pub answer_limit: ByteSize,
+    /// How long a stopping node still takes work while balancers notice.
+    pub lame_duck: Duration,
+    /// How long a stopping node waits for work in flight.
+    pub grace: Duration,
+    /// Claims of callers' own keys a second, at most.
+    pub claim_rate: f64,
+    /// How long a ticket may be used and its outcome is remembered.
+    pub ticket_life: Duration,
+    /// Callers' connections, at most.
+    pub connections: usize,
+    /// Which rules make attempts.
+    pub policy: PolicyChoice,
+    /// Log filter.
+    pub log: String,
+}
+
+/// Reads and checks the settings that the arguments name.
+///
+/// # Errors
+/// The file cannot be read, or every problem found in it and in the flags.
+pub fn load(args: &DaemonArgs) -> Result<NodeSettings, StartError> {
+    let (name, text) = match &args.settings {
+        Some(path) => (path.display().to_string(), read(path)?),
+        None => ("flags".to_owned(), String::new()),
+    };
+    parse(&name, &text, args).map_err(StartError::BadSettings)
+}
+
+fn read(path: &Path) -> Result<String, StartError> {
+    std::fs::read_to_string(path).map_err(|source| StartError::ReadSettings { path: path.to_owned(), source })
+}
+
+/// Parses and checks settings from the text of a file and from flags.
+///
+/// # Errors
+/// Every problem found.
+pub fn parse(name: &str, text: &str, args: &DaemonArgs) -> Result<NodeSettings, Vec<SettingError>> {
+    let file: SettingsFile = match text.trim().is_empty() {
+        true => SettingsFile::default(),
+        false => serde_saphyr::from_str(text).map_err(|error| vec![syntax_error(name, &error)])?,
+    };
+    let mut reader = SettingsReader { name, errors: Vec::new() };
+    let settings = reader.read_all(file, args);
+    match (settings, reader.errors.is_empty()) {
+        (Some(settings), true) => Ok(settings),
+        _ => Err(reader.errors),
+    }
+}
+
+fn syntax_error(name: &str, error: &serde_saphyr::Error) -> SettingError {
+    let line = error.location().map_or(0, |location| location.line());
+    let problem = SettingProblem::Syntax(error.without_snippet().to_string());
+    SettingError { file: name.to_owned(), line, problem }
+}
+
+struct SettingsReader<'a> {
+    name: &'a str,
+    errors: Vec<SettingError>,
+}
+
+impl SettingsReader<'_> {
+    fn fail(&mut self, line: u64, problem: SettingProblem) {
+        self.errors.push(SettingError { file: self.name.to_owned(), line, problem });
+    }
+
+    /// A flag's value, else the file's; a problem if there is neither.
+    fn required<T: Clone>(&mut self, name: &'static str, flag: Option<&T>, file: Option<T>) -> Option<T> {
+        let value = flag.cloned().or(file);
+        if value.is_none() {
+            self.fail(0, SettingProblem::Missing(name, name.replace('_', "-")));
+        }
+        value
+    }
+
+    /// A value from the file within a range, else the default.
+    fn ranged<T: Copy + PartialOrd + ToString>(
+        &mut self,
+        name: &'static str,
+        file: Option<Spanned<T>>,
+        default: T,
+        allowed: std::ops::RangeInclusive<T>,
+        range: &'static str,
+    ) -> T {
+        let Some(entry) = file else { return default };
+        if !allowed.contains(&entry.value) {
+            let found = entry.value.to_string();
+            self.fail(entry.referenced.line(), SettingProblem::OutOfRange { name, found, range });
+        }
+        entry.value
+    }
+
+    fn check_ports(&mut self, ports: &[(&'static str, Option<SocketAddr>)]) {
+        for (position, (name, address)) in ports.iter().enumerate() {
+            let same = ports[..position].iter().find(|(_, other)| address.is_some() && other == address);
+            if let (Some((other, _)), Some(address)) = (same, address)
+                && address.port() != 0
+            {
+                self.fail(0, SettingProblem::SameAddress(other, name, *address));
+            }
+        }
+    }
+
+    fn read_all(&mut self, file: SettingsFile, args: &DaemonArgs) -> Option<NodeSettings> {
+        let node = self.required("node", args.node.as_ref(), file.node);
+        let domain = self.required("failure_domain", args.failure_domain.as_ref(), file.failure_domain);
+        let callers = self.required("callers", args.callers.as_ref(), file.callers);
+        let operators = self.required("operators", args.operators.as_ref(), file.operators);
+        let peers = self.required("peers", args.peers.as_ref(), file.peers);
+        let platform = self.required("platform", args.platform.as_ref(), file.platform);
+        self.check_ports(&[("callers", callers), ("operators", operators), ("peers", peers)]);
+        let beats = TimeSpan::from_millis(20)..=TimeSpan::from_millis(10_000);
+        let heartbeat = self.ranged("heartbeat", file.heartbeat, TimeSpan(DEFAULT_HEARTBEAT), beats, "20ms to 10s");
+        let owners = self.ranged("owners", file.owners, DEFAULT_OWNERS, 1..=64, "1 to 64");
+        let claim_rate = self.ranged("claim_rate", file.claim_rate, DEFAULT_CLAIM_RATE, 0.0..=1000.0, "0 to 1000");
+        let connections =
+            self.ranged("connections", file.connections, DEFAULT_CONNECTIONS, 1..=1_000_000, "1 to 1000000");
+        let seeds = if args.seeds.is_empty() { file.seeds } else { args.seeds.clone() };
+        Some(NodeSettings {
+            node: node?,
+            domain: domain?,
+            callers: callers?,
+            operators: operators?,
+            peers: peers?,
+            advertise: args.advertise.or(file.advertise),
+            platform: platform?,
+            seeds,
+            owners: owners as usize,
+            heartbeat: heartbeat.0,
+            body_limit: file.body_limit.unwrap_or(DEFAULT_BODY_LIMIT),
+            answer_limit: file.answer_limit.unwrap_or(DEFAULT_ANSWER_LIMIT),
+            lame_duck: file.lame_duck.map_or(DEFAULT_LAME_DUCK, |span| span.0),
+            grace: file.grace.map_or(DEFAULT_GRACE, |span| span.0),
+            claim_rate,
+            ticket_life: file.ticket_life.map_or(DEFAULT_TICKET_LIFE, |span| span.0),
+            connections: connections as usize,
+            policy: file.policy,
+            log: args.log.clone().or(file.log).unwrap_or_else(|| "info".to_owned()),
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/wire.rs
@@ -0,0 +1,273 @@
+//! Messages between nodes: bincode in length-prefixed frames on `h2` streams. Every decode
+//! is bounded by the limit of its kind.
+
+use bincode::config::{Configuration as BincodeConfig, Limit, LittleEndian, Varint};
+use bincode::{Decode, Encode};
+use bytes::{Buf, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use streamfold_model::{
+    AttemptOutcome, CallerName, ConfigBundle, Incarnation, IndexName, IndexVersion, MissingReason, NodeId, RanState,
+    RequestId, ShardId, UpstreamName,
+};
+use streamfold_policy::{HandoverRecord, HeldVersions, MemberEntry};
+
+use crate::error::PeerError;
+
+/// Path of a batch of pieces for one owner.
+pub const PATH_BATCH: &str = "/batch";
+/// Path of an order forwarded to the node that minted its ticket.
+pub const PATH_ORDER: &str = "/order";
+/// Path of a heartbeat.
+pub const PATH_GOSSIP: &str = "/gossip";
+/// Path of a request for the configuration in force.
+pub const PATH_CONFIG: &str = "/config";
+/// Path of a hand-over of tickets.
+pub const PATH_ADOPT: &str = "/adopt";
+
+/// The largest frame of any kind.
+pub const MAX_FRAME: usize = 64 << 20;
+
+const BINCODE: BincodeConfig<LittleEndian, Varint, Limit<MAX_FRAME>> =
+    bincode::config::standard().with_limit::<MAX_FRAME>();
+
+/// One batch: everything a request wants from one owner.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct BatchRequest {
+    /// The request.
+    pub request: RequestId,
+    /// Time left to its deadline, in microseconds.
+    pub remaining_us: u64,
+    /// The index.
+    pub index: IndexName,
+    /// The pinned version; without one the owner only tells which versions are held.
+    pub version: Option<IndexVersion>,
+    /// Whether attempts may be repeated.
+    pub repeatable: bool,
+    /// The key of a request that is not repeatable, passed on to the server.
+    pub key: Option<String>,
+    /// The caller's body.
+    pub body: Vec<u8>,
+    /// What is wanted.
+    pub pieces: Vec<PieceRequest>,
+}
+
+/// The shards wanted at one upstream.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct PieceRequest {
+    /// Its number within the batch.
+    pub piece: u32,
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// The shards.
+    pub shards: Vec<ShardId>,
+}
+
+/// What became of one piece; an owner sends one frame for each.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct PieceReply {
+    /// Its number.
+    pub piece: u32,
+    /// How its last attempt ended, or the worst of several.
+    pub outcome: AttemptOutcome,
+    /// The index version the results come from.
+    pub version: Option<IndexVersion>,
+    /// Results by shard, or why there are none.
+    pub result: Result<Vec<(ShardId, Vec<u8>)>, MissingReason>,
+    /// The versions the upstream is believed to hold.
+    pub held: Option<HeldVersions>,
+    /// Calls made for it.
+    pub calls: u32,
+}
+
+/// An order for the node that minted its ticket.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct OrderRequest {
+    /// The request.
+    pub request: RequestId,
+    /// Time left to its deadline, in microseconds.
+    pub remaining_us: u64,
+    /// Who orders.
+    pub caller: CallerName,
+    /// The index.
+    pub index: IndexName,
+    /// The record's key, which names the shard.
+    pub record: String,
+    /// The ticket.
+    pub ticket: String,
+    /// The caller's body.
+    pub body: Vec<u8>,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub enum OrderReply {
+    /// It ran; these are the shard, the index version and the server's result.
+    Done {
+        /// The shard it went to.
+        shard: ShardId,
+        /// The version the server answered from.
+        version: IndexVersion,
+        /// The server's result.
+        result: Vec<u8>,
+    },
+    /// It gave no result.
+    Failed(OrderFailure),
+}
+
+/// Why an order gave no result, and whether it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum OrderFailure {
+    /// No attempt could start or the server refused; it did not run.
+    Missing(MissingReason),
+    /// The attempt's answer was lost; it may have run.
+    OutcomeUnknown,
+    /// The key was used before and its outcome is not remembered.
+    AlreadyTaken,
+    /// The ticket is not this node's, is expired or is not the caller's.
+    BadTicket,
+    /// The ticket's node cannot be reached.
+    MinterGone,
+    /// The node is stopping and runs no more orders.
+    Stopping,
+    /// The store could not be used to claim the key.
+    ClaimFailed,
+}
+
+impl OrderFailure {
+    /// What may be said of the order.
+    pub fn ran(self) -> RanState {
+        match self {
+            Self::Missing(_) | Self::BadTicket | Self::Stopping | Self::ClaimFailed => RanState::NotRun,
+            Self::OutcomeUnknown | Self::AlreadyTaken | Self::MinterGone => RanState::Unknown,
+        }
+    }
+}
+
+/// A heartbeat: some entries of the sender's table. The answer has the same shape.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct GossipMessage {
+    /// The entries, the sender's own first.
+    pub entries: Vec<MemberEntry>,
+    /// Hand-overs of tickets in planned stops.
+    pub handovers: Vec<HandoverRecord>,
+}
+
+/// The configuration in force, if there is one.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct ConfigReply {
+    /// It.
+    pub bundle: Option<ConfigBundle>,
+}
+
+/// Everything a stopping node hands over.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct AdoptRequest {
+    /// Its own tickets and those it took over itself.
+    pub books: Vec<TicketHandover>,
+}
+
+/// That a message was taken.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct TakenReply;
+
+/// Tickets of one run handed over in a planned stop.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct TicketHandover {
+    /// The node that minted them.
+    pub node: NodeId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The key of its tickets' MAC.
+    pub secret: [u8; 32],
+    /// Milliseconds since the run started, by which its tickets expire.
+    pub elapsed_ms: u64,
+    /// Used tickets with what became of them.
+    pub used: Vec<(u64, OrderReply)>,
+}
+
+/// Encodes a message as one frame.
+///
+/// # Errors
+/// The message cannot be encoded, or is over [`MAX_FRAME`].
+pub fn encode_frame<M: Encode>(message: &M) -> Result<Bytes, PeerError> {
+    let mut frame = vec![0; 4];
+    let length = bincode::encode_into_std_write(message, &mut frame, BINCODE)?;
+    if length > MAX_FRAME {
+        return Err(PeerError::FrameTooLong(length));
+    }
+    frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(Bytes::from(frame))
+}
+
+/// Decodes the body of one frame; bytes left over are an error.
+///
+/// # Errors
+/// The bytes are not exactly one message.
+pub fn decode_body<M: Decode<()>>(body: &[u8]) -> Result<M, PeerError> {
+    let (message, used) = bincode::decode_from_slice(body, BINCODE)?;
+    if used != body.len() {
+        return Err(PeerError::FrameTooLong(body.len() - used));
+    }
+    Ok(message)
+}
+
+/// Reads frames from a stream, giving back flow-control window as it goes.
+pub struct FrameReader {
+    stream: RecvStream,
+    buffer: BytesMut,
+    limit: usize,
+}
+
+impl FrameReader {
+    /// Frames of this stream, each at most `limit` bytes.
+    pub fn new(stream: RecvStream, limit: usize) -> Self {
+        Self { stream, buffer: BytesMut::new(), limit }
+    }
+
+    /// The next message; `None` at a clean end.
+    ///
+    /// # Errors
+    /// The stream fails or ends within a frame, or the frame is over the limit or malformed.
+    pub async fn next<M: Decode<()>>(&mut self) -> Result<Option<M>, PeerError> {
+        loop {
+            if let Some(body) = self.take_frame()? {
+                return decode_body(&body).map(Some);
+            }
+            let Some(data) = self.stream.data().await else {
+                return if self.buffer.is_empty() { Ok(None) } else { Err(PeerError::EndedEarly) };
+            };
+            let data = data?;
+            self.stream.flow_control().release_capacity(data.len())?;
+            self.buffer.extend_from_slice(&data);
+        }
+    }
+
+    fn take_frame(&mut self) -> Result<Option<BytesMut>, PeerError> {
+        let Some(prefix) = self.buffer.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > self.limit {
+            return Err(PeerError::FrameTooLong(length));
+        }
+        if self.buffer.len() < 4 + length {
+            return Ok(None);
+        }
+        self.buffer.advance(4);
+        Ok(Some(self.buffer.split_to(length)))
+    }
+}
+
+/// Sends one frame, waiting for flow-control window as needed.
+///
+/// # Errors
+/// The stream fails or is reset by the other side.
+pub async fn send_frame(stream: &mut SendStream<Bytes>, mut frame: Bytes, end: bool) -> Result<(), PeerError> {
+    while !frame.is_empty() {
+        stream.reserve_capacity(frame.len());
+        let granted = std::future::poll_fn(|cx| stream.poll_capacity(cx)).await;
+        let granted = granted.ok_or(PeerError::EndedEarly)??;
+        let chunk = frame.split_to(granted.min(frame.len()));
+        let last = end && frame.is_empty();
+        stream.send_data(chunk, last)?;
+    }
+    Ok(())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,10 @@
-//! x
+//! The lab: stand-ins for the platform and for servers, a fault proxy, load and experiments.
+//! It is never linked into the daemon or the command line.
+
+pub mod client;
+pub mod demo;
+pub mod fleet;
+pub mod load;
+pub mod platform;
+pub mod proxy;
+pub mod server;
--- /dev/null
+++ b/crates/lab/src/proxy.rs
@@ -0,0 +1,114 @@
+//! A TCP proxy that delays, cuts, half-cuts, resets and pauses connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// How often a paused direction looks whether it may go on.
+const PAUSE_LOOK: Duration = Duration::from_millis(5);
+
+/// Faults of a proxy, in force on all its connections.
+#[derive(Default)]
+pub struct ProxyFaults {
+    /// Microseconds each chunk is held, each way.
+    pub delay_us: AtomicU64,
+    /// New connections are closed at once.
+    pub cut: AtomicBool,
+    /// Bytes towards the server are held.
+    pub pause_out: AtomicBool,
+    /// Bytes towards the client are held.
+    pub pause_back: AtomicBool,
+    /// Of a thousand chunks towards the client, after so many the connection breaks off midway.
+    pub resets: AtomicU64,
+    break_all: Notify,
+}
+
+impl ProxyFaults {
+    /// Breaks every open connection.
+    pub fn break_all(&self) {
+        self.break_all.notify_waiters();
+    }
+}
+
+/// A running proxy before one address.
+pub struct FaultProxy {
+    /// Its switches.
+    pub faults: Arc<ProxyFaults>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts a proxy to `target`.
+///
+/// # Errors
+/// The port cannot be opened.
+pub async fn start(address: SocketAddr, target: SocketAddr) -> std::io::Result<FaultProxy> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let faults = Arc::new(ProxyFaults::default());
+    let task = tokio::spawn(accept(faults.clone(), listener, target));
+    Ok(FaultProxy { faults, address, task })
+}
+
+async fn accept(faults: Arc<ProxyFaults>, listener: TcpListener, target: SocketAddr) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((client, _)) = listener.accept().await else { continue };
+        while connections.try_join_next().is_some() {}
+        if faults.cut.load(Ordering::Relaxed) {
+            continue;
+        }
+        let faults = faults.clone();
+        connections.spawn(async move {
+            let Ok(server) = TcpStream::connect(target).await else { return };
+            // Sockets that refuse it work all the same.
+            let _ = (client.set_nodelay(true), server.set_nodelay(true));
+            let (client_read, client_write) = client.into_split();
+            let (server_read, server_write) = server.into_split();
+            tokio::select! {
+                () = faults.break_all.notified() => {}
+                () = carry(&faults, &faults.pause_out, None, client_read, server_write) => {}
+                () = carry(&faults, &faults.pause_back, Some(&faults.resets), server_read, client_write) => {}
+            }
+        });
+    }
+}
+
+async fn carry(
+    faults: &ProxyFaults,
+    pause: &AtomicBool,
+    resets: Option<&AtomicU64>,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+) {
+    let mut chunk = vec![0; 16 << 10];
+    loop {
+        let Ok(length @ 1..) = from.read(&mut chunk).await else { return };
+        let delay = faults.delay_us.load(Ordering::Relaxed);
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_micros(delay)).await;
+        }
+        while pause.load(Ordering::Relaxed) {
+            tokio::time::sleep(PAUSE_LOOK).await;
+        }
+        let breaks = resets.is_some_and(|resets| rand::random_range(0..1000) < resets.load(Ordering::Relaxed));
+        let part = if breaks { &chunk[..length / 2] } else { &chunk[..length] };
+        if to.write_all(part).await.is_err() || breaks {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/server.rs
@@ -0,0 +1,358 @@
+//! Stand-in for one server of an upstream: shards, slots, a queue, a connection limit,
+//! latencies, index versions, draining and shedding. It logs what it ran.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use streamfold_model::server::{
+    SERVER_ATTEMPT, SERVER_DRAINING, SERVER_HELD, SERVER_INCARNATION, SERVER_KEY, SERVER_LOAD, SERVER_RAN,
+    SERVER_REQUEST, SERVER_SHARDS, SERVER_VERSION, read_shards,
+};
+use streamfold_model::{IndexName, ShardId};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Shards one call may name.
+const MAX_SHARDS: usize = 65_536;
+
+/// How a server is made.
+#[derive(Debug, Clone)]
+pub struct ServerPlan {
+    /// Calls run at once.
+    pub slots: usize,
+    /// Calls that may wait for a slot; more are shed.
+    pub queue: usize,
+    /// Connections accepted; more are closed.
+    pub connections: usize,
+    /// Time until a new connection is served.
+    pub connect_delay: Duration,
+    /// Typical time of one call; none for an answer at once.
+    pub base: Duration,
+    /// Index versions held at most.
+    pub keeps: u64,
+}
+
+impl Default for ServerPlan {
+    fn default() -> Self {
+        Self {
+            slots: 2,
+            queue: 16,
+            connections: 25,
+            connect_delay: Duration::from_millis(6),
+            base: Duration::from_millis(4),
+            keeps: 5,
+        }
+    }
+}
+
+/// Switches of one server, all in force at once when set.
+#[derive(Debug)]
+pub struct ServerSwitches {
+    /// Of a thousand calls, so many take `straggle_factor` times as long.
+    pub straggle: AtomicU64,
+    /// See `straggle`.
+    pub straggle_factor: AtomicU64,
+    /// Every call takes this many times as long.
+    pub slow_factor: AtomicU64,
+    /// Of a thousand calls, so many are shed.
+    pub shed: AtomicU64,
+    /// It is leaving.
+    pub draining: AtomicBool,
+    /// Its health endpoint and load report say all is well, whatever is true.
+    pub lies: AtomicBool,
+    /// Of a thousand answers, so many carry another attempt's id.
+    pub crossed: AtomicU64,
+    /// Newest index version held.
+    pub newest: AtomicU64,
+}
+
+/// What a server has done.
+#[derive(Debug, Default)]
+pub struct ServerCounts {
+    /// Calls that came in.
+    pub calls: AtomicU64,
+    /// Calls that ran.
+    pub runs: AtomicU64,
+    /// Calls shed.
+    pub sheds: AtomicU64,
+    /// Calls that came in while leaving.
+    pub calls_while_draining: AtomicU64,
+    /// The most connections open at once.
+    pub most_connections: AtomicUsize,
+    /// Connections closed for being over the limit.
+    pub refused_connections: AtomicU64,
+}
+
+/// Orders run, by idempotency key, over all servers of a lab.
+#[derive(Debug, Default)]
+pub struct RunLog {
+    runs: Mutex<HashMap<String, u64>>,
+}
+
+impl RunLog {
+    fn note(&self, key: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(key.to_owned()).or_default() += 1;
+    }
+
+    /// How often an order with this key ran.
+    pub fn count(&self, key: &str) -> u64 {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).get(key).copied().unwrap_or(0)
+    }
+
+    /// Keys that ran more than once.
+    pub fn doubled(&self) -> usize {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).values().filter(|count| **count > 1).count()
+    }
+}
+
+/// A server's state.
+pub struct ServerState {
+    /// How it was made.
+    pub plan: ServerPlan,
+    /// Its switches.
+    pub switches: ServerSwitches,
+    /// Its counters.
+    pub counts: ServerCounts,
+    index: IndexName,
+    incarnation: u64,
+    slots: Semaphore,
+    waiting: AtomicUsize,
+    connections: AtomicUsize,
+    log: Arc<RunLog>,
+}
+
+/// A running stand-in. Dropping it kills it, connections and all.
+pub struct ServerStandin {
+    /// Its state and switches.
+    pub state: Arc<ServerState>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for ServerStandin {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts a server that holds every shard it is asked for of one index.
+///
+/// # Errors
+/// The port cannot be opened.
+pub async fn start(
+    address: SocketAddr,
+    index: IndexName,
+    plan: ServerPlan,
+    log: Arc<RunLog>,
+) -> std::io::Result<ServerStandin> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(1024)?;
+    let address = listener.local_addr()?;
+    let slots = Semaphore::new(plan.slots);
+    let state = Arc::new(ServerState {
+        plan,
+        switches: ServerSwitches {
+            straggle: AtomicU64::new(0),
+            straggle_factor: AtomicU64::new(1),
+            slow_factor: AtomicU64::new(1),
+            shed: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            lies: AtomicBool::new(false),
+            crossed: AtomicU64::new(0),
+            newest: AtomicU64::new(1),
+        },
+        counts: ServerCounts::default(),
+        index,
+        incarnation: rand::random(),
+        slots,
+        waiting: AtomicUsize::new(0),
+        connections: AtomicUsize::new(0),
+        log,
+    });
+    let task = tokio::spawn(accept(state.clone(), listener));
+    Ok(ServerStandin { state, address, task })
+}
+
+async fn accept(state: Arc<ServerState>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        while connections.try_join_next().is_some() {}
+        let open = state.connections.fetch_add(1, Ordering::Relaxed) + 1;
+        if open > state.plan.connections {
+            state.connections.fetch_sub(1, Ordering::Relaxed);
+            state.counts.refused_connections.fetch_add(1, Ordering::Relaxed);
+            continue;
+        }
+        state.counts.most_connections.fetch_max(open, Ordering::Relaxed);
+        let state = state.clone();
+        connections.spawn(async move {
+            tokio::time::sleep(state.plan.connect_delay).await;
+            // A socket that refuses it works all the same.
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(|request| answer(state.clone(), request));
+            let mut builder = Builder::new(TokioExecutor::new());
+            builder.http2().max_concurrent_streams(10_000);
+            // Its end, however it comes, is the other side's to notice.
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            state.connections.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+type Answer = Result<Response<Full<Bytes>>, Infallible>;
+
+async fn answer(state: Arc<ServerState>, request: Request<Incoming>) -> Answer {
+    let is_health = request.uri().path() == "/health";
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    if is_health {
+        return Ok(health(&state));
+    }
+    let is_order = parts.uri.path().ends_with("/order");
+    Ok(state.run(&parts.headers, &body, is_order).await)
+}
+
+fn health(state: &ServerState) -> Response<Full<Bytes>> {
+    let lies = state.switches.lies.load(Ordering::Relaxed);
+    let draining = state.switches.draining.load(Ordering::Relaxed) && !lies;
+    let (oldest, newest) = state.held();
+    let (index, load, incarnation) = (&state.index, state.load(), state.incarnation);
+    let body = format!(
+        "{{\"draining\":{draining},\"load\":{load:.2},\"incarnation\":{incarnation},\
+         \"indexes\":{{\"{index}\":{{\"oldest\":{oldest},\"newest\":{newest}}}}}}}"
+    );
+    Response::new(Full::from(body))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn chance(thousandths: &AtomicU64) -> bool {
+    let thousandths = thousandths.load(Ordering::Relaxed);
+    thousandths > 0 && rand::random_range(0..1000) < thousandths
+}
+
+impl ServerState {
+    fn held(&self) -> (u64, u64) {
+        let newest = self.switches.newest.load(Ordering::Relaxed);
+        (newest.saturating_sub(self.plan.keeps - 1).max(1), newest)
+    }
+
+    fn load(&self) -> f64 {
+        if self.switches.lies.load(Ordering::Relaxed) {
+            return 0.0;
+        }
+        let running = self.plan.slots - self.slots.available_permits();
+        (running as f64 / self.plan.slots as f64).min(1.0)
+    }
+
+    fn response(&self, status: StatusCode, attempt: &str, body: Bytes) -> Response<Full<Bytes>> {
+        let (oldest, newest) = self.held();
+        let attempt = match chance(&self.switches.crossed) {
+            true => streamfold_model::AttemptId(rand::random()).to_string(),
+            false => attempt.to_owned(),
+        };
+        let builder = Response::builder()
+            .status(status)
+            .header(SERVER_ATTEMPT, attempt)
+            .header(SERVER_HELD, format!("{oldest}-{newest}"))
+            .header(SERVER_LOAD, format!("{:.2}", self.load()))
+            .header(SERVER_DRAINING, self.switches.draining.load(Ordering::Relaxed).to_string())
+            .header(SERVER_INCARNATION, self.incarnation.to_string());
+        builder.body(Full::new(body)).unwrap_or_default()
+    }
+
+    fn refuse(&self, status: StatusCode, attempt: &str) -> Response<Full<Bytes>> {
+        let mut response = self.response(status, attempt, Bytes::new());
+        response.headers_mut().insert(SERVER_RAN, http::HeaderValue::from_static("not_run"));
+        response
+    }
+
+    async fn run(&self, headers: &HeaderMap, body: &Bytes, is_order: bool) -> Response<Full<Bytes>> {
+        self.counts.calls.fetch_add(1, Ordering::Relaxed);
+        let attempt = text(headers, SERVER_ATTEMPT).unwrap_or_default();
+        let shards = text(headers, SERVER_SHARDS).and_then(|shards| read_shards(shards, MAX_SHARDS));
+        let Some(shards) = shards else { return self.refuse(StatusCode::BAD_REQUEST, attempt) };
+        if self.switches.draining.load(Ordering::Relaxed) {
+            self.counts.calls_while_draining.fetch_add(1, Ordering::Relaxed);
+        }
+        let (oldest, newest) = self.held();
+        let version = text(headers, SERVER_VERSION).and_then(|version| version.parse().ok()).unwrap_or(newest);
+        if version < oldest || version > newest {
+            return self.refuse(StatusCode::CONFLICT, attempt);
+        }
+        let waiting = self.waiting.fetch_add(1, Ordering::Relaxed);
+        let permit = WaitCount(&self.waiting);
+        if chance(&self.switches.shed) || waiting >= self.plan.slots + self.plan.queue {
+            self.counts.sheds.fetch_add(1, Ordering::Relaxed);
+            return self.refuse(StatusCode::SERVICE_UNAVAILABLE, attempt);
+        }
+        let slot = self.slots.acquire().await;
+        self.counts.runs.fetch_add(1, Ordering::Relaxed);
+        if is_order && let Some(key) = text(headers, SERVER_KEY) {
+            self.log.note(key);
+        }
+        self.work().await;
+        drop((slot, permit));
+        let request = text(headers, SERVER_REQUEST).unwrap_or_default();
+        let body = results(&shards, version, request, body);
+        let mut response = self.response(StatusCode::OK, attempt, Bytes::from(body));
+        response.headers_mut().insert(SERVER_VERSION, http::HeaderValue::from(version));
+        response
+    }
+
+    async fn work(&self) {
+        if self.plan.base.is_zero() {
+            return;
+        }
+        let mut factor = rand::random_range(0.75..1.25);
+        factor *= self.switches.slow_factor.load(Ordering::Relaxed) as f64;
+        if chance(&self.switches.straggle) {
+            factor *= self.switches.straggle_factor.load(Ordering::Relaxed) as f64;
+        }
+        tokio::time::sleep(self.plan.base.mul_f64(factor)).await;
+    }
+}
+
+struct WaitCount<'a>(&'a AtomicUsize);
+
+impl Drop for WaitCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Results that name their shard, version and request, so that a checker can tell whose they are.
+fn results(shards: &[ShardId], version: u64, request: &str, body: &Bytes) -> String {
+    use std::fmt::Write;
+    let size = body.len();
+    let mut text = String::from("{");
+    for (position, shard) in shards.iter().enumerate() {
+        let comma = if position == 0 { "" } else { "," };
+        // Writing to a String cannot fail.
+        let _ = write!(
+            text,
+            "{comma}\"{shard}\":{{\"shard\":{shard},\"version\":{version},\"request\":\"{request}\",\"asked\":{size}}}"
+        );
+    }
+    text.push('}');
+    text
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -29,6 +29,12 @@
         &self.upstreams[index.0 as usize]
     }
 
+    /// The upstream of this name; upstreams stand in the order of their names.
+    pub fn find_upstream(&self, name: &UpstreamName) -> Option<&Arc<UpstreamSpec>> {
+        let position = self.upstreams.binary_search_by(|spec| spec.name.cmp(name)).ok()?;
+        Some(&self.upstreams[position])
+    }
+
     /// The caller whose token has this digest.
     pub fn caller(&self, token: ContentDigest) -> Option<&Arc<CallerSpec>> {
         self.callers.get(&token)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod head;
 pub mod ids;
 pub mod outcome;
+pub mod server;
 pub mod units;
 
 pub use answer::{MissingReason, MissingShard, ProblemDetails, QueryAnswer, RanState, ShardCoverage};
--- a/crates/platform/src/commit.rs
+++ b/crates/platform/src/commit.rs
@@ -85,6 +85,12 @@
     sections
 }
 
+/// The files as they are stored: their names and the digests of their sections.
+pub fn store_files(files: &[SourceFile]) -> Vec<StoredFile> {
+    let digests = |text| cut_sections(text).into_iter().map(|section| ContentDigest::of(section.as_bytes())).collect();
+    files.iter().map(|file| StoredFile { name: file.name.clone(), sections: digests(&file.text) }).collect()
+}
+
 fn section_key(digest: ContentDigest) -> String {
     format!("sections/{digest}")
 }
@@ -149,17 +155,11 @@
     }
 
     async fn write_sections(&self, files: &[SourceFile]) -> Result<Vec<StoredFile>, StoreError> {
-        let mut stored = Vec::new();
-        for file in files {
-            let mut sections = Vec::new();
-            for section in cut_sections(&file.text) {
-                let digest = ContentDigest::of(section.as_bytes());
-                self.write_once(&section_key(digest), section.as_bytes()).await?;
-                sections.push(digest);
-            }
-            stored.push(StoredFile { name: file.name.clone(), sections });
+        for section in files.iter().flat_map(|file| cut_sections(&file.text)) {
+            let digest = ContentDigest::of(section.as_bytes());
+            self.write_once(&section_key(digest), section.as_bytes()).await?;
         }
-        Ok(stored)
+        Ok(store_files(files))
     }
 
     /// Writes an immutable value; one that is there already is the same one.
--- a/crates/policy/src/pin.rs
+++ b/crates/policy/src/pin.rs
@@ -1,9 +1,11 @@
 //! Which index version a query is pinned to.
 
+use bincode::{Decode, Encode};
+use serde::Serialize;
 use streamfold_model::IndexVersion;
 
 /// The versions a server is believed to hold, both ends included.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Encode, Decode)]
 pub struct HeldVersions {
     /// The oldest.
     pub oldest: IndexVersion,
@@ -20,13 +22,27 @@
     }
 }
 
-/// What is believed of one upstream for one index: the newest version any of its servers
-/// holds, and the oldest that any still holds.
-pub type VersionView = Option<HeldVersions>;
+/// The newest version that all of these ranges hold; where none is held by all, the one
+/// that most hold, the newer of equals. `None` when nothing is believed yet.
+///
+/// Only versions up to `cap` count: an older layout ends where the next begins.
+pub fn choose_version(held: &[HeldVersions], cap: IndexVersion) -> Option<IndexVersion> {
+    let newest = held.iter().map(|held| held.newest).min()?.min(cap);
+    let oldest = held.iter().map(|held| held.oldest).max()?;
+    if oldest <= newest {
+        return Some(newest);
+    }
+    choose_most_held(held, cap)
+}
 
-/// The newest version that every upstream is believed to hold, or, if their ranges do not
-/// meet, the newest that most of the laggards hold. `None` when nothing is believed yet.
-pub fn choose_version<'a>(views: impl IntoIterator<Item = &'a VersionView>) -> Option<IndexVersion> {
-    let known = views.into_iter().flatten();
-    known.map(|held| held.newest).min()
+/// The version in most ranges. Some range's newest version is always among the best.
+fn choose_most_held(held: &[HeldVersions], cap: IndexVersion) -> Option<IndexVersion> {
+    let mut candidates: Vec<IndexVersion> = held.iter().map(|held| held.newest.min(cap)).collect();
+    candidates.sort_unstable();
+    candidates.dedup();
+    let holders = |version: IndexVersion| {
+        let holding = held.iter().filter(|held| held.oldest <= version && version <= held.newest);
+        holding.count()
+    };
+    candidates.into_iter().max_by_key(|version| (holders(*version), *version))
 }
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -45,6 +45,7 @@
     resting_until: Option<Moment>,
     probing: bool,
     leaving: bool,
+    incarnation: Option<u64>,
     load: Option<(f64, Moment)>,
     versions: BTreeMap<IndexName, HeldVersions>,
 }
@@ -63,6 +64,7 @@
             resting_until: None,
             probing: false,
             leaving: false,
+            incarnation: None,
             load: None,
             versions: BTreeMap::new(),
         }
@@ -169,10 +171,15 @@
         }
     }
 
-    /// Starts again from one call at a time, for a server that came up anew.
-    pub fn restart_cold(&mut self) {
-        self.limit = 1.0;
-        self.leaving = false;
+    /// Notes which run of the server process answered. A new run starts from one call at a
+    /// time, and is the only thing that ends a leaving mark.
+    pub fn learn_incarnation(&mut self, incarnation: u64) {
+        let known = self.incarnation.replace(incarnation);
+        if known.is_some_and(|known| known != incarnation) {
+            self.limit = 1.0;
+            self.leaving = false;
+            self.load = None;
+        }
     }
 
     /// Marks it as leaving.
