--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::{Body, to_bytes};
+use axum::body::Body;
 use axum::extract::{Path, RawQuery, State};
 use axum::http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::{Deserialize, Serialize};
 use streamfold_model::answer::{HEADER_DEADLINE, HEADER_KEY, HEADER_PREFER, HEADER_REPEATABLE};
 use streamfold_model::server::read_shards;
@@ -40,6 +41,9 @@
 const RETURN_SHARE: f64 = 0.02;
 /// The most kept for it.
 const MAX_RETURN: Duration = Duration::from_millis(5);
+/// How much of a body over its limit is read, and for how long, before it is refused.
+const MAX_DRAIN: usize = 16 << 20;
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 /// When to ask again after a refusal that time alone will mend.
 const RETRY_LATER: Duration = Duration::from_millis(1_000);
 
@@ -75,7 +79,7 @@
     BadOrder(String),
     /// A request that is not repeatable needs a key.
     #[error("a request that is not repeatable needs the header Idempotency-Key; use the ticket given here")]
-    KeyMissing,
+    KeyMissing(String),
     /// A query cannot be made not repeatable.
     #[error("a query is always repeatable; use an order")]
     QueryNotRepeatable,
@@ -94,9 +98,9 @@
     /// No server told its versions.
     #[error("no server of the index has told which versions it holds")]
     NoVersion,
-    /// An order gave no result.
-    #[error("the order gave no result: {0:?}")]
-    Order(OrderFailure),
+    /// An order gave no result; a ticket where one would help.
+    #[error("the order gave no result: {0}")]
+    Order(OrderFailure, Option<String>),
 }
 
 impl CallerError {
@@ -112,29 +116,38 @@
             Self::BodyTooLarge(_) => ("body-too-large", StatusCode::PAYLOAD_TOO_LARGE),
             Self::BodyBroken => ("body-broken", StatusCode::BAD_REQUEST),
             Self::BadOrder(_) => ("bad-order", StatusCode::BAD_REQUEST),
-            Self::KeyMissing => ("key-missing", StatusCode::BAD_REQUEST),
+            Self::KeyMissing(_) => ("key-missing", StatusCode::BAD_REQUEST),
             Self::QueryNotRepeatable => ("query-not-repeatable", StatusCode::BAD_REQUEST),
             Self::OverRate(_) => ("over-rate", StatusCode::TOO_MANY_REQUESTS),
             Self::OverConcurrency => ("over-concurrency", StatusCode::TOO_MANY_REQUESTS),
             Self::Stopping => ("stopping", StatusCode::SERVICE_UNAVAILABLE),
             Self::NoConfiguration => ("no-configuration", StatusCode::SERVICE_UNAVAILABLE),
             Self::NoVersion => ("no-version", StatusCode::SERVICE_UNAVAILABLE),
-            Self::Order(failure) => order_kind(*failure),
+            Self::Order(failure, _) => order_kind(*failure),
         }
     }
 
     fn ran(&self) -> RanState {
         match self {
-            Self::Order(failure) => failure.ran(),
+            Self::Order(failure, _) => failure.ran(),
             _ => RanState::NotRun,
         }
     }
 
+    /// The ticket to use, where one would help.
+    fn ticket(&self) -> Option<&String> {
+        match self {
+            Self::KeyMissing(ticket) => Some(ticket),
+            Self::Order(_, ticket) => ticket.as_ref(),
+            _ => None,
+        }
+    }
+
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::OverRate(wait) => Some(*wait),
             Self::OverConcurrency | Self::Stopping | Self::NoConfiguration | Self::NoVersion => Some(RETRY_LATER),
-            Self::Order(OrderFailure::Missing(_) | OrderFailure::Stopping) => Some(RETRY_LATER),
+            Self::Order(OrderFailure::Missing(_) | OrderFailure::Stopping | OrderFailure::Full, _) => Some(RETRY_LATER),
             _ => None,
         }
     }
@@ -146,6 +159,8 @@
         OrderFailure::OutcomeUnknown => ("outcome-unknown", StatusCode::GATEWAY_TIMEOUT),
         OrderFailure::AlreadyTaken => ("already-taken", StatusCode::CONFLICT),
         OrderFailure::BadTicket => ("bad-ticket", StatusCode::BAD_REQUEST),
+        OrderFailure::Expired => ("ticket-expired", StatusCode::GONE),
+        OrderFailure::Full => ("node-full", StatusCode::SERVICE_UNAVAILABLE),
         OrderFailure::MinterGone => ("minter-gone", StatusCode::GATEWAY_TIMEOUT),
         OrderFailure::Stopping => ("stopping", StatusCode::SERVICE_UNAVAILABLE),
         OrderFailure::ClaimFailed => ("claim-failed", StatusCode::SERVICE_UNAVAILABLE),
@@ -155,6 +170,7 @@
 /// An order's result as told to the caller.
 #[derive(Debug, Serialize)]
 struct OrderAnswer<'a> {
+    request: RequestId,
     ran: RanState,
     shard: ShardId,
     index_version: streamfold_model::IndexVersion,
@@ -222,7 +238,7 @@
     parameters: Option<&str>,
     request: Request<Body>,
 ) -> Result<Told, CallerError> {
-    let visit = let_in(node, id, request.headers())?;
+    let visit = let_in(node, request.headers())?;
     let spec = find_index(&visit, index)?;
     if read_repeatable(request.headers())? == Some(false) {
         return Err(CallerError::QueryNotRepeatable);
@@ -264,11 +280,11 @@
     index: &str,
     request: Request<Body>,
 ) -> Result<Told, CallerError> {
-    let visit = let_in(node, id, request.headers())?;
+    let visit = let_in(node, request.headers())?;
     let spec = find_index(&visit, index)?;
     let deadline = read_deadline(&visit, request.headers())?;
     read_repeatable(request.headers())?;
-    let key = read_key(request.headers())?.ok_or(CallerError::KeyMissing)?;
+    let key = read_key(request.headers())?.ok_or_else(|| CallerError::KeyMissing(mint(&visit)))?;
     let body = read_body(node, request).await?;
     let record = serde_json::from_slice::<OrderBody>(&body);
     let record = record.map_err(|error| CallerError::BadOrder(error.to_string()))?.key;
@@ -277,49 +293,50 @@
     let ask = OrderAsk { request: id, caller, index, record, key, body: body.to_vec(), deadline };
     let reply = match ask.key.starts_with(TICKET_PREFIX) {
         true => {
-            let ticket = ask.key.parse().map_err(|_| CallerError::Order(OrderFailure::BadTicket))?;
+            let ticket = ask.key.parse().map_err(|_| CallerError::Order(OrderFailure::BadTicket, None))?;
             run_ticket(node, ask, &ticket).await
         }
         false => run_claimed(node, ask).await,
     };
     let (shard, index_version, result) = match reply {
         OrderReply::Done { shard, version, result } => (shard, version, result),
-        OrderReply::Failed(failure) => return Err(CallerError::Order(failure)),
+        OrderReply::Failed(failure @ OrderFailure::ClaimFailed) => {
+            return Err(CallerError::Order(failure, Some(mint(&visit))));
+        }
+        OrderReply::Failed(failure) => return Err(CallerError::Order(failure, None)),
     };
     let raw: Result<&serde_json::value::RawValue, _> = serde_json::from_slice(&result);
-    let raw = raw.map_err(|_| CallerError::Order(OrderFailure::OutcomeUnknown))?;
+    let raw = raw.map_err(|_| CallerError::Order(OrderFailure::OutcomeUnknown, None))?;
     let answer = OrderAnswer { request: id, ran: RanState::Ran, shard, index_version, result: raw };
-    let text = serde_json::to_vec(&answer).map_err(|_| CallerError::Order(OrderFailure::OutcomeUnknown))?;
+    let text = serde_json::to_vec(&answer).map_err(|_| CallerError::Order(OrderFailure::OutcomeUnknown, None))?;
     Ok(Told { caller: visit.caller.name.to_string(), result: "ran", coverage: "1/1".to_owned(), text })
 }
 
 async fn tickets(State(node): State<Arc<Node>>, RawQuery(parameters): RawQuery, headers: HeaderMap) -> Response {
     let id = RequestId(rand::random());
     let started = node.clock.now();
-    let result = answer_tickets(&node, id, parameters.as_deref(), &headers);
+    let result = answer_tickets(&node, parameters.as_deref(), &headers);
     finish(&node, id, "tickets", "", started, result)
 }
 
-fn answer_tickets(
-    node: &Arc<Node>,
-    id: RequestId,
-    parameters: Option<&str>,
-    headers: &HeaderMap,
-) -> Result<Told, CallerError> {
-    let visit = let_in(node, id, headers)?;
+fn answer_tickets(node: &Arc<Node>, parameters: Option<&str>, headers: &HeaderMap) -> Result<Told, CallerError> {
+    let visit = let_in(node, headers)?;
     let count = find_parameter(parameters, "count").unwrap_or("1");
     let bad = || HeaderError::BadValue { name: "count", found: count.to_owned(), wanted: "a number from 1 to 1000" };
     let wanted: u32 = count.parse().ok().filter(|wanted| (1..=MAX_TICKETS).contains(wanted)).ok_or_else(bad)?;
-    let now = node.clock.now();
-    let minted = (0..wanted).map(|_| node.own_book().mint(now, &visit.caller.name).to_string());
+    let minted = (0..wanted).map(|_| mint(&visit));
     let life = node.settings.ticket_life.as_millis();
     let answer = TicketAnswer { tickets: minted.collect(), expires_in_ms: life as u64 };
     let text = serde_json::to_vec(&answer).map_err(|_| CallerError::BodyBroken)?;
     Ok(Told { caller: visit.caller.name.to_string(), result: "minted", coverage: String::new(), text })
 }
 
+fn mint(visit: &CallerVisit) -> String {
+    visit.node.own_book().mint(visit.node.clock.now(), &visit.caller.name).to_string()
+}
+
 /// Finds out who calls and whether it may, by rate and concurrency.
-fn let_in(node: &Arc<Node>, id: RequestId, headers: &HeaderMap) -> Result<CallerVisit, CallerError> {
+fn let_in(node: &Arc<Node>, headers: &HeaderMap) -> Result<CallerVisit, CallerError> {
     // Counted before the phase is looked at, so that a stop never misses a request.
     let work = node.count_work();
     if node.is_refusing() {
@@ -425,15 +442,19 @@
 
 async fn read_body(node: &Node, request: Request<Body>) -> Result<Bytes, CallerError> {
     let limit = node.settings.body_limit.as_usize();
-    let told = request.headers().get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok());
-    if told.and_then(|length| length.parse::<usize>().ok()).is_some_and(|length| length > limit) {
-        return Err(CallerError::BodyTooLarge(limit));
+    let mut body = request.into_body();
+    let read = Limited::new(&mut body, limit).collect().await;
+    let error = match read {
+        Ok(read) => return Ok(read.to_bytes()),
+        Err(error) => error,
+    };
+    if !error.is::<LengthLimitError>() {
+        return Err(CallerError::BodyBroken);
     }
-    to_bytes(request.into_body(), limit).await.map_err(|error| {
-        let is_over =
-            std::error::Error::source(&error).is_some_and(|source| source.is::<http_body_util::LengthLimitError>());
-        if is_over { CallerError::BodyTooLarge(limit) } else { CallerError::BodyBroken }
-    })
+    // A sender that is still sending would not see the refusal, so a bounded rest is read.
+    let rest = Limited::new(body, MAX_DRAIN).collect();
+    let _ = tokio::time::timeout(DRAIN_TIMEOUT, rest).await;
+    Err(CallerError::BodyTooLarge(limit))
 }
 
 /// Logs and counts how a request ended and makes its answer.
@@ -458,12 +479,12 @@
             let (kind, _) = error.kind();
             stats::count_request("", kind, elapsed);
             tracing::info!(event = "refused", request = %id, verb, index, result = kind, ran = %error.ran(), detail = %error, elapsed_us);
-            problem(node, id, &error).into_response()
+            problem(id, &error).into_response()
         }
     }
 }
 
-fn problem(node: &Node, id: RequestId, error: &CallerError) -> impl IntoResponse + use<> {
+fn problem(id: RequestId, error: &CallerError) -> impl IntoResponse + use<> {
     let (kind, status) = error.kind();
     let retry_after = error.retry_after();
     let details = ProblemDetails {
@@ -472,11 +493,10 @@
         detail: error.to_string(),
         ran: error.ran(),
         request: Some(id),
-        ticket: None,
+        ticket: error.ticket().cloned(),
         retry_after_ms: retry_after.map(|wait| wait.as_millis() as u64 + 1),
         problems: Vec::new(),
     };
-    let _ = node;
     let mut headers = HeaderMap::new();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
     if let Some(wait) = retry_after {
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -68,7 +68,7 @@
         let members = node.members();
         let others = members.entries().filter(|entry| entry.node != node.settings.node);
         for entry in others.filter(|entry| entry.state != MemberState::Gone) {
-            if members.health(now, &entry.node) == streamfold_policy::MemberHealth::Dead {
+            if members.health(now, &entry.node) == streamfold_model::operator::MemberHealth::Dead {
                 continue;
             }
             let group = if entry.domain == node.settings.domain { &mut near } else { &mut far };
@@ -89,7 +89,7 @@
         let members = node.members();
         let dead = members.entries().filter(|entry| {
             entry.state != MemberState::Gone
-                && members.health(now, &entry.node) == streamfold_policy::MemberHealth::Dead
+                && members.health(now, &entry.node) == streamfold_model::operator::MemberHealth::Dead
         });
         addresses.extend(dead.map(|entry| entry.peer_address));
         let known: Vec<SocketAddr> = members.workers(now).map(|entry| entry.peer_address).collect();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use streamfold_model::operator::MemberHealth;
 use streamfold_model::{CallerName, ConfigBundle, ConfigVersion, FailureDomain, Incarnation};
 use streamfold_platform::{ConfigStore, HttpPlatform, ObjectStore, RequestClaims, VmList};
 use streamfold_policy::{
-    AdaptiveRules, AttemptRules, BaselineRules, CallerGate, MemberEntry, MemberHealth, MemberState, MemberTable,
-    MemberTimes, Moment,
+    AdaptiveRules, AttemptRules, BaselineRules, CallerGate, MemberEntry, MemberState, MemberTable, MemberTimes, Moment,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -169,7 +169,7 @@
         let now = node.clock.now();
         node.own_book.sweep(now);
         node.own_keys.sweep(now);
-        for book in node.books().iter() {
+        for book in &node.books() {
             book.sweep(now);
         }
     }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -8,19 +8,17 @@
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
-use serde::{Deserialize, Serialize};
 use streamfold_model::check::check_files;
-use streamfold_model::{
-    ChangeId, ConfigBundle, ConfigVersion, FailureDomain, HeadRecord, NodeId, ProblemDetails, RanState, SourceFile,
-};
+use streamfold_model::operator::{ApplyAnswer, ApplyRequest, MemberStatus, NodeStatus, ServerStatus};
+use streamfold_model::{ConfigBundle, ConfigVersion, HeadRecord, ProblemDetails, RanState};
 use streamfold_platform::{CommitError, CommitRequest};
-use streamfold_policy::{MemberEntry, MemberHealth};
 use tokio::net::TcpListener;
 
 use crate::clock::wall_ms;
 use crate::http_server;
 use crate::metrics_text;
 use crate::node::{Node, StopPhase};
+use crate::upstream::LinkState;
 
 /// Connections of operators at most.
 const MAX_CONNECTIONS: usize = 100;
@@ -30,68 +28,6 @@
 const MAX_AUDIT: u64 = 200;
 const DEFAULT_AUDIT: u64 = 20;
 
-/// A configuration to check or to apply.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ApplyRequest {
-    /// Its files.
-    pub files: Vec<SourceFile>,
-    /// The change's id; a retry keeps it.
-    pub change: ChangeId,
-    /// The version this change was made against.
-    pub expected: Option<ConfigVersion>,
-    /// Who applies it.
-    pub operator: String,
-    /// Why.
-    pub reason: String,
-    /// Only check.
-    #[serde(default)]
-    pub dry_run: bool,
-}
-
-/// What became of an apply.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct ApplyAnswer {
-    /// The version now in force; after a dry run, the one before.
-    pub version: ConfigVersion,
-    /// Whether something was committed.
-    pub committed: bool,
-}
-
-/// A node as told in a status.
-#[derive(Debug, Serialize)]
-struct MemberStatus {
-    #[serde(flatten)]
-    entry: MemberEntry,
-    health: MemberHealth,
-}
-
-/// A server as told in a status.
-#[derive(Debug, Serialize)]
-struct ServerStatus {
-    upstream: String,
-    server: String,
-    reachable: bool,
-    leaving: bool,
-    in_flight: u32,
-    limit: u32,
-    connections: u32,
-}
-
-/// One node's status.
-#[derive(Debug, Serialize)]
-struct NodeStatus {
-    node: NodeId,
-    failure_domain: FailureDomain,
-    ready: bool,
-    phase: String,
-    config_version: ConfigVersion,
-    config_age_ms: u64,
-    in_flight: usize,
-    members: Vec<MemberStatus>,
-    servers: Vec<ServerStatus>,
-}
-
 /// Serves the operators' port until the node ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     let router = Router::new()
@@ -125,37 +61,50 @@
 }
 
 async fn status(State(node): State<Arc<Node>>) -> Json<NodeStatus> {
+    let cause = unready_cause(&node);
+    Json(NodeStatus {
+        node: node.settings.node.clone(),
+        failure_domain: node.settings.domain.clone(),
+        ready: cause.is_none(),
+        unready_cause: cause.map(str::to_owned),
+        phase: format!("{:?}", node.phase()).to_lowercase(),
+        config_version: node.keeper.version(),
+        config_age_ms: node.keeper.age_ms(),
+        in_flight: node.work_in_flight(),
+        members: tell_members(&node),
+        servers: tell_servers(&node),
+    })
+}
+
+fn tell_members(node: &Node) -> Vec<MemberStatus> {
     let now = node.clock.now();
-    let members = {
-        let members = node.members();
-        let told = members
-            .entries()
-            .map(|entry| MemberStatus { health: members.health(now, &entry.node), entry: entry.clone() });
-        told.collect()
-    };
+    let members = node.members();
+    let told = members.entries().map(|entry| MemberStatus {
+        node: entry.node.clone(),
+        incarnation: entry.incarnation,
+        domain: entry.domain.clone(),
+        operator_address: entry.operator_address,
+        state: format!("{:?}", entry.state).to_lowercase(),
+        health: members.health(now, &entry.node),
+        config: entry.config,
+    });
+    told.collect()
+}
+
+fn tell_servers(node: &Node) -> Vec<ServerStatus> {
     let pools = node.pools.all();
-    let servers = pools.iter().flat_map(|pool| {
+    let told = pools.iter().flat_map(|pool| {
         pool.servers().into_iter().map(|(link, state)| ServerStatus {
-            upstream: pool.spec.name.to_string(),
-            server: link.address().to_string(),
-            reachable: link.state() == crate::upstream::LinkState::Up,
+            upstream: pool.spec.name.clone(),
+            server: link.address(),
+            reachable: link.state() == LinkState::Up,
             leaving: state.is_leaving(),
             in_flight: state.inflight(),
             limit: state.limit(),
             connections: link.open_connections(),
         })
     });
-    Json(NodeStatus {
-        node: node.settings.node.clone(),
-        failure_domain: node.settings.domain.clone(),
-        ready: unready_cause(&node).is_none(),
-        phase: format!("{:?}", node.phase()).to_lowercase(),
-        config_version: node.keeper.version(),
-        config_age_ms: node.keeper.age_ms(),
-        in_flight: node.work_in_flight(),
-        members,
-        servers: servers.collect(),
-    })
+    told.collect()
 }
 
 fn problem(kind: &str, status: StatusCode, detail: String, ran: RanState, problems: Vec<String>) -> Response {
--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -15,7 +15,7 @@
 use crate::clock::wall_ms;
 use crate::node::Node;
 use crate::outcomes::{KeyUse, wait_outcome};
-use crate::tickets::OrderTicket;
+use crate::tickets::{OrderTicket, TicketFault};
 use crate::view::{ClusterView, WorkTarget};
 use crate::wire::{
     BatchRequest, OrderFailure, OrderReply, OrderRequest, PATH_BATCH, PATH_ORDER, PieceReply, PieceRequest,
@@ -49,7 +49,7 @@
     let wait = ask.deadline.since(node.clock.now());
     match node.own_keys.begin(node.clock.now(), memory_key.clone()) {
         KeyUse::Wait(outcome) => wait_outcome(outcome, wait).await,
-        KeyUse::Full => OrderReply::Failed(OrderFailure::ClaimFailed),
+        KeyUse::Full => OrderReply::Failed(OrderFailure::Full),
         KeyUse::Run(guard) => {
             let node = node.clone();
             // The order goes on when its caller hangs up, so that its outcome is known.
@@ -109,12 +109,13 @@
     if node.is_refusing() {
         return OrderReply::Failed(OrderFailure::Stopping);
     }
-    let Some(book) = node.find_book(ticket) else { return OrderReply::Failed(OrderFailure::BadTicket) };
+    let Some(book) = node.find_book(ticket) else { return OrderReply::Failed(OrderFailure::MinterGone) };
     let wait = ask.deadline.since(node.clock.now());
     match book.begin(node.clock.now(), ticket, &ask.caller) {
-        Err(_) => OrderReply::Failed(OrderFailure::BadTicket),
+        Err(TicketFault::Forged) => OrderReply::Failed(OrderFailure::BadTicket),
+        Err(TicketFault::Expired) => OrderReply::Failed(OrderFailure::Expired),
         Ok(KeyUse::Wait(outcome)) => wait_outcome(outcome, wait).await,
-        Ok(KeyUse::Full) => OrderReply::Failed(OrderFailure::ClaimFailed),
+        Ok(KeyUse::Full) => OrderReply::Failed(OrderFailure::Full),
         Ok(KeyUse::Run(guard)) => {
             let node = node.clone();
             // The order goes on when its caller hangs up, so that its outcome is known.
--- a/crates/daemon/src/outcomes.rs
+++ b/crates/daemon/src/outcomes.rs
@@ -11,7 +11,8 @@
 
 use crate::wire::{OrderFailure, OrderReply};
 
-type OutcomeReceiver = watch::Receiver<Option<OrderReply>>;
+/// The outcome of a key, once it is known.
+pub type OutcomeReceiver = watch::Receiver<Option<OrderReply>>;
 
 /// What to do with a presented key.
 pub enum KeyUse {
@@ -57,6 +58,11 @@
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The outcome of a key that was begun, to wait for.
+    pub fn find(&self, key: &K) -> Option<OutcomeReceiver> {
+        self.rows().get(key).map(|row| row.outcome.clone())
+    }
+
     /// Begins a key, unless it was begun before.
     pub fn begin(&self, now: Moment, key: K) -> KeyUse {
         let mut rows = self.rows();
--- a/crates/daemon/src/tickets.rs
+++ b/crates/daemon/src/tickets.rs
@@ -66,7 +66,12 @@
 
 /// Why a ticket may not be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BadTicket;
+pub enum TicketFault {
+    /// It is forged or another caller's: under it nothing ever ran.
+    Forged,
+    /// It has expired and its outcome, if any, is forgotten.
+    Expired,
+}
 
 /// The tickets of one run of one node.
 pub struct TicketBook {
@@ -122,25 +127,24 @@
         ticket.node == self.node && ticket.incarnation == self.incarnation
     }
 
-    /// Begins the use of a ticket.
+    /// Begins the use of a ticket, or finds its earlier use.
     ///
     /// # Errors
-    /// The ticket is not of this book, not this caller's, forged or expired.
-    pub fn begin(&self, now: Moment, ticket: &OrderTicket, caller: &CallerName) -> Result<KeyUse, BadTicket> {
+    /// The ticket is forged, another caller's, or expired and not remembered.
+    pub fn begin(&self, now: Moment, ticket: &OrderTicket, caller: &CallerName) -> Result<KeyUse, TicketFault> {
         let mac = self.mac(ticket.sequence, ticket.expires_ms, caller);
-        let genuine = self.is_own(ticket) && mac.verify_truncated_left(&ticket.mac).is_ok();
-        let age_ms = now.since(self.started).as_millis();
-        if !genuine || age_ms > u128::from(ticket.expires_ms) {
-            return Err(BadTicket);
+        if !self.is_own(ticket) || mac.verify_truncated_left(&ticket.mac).is_err() {
+            return Err(TicketFault::Forged);
+        }
+        if let Some(outcome) = self.used.find(&ticket.sequence) {
+            return Ok(KeyUse::Wait(outcome));
+        }
+        if now.since(self.started).as_millis() > u128::from(ticket.expires_ms) {
+            return Err(TicketFault::Expired);
         }
         Ok(self.used.begin(now, ticket.sequence))
     }
 
-    /// Forgets a ticket whose order did not run, so that it may be presented again.
-    pub fn release(&self, ticket: &OrderTicket) {
-        self.used.release(&ticket.sequence);
-    }
-
     /// Forgets tickets that have expired.
     pub fn sweep(&self, now: Moment) {
         self.used.sweep(now);
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -1,6 +1,8 @@
 //! Messages between nodes: bincode in length-prefixed frames on `h2` streams. Every decode
 //! is bounded by the limit of its kind.
 
+use std::fmt;
+
 use bincode::config::{Configuration as BincodeConfig, Limit, LittleEndian, Varint};
 use bincode::{Decode, Encode};
 use bytes::{Buf, Bytes, BytesMut};
@@ -123,22 +125,43 @@
     OutcomeUnknown,
     /// The key was used before and its outcome is not remembered.
     AlreadyTaken,
-    /// The ticket is not this node's, is expired or is not the caller's.
+    /// The ticket is forged or another caller's.
     BadTicket,
+    /// The ticket has expired and no outcome is remembered for it.
+    Expired,
     /// The ticket's node cannot be reached.
     MinterGone,
     /// The node is stopping and runs no more orders.
     Stopping,
     /// The store could not be used to claim the key.
     ClaimFailed,
+    /// The node remembers as many keys as it may.
+    Full,
+}
+
+impl fmt::Display for OrderFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            Self::Missing(reason) => return write!(f, "its shard cannot run it now: {reason}"),
+            Self::OutcomeUnknown => "its answer was lost, so it may have run",
+            Self::AlreadyTaken => "its key was used before and that use's outcome is not remembered here",
+            Self::BadTicket => "the ticket is forged or another caller's",
+            Self::Expired => "the ticket has expired, and no outcome is remembered for it",
+            Self::MinterGone => "the node that minted its ticket cannot be reached, so it may have run",
+            Self::Stopping => "the node that minted its ticket is stopping",
+            Self::ClaimFailed => "its key cannot be claimed in the store now; use the ticket given here",
+            Self::Full => "the node remembers as many keys as it may",
+        };
+        f.write_str(text)
+    }
 }
 
 impl OrderFailure {
     /// What may be said of the order.
     pub fn ran(self) -> RanState {
         match self {
-            Self::Missing(_) | Self::BadTicket | Self::Stopping | Self::ClaimFailed => RanState::NotRun,
-            Self::OutcomeUnknown | Self::AlreadyTaken | Self::MinterGone => RanState::Unknown,
+            Self::Missing(_) | Self::BadTicket | Self::Stopping | Self::ClaimFailed | Self::Full => RanState::NotRun,
+            Self::OutcomeUnknown | Self::AlreadyTaken | Self::Expired | Self::MinterGone => RanState::Unknown,
         }
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -20,7 +20,7 @@
 
 fn main() -> ExitCode {
     let args = lab_args().run();
-    match run(args) {
+    match run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("streamfold-lab: {error}");
@@ -30,8 +30,8 @@
 }
 
 #[tokio::main]
-async fn run(args: LabArgs) -> Result<(), FleetError> {
+async fn run(args: &LabArgs) -> Result<(), FleetError> {
     match args {
-        LabArgs::Demo { keep } => demo::run(keep).await,
+        LabArgs::Demo { keep } => demo::run(*keep).await,
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod head;
 pub mod ids;
+pub mod operator;
 pub mod outcome;
 pub mod server;
 pub mod units;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,7 +20,7 @@
 pub use budget::TokenBudget;
 pub use finish::FinishRule;
 pub use latency::LatencyTrack;
-pub use members::{HandoverRecord, MemberEntry, MemberHealth, MemberState, MemberTable, MemberTimes, TicketHolder};
+pub use members::{HandoverRecord, MemberEntry, MemberState, MemberTable, MemberTimes, TicketHolder};
 pub use moment::Moment;
 pub use pin::HeldVersions;
 pub use queue::{QueueSubmission, StartedWork, UpstreamQueue, WorkItem};
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -10,6 +10,7 @@
 
 use bincode::{Decode, Encode};
 use serde::Serialize;
+use streamfold_model::operator::MemberHealth;
 use streamfold_model::{ConfigVersion, FailureDomain, Incarnation, NodeId};
 
 use crate::moment::Moment;
@@ -70,18 +71,6 @@
     pub alive: bool,
 }
 
-/// How live a node looks from here.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberHealth {
-    /// Its counter rises.
-    Live,
-    /// Its counter has not risen for a while.
-    Suspect,
-    /// Its counter has not risen for so long that it gets no work.
-    Dead,
-}
-
 /// How long a counter may stand still.
 #[derive(Debug, Clone, Copy)]
 pub struct MemberTimes {
