An experiment measures what the tier itself costs

Cause: there was no figure for the tier's own cost. Change: streamfold-lab experiment cost: streamfoldd processes, servers that answer at once, the processes' own CPU time and memory from /proc, latency at a third of capacity.

--- /dev/null
+++ b/crates/lab/src/experiments/cost.rs
@@ -0,0 +1,180 @@
+//! What the tier itself costs, with servers that answer at once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Method;
+use serde_json::{Value, json};
+use streamfold_model::server::{SERVER_ATTEMPT, SERVER_REQUEST, SERVER_SHARDS};
+use streamfold_model::{AttemptId, RequestId};
+
+use super::ExperimentReport;
+use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, INDEX, NodeHandle, TOKEN};
+use crate::load::{self, LoadPlan};
+use crate::server::ServerPlan;
+use crate::usage;
+
+/// Requests running at once when the capacity is measured.
+const CONCURRENCY: usize = 64;
+/// How long each measurement lasts.
+const TIME: Duration = Duration::from_secs(4);
+/// The share of the capacity at which latency is measured.
+const LATENCY_SHARE: f64 = 1.0 / 3.0;
+/// What is aimed for.
+const MAX_ADDED_P99_MS: f64 = 1.0;
+const MIN_CALLS_PER_CORE: f64 = 50_000.0;
+
+fn fast_server() -> ServerPlan {
+    ServerPlan {
+        slots: 1_000,
+        queue: 10_000,
+        connections: 100,
+        connect_delay: Duration::ZERO,
+        base: Duration::ZERO,
+        keeps: 5,
+    }
+}
+
+fn plan(entry_upstreams: usize, far_upstreams: usize, shards: usize) -> FleetPlan {
+    let domain = |name, upstreams| DomainPlan { name, nodes: 1, upstreams };
+    let domains = match far_upstreams {
+        0 => vec![domain("vienna", entry_upstreams)],
+        _ => vec![domain("vienna", entry_upstreams), domain("tyrol", far_upstreams)],
+    };
+    FleetPlan { domains, servers: 2, shards, server: fast_server(), processes: true, ..FleetPlan::default() }
+}
+
+fn pids(fleet: &Fleet) -> Vec<u32> {
+    let handles = fleet.nodes.iter().filter_map(|node| node.handle.as_ref());
+    let children = handles.filter_map(|handle| match handle {
+        NodeHandle::Process(child) => child.id(),
+        NodeHandle::Local(_) => None,
+    });
+    children.collect()
+}
+
+fn cpu_of(pids: &[u32]) -> Duration {
+    pids.iter().filter_map(|pid| usage::read(*pid)).map(|used| used.cpu).sum()
+}
+
+fn memory_of(pids: &[u32]) -> Vec<u64> {
+    pids.iter().filter_map(|pid| usage::read(*pid)).map(|used| used.memory >> 10).collect()
+}
+
+/// Queries back to back, so many at once, for a time; returns queries a second.
+async fn saturate(fleet: &Fleet, entry: SocketAddr, concurrency: usize) -> f64 {
+    let start = Instant::now();
+    let mut workers = tokio::task::JoinSet::new();
+    let authorization: Arc<str> = format!("Bearer {TOKEN}").into();
+    for _ in 0..concurrency {
+        let (client, authorization) = (fleet.client.clone(), authorization.clone());
+        workers.spawn(async move {
+            let path = format!("/v1/indexes/{INDEX}/query");
+            let headers = [("authorization", &*authorization)];
+            let mut done = 0u64;
+            while start.elapsed() < TIME {
+                let body = Bytes::from_static(b"{}");
+                let answer = client.call(Method::POST, entry, &path, &headers, body, TIME).await;
+                done += u64::from(answer.is_ok_and(|answer| answer.status.is_success()));
+            }
+            done
+        });
+    }
+    let mut total = 0;
+    while let Some(done) = workers.join_next().await {
+        total += done.unwrap_or(0);
+    }
+    total as f64 / start.elapsed().as_secs_f64()
+}
+
+/// One shape of fleet: capacity, processor time a shard call, memory, latency at a third.
+async fn measure(plan: FleetPlan) -> Result<Value, FleetError> {
+    let fleet = Fleet::start(plan).await?;
+    let entry = fleet.callers()[0];
+    let pids = pids(&fleet);
+    let idle_kb = memory_of(&pids);
+    saturate(&fleet, entry, CONCURRENCY).await;
+    let before = cpu_of(&pids);
+    let start = Instant::now();
+    let rate = saturate(&fleet, entry, CONCURRENCY).await;
+    let cpu = (cpu_of(&pids) - before).as_secs_f64();
+    let shard_calls = rate * start.elapsed().as_secs_f64() * fleet.shards() as f64;
+    let busy_kb = memory_of(&pids);
+    let load_plan = LoadPlan {
+        nodes: vec![entry],
+        index: INDEX.to_owned(),
+        token: TOKEN.to_owned(),
+        rate: rate * LATENCY_SHARE,
+        time: TIME,
+        headers: Vec::new(),
+    };
+    let report = load::run(&fleet.client, &load_plan).await;
+    let found = json!({
+        "shards": fleet.shards(),
+        "upstreams": fleet.servers.len(),
+        "queries_a_second": rate.round(),
+        "shard_calls_a_second": (rate * fleet.shards() as f64).round(),
+        "shard_calls_a_second_a_core": (shard_calls / cpu).round(),
+        "cores_used": cpu / TIME.as_secs_f64(),
+        "p50_ms_at_a_third": report.p50_ms,
+        "p99_ms_at_a_third": report.p99_ms,
+        "broken": report.broken,
+        "idle_kb": idle_kb,
+        "busy_kb": busy_kb,
+        "kb_a_request_in_flight": (busy_kb.iter().sum::<u64>() as f64 - idle_kb.iter().sum::<u64>() as f64) / CONCURRENCY as f64,
+    });
+    fleet.stop().await;
+    Ok(found)
+}
+
+/// Calls straight to a server, as the least a query can take.
+async fn measure_direct() -> Result<Value, FleetError> {
+    let fleet = Fleet::start(plan(1, 0, 1)).await?;
+    let Some(server) = fleet.all_servers().next() else { return Err(FleetError::NotReady) };
+    let address = server.address;
+    let request = RequestId(rand::random()).to_string();
+    let attempt = AttemptId(rand::random()).to_string();
+    let headers = [(SERVER_REQUEST, request.as_str()), (SERVER_ATTEMPT, attempt.as_str()), (SERVER_SHARDS, "0")];
+    let path = format!("/v1/shards/{INDEX}/query");
+    let mut latencies = Histogram::<u64>::new(3).map_err(|_| FleetError::NotReady)?;
+    let start = Instant::now();
+    while start.elapsed() < TIME {
+        let sent = Instant::now();
+        let body = Bytes::from_static(b"{}");
+        fleet.client.call(Method::POST, address, &path, &headers, body, TIME).await?;
+        latencies.saturating_record(sent.elapsed().as_micros() as u64);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let ms = |quantile| latencies.value_at_quantile(quantile) as f64 / 1e3;
+    let found = json!({ "p50_ms": ms(0.5), "p99_ms": ms(0.99) });
+    fleet.stop().await;
+    Ok(found)
+}
+
+/// Measures a direct call against one hop and two, in one run.
+///
+/// # Errors
+/// A fleet did not come up.
+pub async fn run(seed: u64) -> Result<ExperimentReport, FleetError> {
+    let direct = measure_direct().await?;
+    let one_hop = measure(plan(20, 0, 1)).await?;
+    let one_hop_batched = measure(plan(20, 0, 5)).await?;
+    let two_hops = measure(plan(1, 20, 1)).await?;
+    let two_hops_batched = measure(plan(1, 20, 5)).await?;
+    let number = |value: &Value, name: &str| value[name].as_f64().unwrap_or(0.0);
+    let added = number(&one_hop, "p99_ms_at_a_third") - number(&direct, "p99_ms");
+    let per_core = number(&one_hop, "shard_calls_a_second_a_core");
+    let held = added < MAX_ADDED_P99_MS && per_core >= MIN_CALLS_PER_CORE;
+    let policy = json!({
+        "added_p50_ms": number(&one_hop, "p50_ms_at_a_third") - number(&direct, "p50_ms"),
+        "added_p99_ms": added,
+        "one_hop": one_hop,
+        "one_hop_5_shards_a_server": one_hop_batched,
+        "two_hops": two_hops,
+        "two_hops_5_shards_a_server": two_hops_batched,
+    });
+    Ok(ExperimentReport { experiment: "cost", seed, baseline: direct, policy, held })
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,8 +3,10 @@
 
 pub mod client;
 pub mod demo;
+pub mod experiments;
 pub mod fleet;
 pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod server;
+pub mod usage;
