--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod fold;
 pub mod gossip;
+pub mod headers;
 pub mod http_server;
 pub mod keeper;
 pub mod link;
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -1,19 +1,24 @@
 //! The pools of the upstreams this node owns, and the pieces of batches run in them.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use streamfold_model::{Configuration, MissingReason, ShardId, UpstreamName, UpstreamSpec};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::uri::PathAndQuery;
+use streamfold_model::{AttemptOutcome, Configuration, MissingReason, UpstreamName, UpstreamSpec};
 use streamfold_policy::owner::connection_share;
 use streamfold_policy::{AttemptRules, Moment};
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 
 use crate::clock::NodeClock;
-use crate::pool::{PieceContext, PieceResult, UpstreamPool};
-use crate::wire::{BatchRequest, PieceReply};
+use crate::error::PieceFailure;
+use crate::headers;
+use crate::pool::{PieceAnswer, PieceContext, PieceProgress, UpstreamPool};
+use crate::wire::{BatchRequest, PieceReply, PieceRequest};
 
 /// A pool of an upstream this node does not own is closed after this long without use.
 const IDLE_CLOSE: Duration = Duration::from_secs(10);
@@ -74,83 +79,95 @@
         self.rows().values().map(|row| row.pool.clone()).collect()
     }
 
-    /// Runs the pieces of a batch; each reply goes out as soon as it is there. Dropping the
-    /// receiver's side ends what still runs.
+    /// Runs the pieces of a batch in one task; each reply goes out as soon as it is there.
+    /// Dropping this ends what still runs.
     pub async fn run_batch(
-        self: &Arc<Self>,
+        &self,
         config: &Configuration,
         owners: usize,
         batch: BatchRequest,
         replies: mpsc::Sender<PieceReply>,
     ) {
-        let deadline = self.clock.now().plus(Duration::from_micros(batch.remaining_us));
-        let context = Arc::new(PieceContext {
-            request: batch.request,
+        let left = Duration::from_micros(batch.remaining_us);
+        let Some((context, pieces)) = self.make_context(batch, left) else { return };
+        let done: Vec<PieceWork> = pieces.into_iter().map(|piece| self.prepare(config, owners, piece)).collect();
+        let mut running: FuturesUnordered<_> = done.iter().map(|work| run_piece(&context, work)).collect();
+        let all = async {
+            while let Some(reply) = running.next().await {
+                // A send that fails means that nobody waits for the batch any more.
+                let _ = replies.send(reply).await;
+            }
+        };
+        let is_late = tokio::time::timeout(left, all).await.is_err();
+        drop(running);
+        if is_late {
+            for work in done.iter().filter(|work| !work.is_told.load(Ordering::Relaxed)) {
+                let _ = replies.send(late(&context, work)).await;
+            }
+        }
+    }
+
+    fn make_context(&self, batch: BatchRequest, left: Duration) -> Option<(PieceContext, Vec<PieceRequest>)> {
+        let verb = if batch.repeatable { "query" } else { "order" };
+        // A checked name always makes a path.
+        let path = PathAndQuery::try_from(format!("/v1/shards/{}/{verb}", batch.index)).ok()?;
+        let context = PieceContext {
+            request_value: headers::single_use(&batch.request),
+            path,
             index: batch.index,
             version: batch.version,
-            verb: if batch.repeatable { "query" } else { "order" },
             repeatable: batch.repeatable,
             key: batch.key,
             body: Bytes::from(batch.body),
-            deadline,
+            deadline: self.clock.now().plus(left),
             answer_limit: self.answer_limit,
-        });
-        let mut running = JoinSet::new();
-        for piece in batch.pieces {
-            let Some(spec) = config.find_upstream(&piece.upstream) else {
-                // A send that fails means that nobody waits for the batch any more.
-                let _ = replies.send(miss(piece.piece, MissingReason::NoOwner)).await;
-                continue;
-            };
-            let pool = self.get(spec, owners);
-            running.spawn(run_piece(pool, context.clone(), piece.piece, piece.shards, replies.clone()));
-        }
-        drop(replies);
-        while running.join_next().await.is_some() {}
+        };
+        Some((context, batch.pieces))
+    }
+
+    fn prepare(&self, config: &Configuration, owners: usize, piece: PieceRequest) -> PieceWork {
+        let pool = config.find_upstream(&piece.upstream).map(|spec| self.get(spec, owners));
+        PieceWork { piece, pool, progress: PieceProgress::default(), is_told: AtomicBool::new(false) }
     }
 }
 
-fn miss(piece: u32, reason: MissingReason) -> PieceReply {
-    let outcome = streamfold_model::AttemptOutcome::NotSent;
-    PieceReply { piece, outcome, version: None, result: Err(reason), held: None, calls: 0 }
+/// One piece of a batch while it runs.
+struct PieceWork {
+    piece: PieceRequest,
+    pool: Option<Arc<UpstreamPool>>,
+    progress: PieceProgress,
+    is_told: AtomicBool,
 }
 
-async fn run_piece(
-    pool: Arc<UpstreamPool>,
-    context: Arc<PieceContext>,
-    piece: u32,
-    shards: Vec<ShardId>,
-    replies: mpsc::Sender<PieceReply>,
-) {
+async fn run_piece(context: &PieceContext, work: &PieceWork) -> PieceReply {
     let is_order = !context.repeatable;
-    let reply = match context.version.is_some() || is_order {
-        true => reply_of(piece, pool.run(&context, &shards).await),
-        false => miss(piece, MissingReason::VersionGone),
+    let result = match &work.pool {
+        None => Err(PieceFailure { reason: MissingReason::NoOwner, outcome: AttemptOutcome::NotSent }),
+        Some(_) if context.version.is_none() && !is_order => {
+            Err(PieceFailure { reason: MissingReason::VersionGone, outcome: AttemptOutcome::NotSent })
+        }
+        Some(pool) => pool.run(context, &work.piece.shards, &work.progress).await,
     };
-    let held = pool.versions(&context.index);
-    // A send that fails means that nobody waits for the batch any more.
-    let _ = replies.send(PieceReply { held, ..reply }).await;
+    work.is_told.store(true, Ordering::Relaxed);
+    tell(context, work, result)
 }
 
-fn reply_of(piece: u32, result: PieceResult) -> PieceReply {
-    use streamfold_model::AttemptOutcome::Answered;
-    let calls = result.calls;
-    match result.answer {
-        Ok(answer) => PieceReply {
-            piece,
-            outcome: Answered,
-            version: Some(answer.version),
-            result: Ok(answer.shards),
-            held: None,
-            calls,
-        },
-        Err(failure) => PieceReply {
-            piece,
-            outcome: failure.outcome,
-            version: None,
-            result: Err(failure.reason),
-            held: None,
-            calls,
-        },
+fn late(context: &PieceContext, work: &PieceWork) -> PieceReply {
+    let outcome = work.progress.outcome();
+    tell(context, work, Err(PieceFailure { reason: MissingReason::Late, outcome }))
+}
+
+fn tell(context: &PieceContext, work: &PieceWork, result: Result<PieceAnswer, PieceFailure>) -> PieceReply {
+    let (outcome, version, result) = match result {
+        Ok(answer) => (AttemptOutcome::Answered, Some(answer.version), Ok(answer.shards)),
+        Err(failure) => (failure.outcome, None, Err(failure.reason)),
+    };
+    PieceReply {
+        piece: work.piece.piece,
+        outcome,
+        version,
+        result,
+        held: work.pool.as_ref().and_then(|pool| pool.versions(&context.index)),
+        calls: work.progress.calls(),
     }
 }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -1,21 +1,16 @@
 //! What an owner keeps for one upstream: the queue, the links to its servers, and the
 //! attempts of pieces of work.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::Full;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use serde_json::value::RawValue;
-use std::collections::BTreeMap;
-use streamfold_model::server::{
-    SERVER_ATTEMPT, SERVER_DEADLINE, SERVER_DRAINING, SERVER_HELD, SERVER_INCARNATION, SERVER_KEY, SERVER_LOAD,
-    SERVER_RAN, SERVER_REQUEST, SERVER_SHARDS, SERVER_VERSION, write_shards,
-};
-use streamfold_model::{
-    AttemptId, AttemptOutcome, IndexName, IndexVersion, MissingReason, RequestId, ShardId, UpstreamSpec,
-};
+use streamfold_model::server::write_shards;
+use streamfold_model::{AttemptId, AttemptOutcome, IndexName, IndexVersion, MissingReason, ShardId, UpstreamSpec};
 use streamfold_policy::{
     AttemptRules, CallReport, HeldVersions, Moment, QueueSubmission, ServerState, UpstreamQueue, WorkItem,
 };
@@ -24,6 +19,7 @@
 
 use crate::clock::NodeClock;
 use crate::error::PieceFailure;
+use crate::headers;
 use crate::stats;
 use crate::upstream::{HealthReport, ServerLink};
 
@@ -39,14 +35,14 @@
 /// What every piece of one batch shares.
 #[derive(Debug, Clone)]
 pub struct PieceContext {
-    /// The request.
-    pub request: RequestId,
+    /// The request's id as it goes out.
+    pub request_value: HeaderValue,
+    /// The path at the servers.
+    pub path: PathAndQuery,
     /// The index.
     pub index: IndexName,
     /// The pinned version; orders have none.
     pub version: Option<IndexVersion>,
-    /// `query` or `order`.
-    pub verb: &'static str,
     /// Whether an attempt with an unknown outcome may be repeated.
     pub repeatable: bool,
     /// The key of a request that is not repeatable.
@@ -59,13 +55,46 @@
     pub answer_limit: usize,
 }
 
-/// What became of a piece of work.
+/// How far a piece of work has come, readable after it was cut short.
 #[derive(Debug)]
-pub struct PieceResult {
-    /// Results by shard with the version they come from, or why there are none.
-    pub answer: Result<PieceAnswer, PieceFailure>,
-    /// Calls made for it.
-    pub calls: u32,
+pub struct PieceProgress(Mutex<(u32, AttemptOutcome)>);
+
+impl Default for PieceProgress {
+    fn default() -> Self {
+        Self(Mutex::new((0, AttemptOutcome::NotSent)))
+    }
+}
+
+impl PieceProgress {
+    fn lock(&self) -> MutexGuard<'_, (u32, AttemptOutcome)> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls made.
+    pub fn calls(&self) -> u32 {
+        self.lock().0
+    }
+
+    /// What may be said of the work if nothing more comes of it.
+    pub fn outcome(&self) -> AttemptOutcome {
+        self.lock().1
+    }
+
+    fn count_call(&self) {
+        self.lock().0 += 1;
+    }
+
+    fn replace(&self, outcome: AttemptOutcome) -> AttemptOutcome {
+        std::mem::replace(&mut self.lock().1, outcome)
+    }
+
+    /// Keeps the outcome that says least for certain.
+    fn note(&self, outcome: AttemptOutcome) {
+        let mut progress = self.lock();
+        if !outcome.is_not_run() || progress.1 == AttemptOutcome::NotSent {
+            progress.1 = outcome;
+        }
+    }
 }
 
 /// Results of one server.
@@ -167,8 +196,8 @@
 
     async fn check_health(&self, server: usize) {
         let link = &self.links[server];
-        let request = Request::get(format!("http://{}/health", link.address())).body(Full::default());
-        let Ok(request) = request else { return };
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = link.uri(PathAndQuery::from_static("/health"));
         let answered = tokio::time::timeout(HEALTH_TIMEOUT, link.call(request, HEALTH_LIMIT)).await;
         let Ok(Ok(response)) = answered else { return };
         let Ok(report) = serde_json::from_slice::<HealthReport>(response.body()) else { return };
@@ -220,13 +249,15 @@
         }
     }
 
-    /// Runs one piece of work: attempts, hedges and retries within its deadline.
-    pub async fn run(self: &Arc<Self>, context: &PieceContext, shards: &[ShardId]) -> PieceResult {
-        let mut run = PieceRun { pool: self, context, shards, calls: 0, worst: AttemptOutcome::NotSent };
-        let left = context.deadline.since(self.clock.now());
-        let answer = tokio::time::timeout(left, run.run()).await;
-        let late = PieceFailure { reason: MissingReason::Late, outcome: run.worst };
-        PieceResult { answer: answer.unwrap_or(Err(late)), calls: run.calls }
+    /// Runs one piece of work: attempts, hedges and retries. The caller of this ends it at
+    /// the deadline; `progress` then still tells how far it came.
+    pub async fn run(
+        self: &Arc<Self>,
+        context: &PieceContext,
+        shards: &[ShardId],
+        progress: &PieceProgress,
+    ) -> Result<PieceAnswer, PieceFailure> {
+        PieceRun { pool: self, context, shards, progress }.run().await
     }
 
     /// Makes one call on a slot.
@@ -239,12 +270,9 @@
         let server = permit.server;
         let attempt = AttemptId(rand::random());
         let now = self.clock.now();
-        let request = self.build_request(server, attempt, context, shards, context.deadline.since(now));
+        let left = context.deadline.since(now);
+        let request = self.build_request(server, attempt, context, &write_shards(shards), left);
         let fail = |reason, outcome| CallFailure { server, failure: PieceFailure { reason, outcome } };
-        let Ok(request) = request else {
-            permit.report = Some(CallReport::Failed);
-            return Err(fail(MissingReason::BadAnswer, AttemptOutcome::NotSent));
-        };
         let response = match self.links[server].call(request, context.answer_limit).await {
             Ok(response) => response,
             Err(outcome) => {
@@ -263,24 +291,26 @@
         server: usize,
         attempt: AttemptId,
         context: &PieceContext,
-        shards: &[ShardId],
+        shards: &str,
         left: Duration,
-    ) -> Result<Request<Full<Bytes>>, http::Error> {
-        let address = self.links[server].address();
-        let mut builder = Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{address}/v1/shards/{}/{}", context.index, context.verb))
-            .header(SERVER_REQUEST, context.request.to_string())
-            .header(SERVER_ATTEMPT, attempt.to_string())
-            .header(SERVER_SHARDS, write_shards(shards))
-            .header(SERVER_DEADLINE, left.as_micros().to_string());
+    ) -> Request<Bytes> {
+        let mut request = Request::new(context.body.clone());
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = self.links[server].uri(context.path.clone());
+        let fields = request.headers_mut();
+        fields.insert(headers::REQUEST, context.request_value.clone());
+        fields.insert(headers::ATTEMPT, headers::single_use(&attempt));
+        fields.insert(headers::DEADLINE, headers::single_use(&left.as_micros()));
+        if let Ok(shards) = HeaderValue::from_str(shards) {
+            fields.insert(headers::SHARDS, shards);
+        }
         if let Some(version) = context.version {
-            builder = builder.header(SERVER_VERSION, version.0);
+            fields.insert(headers::VERSION, HeaderValue::from(version.0));
         }
         if let Some(key) = &context.key {
-            builder = builder.header(SERVER_KEY, key);
+            fields.insert(headers::KEY, headers::single_use(key));
         }
-        builder.body(Full::new(context.body.clone()))
+        request
     }
 
     /// Learns from an answer and says whether it may be folded.
@@ -293,14 +323,14 @@
         response: &Response<Bytes>,
         latency: Duration,
     ) -> (CallReport, Result<PieceAnswer, PieceFailure>) {
-        let headers = response.headers();
+        let fields = response.headers();
         let fail = |reason, outcome| Err(PieceFailure { reason, outcome });
-        if read_header::<AttemptId>(headers, SERVER_ATTEMPT) != Some(attempt) {
+        if read_header::<AttemptId>(fields, headers::ATTEMPT) != Some(attempt) {
             stats::count_foreign();
             return (CallReport::Failed, fail(MissingReason::BadAnswer, AttemptOutcome::Unknown));
         }
-        self.learn(server, &context.index, headers);
-        let refused = headers.get(SERVER_RAN).is_some_and(|ran| ran.as_bytes() == b"not_run");
+        self.learn(server, &context.index, fields);
+        let refused = fields.get(headers::RAN).is_some_and(|ran| ran.as_bytes() == b"not_run");
         let outcome = if refused { AttemptOutcome::Refused } else { AttemptOutcome::Unknown };
         match response.status() {
             StatusCode::OK => {}
@@ -310,26 +340,26 @@
             StatusCode::SERVICE_UNAVAILABLE => return (CallReport::Shed, fail(MissingReason::Shed, outcome)),
             _ => return (CallReport::Failed, fail(MissingReason::BadAnswer, outcome)),
         }
-        match read_answer(context, shards, headers, response.body()) {
+        match read_answer(context, shards, fields, response.body()) {
             Some(answer) => (CallReport::Answered(latency), Ok(answer)),
             None => (CallReport::Failed, fail(MissingReason::BadAnswer, AttemptOutcome::Unknown)),
         }
     }
 
-    fn learn(&self, server: usize, index: &IndexName, headers: &HeaderMap) {
+    fn learn(&self, server: usize, index: &IndexName, fields: &HeaderMap) {
         let now = self.clock.now();
         let mut queue = self.lock();
         let state = queue.server_mut(server);
-        if let Some(incarnation) = read_header(headers, SERVER_INCARNATION) {
+        if let Some(incarnation) = read_header(fields, headers::INCARNATION) {
             state.learn_incarnation(incarnation);
         }
-        if let Some(load) = read_header(headers, SERVER_LOAD) {
+        if let Some(load) = read_header(fields, headers::LOAD) {
             state.learn_load(now, load);
         }
-        if headers.get(SERVER_DRAINING).is_some_and(|draining| draining.as_bytes() == b"true") {
+        if fields.get(headers::DRAINING).is_some_and(|draining| draining.as_bytes() == b"true") {
             state.mark_leaving();
         }
-        if let Some(held) = read_held(headers) {
+        if let Some(held) = read_held(fields) {
             state.learn_versions(index, held);
         }
     }
@@ -347,12 +377,12 @@
     }
 }
 
-fn read_header<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
+fn read_header<T: std::str::FromStr>(fields: &HeaderMap, name: HeaderName) -> Option<T> {
+    fields.get(name)?.to_str().ok()?.parse().ok()
 }
 
-fn read_held(headers: &HeaderMap) -> Option<HeldVersions> {
-    let text = headers.get(SERVER_HELD)?.to_str().ok()?;
+fn read_held(fields: &HeaderMap) -> Option<HeldVersions> {
+    let text = fields.get(headers::HELD)?.to_str().ok()?;
     let (oldest, newest) = text.split_once('-')?;
     let held = HeldVersions { oldest: oldest.parse().ok()?, newest: newest.parse().ok()? };
     (held.oldest <= held.newest).then_some(held)
@@ -360,8 +390,8 @@
 
 /// Reads an answer's results; `None` if it is of another version than the pinned one, is
 /// malformed or holds shards that were not asked for.
-fn read_answer(context: &PieceContext, shards: &[ShardId], headers: &HeaderMap, body: &[u8]) -> Option<PieceAnswer> {
-    let version: IndexVersion = read_header(headers, SERVER_VERSION)?;
+fn read_answer(context: &PieceContext, shards: &[ShardId], fields: &HeaderMap, body: &[u8]) -> Option<PieceAnswer> {
+    let version: IndexVersion = read_header(fields, headers::VERSION)?;
     if context.version.is_some_and(|pinned| pinned != version) {
         stats::count_other_version();
         return None;
@@ -384,8 +414,7 @@
     pool: &'a Arc<UpstreamPool>,
     context: &'a PieceContext,
     shards: &'a [ShardId],
-    calls: u32,
-    worst: AttemptOutcome,
+    progress: &'a PieceProgress,
 }
 
 impl PieceRun<'_> {
@@ -398,50 +427,42 @@
         }
     }
 
-    async fn run(&mut self) -> Result<PieceAnswer, PieceFailure> {
+    async fn run(&self) -> Result<PieceAnswer, PieceFailure> {
         let mut avoid = None;
         loop {
             let acquired = self.pool.acquire(self.item(avoid), avoid.is_some()).await;
-            let permit = acquired.map_err(|reason| PieceFailure { reason, outcome: self.worst })?;
+            let outcome = self.progress.outcome();
+            let permit = acquired.map_err(|reason| PieceFailure { reason, outcome })?;
             let failed = match self.run_round(permit).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            self.note(failed.failure.outcome);
+            self.progress.note(failed.failure.outcome);
             if !self.may_retry(&failed) {
-                return Err(PieceFailure { reason: failed.failure.reason, outcome: self.worst });
+                let outcome = self.progress.outcome();
+                return Err(PieceFailure { reason: failed.failure.reason, outcome });
             }
             avoid = Some(failed.server);
         }
     }
 
-    /// Keeps the outcome that says least for certain.
-    fn note(&mut self, outcome: AttemptOutcome) {
-        if !outcome.is_not_run() || self.worst == AttemptOutcome::NotSent {
-            self.worst = outcome;
-        }
-    }
-
     fn may_retry(&self, failed: &CallFailure) -> bool {
         let certain = failed.failure.outcome.is_not_run();
         if !self.context.repeatable && !certain {
             return false;
         }
         let left = self.context.deadline.since(self.pool.clock.now());
-        let allowed = self.pool.lock().may_retry(left, self.calls);
+        let allowed = self.pool.lock().may_retry(left, self.progress.calls());
         stats::count_retry(allowed);
         allowed
     }
 
     /// One attempt, and a hedge if it is slow and the request may be repeated.
-    async fn run_round(&mut self, permit: SlotPermit) -> Result<PieceAnswer, CallFailure> {
+    async fn run_round(&self, permit: SlotPermit) -> Result<PieceAnswer, CallFailure> {
         let first_server = permit.server;
-        self.calls += 1;
+        self.progress.count_call();
         if !self.context.repeatable {
-            self.worst = AttemptOutcome::Unknown;
-            let result = self.pool.call(permit, self.context, self.shards).await;
-            self.worst = AttemptOutcome::NotSent;
-            return result;
+            return self.run_once(permit).await;
         }
         let mut first = std::pin::pin!(self.pool.call(permit, self.context, self.shards));
         let Some(delay) = self.pool.lock().hedge_delay() else { return first.await };
@@ -449,7 +470,7 @@
             return result;
         }
         let Some(permit) = self.try_hedge(first_server) else { return first.await };
-        self.calls += 1;
+        self.progress.count_call();
         stats::count_hedge();
         let mut second = std::pin::pin!(self.pool.call(permit, self.context, self.shards));
         tokio::select! {
@@ -464,6 +485,15 @@
         }
     }
 
+    /// The one attempt of a request that is not repeatable. Cut short while it runs, its
+    /// outcome is unknown.
+    async fn run_once(&self, permit: SlotPermit) -> Result<PieceAnswer, CallFailure> {
+        let before = self.progress.replace(AttemptOutcome::Unknown);
+        let result = self.pool.call(permit, self.context, self.shards).await;
+        self.progress.replace(before);
+        result
+    }
+
     fn try_hedge(&self, first: usize) -> Option<SlotPermit> {
         let now = self.pool.clock.now();
         let server = self.pool.lock().hedge(now, &self.item(None), first, &mut rand::rng())?;
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,18 +1,19 @@
 //! Connections to one server, opened ahead of demand and paced, and calls over them.
 
 use std::collections::BTreeMap;
-use std::error::Error as _;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use bytes::Bytes;
-use http::{Request, Response};
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use http::uri::{Authority, Parts, PathAndQuery, Scheme};
+use http::{Request, Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::{http1, http2};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use streamfold_model::{AttemptOutcome, IndexName, IndexVersion, ServerAddress, ServerProtocol};
 use streamfold_policy::HeldVersions;
@@ -73,15 +74,14 @@
     }
 }
 
-type ServerBody = Full<Bytes>;
-
 /// One server's connections, at most `share` of them.
 pub struct ServerLink {
     address: ServerAddress,
+    authority: Authority,
     protocol: ServerProtocol,
     share: u32,
-    shared: ArcSwapOption<http2::SendRequest<ServerBody>>,
-    idle: Mutex<Vec<http1::SendRequest<ServerBody>>>,
+    shared: ArcSwapOption<SendRequest<Bytes>>,
+    idle: Mutex<Vec<http1::SendRequest<Full<Bytes>>>>,
     open: Arc<AtomicU32>,
     state: watch::Sender<LinkState>,
 }
@@ -100,6 +100,7 @@
     pub fn open(address: ServerAddress, protocol: ServerProtocol, share: u32) -> (Arc<Self>, JoinHandle<()>) {
         let link = Arc::new(Self {
             address,
+            authority: write_authority(address),
             protocol,
             share,
             shared: ArcSwapOption::empty(),
@@ -116,6 +117,16 @@
         self.address
     }
 
+    /// The URI of a path at the server.
+    pub fn uri(&self, path: PathAndQuery) -> Uri {
+        let mut parts = Parts::default();
+        parts.scheme = Some(Scheme::HTTP);
+        parts.authority = Some(self.authority.clone());
+        parts.path_and_query = Some(path);
+        // All three parts are there, so this cannot fail.
+        Uri::from_parts(parts).unwrap_or_default()
+    }
+
     /// Whether the server can be reached.
     pub fn state(&self) -> LinkState {
         *self.state.borrow()
@@ -131,7 +142,7 @@
     /// # Errors
     /// `NotSent` if no byte went out, `Refused` if the server refused the stream unprocessed,
     /// else `Unknown`.
-    pub async fn call(&self, request: Request<ServerBody>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+    pub async fn call(&self, request: Request<Bytes>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
         self.wait_connected().await?;
         match self.protocol {
             ServerProtocol::H2 => self.call_http2(request, limit).await,
@@ -151,21 +162,25 @@
         }
     }
 
-    async fn call_http2(&self, request: Request<ServerBody>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+    async fn call_http2(&self, request: Request<Bytes>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
         let shared = self.shared.load_full().ok_or(AttemptOutcome::NotSent)?;
-        let mut sender = http2::SendRequest::clone(&shared);
-        sender.ready().await.map_err(|_| AttemptOutcome::NotSent)?;
-        let sent = sender.try_send_request(request).await;
-        let response = sent.map_err(|mut failed| match failed.take_message() {
-            Some(_) => AttemptOutcome::NotSent,
-            None => classify(failed.error()),
-        })?;
-        collect(response, limit).await
+        let sender = SendRequest::clone(&shared);
+        let mut sender = sender.ready().await.map_err(|_| AttemptOutcome::NotSent)?;
+        let (parts, body) = request.into_parts();
+        let is_bare = body.is_empty();
+        let sent = sender.send_request(Request::from_parts(parts, ()), is_bare);
+        let (response, mut stream) = sent.map_err(|_| AttemptOutcome::NotSent)?;
+        if !is_bare {
+            // Held back by flow control, it waits inside the stream; its size is bounded at the caller.
+            stream.send_data(body, true).map_err(|error| classify(&error))?;
+        }
+        let response = response.await.map_err(|error| classify(&error))?;
+        collect_http2(response, limit).await
     }
 
-    async fn call_http1(&self, request: Request<ServerBody>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+    async fn call_http1(&self, request: Request<Bytes>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
         let mut sender = self.take_http1().await?;
-        let sent = sender.try_send_request(request).await;
+        let sent = sender.try_send_request(request.map(Full::new)).await;
         let response = sent.map_err(|mut failed| match failed.take_message() {
             Some(_) => AttemptOutcome::NotSent,
             None => AttemptOutcome::Unknown,
@@ -175,7 +190,7 @@
         Ok(response)
     }
 
-    async fn take_http1(&self) -> Result<http1::SendRequest<ServerBody>, AttemptOutcome> {
+    async fn take_http1(&self) -> Result<http1::SendRequest<Full<Bytes>>, AttemptOutcome> {
         loop {
             let idle = self.idle.lock().ok().and_then(|mut idle| idle.pop());
             match idle {
@@ -204,7 +219,7 @@
         Some(stream)
     }
 
-    async fn connect_http1(&self) -> Option<http1::SendRequest<ServerBody>> {
+    async fn connect_http1(&self) -> Option<http1::SendRequest<Full<Bytes>>> {
         let count = self.count_open()?;
         let stream = self.connect_tcp().await?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -220,14 +235,17 @@
     async fn hold_http2(&self) -> bool {
         let Some(count) = self.count_open() else { return false };
         let Some(stream) = self.connect_tcp().await else { return false };
-        let mut builder = http2::Builder::new(TokioExecutor::new());
-        builder.timer(TokioTimer::new()).keep_alive_interval(PING_EVERY).keep_alive_timeout(PING_TIMEOUT);
-        builder.initial_stream_window_size(WINDOW).initial_connection_window_size(WINDOW);
-        let Ok((sender, connection)) = builder.handshake(TokioIo::new(stream)).await else { return false };
+        let mut builder = h2::client::Builder::new();
+        builder.initial_window_size(WINDOW).initial_connection_window_size(WINDOW).enable_push(false);
+        let Ok((sender, mut connection)) = builder.handshake::<_, Bytes>(stream).await else { return false };
+        let pings = connection.ping_pong();
         self.shared.store(Some(Arc::new(sender)));
         self.state.send_replace(LinkState::Up);
         // A connection that fails is opened again, so its error needs no telling.
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = watch_pings(pings) => {}
+        }
         self.shared.store(None);
         self.state.send_replace(LinkState::Connecting);
         drop(count);
@@ -254,13 +272,18 @@
         true
     }
 
-    fn keep_idle(&self, sender: http1::SendRequest<ServerBody>) {
+    fn keep_idle(&self, sender: http1::SendRequest<Full<Bytes>>) {
         if let Ok(mut idle) = self.idle.lock() {
             idle.push(sender);
         }
     }
 }
 
+/// An IP number and port are always an authority.
+fn write_authority(address: ServerAddress) -> Authority {
+    Authority::try_from(address.to_string()).unwrap_or_else(|_| Authority::from_static("127.0.0.1"))
+}
+
 /// Keeps a link connected for as long as the task runs, with growing, jittered pauses
 /// while the server cannot be reached.
 async fn keep_connected(link: Arc<ServerLink>) {
@@ -278,15 +301,43 @@
     }
 }
 
+/// Ends when the server no longer answers pings.
+async fn watch_pings(pings: Option<h2::PingPong>) {
+    let Some(mut pings) = pings else { return std::future::pending().await };
+    loop {
+        tokio::time::sleep(PING_EVERY).await;
+        let answered = tokio::time::timeout(PING_TIMEOUT, pings.ping(h2::Ping::opaque())).await;
+        if !matches!(answered, Ok(Ok(_))) {
+            return;
+        }
+    }
+}
+
 /// A stream that the server refused was not processed (RFC 9113, section 8.7).
-fn classify(error: &hyper::Error) -> AttemptOutcome {
-    let cause = error.source().and_then(|source| source.downcast_ref::<h2::Error>());
-    match cause.and_then(h2::Error::reason) {
+fn classify(error: &h2::Error) -> AttemptOutcome {
+    match error.reason() {
         Some(h2::Reason::REFUSED_STREAM) => AttemptOutcome::Refused,
         _ => AttemptOutcome::Unknown,
     }
 }
 
+async fn collect_http2(response: Response<h2::RecvStream>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+    let (parts, mut body) = response.into_parts();
+    let mut whole = BytesMut::new();
+    while let Some(data) = body.data().await {
+        let data = data.map_err(|error| classify(&error))?;
+        body.flow_control().release_capacity(data.len()).map_err(|error| classify(&error))?;
+        if whole.is_empty() && body.is_end_stream() && data.len() <= limit {
+            return Ok(Response::from_parts(parts, data));
+        }
+        if whole.len() + data.len() > limit {
+            return Err(AttemptOutcome::Unknown);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(Response::from_parts(parts, whole.freeze()))
+}
+
 async fn collect(response: Response<Incoming>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, limit).collect().await.map_err(|_| AttemptOutcome::Unknown)?;
