--- /dev/null
+++ b/crates/daemon/src/caller_input.rs
@@ -0,0 +1,132 @@
+//! Reads what callers send: headers, parameters and bodies, each with its typed refusal.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::{HeaderMap, Request};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use streamfold_model::answer::{HEADER_DEADLINE, HEADER_KEY, HEADER_PREFER, HEADER_REPEATABLE};
+use streamfold_model::server::read_shards;
+use streamfold_model::{CallerPreference, CallerSpec, IndexName, IndexSpec, ShardId};
+use streamfold_policy::{FinishRule, Moment};
+
+use crate::caller_error::CallerError;
+use crate::callers::CallerVisit;
+use crate::error::HeaderError;
+use crate::node::Node;
+
+/// The most shards a caller may name.
+const MAX_NAMED_SHARDS: usize = 65_536;
+/// The longest idempotency key.
+const MAX_KEY_LEN: usize = 128;
+/// Share of the deadline kept for the way back to the caller.
+const RETURN_SHARE: f64 = 0.02;
+/// The most kept for it.
+const MAX_RETURN: Duration = Duration::from_millis(5);
+/// How much of a body over its limit is read, and for how long, before it is refused.
+const MAX_DRAIN: usize = 16 << 20;
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// The index of a name, if the caller may reach it.
+pub fn find_index(visit: &CallerVisit, name: &str) -> Result<Arc<IndexSpec>, CallerError> {
+    let unknown = || CallerError::UnknownIndex(name.chars().take(MAX_KEY_LEN).collect());
+    let index: IndexName = name.parse().map_err(|_| unknown())?;
+    let spec = visit.config.indexes.get(&index).ok_or_else(unknown)?;
+    if !visit.caller.indexes.contains(&index) {
+        return Err(CallerError::Forbidden(visit.caller.name.to_string(), index));
+    }
+    Ok(spec.clone())
+}
+
+fn read_text<'a>(headers: &'a HeaderMap, name: &'static str) -> Option<&'a str> {
+    headers.get(name).map(|value| value.to_str().unwrap_or("(not text)"))
+}
+
+fn bad_value(name: &'static str, found: &str, wanted: &'static str) -> HeaderError {
+    HeaderError::BadValue { name, found: found.chars().take(MAX_KEY_LEN).collect(), wanted }
+}
+
+/// Whether the caller says that the request may be repeated.
+pub fn read_repeatable(headers: &HeaderMap) -> Result<Option<bool>, HeaderError> {
+    match read_text(headers, HEADER_REPEATABLE) {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(found) => Err(bad_value(HEADER_REPEATABLE, found, "true or false")),
+    }
+}
+
+/// The deadline the caller names, at most its configured one, less the way back.
+pub fn read_deadline(visit: &CallerVisit, headers: &HeaderMap) -> Result<Moment, HeaderError> {
+    let longest = visit.caller.deadline;
+    let span = match read_text(headers, HEADER_DEADLINE) {
+        None => longest,
+        Some(text) => {
+            let millis: u64 = text
+                .parse()
+                .ok()
+                .filter(|millis| *millis > 0)
+                .ok_or_else(|| bad_value(HEADER_DEADLINE, text, "a whole number of milliseconds above 0"))?;
+            Duration::from_millis(millis).min(longest)
+        }
+    };
+    let way_back = span.mul_f64(RETURN_SHARE).min(MAX_RETURN);
+    Ok(visit.started.plus(span - way_back))
+}
+
+/// When the caller wants its answer.
+pub fn read_rule(caller: &CallerSpec, headers: &HeaderMap) -> Result<FinishRule, HeaderError> {
+    let prefer = match read_text(headers, HEADER_PREFER) {
+        None => caller.prefer,
+        Some("latency") => CallerPreference::Latency,
+        Some("coverage") => CallerPreference::Coverage,
+        Some(found) => return Err(bad_value(HEADER_PREFER, found, "latency or coverage")),
+    };
+    Ok(FinishRule { prefer, prefer_within: caller.prefer_within, wanted_coverage: caller.wanted_coverage })
+}
+
+/// The value of a URL parameter.
+pub fn find_parameter<'a>(parameters: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let pairs = parameters?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(found, _)| *found == name).map(|(_, value)| value)
+}
+
+/// The shards the caller wants.
+pub fn read_wanted(parameters: Option<&str>) -> Result<Option<Vec<ShardId>>, CallerError> {
+    let Some(text) = find_parameter(parameters, "shards") else { return Ok(None) };
+    let bad = || CallerError::BadShards(text.chars().take(MAX_KEY_LEN).collect());
+    let mut shards = read_shards(text, MAX_NAMED_SHARDS).ok_or_else(bad)?;
+    shards.sort_unstable();
+    shards.dedup();
+    Ok(Some(shards))
+}
+
+/// The idempotency key.
+pub fn read_key(headers: &HeaderMap) -> Result<Option<String>, HeaderError> {
+    let Some(value) = headers.get(HEADER_KEY) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| HeaderError::BadKey)?;
+    let is_visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if text.is_empty() || text.len() > MAX_KEY_LEN || !is_visible {
+        return Err(HeaderError::BadKey);
+    }
+    Ok(Some(text.to_owned()))
+}
+
+/// The body, at most as long as the settings allow.
+pub async fn read_body(node: &Node, request: Request<Body>) -> Result<Bytes, CallerError> {
+    let limit = node.settings.body_limit.as_usize();
+    let mut body = request.into_body();
+    let read = Limited::new(&mut body, limit).collect().await;
+    let error = match read {
+        Ok(read) => return Ok(read.to_bytes()),
+        Err(error) => error,
+    };
+    if !error.is::<LengthLimitError>() {
+        return Err(CallerError::BodyBroken);
+    }
+    // A sender that is still sending would not see the refusal, so a bounded rest is read.
+    let rest = Limited::new(body, MAX_DRAIN).collect();
+    let _ = tokio::time::timeout(DRAIN_TIMEOUT, rest).await;
+    Err(CallerError::BodyTooLarge(limit))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,9 @@
 //! The daemon `streamfoldd`: one node of the query tier. As a library it lets the lab run
 //! several nodes in one process.
 
+pub mod admission;
+pub mod caller_error;
+pub mod caller_input;
 pub mod callers;
 pub mod clock;
 pub mod error;
--- a/crates/daemon/src/metered.rs
+++ b/crates/daemon/src/metered.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use streamfold_platform::store::StoreFuture;
 use streamfold_platform::{EntityTag, ObjectStore, PutCondition, StoreError, StoredObject};
-use streamfold_policy::{CallerGate, Moment};
+use streamfold_policy::{Moment, RateGate};
 
 use crate::clock::NodeClock;
 use crate::stats;
@@ -20,7 +20,7 @@
 pub struct MeteredStore {
     inner: Arc<dyn ObjectStore>,
     clock: NodeClock,
-    gate: Mutex<CallerGate>,
+    gate: Mutex<RateGate>,
 }
 
 impl MeteredStore {
@@ -40,9 +40,7 @@
 
     fn admit(&self, now: Moment) -> bool {
         let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
-        let admitted = gate.admit(now, MAX_CALL_RATE, u32::MAX).is_ok();
-        gate.leave();
-        admitted
+        gate.take(now, MAX_CALL_RATE).is_ok()
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,12 +11,14 @@
 use streamfold_model::{CallerName, ConfigBundle, ConfigVersion, FailureDomain, Incarnation};
 use streamfold_platform::{ConfigStore, HttpPlatform, ObjectStore, RequestClaims, VmList};
 use streamfold_policy::{
-    AdaptiveRules, AttemptRules, BaselineRules, CallerGate, MemberEntry, MemberState, MemberTable, MemberTimes, Moment,
+    AdaptiveRules, AdmissionGate, AttemptRules, BaselineRules, MemberEntry, MemberState, MemberTable, MemberTimes,
+    Moment, RateGate,
 };
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 
+use crate::admission::AdmittedVisit;
 use crate::clock::{NodeClock, wall_ms};
 use crate::error::StartError;
 use crate::keeper::{ConfigKeeper, OfferResult};
@@ -42,6 +44,9 @@
 /// How long telling the others of the end may take.
 const FAREWELL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Gives a waiting request its place; dropped, the request is given up.
+pub type AdmissionTag = oneshot::Sender<AdmittedVisit>;
+
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -94,8 +99,8 @@
     view: ArcSwap<ClusterView>,
     own_book: TicketBook,
     adopted: Mutex<Vec<Arc<TicketBook>>>,
-    gates: Mutex<HashMap<CallerName, CallerGate>>,
-    claim_gate: Mutex<CallerGate>,
+    gate: Mutex<AdmissionGate<AdmissionTag>>,
+    claim_gate: Mutex<RateGate>,
     listed_seeds: Mutex<Vec<SocketAddr>>,
     phase: watch::Sender<StopPhase>,
     work: Arc<AtomicUsize>,
@@ -189,9 +194,9 @@
     }
 }
 
-fn choose_rules(choice: PolicyChoice) -> Arc<dyn AttemptRules> {
-    match choice {
-        PolicyChoice::Adaptive => Arc::new(AdaptiveRules),
+fn choose_rules(settings: &NodeSettings) -> Arc<dyn AttemptRules> {
+    match settings.policy {
+        PolicyChoice::Adaptive => Arc::new(AdaptiveRules { hedging: settings.hedging }),
         PolicyChoice::Baseline => Arc::new(BaselineRules),
     }
 }
@@ -208,7 +213,7 @@
             dead_after: settings.heartbeat * DEAD_BEATS,
             forget_after: settings.ticket_life,
         };
-        let rules = choose_rules(settings.policy);
+        let rules = choose_rules(&settings);
         let own_book = TicketBook::new(settings.node.clone(), incarnation, settings.ticket_life, now);
         Self {
             clock,
@@ -225,7 +230,7 @@
             view: ArcSwap::from_pointee(ClusterView::empty()),
             own_book,
             adopted: Mutex::default(),
-            gates: Mutex::default(),
+            gate: Mutex::new(AdmissionGate::new(settings.policy == PolicyChoice::Adaptive)),
             claim_gate: Mutex::default(),
             listed_seeds: Mutex::default(),
             phase: watch::Sender::new(StopPhase::Serving),
@@ -334,9 +339,9 @@
         *self.listed_seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
     }
 
-    /// The gates of callers.
-    pub fn gates(&self) -> MutexGuard<'_, HashMap<CallerName, CallerGate>> {
-        self.gates.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The admission of callers' requests.
+    pub fn gate(&self) -> MutexGuard<'_, AdmissionGate<AdmissionTag>> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes one token of the claims this node may make a second.
@@ -346,9 +351,7 @@
             return false;
         }
         let mut gate = self.claim_gate.lock().unwrap_or_else(PoisonError::into_inner);
-        let admitted = gate.admit(self.clock.now(), rate, u32::MAX).is_ok();
-        gate.leave();
-        admitted
+        gate.take(self.clock.now(), rate).is_ok()
     }
 
     /// The node's own tickets.
--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -199,8 +199,7 @@
     piece: PieceRequest,
 ) -> PieceReply {
     let left = ask.deadline.since(node.clock.now());
-    let lost =
-        |outcome, reason| PieceReply { piece: 0, outcome, version: None, result: Err(reason), held: None, calls: 0 };
+    let lost = |outcome, reason| PieceReply::lost(0, outcome, reason);
     if left.is_zero() {
         return lost(AttemptOutcome::NotSent, MissingReason::Late);
     }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -169,5 +169,7 @@
         result,
         held: work.pool.as_ref().and_then(|pool| pool.versions(&context.index)),
         calls: work.progress.calls(),
+        waited_us: work.progress.waited_us(),
+        served_us: work.progress.served_us(),
     }
 }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -30,7 +30,7 @@
 /// Limit on a health answer, in bytes.
 const HEALTH_LIMIT: usize = 1 << 20;
 /// An HTTP/2 connection carries many calls, so the limit there is a multiple of the slots.
-const LIMIT_PER_SLOT: u32 = 8;
+const LIMIT_PER_SLOT: u32 = 2;
 
 /// What every piece of one batch shares.
 #[derive(Debug, Clone)]
@@ -57,42 +57,61 @@
 
 /// How far a piece of work has come, readable after it was cut short.
 #[derive(Debug)]
-pub struct PieceProgress(Mutex<(u32, AttemptOutcome)>);
+pub struct PieceProgress(Mutex<ProgressCounts>);
+
+#[derive(Debug)]
+struct ProgressCounts {
+    calls: u32,
+    outcome: AttemptOutcome,
+    waited: Duration,
+    served: Duration,
+}
 
 impl Default for PieceProgress {
     fn default() -> Self {
-        Self(Mutex::new((0, AttemptOutcome::NotSent)))
+        let outcome = AttemptOutcome::NotSent;
+        Self(Mutex::new(ProgressCounts { calls: 0, outcome, waited: Duration::ZERO, served: Duration::ZERO }))
     }
 }
 
 impl PieceProgress {
-    fn lock(&self) -> MutexGuard<'_, (u32, AttemptOutcome)> {
+    fn lock(&self) -> MutexGuard<'_, ProgressCounts> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Calls made.
     pub fn calls(&self) -> u32 {
-        self.lock().0
+        self.lock().calls
     }
 
     /// What may be said of the work if nothing more comes of it.
     pub fn outcome(&self) -> AttemptOutcome {
-        self.lock().1
+        self.lock().outcome
+    }
+
+    /// Microseconds it waited for slots.
+    pub fn waited_us(&self) -> u64 {
+        self.lock().waited.as_micros() as u64
+    }
+
+    /// Microseconds it was served.
+    pub fn served_us(&self) -> u64 {
+        self.lock().served.as_micros() as u64
     }
 
     fn count_call(&self) {
-        self.lock().0 += 1;
+        self.lock().calls += 1;
     }
 
     fn replace(&self, outcome: AttemptOutcome) -> AttemptOutcome {
-        std::mem::replace(&mut self.lock().1, outcome)
+        std::mem::replace(&mut self.lock().outcome, outcome)
     }
 
     /// Keeps the outcome that says least for certain.
     fn note(&self, outcome: AttemptOutcome) {
         let mut progress = self.lock();
-        if !outcome.is_not_run() || progress.1 == AttemptOutcome::NotSent {
-            progress.1 = outcome;
+        if !outcome.is_not_run() || progress.outcome == AttemptOutcome::NotSent {
+            progress.outcome = outcome;
         }
     }
 }
@@ -204,7 +223,7 @@
         let now = self.clock.now();
         let mut queue = self.lock();
         let state = queue.server_mut(server);
-        state.learn_incarnation(report.incarnation);
+        state.learn_incarnation(now, report.incarnation);
         state.learn_load(now, report.load);
         if report.draining {
             state.mark_leaving();
@@ -351,7 +370,7 @@
         let mut queue = self.lock();
         let state = queue.server_mut(server);
         if let Some(incarnation) = read_header(fields, headers::INCARNATION) {
-            state.learn_incarnation(incarnation);
+            state.learn_incarnation(now, incarnation);
         }
         if let Some(load) = read_header(fields, headers::LOAD) {
             state.learn_load(now, load);
@@ -430,10 +449,15 @@
     async fn run(&self) -> Result<PieceAnswer, PieceFailure> {
         let mut avoid = None;
         loop {
+            let asked = self.pool.clock.now();
             let acquired = self.pool.acquire(self.item(avoid), avoid.is_some()).await;
+            let bound = self.pool.clock.now();
+            self.progress.lock().waited += bound.since(asked);
             let outcome = self.progress.outcome();
             let permit = acquired.map_err(|reason| PieceFailure { reason, outcome })?;
-            let failed = match self.run_round(permit).await {
+            let result = self.run_round(permit).await;
+            self.progress.lock().served += self.pool.clock.now().since(bound);
+            let failed = match result {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
@@ -447,12 +471,12 @@
     }
 
     fn may_retry(&self, failed: &CallFailure) -> bool {
-        let certain = failed.failure.outcome.is_not_run();
-        if !self.context.repeatable && !certain {
+        let outcome = failed.failure.outcome;
+        if !self.context.repeatable && !outcome.is_not_run() {
             return false;
         }
         let left = self.context.deadline.since(self.pool.clock.now());
-        let allowed = self.pool.lock().may_retry(left, self.progress.calls());
+        let allowed = self.pool.lock().may_retry(outcome, left, self.progress.calls());
         stats::count_retry(allowed);
         allowed
     }
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -10,7 +10,7 @@
     ShardLayout, UpstreamIndex,
 };
 use streamfold_policy::pin::choose_version;
-use streamfold_policy::{FinishRule, Moment};
+use streamfold_policy::{FinishRule, Moment, WorkReport};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -87,7 +87,12 @@
 ///
 /// # Errors
 /// No answer of any coverage can be given.
-pub async fn run(node: &Arc<Node>, view: &Arc<ClusterView>, ask: &QueryAsk) -> Result<QueryAnswer, QueryFailure> {
+pub async fn run(
+    node: &Arc<Node>,
+    view: &Arc<ClusterView>,
+    ask: &QueryAsk,
+    work: &mut WorkReport,
+) -> Result<QueryAnswer, QueryFailure> {
     let config = view.config.as_ref().ok_or(QueryFailure::NoVersion)?;
     for round in 1..=MAX_ROUNDS {
         let Some((version, layout)) = pin(view, ask) else {
@@ -96,7 +101,10 @@
         };
         let may_restart = round < MAX_ROUNDS;
         let mut query = QueryRound::new(node, view, config, ask, Some(version), layout)?;
-        match query.run(may_restart).await {
+        let end = query.run(may_restart).await;
+        work.waited += query.work.waited;
+        work.served += query.work.served;
+        match end {
             RoundEnd::Answer(fold) => return Ok(answer(node, config, ask, version, fold)),
             RoundEnd::Restart => stats::count_restart(),
         }
@@ -175,6 +183,7 @@
     running: JoinSet<()>,
     events: (mpsc::Sender<PieceEvent>, mpsc::Receiver<PieceEvent>),
     calls: u64,
+    work: WorkReport,
 }
 
 impl<'a> QueryRound<'a> {
@@ -190,7 +199,19 @@
         let pieces = plan(config, &node.settings.domain, layout, &shards)?;
         let fold = AnswerFold::new(&shards);
         let events = mpsc::channel(REPLY_BUFFER);
-        Ok(Self { node, view, config, ask, version, pieces, fold, running: JoinSet::new(), events, calls: 0 })
+        Ok(Self {
+            node,
+            view,
+            config,
+            ask,
+            version,
+            pieces,
+            fold,
+            running: JoinSet::new(),
+            events,
+            calls: 0,
+            work: WorkReport::default(),
+        })
     }
 
     async fn run(&mut self, may_restart: bool) -> RoundEnd {
@@ -250,6 +271,8 @@
             self.view.beliefs.learn(&self.ask.index.name, upstream, held);
         }
         self.calls += u64::from(reply.calls);
+        self.work.waited += Duration::from_micros(reply.waited_us);
+        self.work.served += Duration::from_micros(reply.served_us);
         match reply.result {
             Ok(results) => self.take_results(reply.piece, reply.version, results),
             Err(reason) => self.take_loss(reply.piece, reason, reply.outcome),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use streamfold_model::{ByteSize, FailureDomain, NodeId, TimeSpan};
+use streamfold_policy::HedgeChoice;
 
 use crate::error::{SettingError, SettingProblem, StartError};
 
@@ -55,6 +56,7 @@
     ticket_life: Option<TimeSpan>,
     connections: Option<Spanned<u32>>,
     policy: PolicyChoice,
+    hedging: HedgeChoice,
     log: Option<String>,
 }
 
@@ -137,6 +139,8 @@
     pub connections: usize,
     /// Which rules make attempts.
     pub policy: PolicyChoice,
+    /// Which rule decides on hedges.
+    pub hedging: HedgeChoice,
     /// Log filter.
     pub log: String,
 }
@@ -261,6 +265,7 @@
             ticket_life: file.ticket_life.map_or(DEFAULT_TICKET_LIFE, |span| span.0),
             connections: connections as usize,
             policy: file.policy,
+            hedging: file.hedging,
             log: args.log.clone().or(file.log).unwrap_or_else(|| "info".to_owned()),
         })
     }
--- a/crates/daemon/src/stats.rs
+++ b/crates/daemon/src/stats.rs
@@ -81,3 +81,13 @@
 pub fn set_inflight(count: usize) {
     gauge!("streamfold_requests_in_flight").set(count as f64);
 }
+
+/// A caller's request had to wait to be let in.
+pub fn count_admission_wait() {
+    counter!("streamfold_admission_waits_total").increment(1);
+}
+
+/// Requests that may run at once at this node.
+pub fn set_admission_limit(limit: u32) {
+    gauge!("streamfold_admission_limit").set(f64::from(limit));
+}
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -79,6 +79,17 @@
     pub held: Option<HeldVersions>,
     /// Calls made for it.
     pub calls: u32,
+    /// Microseconds it waited for slots.
+    pub waited_us: u64,
+    /// Microseconds it was served.
+    pub served_us: u64,
+}
+
+impl PieceReply {
+    /// The reply for a piece that its owner never told of.
+    pub fn lost(piece: u32, outcome: AttemptOutcome, reason: MissingReason) -> Self {
+        Self { piece, outcome, version: None, result: Err(reason), held: None, calls: 0, waited_us: 0, served_us: 0 }
+    }
 }
 
 /// An order for the node that minted its ticket.
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -5,7 +5,7 @@
 use streamfold_model::QueryAnswer;
 
 use crate::fleet::{Fleet, FleetError, FleetPlan, INDEX, TOKEN};
-use crate::load::{self, LoadPlan, LoadReport};
+use crate::load::{self, GOOD_WITHIN, LoadPlan, LoadReport};
 
 /// Queries a second in the demo's load.
 const RATE: f64 = 200.0;
@@ -52,6 +52,7 @@
         rate: RATE,
         time: TIME,
         headers: Vec::new(),
+        good_within: GOOD_WITHIN,
     }
 }
 
--- a/crates/lab/src/experiments/cost.rs
+++ b/crates/lab/src/experiments/cost.rs
@@ -13,7 +13,7 @@
 
 use super::ExperimentReport;
 use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, INDEX, NodeHandle, TOKEN};
-use crate::load::{self, LoadPlan};
+use crate::load::{self, GOOD_WITHIN, LoadPlan};
 use crate::server::ServerPlan;
 use crate::usage;
 
@@ -110,6 +110,7 @@
         rate: rate * LATENCY_SHARE,
         time: TIME,
         headers: Vec::new(),
+        good_within: GOOD_WITHIN,
     };
     let report = load::run(&fleet.client, &load_plan).await;
     let found = json!({
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -1,10 +1,14 @@
 //! Experiments: each runs a baseline and the policy in one run and ends with one JSON object.
 
 pub mod cost;
+pub mod overload;
+pub mod straggler;
+pub mod trial;
 
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::dice;
 use crate::fleet::FleetError;
 
 /// What an experiment found.
@@ -23,16 +27,27 @@
 }
 
 /// The experiments with what each shows.
-pub const EXPERIMENTS: [(&str, &str); 1] =
-    [("cost", "what the tier itself costs: added latency, processor time and memory, one hop and two")];
+pub const EXPERIMENTS: [(&str, &str); 3] = [
+    ("cost", "what the tier itself costs: added latency, processor time and memory, one hop and two"),
+    ("overload", "0.5 to 3 times the capacity, most of it from one greedy caller"),
+    ("straggler", "1 attempt in 100 takes 20 times as long, one server is slow and says it is idle"),
+];
+
+/// Figures as JSON.
+fn to_value<T: Serialize>(figures: &T) -> Value {
+    serde_json::to_value(figures).unwrap_or_default()
+}
 
 /// Runs one experiment; `None` if there is none of that name.
 ///
 /// # Errors
 /// A fleet did not come up.
 pub async fn run(name: &str, seed: u64) -> Option<Result<ExperimentReport, FleetError>> {
+    dice::seed(seed);
     match name {
         "cost" => Some(cost::run(seed).await),
+        "overload" => Some(overload::run(seed).await),
+        "straggler" => Some(straggler::run(seed).await),
         _ => None,
     }
 }
--- /dev/null
+++ b/crates/lab/src/experiments/overload.rs
@@ -0,0 +1,126 @@
+//! More load than the servers can take, most of it from one greedy caller.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use streamfold_daemon::settings::PolicyChoice;
+
+use super::trial::{load_on, start_warm, three_domains};
+use super::{ExperimentReport, to_value};
+use crate::fleet::{Fleet, FleetError, TOKEN};
+use crate::load::{self, LoadPlan, LoadReport};
+
+const UPSTREAMS: usize = 6;
+/// About what the servers of one upstream can serve: 2 servers, 2 slots, 4 ms calls and a
+/// timer that rounds up.
+const CAPACITY: f64 = 650.0;
+/// Offered load, as multiples of the capacity.
+const MULTIPLES: [f64; 4] = [0.5, 1.0, 2.0, 3.0];
+/// Callers that ask for less than their fair share, each this share of the capacity.
+const MODEST: [&str; 3] = ["driver", "porter", "housekeeper"];
+const MODEST_SHARE: f64 = 0.15;
+const TIME: Duration = Duration::from_secs(4);
+const DEADLINE: Duration = Duration::from_millis(200);
+/// What the policy must show.
+const MIN_GOODPUT_KEPT: f64 = 0.9;
+const MIN_SHARE_KEPT: f64 = 0.9;
+const MAX_EXTRA_LOAD: f64 = 0.01;
+
+/// Figures at one load.
+#[derive(Debug, Clone, Serialize)]
+struct OverloadFigures {
+    multiple: f64,
+    offered: f64,
+    goodput: f64,
+    modest_share_kept: f64,
+    p99_ms: f64,
+    refused: u64,
+    partial: u64,
+    failed: u64,
+    extra_load: f64,
+    not_run_that_ran: usize,
+    broken: u64,
+}
+
+fn caller_load(fleet: &Fleet, token: &str, rate: f64) -> LoadPlan {
+    LoadPlan { token: token.to_owned(), good_within: DEADLINE, ..load_on(fleet, rate, TIME) }
+}
+
+async fn run_loads(fleet: &Fleet, greedy_rate: f64, modest_rate: f64) -> (LoadReport, Vec<LoadReport>) {
+    let mut running = tokio::task::JoinSet::new();
+    for name in MODEST {
+        let (client, plan) = (fleet.client.clone(), caller_load(fleet, name, modest_rate));
+        running.spawn(async move { load::run(&client, &plan).await });
+    }
+    let greedy = load::run(&fleet.client, &caller_load(fleet, TOKEN, greedy_rate)).await;
+    let modest = running.join_all().await;
+    (greedy, modest)
+}
+
+async fn measure(fleet: &Fleet, multiple: f64) -> OverloadFigures {
+    let modest_rate = CAPACITY * MODEST_SHARE;
+    let offered = CAPACITY * multiple;
+    let before = fleet.server_calls();
+    let (greedy, modest) = run_loads(fleet, (offered - modest_rate * 3.0).max(1.0), modest_rate).await;
+    let calls = fleet.server_calls() - before;
+    let all: Vec<&LoadReport> = modest.iter().chain(std::iter::once(&greedy)).collect();
+    let sum = |count: fn(&LoadReport) -> u64| all.iter().map(|report| count(report)).sum::<u64>();
+    let admitted = sum(|report| report.answered);
+    let kept = modest.iter().map(|report| report.good as f64 / report.requests as f64);
+    let refusals = all.iter().flat_map(|report| &report.refusals);
+    OverloadFigures {
+        multiple,
+        offered,
+        goodput: sum(|report| report.good) as f64 / TIME.as_secs_f64(),
+        modest_share_kept: kept.fold(1.0, f64::min),
+        p99_ms: all.iter().map(|report| report.p99_ms).fold(0.0, f64::max),
+        refused: sum(|report| report.refused),
+        partial: sum(|report| report.answered - report.whole),
+        failed: sum(|report| report.failed),
+        extra_load: calls as f64 / (admitted.max(1) as f64 * UPSTREAMS as f64) - 1.0,
+        not_run_that_ran: refusals.filter(|request| fleet.log.has_run(&request.to_string())).count(),
+        broken: sum(|report| report.broken),
+    }
+}
+
+async fn trial(policy: PolicyChoice) -> Result<Vec<OverloadFigures>, FleetError> {
+    let mut plan = three_domains(UPSTREAMS, policy);
+    plan.deadline = "200ms";
+    plan.callers = MODEST.to_vec();
+    let fleet = start_warm(plan, CAPACITY * 0.3).await?;
+    fleet.log.keep_requests();
+    let mut figures = Vec::new();
+    for multiple in MULTIPLES {
+        figures.push(measure(&fleet, multiple).await);
+    }
+    fleet.stop().await;
+    Ok(figures)
+}
+
+fn is_held(figures: &[OverloadFigures]) -> bool {
+    let best = figures.iter().map(|found| found.goodput).fold(0.0, f64::max);
+    let Some(most) = figures.last() else { return false };
+    let deadline_ms = DEADLINE.as_secs_f64() * 1e3;
+    most.goodput >= MIN_GOODPUT_KEPT * best
+        && figures.iter().all(|found| found.modest_share_kept >= MIN_SHARE_KEPT)
+        && figures.iter().all(|found| found.p99_ms <= deadline_ms)
+        && figures.iter().filter(|found| found.multiple >= 2.0).all(|found| found.extra_load < MAX_EXTRA_LOAD)
+        && figures.iter().all(|found| found.not_run_that_ran == 0 && found.broken == 0)
+}
+
+/// Runs baseline and policy over rising load.
+///
+/// # Errors
+/// A fleet did not come up.
+pub async fn run(seed: u64) -> Result<ExperimentReport, FleetError> {
+    let baseline = trial(PolicyChoice::Baseline).await?;
+    let policy = trial(PolicyChoice::Adaptive).await?;
+    let held = is_held(&policy);
+    Ok(ExperimentReport {
+        experiment: "overload",
+        seed,
+        baseline: to_value(&baseline),
+        policy: to_value(&policy),
+        held,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/experiments/trial.rs
@@ -0,0 +1,62 @@
+//! What experiments share: one fleet under one load, as figures.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use streamfold_daemon::settings::PolicyChoice;
+
+use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, INDEX, TOKEN};
+use crate::load::{self, GOOD_WITHIN, LoadPlan, LoadReport};
+
+/// Figures of one fleet under one load.
+#[derive(Debug, Clone, Serialize)]
+pub struct TrialFigures {
+    /// What the load saw.
+    #[serde(flatten)]
+    pub report: LoadReport,
+    /// Calls to servers beyond one for each upstream and query, as a share.
+    pub extra_load: f64,
+}
+
+/// Three failure domains with two nodes each, as the users have, over so many upstreams.
+pub fn three_domains(upstreams: usize, policy: PolicyChoice) -> FleetPlan {
+    let share = |number: usize| upstreams / 3 + usize::from(number < upstreams % 3);
+    let names = ["vienna", "tyrol", "salzburg"];
+    let domains = names.iter().enumerate();
+    let domains = domains.map(|(number, name)| DomainPlan { name, nodes: 2, upstreams: share(number) });
+    FleetPlan { domains: domains.collect(), policy, ..FleetPlan::default() }
+}
+
+/// A load on all nodes of a fleet.
+pub fn load_on(fleet: &Fleet, rate: f64, time: Duration) -> LoadPlan {
+    LoadPlan {
+        nodes: fleet.callers(),
+        index: INDEX.to_owned(),
+        token: TOKEN.to_owned(),
+        rate,
+        time,
+        headers: Vec::new(),
+        good_within: GOOD_WITHIN,
+    }
+}
+
+/// Runs a load and adds what the servers saw of it.
+pub async fn measure(fleet: &Fleet, plan: &LoadPlan) -> TrialFigures {
+    let before = fleet.server_calls();
+    let report = load::run(&fleet.client, plan).await;
+    let calls = fleet.server_calls() - before;
+    let sent = report.requests - report.refused;
+    let ideal = sent as f64 * fleet.servers.len() as f64;
+    TrialFigures { extra_load: if ideal > 0.0 { calls as f64 / ideal - 1.0 } else { 0.0 }, report }
+}
+
+/// A fleet, warmed up by a short load so that latencies are known.
+///
+/// # Errors
+/// It did not come up.
+pub async fn start_warm(plan: FleetPlan, rate: f64) -> Result<Fleet, FleetError> {
+    const WARM_UP: Duration = Duration::from_secs(2);
+    let fleet = Fleet::start(plan).await?;
+    load::run(&fleet.client, &load_on(&fleet, rate, WARM_UP)).await;
+    Ok(fleet)
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -94,6 +94,8 @@
     pub deadline: &'static str,
     /// Whether nodes run as processes of their own.
     pub processes: bool,
+    /// Callers besides the first; the token of each is its name.
+    pub callers: Vec<&'static str>,
     /// Settings lines besides, for every node.
     pub settings: String,
 }
@@ -112,6 +114,7 @@
             prefer: "coverage",
             deadline: "1s",
             processes: false,
+            callers: Vec::new(),
             settings: "lame_duck: 200ms\ngrace: 10s\nheartbeat: 100ms\n".to_owned(),
         }
     }
@@ -425,12 +428,16 @@
             "  {INDEX}-{number:03}: {{failure_domain: {domain}, slots: {slots}, connections: {connections}, servers: [\"{list}\"]}}"
         );
     }
-    let digest = ContentDigest::of(TOKEN.as_bytes());
-    let (prefer, deadline) = (plan.prefer, plan.deadline);
-    let _ = write!(
-        text,
-        "callers:\n  depot:\n    token_sha256: {digest}\n    indexes: [{INDEX}]\n    prefer: {prefer}\n    \
-         deadline: {deadline}\n    rate: 100000/s\n    concurrency: 10000\n"
-    );
+    text.push_str("callers:\n");
+    let first = std::iter::once(("depot", TOKEN));
+    for (name, token) in first.chain(plan.callers.iter().map(|name| (*name, *name))) {
+        let digest = ContentDigest::of(token.as_bytes());
+        let (prefer, deadline) = (plan.prefer, plan.deadline);
+        let _ = write!(
+            text,
+            "  {name}:\n    token_sha256: {digest}\n    indexes: [{INDEX}]\n    prefer: {prefer}\n    \
+             deadline: {deadline}\n    rate: 100000/s\n    concurrency: 10000\n"
+        );
+    }
     text
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod demo;
+pub mod dice;
 pub mod experiments;
 pub mod fleet;
 pub mod load;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -9,7 +9,7 @@
 use hdrhistogram::Histogram;
 use http::{Method, StatusCode};
 use serde::Serialize;
-use streamfold_model::{ProblemDetails, QueryAnswer, RanState};
+use streamfold_model::{ProblemDetails, QueryAnswer, RanState, RequestId};
 
 use crate::client::{CallAnswer, LabClient};
 
@@ -18,6 +18,9 @@
 /// How long a request may take before the load gives it up.
 const GIVE_UP: Duration = Duration::from_secs(10);
 
+/// What counts as good where an experiment says nothing else.
+pub const GOOD_WITHIN: Duration = Duration::from_secs(1);
+
 /// What to send.
 #[derive(Debug, Clone)]
 pub struct LoadPlan {
@@ -33,6 +36,8 @@
     pub time: Duration,
     /// Headers besides.
     pub headers: Vec<(&'static str, String)>,
+    /// Answers later than this do not count as good.
+    pub good_within: Duration,
 }
 
 /// What came of a load.
@@ -46,6 +51,8 @@
     pub coverage: f64,
     /// Answers with every shard.
     pub whole: u64,
+    /// Whole answers within the time that counts as good.
+    pub good: u64,
     /// Refusals that say "not run".
     pub refused: u64,
     /// Outcomes told as unknown.
@@ -54,6 +61,9 @@
     pub failed: u64,
     /// Answers with mixed versions, another's results or untrue coverage.
     pub broken: u64,
+    /// Requests refused as "not run".
+    #[serde(skip)]
+    pub refusals: Vec<RequestId>,
     /// Latency of answers, milliseconds.
     pub p50_ms: f64,
     /// Likewise.
@@ -67,7 +77,9 @@
     requests: u64,
     answered: u64,
     whole: u64,
-    refused: u64,
+    good: u64,
+    good_within: Duration,
+    refusals: Vec<RequestId>,
     unknown: u64,
     failed: u64,
     broken: u64,
@@ -76,7 +88,7 @@
 }
 
 impl LoadSums {
-    fn new() -> Self {
+    fn new(good_within: Duration) -> Self {
         // Three digits up to a minute always make a histogram.
         #[allow(clippy::unwrap_used)]
         let latencies = Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).unwrap();
@@ -85,7 +97,9 @@
             requests: 0,
             answered: 0,
             whole: 0,
-            refused: 0,
+            good: 0,
+            good_within,
+            refusals: Vec::new(),
             unknown: 0,
             failed: 0,
             broken: 0,
@@ -105,9 +119,9 @@
             return;
         }
         let problem: Option<ProblemDetails> = serde_json::from_slice(&answer.body).ok();
-        match problem.map(|problem| problem.ran) {
-            Some(RanState::NotRun) => self.refused += 1,
-            Some(RanState::Unknown) => self.unknown += 1,
+        match problem.map(|problem| (problem.ran, problem.request)) {
+            Some((RanState::NotRun, Some(request))) => self.refusals.push(request),
+            Some((RanState::Unknown, _)) => self.unknown += 1,
             _ => self.failed += 1,
         }
     }
@@ -118,7 +132,9 @@
             return;
         };
         self.answered += 1;
-        self.whole += u64::from(query.coverage.missing.is_empty());
+        let is_whole = query.coverage.missing.is_empty();
+        self.whole += u64::from(is_whole);
+        self.good += u64::from(is_whole && latency <= self.good_within);
         self.shards += query.coverage.shards as u64;
         self.covered += query.coverage.answered as u64;
         self.broken += u64::from(is_broken(&query));
@@ -133,7 +149,9 @@
             answered: self.answered,
             coverage: if self.shards == 0 { 0.0 } else { self.covered as f64 / self.shards as f64 },
             whole: self.whole,
-            refused: self.refused,
+            good: self.good,
+            refused: self.refusals.len() as u64,
+            refusals: self.refusals.clone(),
             unknown: self.unknown,
             failed: self.failed,
             broken: self.broken,
@@ -168,7 +186,7 @@
 
 /// Runs a load to its end and reports.
 pub async fn run(client: &LabClient, plan: &LoadPlan) -> LoadReport {
-    let sums = Arc::new(Mutex::new(LoadSums::new()));
+    let sums = Arc::new(Mutex::new(LoadSums::new(plan.good_within)));
     let total = (plan.rate * plan.time.as_secs_f64()) as u64;
     let start = Instant::now();
     let authorization = format!("Bearer {}", plan.token);
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -20,6 +20,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::dice;
+
 /// The largest value held.
 const MAX_VALUE: usize = 1 << 20;
 
@@ -215,7 +217,7 @@
         tag
     };
     state.changed.send_replace(tag);
-    if rand::random_range(0..1000) < state.faults.lost_answers.load(Ordering::Relaxed) {
+    if dice::chance(state.faults.lost_answers.load(Ordering::Relaxed)) {
         return Ok(lose_answer());
     }
     Ok(([(header::ETAG, quote(tag))], "").into_response())
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -11,6 +11,8 @@
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::dice;
+
 /// How often a paused direction looks whether it may go on.
 const PAUSE_LOOK: Duration = Duration::from_millis(5);
 
@@ -105,7 +107,7 @@
         while pause.load(Ordering::Relaxed) {
             tokio::time::sleep(PAUSE_LOOK).await;
         }
-        let breaks = resets.is_some_and(|resets| rand::random_range(0..1000) < resets.load(Ordering::Relaxed));
+        let breaks = resets.is_some_and(|resets| dice::chance(resets.load(Ordering::Relaxed)));
         let part = if breaks { &chunk[..length / 2] } else { &chunk[..length] };
         if to.write_all(part).await.is_err() || breaks {
             return;
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -1,7 +1,7 @@
 //! Stand-in for one server of an upstream: shards, slots, a queue, a connection limit,
 //! latencies, index versions, draining and shedding. It logs what it ran.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -24,6 +24,8 @@
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::dice;
+
 /// Shards one call may name.
 const MAX_SHARDS: usize = 65_536;
 
@@ -95,10 +97,12 @@
     pub refused_connections: AtomicU64,
 }
 
-/// Orders run, by idempotency key, over all servers of a lab.
+/// What all servers of a lab ran: orders by idempotency key and, where asked to, requests.
 #[derive(Debug, Default)]
 pub struct RunLog {
     runs: Mutex<HashMap<String, u64>>,
+    requests: Mutex<HashSet<String>>,
+    keeps_requests: AtomicBool,
 }
 
 impl RunLog {
@@ -107,6 +111,22 @@
         *runs.entry(key.to_owned()).or_default() += 1;
     }
 
+    /// Keeps the ids of all requests run from now on.
+    pub fn keep_requests(&self) {
+        self.keeps_requests.store(true, Ordering::Relaxed);
+    }
+
+    fn note_request(&self, request: &str) {
+        if self.keeps_requests.load(Ordering::Relaxed) {
+            self.requests.lock().unwrap_or_else(PoisonError::into_inner).insert(request.to_owned());
+        }
+    }
+
+    /// Whether a request ran at any server.
+    pub fn has_run(&self, request: &str) -> bool {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner).contains(request)
+    }
+
     /// How often an order with this key ran.
     pub fn count(&self, key: &str) -> u64 {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).get(key).copied().unwrap_or(0)
@@ -246,8 +266,7 @@
 }
 
 fn chance(thousandths: &AtomicU64) -> bool {
-    let thousandths = thousandths.load(Ordering::Relaxed);
-    thousandths > 0 && rand::random_range(0..1000) < thousandths
+    dice::chance(thousandths.load(Ordering::Relaxed))
 }
 
 impl ServerState {
@@ -307,6 +326,7 @@
         }
         let slot = self.slots.acquire().await;
         self.counts.runs.fetch_add(1, Ordering::Relaxed);
+        self.log.note_request(text(headers, SERVER_REQUEST).unwrap_or_default());
         if is_order && let Some(key) = text(headers, SERVER_KEY) {
             self.log.note(key);
         }
@@ -323,7 +343,7 @@
         if self.plan.base.is_zero() {
             return;
         }
-        let mut factor = rand::random_range(0.75..1.25);
+        let mut factor = dice::range(0.75..1.25);
         factor *= self.switches.slow_factor.load(Ordering::Relaxed) as f64;
         if chance(&self.switches.straggle) {
             factor *= self.switches.straggle_factor.load(Ordering::Relaxed) as f64;
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use streamfold_lab::client::{CallAnswer, LabClient};
 use streamfold_lab::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, INDEX, TOKEN};
-use streamfold_lab::load::{self, LoadPlan};
+use streamfold_lab::load::{self, GOOD_WITHIN, LoadPlan};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -109,6 +109,7 @@
         rate: 100.0,
         time: Duration::from_secs(3),
         headers: Vec::new(),
+        good_within: GOOD_WITHIN,
     };
     let load = tokio::spawn(async move { load::run(&LabClient::default(), &load_plan).await });
     tokio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,16 +7,18 @@
 pub mod admission;
 pub mod budget;
 pub mod finish;
+pub mod hedge;
 pub mod latency;
 pub mod members;
 pub mod moment;
 pub mod owner;
 pub mod pin;
 pub mod queue;
+pub mod retry;
 pub mod rules;
 pub mod server;
 
-pub use admission::{AdmissionRefusal, CallerGate};
+pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
 pub use budget::TokenBudget;
 pub use finish::FinishRule;
 pub use latency::LatencyTrack;
@@ -24,5 +26,5 @@
 pub use moment::Moment;
 pub use pin::HeldVersions;
 pub use queue::{QueueSubmission, StartedWork, UpstreamQueue, WorkItem};
-pub use rules::{AdaptiveRules, AttemptRules, BaselineRules};
+pub use rules::{AdaptiveRules, AttemptRules, BaselineRules, HedgeChoice};
 pub use server::{CallReport, ServerState};
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -6,17 +6,21 @@
 use std::time::Duration;
 
 use rand::RngCore;
-use streamfold_model::{IndexName, IndexVersion};
+use streamfold_model::{AttemptOutcome, IndexName, IndexVersion};
 
 use crate::budget::TokenBudget;
+use crate::hedge::HedgeRule;
 use crate::latency::LatencyTrack;
 use crate::moment::Moment;
 use crate::pin::HeldVersions;
+use crate::retry::RetryBudget;
 use crate::rules::AttemptRules;
 use crate::server::{CallReport, ServerState};
 
-/// Tokens a quiet upstream keeps for hedges and for retries.
-const BUDGET_RESERVE: f64 = 10.0;
+/// Hedges a quiet upstream may make at once.
+const HEDGE_RESERVE: f64 = 3.0;
+/// Samples wanted before a quantile of the latency means something.
+const HEDGE_SAMPLES: u32 = 20;
 
 /// What a piece of work needs of a server.
 #[derive(Debug, Clone)]
@@ -66,15 +70,16 @@
     deadlines: BTreeMap<u64, Moment>,
     next_number: u64,
     track: LatencyTrack,
+    hedging: Box<dyn HedgeRule>,
     hedges: TokenBudget,
-    retries: TokenBudget,
+    retries: RetryBudget,
 }
 
 impl<T> UpstreamQueue<T> {
     /// An empty queue before these servers.
     pub fn new(rules: Arc<dyn AttemptRules>, servers: Vec<ServerState>) -> Self {
-        let hedges = TokenBudget::new(rules.hedge_share(), BUDGET_RESERVE);
-        let retries = TokenBudget::new(rules.retry_share(), BUDGET_RESERVE);
+        let hedging = rules.hedge_rule();
+        let retries = RetryBudget::new(rules.retry_rates());
         Self {
             rules,
             servers,
@@ -82,7 +87,8 @@
             deadlines: BTreeMap::new(),
             next_number: 0,
             track: LatencyTrack::default(),
-            hedges,
+            hedging,
+            hedges: TokenBudget::new(HEDGE_RESERVE),
             retries,
         }
     }
@@ -151,8 +157,7 @@
             return QueueSubmission::VersionGone(tag);
         }
         if !is_retry {
-            self.hedges.earn(1);
-            self.retries.earn(1);
+            self.earn();
         }
         let must_wait = self.rules.is_limited() && !self.waiting.is_empty();
         if !must_wait && let Some(server) = self.pick(&item, now, dice) {
@@ -186,14 +191,32 @@
         Some(server)
     }
 
+    fn earn(&mut self) {
+        let load = self.load();
+        let share = self.hedging.plan(load).map_or(0.0, |plan| plan.share);
+        self.hedges.earn(share);
+        self.retries.earn();
+    }
+
+    /// The share of call slots in use, waiting work included.
+    pub fn load(&self) -> f64 {
+        let slots: u32 = self.servers.iter().filter(|server| !server.is_leaving()).map(ServerState::limit).sum();
+        let running: u32 = self.servers.iter().map(ServerState::inflight).sum();
+        (f64::from(running) + self.waiting.len() as f64) / f64::from(slots.max(1))
+    }
+
     /// When to hedge a call that starts now; `None` for never.
-    pub fn hedge_delay(&self) -> Option<Duration> {
-        self.rules.hedge_delay(&self.track)
+    pub fn hedge_delay(&mut self) -> Option<Duration> {
+        if self.track.samples() < HEDGE_SAMPLES || self.servers.len() < 2 {
+            return None;
+        }
+        let plan = self.hedging.plan(self.load())?;
+        self.track.quantile(plan.quantile)
     }
 
     /// Whether a failed piece of work may be tried again; spends from the budget.
-    pub fn may_retry(&mut self, left: Duration, tries: u32) -> bool {
-        self.rules.is_retry_worth(&self.track, left, tries) && self.retries.spend()
+    pub fn may_retry(&mut self, outcome: AttemptOutcome, left: Duration, tries: u32) -> bool {
+        self.retries.may_retry(outcome, &self.track, left, tries)
     }
 
     /// Notes how a call ended and starts waiting work that now fits.
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -1,22 +1,15 @@
 //! The border of this crate: how attempts are made, as a trait with two implementations.
 
-use std::time::Duration;
-
 use rand::{Rng, RngCore};
+use serde::Deserialize;
 
-use crate::latency::LatencyTrack;
+use crate::hedge::{ContinuousHedge, FixedHedge, HedgeRule, NoHedge, TableHedge};
 use crate::moment::Moment;
+use crate::retry::RetryRates;
 use crate::server::ServerState;
 
-/// Hedge after this quantile of the upstream's latency.
-const HEDGE_QUANTILE: f64 = 0.95;
-/// Samples wanted before that quantile means something.
-const HEDGE_SAMPLES: u32 = 20;
 /// At most this share of an upstream's servers rests at once.
 const MAX_RESTING_SHARE: f64 = 0.5;
-/// Extra time allowed over a typical answer before a retry is given up for lack of time.
-const RETRY_QUANTILE: f64 = 0.5;
-
 /// How attempts at the servers of one upstream are made.
 pub trait AttemptRules: Send + Sync {
     /// The server for the next call among those that `allowed` lets through, if any has a slot.
@@ -28,17 +21,11 @@
         dice: &mut dyn RngCore,
     ) -> Option<usize>;
 
-    /// When to start a second attempt while the first runs; `None` for never.
-    fn hedge_delay(&self, track: &LatencyTrack) -> Option<Duration>;
-
-    /// Share of first attempts that hedges may add.
-    fn hedge_share(&self) -> f64;
-
-    /// Share of first attempts that retries may add.
-    fn retry_share(&self) -> f64;
+    /// The rule for hedges at one upstream.
+    fn hedge_rule(&self) -> Box<dyn HedgeRule>;
 
-    /// Whether a retry is worth it with this much time left, after `tries` attempts.
-    fn is_retry_worth(&self, track: &LatencyTrack, left: Duration, tries: u32) -> bool;
+    /// How freely failed work is tried again.
+    fn retry_rates(&self) -> RetryRates;
 
     /// Whether work waits in the queue for a slot, or starts at once whatever runs.
     fn is_limited(&self) -> bool;
@@ -46,11 +33,29 @@
 
 /// The rules of the product: two random candidates by cost, limits, rests, budgets.
 #[derive(Debug, Default)]
-pub struct AdaptiveRules;
+pub struct AdaptiveRules {
+    /// Which rule decides on hedges.
+    pub hedging: HedgeChoice,
+}
+
+/// The rules for hedging that there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HedgeChoice {
+    /// The same budget at any load.
+    Fixed,
+    /// A table of load ranges.
+    Table,
+    /// A budget that shrinks evenly with the load.
+    #[default]
+    Continuous,
+    /// No hedging.
+    None,
+}
 
 impl AdaptiveRules {
     fn cheaper(servers: &[ServerState], a: usize, b: usize, now: Moment) -> usize {
-        let (cost_a, cost_b) = (servers[a].cost(), servers[b].cost());
+        let (cost_a, cost_b) = (servers[a].cost(now), servers[b].cost(now));
         let by_load = servers[a].load(now).total_cmp(&servers[b].load(now));
         match cost_a.total_cmp(&cost_b).then(by_load) {
             std::cmp::Ordering::Greater => b,
@@ -84,24 +89,17 @@
         }
     }
 
-    fn hedge_delay(&self, track: &LatencyTrack) -> Option<Duration> {
-        if track.samples() < HEDGE_SAMPLES {
-            return None;
+    fn hedge_rule(&self) -> Box<dyn HedgeRule> {
+        match self.hedging {
+            HedgeChoice::Fixed => Box::new(FixedHedge),
+            HedgeChoice::Table => Box::<TableHedge>::default(),
+            HedgeChoice::Continuous => Box::new(ContinuousHedge),
+            HedgeChoice::None => Box::new(NoHedge),
         }
-        track.quantile(HEDGE_QUANTILE)
     }
 
-    fn hedge_share(&self) -> f64 {
-        0.05
-    }
-
-    fn retry_share(&self) -> f64 {
-        0.1
-    }
-
-    fn is_retry_worth(&self, track: &LatencyTrack, left: Duration, tries: u32) -> bool {
-        const MAX_TRIES: u32 = 4;
-        tries < MAX_TRIES && track.quantile(RETRY_QUANTILE).is_none_or(|typical| typical < left)
+    fn retry_rates(&self) -> RetryRates {
+        RetryRates { failed: 0.1, refused: 0.5, tries: 8 }
     }
 
     fn is_limited(&self) -> bool {
@@ -128,20 +126,12 @@
         Some(free[dice.random_range(0..free.len())])
     }
 
-    fn hedge_delay(&self, _track: &LatencyTrack) -> Option<Duration> {
-        None
-    }
-
-    fn hedge_share(&self) -> f64 {
-        0.0
-    }
-
-    fn retry_share(&self) -> f64 {
-        1.0
+    fn hedge_rule(&self) -> Box<dyn HedgeRule> {
+        Box::new(NoHedge)
     }
 
-    fn is_retry_worth(&self, _track: &LatencyTrack, left: Duration, tries: u32) -> bool {
-        tries < 2 && !left.is_zero()
+    fn retry_rates(&self) -> RetryRates {
+        RetryRates { failed: 1.0, refused: 1.0, tries: 2 }
     }
 
     fn is_limited(&self) -> bool {
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -10,12 +10,26 @@
 
 /// Share of a new latency sample in the running mean.
 const MEAN_GAIN: f64 = 0.1;
+/// Without a sample, what is known of a latency fades by half in this time, so that a
+/// server that was slow is tried again.
+const MEAN_HALF_LIFE: Duration = Duration::from_secs(2);
+/// A server that came up anew counts as this many times as slow as before, until it shows
+/// otherwise.
+const COLD_FACTOR: f64 = 10.0;
+/// What a server that was never asked counts as, in microseconds.
+const UNKNOWN_MEAN_US: f64 = 1.0;
 /// Failures in a row after which a server is rested.
 const REST_AFTER: u32 = 3;
 /// The first rest; each further failure doubles it up to [`MAX_REST`].
 const FIRST_REST: Duration = Duration::from_millis(100);
 /// The longest rest.
 const MAX_REST: Duration = Duration::from_secs(3);
+/// How fast the fastest latency seen is forgotten.
+const FAST_GAIN: f64 = 0.002;
+/// A mean this many times the fastest latency means that work waits inside the server.
+const SLOW_FACTOR: f64 = 1.8;
+/// Factor on the limit for each answer while that is so.
+const SLOW_FALL: f64 = 0.98;
 /// Factor on the limit when the server sheds.
 const SHED_FACTOR: f64 = 0.7;
 /// After this long without news a reported load no longer counts.
@@ -41,6 +55,8 @@
     limit: f64,
     max_limit: f64,
     mean_us: f64,
+    fast_us: f64,
+    sampled: Moment,
     failures: u32,
     resting_until: Option<Moment>,
     probing: bool,
@@ -60,6 +76,8 @@
             limit: f64::from(start.max(1)).min(max_limit),
             max_limit,
             mean_us: 0.0,
+            fast_us: 0.0,
+            sampled: Moment::default(),
             failures: 0,
             resting_until: None,
             probing: false,
@@ -86,8 +104,10 @@
     }
 
     /// Expected wait of one more call, in microseconds.
-    pub fn cost(&self) -> f64 {
-        (self.mean_us + 1.0) * f64::from(self.inflight + 1)
+    pub fn cost(&self, now: Moment) -> f64 {
+        let age = now.since(self.sampled).as_secs_f64() / MEAN_HALF_LIFE.as_secs_f64();
+        let mean = self.mean_us * 0.5f64.powf(age) + UNKNOWN_MEAN_US;
+        mean * f64::from(self.inflight + 1)
     }
 
     /// The reported load, 0 to 1, faded to 0 with its age.
@@ -129,20 +149,25 @@
         let was_full = self.inflight >= self.limit();
         self.inflight = self.inflight.saturating_sub(1);
         match report {
-            CallReport::Answered(latency) => self.note_answer(latency, was_full),
+            CallReport::Answered(latency) => self.note_answer(now, latency, was_full),
             CallReport::Shed => self.note_shed(now),
             CallReport::Failed => self.note_failure(now),
-            CallReport::Cancelled(waited) => self.note_cancel(waited),
+            CallReport::Cancelled(waited) => self.note_cancel(now, waited),
         }
     }
 
-    fn note_answer(&mut self, latency: Duration, was_full: bool) {
+    fn note_answer(&mut self, now: Moment, latency: Duration, was_full: bool) {
+        self.sampled = now;
         let sample = latency.as_micros() as f64;
         self.mean_us = if self.mean_us == 0.0 { sample } else { self.mean_us + MEAN_GAIN * (sample - self.mean_us) };
         self.failures = 0;
         self.resting_until = None;
         self.probing = false;
-        if was_full {
+        let fast_gain = if self.fast_us == 0.0 || sample < self.fast_us { 1.0 } else { FAST_GAIN };
+        self.fast_us += fast_gain * (sample - self.fast_us);
+        if self.mean_us > self.fast_us * SLOW_FACTOR {
+            self.limit = (self.limit * SLOW_FALL).max(1.0);
+        } else if was_full {
             self.limit = (self.limit + 1.0 / self.limit).min(self.max_limit);
         }
     }
@@ -163,22 +188,25 @@
     }
 
     /// A cancelled call took at least as long as it was waited for, so it may only raise the mean.
-    fn note_cancel(&mut self, waited: Duration) {
+    fn note_cancel(&mut self, now: Moment, waited: Duration) {
         self.probing = false;
         let sample = waited.as_micros() as f64;
         if sample > self.mean_us {
+            self.sampled = now;
             self.mean_us += MEAN_GAIN * (sample - self.mean_us);
         }
     }
 
     /// Notes which run of the server process answered. A new run starts from one call at a
     /// time, and is the only thing that ends a leaving mark.
-    pub fn learn_incarnation(&mut self, incarnation: u64) {
+    pub fn learn_incarnation(&mut self, now: Moment, incarnation: u64) {
         let known = self.incarnation.replace(incarnation);
         if known.is_some_and(|known| known != incarnation) {
             self.limit = 1.0;
+            self.mean_us *= COLD_FACTOR;
             self.leaving = false;
             self.load = None;
+            self.sampled = now;
         }
     }
 
