--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -335,9 +335,10 @@
     fn send(&mut self, numbers: &[u32]) {
         let mut batches: BTreeMap<NodeId, (WorkTarget, Vec<PieceRequest>)> = BTreeMap::new();
         let mut unowned = Vec::new();
+        let turn = self.ask.request.0 as usize;
         for number in numbers {
             let piece = &self.pieces[*number as usize];
-            let Some(target) = self.view.owners(piece.upstream()).get(piece.owner) else {
+            let Some(target) = self.view.owner(piece.upstream(), turn, piece.owner) else {
                 unowned.push(*number);
                 continue;
             };
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -56,6 +56,20 @@
         Self { config, workers, owners, beliefs }
     }
 
+    /// The owner to try as number `attempt` for a request: this node first if it is one, else
+    /// the owners in turn, so that each sees its part of the load. `None` when all were tried.
+    pub fn owner(&self, upstream: UpstreamIndex, turn: usize, attempt: usize) -> Option<&WorkTarget> {
+        let owners = self.owners(upstream);
+        if attempt >= owners.len() {
+            return None;
+        }
+        let steady = owners.iter().take_while(|target| !target.suspect && target.link.is_some()).count();
+        match attempt < steady {
+            true => owners.get((turn + attempt) % steady),
+            false => owners.get(attempt),
+        }
+    }
+
     /// The owners of an upstream, the preferred one first.
     pub fn owners(&self, upstream: UpstreamIndex) -> &[WorkTarget] {
         &self.owners[upstream.0 as usize]
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -1,7 +1,15 @@
 //! Experiments: each runs a baseline and the policy in one run and ends with one JSON object.
 
+pub mod cold;
 pub mod cost;
+pub mod crossed;
+pub mod drain;
+pub mod once;
 pub mod overload;
+pub mod prefer;
+pub mod shed;
+pub mod snapshot;
+pub mod stop;
 pub mod straggler;
 pub mod trial;
 
@@ -27,9 +35,17 @@
 }
 
 /// The experiments with what each shows.
-pub const EXPERIMENTS: [(&str, &str); 3] = [
+pub const EXPERIMENTS: [(&str, &str); 11] = [
     ("cost", "what the tier itself costs: added latency, processor time and memory, one hop and two"),
+    ("cold", "a server restarts and is ten times as slow for five seconds"),
+    ("crossed", "answers come late, crossed, cut and broken off; servers send other requests' answers"),
+    ("drain", "servers start to leave while their health endpoints lie about it"),
+    ("once", "orders with every key, delivered twice, through kills, pauses, lost answers and a store outage"),
     ("overload", "0.5 to 3 times the capacity, most of it from one greedy caller"),
+    ("prefer", "the same losses seen by latency and by coverage callers"),
+    ("shed", "servers shed three in ten calls for ten seconds, then one replica is lost"),
+    ("snapshot", "index versions advance under running queries, one server lags, the index is repartitioned"),
+    ("stop", "every node stopped and replaced in turn, under queries and orders"),
     ("straggler", "1 attempt in 100 takes 20 times as long, one server is slow and says it is idle"),
 ];
 
@@ -47,6 +63,14 @@
     match name {
         "cost" => Some(cost::run(seed).await),
         "overload" => Some(overload::run(seed).await),
+        "cold" => Some(cold::run(seed).await),
+        "crossed" => Some(crossed::run(seed).await),
+        "drain" => Some(drain::run(seed).await),
+        "prefer" => Some(prefer::run(seed).await),
+        "shed" => Some(shed::run(seed).await),
+        "snapshot" => Some(snapshot::run(seed).await),
+        "once" => Some(once::run(seed).await),
+        "stop" => Some(stop::run(seed).await),
         "straggler" => Some(straggler::run(seed).await),
         _ => None,
     }
--- /dev/null
+++ b/crates/lab/src/experiments/once.rs
@@ -0,0 +1,136 @@
+//! Orders with every form of key, delivered twice and to two nodes at once, while nodes are
+//! killed and paused, answers are lost and the store has an outage.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use streamfold_daemon::settings::PolicyChoice;
+
+use super::trial::three_domains;
+use super::{ExperimentReport, to_value};
+use crate::dice;
+use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, NodeHandle};
+use crate::orders::{OrderReport, OrderSender};
+
+const ORDERS: usize = 5_000;
+const RATE: f64 = 150.0;
+/// Of the keys so many are tickets; the others are the caller's own.
+const TICKET_SHARE: f64 = 0.7;
+/// Of a thousand store writes, so many lose their answer.
+const LOST_ANSWERS: u64 = 100;
+/// Of a thousand chunks of answers, after so many the connection breaks off midway.
+const RESETS: u64 = 5;
+const PAUSE: Duration = Duration::from_secs(5);
+const OUTAGE: Duration = Duration::from_secs(5);
+
+fn plan(policy: PolicyChoice) -> FleetPlan {
+    let mut plan = three_domains(8, policy);
+    plan.domains = ["vienna", "tyrol"].map(|name| DomainPlan { name, nodes: 3, upstreams: 4 }).to_vec();
+    plan.processes = true;
+    plan.proxied = true;
+    plan.deadline = "2s";
+    plan.settings.push_str("claim_rate: 100\n");
+    plan
+}
+
+async fn make_keys(fleet: &Fleet, sender: &OrderSender) -> Vec<String> {
+    let nodes = fleet.callers();
+    let tickets = (ORDERS as f64 * TICKET_SHARE) as usize;
+    let mut keys = Vec::new();
+    for node in &nodes {
+        keys.extend(sender.mint(*node, (tickets / nodes.len()).min(1_000)).await);
+    }
+    let own = (keys.len()..ORDERS).map(|number| format!("order-{number}"));
+    keys.extend(own);
+    for position in (1..keys.len()).rev() {
+        keys.swap(position, dice::range(0.0..(position + 1) as f64) as usize);
+    }
+    keys
+}
+
+/// The faults, one after the other, while orders go on.
+async fn break_things(fleet: &mut Fleet) -> Result<(), FleetError> {
+    fleet.platform.state.faults.lost_answers.store(LOST_ANSWERS, Ordering::Relaxed);
+    for proxy in fleet.proxies.iter().chain(fleet.nodes.iter().filter_map(|node| node.proxy.as_ref())) {
+        proxy.faults.resets.store(RESETS, Ordering::Relaxed);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    if let Some(NodeHandle::Process(mut child)) = fleet.nodes[1].handle.take() {
+        // kill -9; a child that is gone already is as dead.
+        let _ = child.kill().await;
+    }
+    fleet.add_node("vienna", "vienna-3").await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.nodes[2].signal("STOP").await;
+    tokio::time::sleep(PAUSE).await;
+    fleet.nodes[2].signal("CONT").await;
+    fleet.platform.state.faults.outage.store(true, Ordering::Relaxed);
+    tokio::time::sleep(OUTAGE).await;
+    fleet.platform.state.faults.outage.store(false, Ordering::Relaxed);
+    fleet.nodes[4].signal("STOP").await;
+    tokio::time::sleep(PAUSE).await;
+    fleet.nodes[4].signal("CONT").await;
+    Ok(())
+}
+
+async fn run_policy() -> Result<OrderReport, FleetError> {
+    let mut fleet = Fleet::start(plan(PolicyChoice::Adaptive)).await?;
+    let sender = OrderSender::new(fleet.client.clone());
+    let keys = make_keys(&fleet, &sender).await;
+    let nodes = fleet.callers();
+    let running = tokio::spawn({
+        let sender = sender.clone();
+        async move { sender.run(&nodes, keys, RATE).await }
+    });
+    break_things(&mut fleet).await?;
+    running.await.map_err(|_| FleetError::NotReady)?;
+    let report = sender.report(&fleet.log);
+    fleet.stop().await;
+    Ok(report)
+}
+
+/// What a plain client does: each order straight to a server, again after a failure.
+async fn run_baseline() -> Result<Value, FleetError> {
+    const PLAIN_ORDERS: usize = 500;
+    let fleet = Fleet::start(plan(PolicyChoice::Baseline)).await?;
+    for proxy in &fleet.proxies {
+        proxy.faults.resets.store(RESETS * 10, Ordering::Relaxed);
+    }
+    let servers: Vec<SocketAddr> = fleet.proxies.iter().map(|proxy| proxy.address).collect();
+    for number in 0..PLAIN_ORDERS {
+        let key = format!("plain-{number}");
+        for _delivery in 0..2 {
+            if send_plain(&fleet, &servers, &key).await {
+                break;
+            }
+        }
+    }
+    let doubled = fleet.log.doubled();
+    fleet.stop().await;
+    Ok(json!({ "orders": PLAIN_ORDERS, "doubled": doubled }))
+}
+
+async fn send_plain(fleet: &Fleet, servers: &[SocketAddr], key: &str) -> bool {
+    use streamfold_model::server::{SERVER_ATTEMPT, SERVER_KEY, SERVER_SHARDS};
+    let server = servers[dice::range(0.0..servers.len() as f64) as usize];
+    let headers = [(SERVER_ATTEMPT, "0"), (SERVER_SHARDS, "0"), (SERVER_KEY, key)];
+    let path = format!("/v1/shards/{}/order", crate::fleet::INDEX);
+    let wait = Duration::from_secs(1);
+    let body = bytes::Bytes::from_static(b"{}");
+    let answer = fleet.client.call(http::Method::POST, server, &path, &headers, body, wait).await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
+
+/// Runs baseline and policy.
+///
+/// # Errors
+/// A fleet did not come up.
+pub async fn run(seed: u64) -> Result<ExperimentReport, FleetError> {
+    let baseline = run_baseline().await?;
+    let report = run_policy().await?;
+    let held =
+        report.orders >= ORDERS && report.doubled == 0 && report.not_run_that_ran == 0 && report.ran_that_did_not == 0;
+    Ok(ExperimentReport { experiment: "once", seed, baseline, policy: to_value(&report), held })
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -4,8 +4,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -20,6 +20,7 @@
 
 use crate::client::{CallError, LabClient};
 use crate::platform::{self, PlatformStandin};
+use crate::proxy::{self, FaultProxy};
 use crate::server::{self, RunLog, ServerPlan, ServerStandin};
 
 /// The one index of a fleet.
@@ -96,6 +97,10 @@
     pub processes: bool,
     /// Callers besides the first; the token of each is its name.
     pub callers: Vec<&'static str>,
+    /// From this index version on, every upstream has twice the shards.
+    pub repartition_at: Option<u64>,
+    /// Whether servers and nodes' peers' ports stand behind fault proxies.
+    pub proxied: bool,
     /// Settings lines besides, for every node.
     pub settings: String,
 }
@@ -115,6 +120,8 @@
             deadline: "1s",
             processes: false,
             callers: Vec::new(),
+            repartition_at: None,
+            proxied: false,
             settings: "lame_duck: 200ms\ngrace: 10s\nheartbeat: 100ms\n".to_owned(),
         }
     }
@@ -136,6 +143,8 @@
     pub domain: &'static str,
     /// Its ports.
     pub addresses: NodeAddresses,
+    /// The proxy before its peers' port, if it has one.
+    pub proxy: Option<FaultProxy>,
     /// The node, until it is stopped.
     pub handle: Option<NodeHandle>,
 }
@@ -148,6 +157,8 @@
     pub platform: PlatformStandin,
     /// Its servers, by upstream; a killed one is `None`.
     pub servers: Vec<Vec<Option<ServerStandin>>>,
+    /// The proxies before its servers, by upstream and server.
+    pub proxies: Vec<FaultProxy>,
     /// Its nodes.
     pub nodes: Vec<FleetNode>,
     /// Orders its servers ran.
@@ -166,6 +177,20 @@
     move |source| FleetError::Io { what, source }
 }
 
+impl FleetNode {
+    /// Where other nodes reach it.
+    pub fn peers(&self) -> SocketAddr {
+        self.proxy.as_ref().map_or(self.addresses.peers, |proxy| proxy.address)
+    }
+
+    /// Sends its process a signal.
+    pub async fn signal(&self, name: &str) {
+        if let Some(NodeHandle::Process(child)) = &self.handle {
+            send_signal(child, name).await;
+        }
+    }
+}
+
 impl Fleet {
     /// Starts everything and applies the configuration.
     ///
@@ -183,9 +208,15 @@
             }
             servers.push(group);
         }
-        let config = write_config(&plan, &servers);
+        let mut proxies = Vec::new();
+        if plan.proxied {
+            for server in servers.iter().flatten().flatten() {
+                proxies.push(proxy::start(any_port(), server.address).await.map_err(io("a proxy"))?);
+            }
+        }
+        let config = write_config(&plan, &servers, &proxies);
         let client = LabClient::default();
-        let mut fleet = Self { plan, platform, servers, nodes: Vec::new(), log, client, config };
+        let mut fleet = Self { plan, platform, servers, proxies, nodes: Vec::new(), log, client, config };
         for domain in fleet.plan.domains.clone() {
             for number in 0..domain.nodes {
                 fleet.add_node(domain.name, &format!("{}-{number}", domain.name)).await?;
@@ -201,15 +232,20 @@
     /// # Errors
     /// It cannot start.
     pub async fn add_node(&mut self, domain: &'static str, name: &str) -> Result<usize, FleetError> {
-        let seeds: Vec<String> = self.running().map(|node| node.addresses.peers.to_string()).collect();
+        let seeds: Vec<String> = self.running().map(|node| node.peers().to_string()).collect();
         let policy = match self.plan.policy {
             PolicyChoice::Adaptive => "adaptive",
             PolicyChoice::Baseline => "baseline",
         };
         let any = any_port();
+        let proxy = match self.plan.proxied {
+            true => Some(proxy::start(any, any).await.map_err(io("a proxy"))?),
+            false => None,
+        };
+        let advertise = proxy.as_ref().map_or(String::new(), |proxy| format!("advertise: {}\n", proxy.address));
         let text = format!(
             "node: {name}\nfailure_domain: {domain}\ncallers: {any}\noperators: {any}\npeers: {any}\n\
-             platform: {}\nseeds: [{}]\npolicy: {policy}\n{}",
+             platform: {}\nseeds: [{}]\npolicy: {policy}\n{advertise}{}",
             self.platform.address,
             seeds.join(", "),
             self.plan.settings
@@ -218,7 +254,10 @@
             false => start_local(&text).await?,
             true => start_process(name, &text).await?,
         };
-        self.nodes.push(FleetNode { name: name.to_owned(), domain, addresses, handle: Some(handle) });
+        if let Some(proxy) = &proxy {
+            *proxy.target.lock().unwrap_or_else(PoisonError::into_inner) = addresses.peers;
+        }
+        self.nodes.push(FleetNode { name: name.to_owned(), domain, addresses, proxy, handle: Some(handle) });
         Ok(self.nodes.len() - 1)
     }
 
@@ -312,6 +351,28 @@
         self.servers[upstream][server] = None;
     }
 
+    /// Starts a killed server again at its address, as a new run.
+    ///
+    /// # Errors
+    /// Its port stays taken.
+    pub async fn restart_server(&mut self, upstream: usize, server: usize) -> Result<(), FleetError> {
+        let Some(old) = self.servers[upstream][server].take() else { return Err(FleetError::NotReady) };
+        let (address, newest) = (old.address, old.state.switches.newest.load(Ordering::Relaxed));
+        drop(old);
+        let start = Instant::now();
+        loop {
+            match start_server(address, &self.plan.server, &self.log).await {
+                Ok(started) => {
+                    started.state.switches.newest.store(newest, Ordering::Relaxed);
+                    self.servers[upstream][server] = Some(started);
+                    return Ok(());
+                }
+                Err(error) if start.elapsed() > READY_TIMEOUT => return Err(error),
+                Err(_) => tokio::time::sleep(READY_LOOK).await,
+            }
+        }
+    }
+
     /// Stops every node as planned.
     pub async fn stop(self) {
         for node in self.nodes {
@@ -409,18 +470,19 @@
 }
 
 /// The configuration of a fleet, as an operator would write it.
-fn write_config(plan: &FleetPlan, servers: &[Vec<Option<ServerStandin>>]) -> String {
-    let mut text = format!("indexes:\n  {INDEX}:\n    layouts:\n      - from_version: 1\n        shards:\n");
-    // Writing to a String cannot fail.
-    for number in 0..servers.len() {
-        let first = number * plan.shards;
-        let last = first + plan.shards - 1;
-        let _ = writeln!(text, "          - {{ids: [{first}, {last}], upstreams: [{INDEX}-{number:03}]}}");
+fn write_config(plan: &FleetPlan, servers: &[Vec<Option<ServerStandin>>], proxies: &[FaultProxy]) -> String {
+    let mut text = format!("indexes:\n  {INDEX}:\n    layouts:\n");
+    write_layout(&mut text, 1, servers.len(), plan.shards);
+    if let Some(version) = plan.repartition_at {
+        write_layout(&mut text, version, servers.len(), plan.shards * 2);
     }
+    // Writing to a String cannot fail.
     text.push_str("upstreams:\n");
     let names = plan.domains.iter().flat_map(|domain| std::iter::repeat_n(domain.name, domain.upstreams));
+    let mut proxies = proxies.iter();
     for (number, (group, domain)) in servers.iter().zip(names).enumerate() {
-        let addresses = group.iter().flatten().map(|server| server.address.to_string());
+        let reached = group.iter().flatten().map(|server| proxies.next().map_or(server.address, |proxy| proxy.address));
+        let addresses = reached.map(|address| address.to_string());
         let list = addresses.collect::<Vec<_>>().join("\", \"");
         let (slots, connections) = (plan.server.slots, plan.server.connections);
         let _ = writeln!(
@@ -441,3 +503,14 @@
     }
     text
 }
+
+/// One layout: so many shards on each upstream.
+fn write_layout(text: &mut String, version: u64, upstreams: usize, shards: usize) {
+    // Writing to a String cannot fail.
+    let _ = write!(text, "      - from_version: {version}\n        shards:\n");
+    for number in 0..upstreams {
+        let first = number * shards;
+        let last = first + shards - 1;
+        let _ = writeln!(text, "          - {{ids: [{first}, {last}], upstreams: [{INDEX}-{number:03}]}}");
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod experiments;
 pub mod fleet;
 pub mod load;
+pub mod orders;
 pub mod platform;
 pub mod proxy;
 pub mod server;
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -1,8 +1,8 @@
 //! A TCP proxy that delays, cuts, half-cuts, resets and pauses connections.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -45,6 +45,8 @@
     pub faults: Arc<ProxyFaults>,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it leads; may be set after the start.
+    pub target: Arc<Mutex<SocketAddr>>,
     task: JoinHandle<()>,
 }
 
@@ -62,11 +64,12 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let faults = Arc::new(ProxyFaults::default());
-    let task = tokio::spawn(accept(faults.clone(), listener, target));
-    Ok(FaultProxy { faults, address, task })
+    let target = Arc::new(Mutex::new(target));
+    let task = tokio::spawn(accept(faults.clone(), listener, target.clone()));
+    Ok(FaultProxy { faults, address, target, task })
 }
 
-async fn accept(faults: Arc<ProxyFaults>, listener: TcpListener, target: SocketAddr) {
+async fn accept(faults: Arc<ProxyFaults>, listener: TcpListener, target: Arc<Mutex<SocketAddr>>) {
     let mut connections = JoinSet::new();
     loop {
         let Ok((client, _)) = listener.accept().await else { continue };
@@ -75,6 +78,7 @@
             continue;
         }
         let faults = faults.clone();
+        let target = *target.lock().unwrap_or_else(PoisonError::into_inner);
         connections.spawn(async move {
             let Ok(server) = TcpStream::connect(target).await else { return };
             // Sockets that refuse it work all the same.
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -74,7 +74,7 @@
     pub draining: AtomicBool,
     /// Its health endpoint and load report say all is well, whatever is true.
     pub lies: AtomicBool,
-    /// Of a thousand answers, so many carry another attempt's id.
+    /// Of a thousand answers, so many are an earlier request's, whole.
     pub crossed: AtomicU64,
     /// Newest index version held.
     pub newest: AtomicU64,
@@ -152,6 +152,7 @@
     waiting: AtomicUsize,
     connections: AtomicUsize,
     log: Arc<RunLog>,
+    last: Mutex<Option<(String, u64, Bytes)>>,
 }
 
 /// A running stand-in. Dropping it kills it, connections and all.
@@ -204,6 +205,7 @@
         waiting: AtomicUsize::new(0),
         connections: AtomicUsize::new(0),
         log,
+        last: Mutex::new(None),
     });
     let task = tokio::spawn(accept(state.clone(), listener));
     Ok(ServerStandin { state, address, task })
@@ -285,10 +287,6 @@
 
     fn response(&self, status: StatusCode, attempt: &str, body: Bytes) -> Response<Full<Bytes>> {
         let (oldest, newest) = self.held();
-        let attempt = match chance(&self.switches.crossed) {
-            true => streamfold_model::AttemptId(rand::random()).to_string(),
-            false => attempt.to_owned(),
-        };
         let builder = Response::builder()
             .status(status)
             .header(SERVER_ATTEMPT, attempt)
@@ -333,8 +331,13 @@
         self.work().await;
         drop((slot, permit));
         let request = text(headers, SERVER_REQUEST).unwrap_or_default();
-        let body = results(&shards, version, request, body);
-        let mut response = self.response(StatusCode::OK, attempt, Bytes::from(body));
+        let own = (attempt.to_owned(), version, Bytes::from(results(&shards, version, request, body)));
+        let earlier = self.last.lock().unwrap_or_else(PoisonError::into_inner).replace(own.clone());
+        let (attempt, version, body) = match earlier {
+            Some(earlier) if chance(&self.switches.crossed) => earlier,
+            _ => own,
+        };
+        let mut response = self.response(StatusCode::OK, &attempt, body);
         response.headers_mut().insert(SERVER_VERSION, http::HeaderValue::from(version));
         response
     }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -19,6 +19,8 @@
 
 /// Hedges a quiet upstream may make at once.
 const HEDGE_RESERVE: f64 = 3.0;
+/// A server that answered within this span counts as alive.
+const ALIVE_SPAN: Duration = Duration::from_millis(500);
 /// Samples wanted before a quantile of the latency means something.
 const HEDGE_SAMPLES: u32 = 20;
 
@@ -183,7 +185,8 @@
             });
             index != first && !server.is_leaving() && !server.is_resting(now) && !missing
         };
-        let server = self.rules.pick(&self.servers, &allowed, now, dice)?;
+        let other = self.rules.pick(&self.servers, &allowed, now, dice)?;
+        let server = self.better_hedge(now, first, other);
         if !self.hedges.spend() {
             return None;
         }
@@ -191,6 +194,14 @@
         Some(server)
     }
 
+    /// Another server, unless that one is far slower and the first one is known to answer:
+    /// then what straggles is the attempt, not the server, and a second one there is sooner.
+    fn better_hedge(&self, now: Moment, first: usize, other: usize) -> usize {
+        let (own, far) = (&self.servers[first], &self.servers[other]);
+        let is_alive = own.answered_within(now, ALIVE_SPAN) && own.has_slot();
+        if is_alive && far.is_far_slower_than(own, now) { first } else { other }
+    }
+
     fn earn(&mut self) {
         let load = self.load();
         let share = self.hedging.plan(load).map_or(0.0, |plan| plan.share);
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -10,6 +10,10 @@
 
 /// Share of a new latency sample in the running mean.
 const MEAN_GAIN: f64 = 0.1;
+/// A call given up for a faster one would have taken at least this many times as long, and
+/// says more than an answer does: a slow server's calls all end so.
+const CANCELLED_FACTOR: f64 = 2.0;
+const CANCELLED_GAIN: f64 = 0.3;
 /// Without a sample, what is known of a latency fades by half in this time, so that a
 /// server that was slow is tried again.
 const MEAN_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -18,16 +22,19 @@
 const COLD_FACTOR: f64 = 10.0;
 /// What a server that was never asked counts as, in microseconds.
 const UNKNOWN_MEAN_US: f64 = 1.0;
+/// A server whose calls take this many times as long is no good for a hedge.
+const FAR_SLOWER: f64 = 3.0;
 /// Failures in a row after which a server is rested.
 const REST_AFTER: u32 = 3;
 /// The first rest; each further failure doubles it up to [`MAX_REST`].
 const FIRST_REST: Duration = Duration::from_millis(100);
 /// The longest rest.
 const MAX_REST: Duration = Duration::from_secs(3);
-/// How fast the fastest latency seen is forgotten.
-const FAST_GAIN: f64 = 0.002;
-/// A mean this many times the fastest latency means that work waits inside the server.
-const SLOW_FACTOR: f64 = 1.8;
+/// How fast the running low quantile of the latency falls and rises.
+const LOW_FALL: f64 = 0.1;
+const LOW_RISE: f64 = 0.01;
+/// A mean this many times the low quantile means that work waits inside the server.
+const SLOW_FACTOR: f64 = 3.0;
 /// Factor on the limit for each answer while that is so.
 const SLOW_FALL: f64 = 0.98;
 /// Factor on the limit when the server sheds.
@@ -55,7 +62,8 @@
     limit: f64,
     max_limit: f64,
     mean_us: f64,
-    fast_us: f64,
+    low_us: f64,
+    start_limit: f64,
     sampled: Moment,
     failures: u32,
     resting_until: Option<Moment>,
@@ -76,7 +84,8 @@
             limit: f64::from(start.max(1)).min(max_limit),
             max_limit,
             mean_us: 0.0,
-            fast_us: 0.0,
+            low_us: 0.0,
+            start_limit: f64::from(start.max(1)),
             sampled: Moment::default(),
             failures: 0,
             resting_until: None,
@@ -105,9 +114,23 @@
 
     /// Expected wait of one more call, in microseconds.
     pub fn cost(&self, now: Moment) -> f64 {
+        self.fading_mean(now) * f64::from(self.inflight + 1)
+    }
+
+    fn fading_mean(&self, now: Moment) -> f64 {
         let age = now.since(self.sampled).as_secs_f64() / MEAN_HALF_LIFE.as_secs_f64();
-        let mean = self.mean_us * 0.5f64.powf(age) + UNKNOWN_MEAN_US;
-        mean * f64::from(self.inflight + 1)
+        self.mean_us * 0.5f64.powf(age) + UNKNOWN_MEAN_US
+    }
+
+    /// Whether it answered within the last `span`.
+    pub fn answered_within(&self, now: Moment, span: Duration) -> bool {
+        self.mean_us > 0.0 && now.since(self.sampled) < span
+    }
+
+    /// Whether one call here takes so much longer than at `other` that a second try there is
+    /// the better hedge.
+    pub fn is_far_slower_than(&self, other: &Self, now: Moment) -> bool {
+        self.fading_mean(now) > other.fading_mean(now) * FAR_SLOWER
     }
 
     /// The reported load, 0 to 1, faded to 0 with its age.
@@ -163,10 +186,14 @@
         self.failures = 0;
         self.resting_until = None;
         self.probing = false;
-        let fast_gain = if self.fast_us == 0.0 || sample < self.fast_us { 1.0 } else { FAST_GAIN };
-        self.fast_us += fast_gain * (sample - self.fast_us);
-        if self.mean_us > self.fast_us * SLOW_FACTOR {
-            self.limit = (self.limit * SLOW_FALL).max(1.0);
+        let gain = match self.low_us {
+            0.0 => 1.0,
+            low if sample < low => LOW_FALL,
+            _ => LOW_RISE,
+        };
+        self.low_us += gain * (sample - self.low_us);
+        if self.mean_us > self.low_us * SLOW_FACTOR {
+            self.limit = (self.limit * SLOW_FALL).max(self.start_limit.min(self.limit));
         } else if was_full {
             self.limit = (self.limit + 1.0 / self.limit).min(self.max_limit);
         }
@@ -190,10 +217,10 @@
     /// A cancelled call took at least as long as it was waited for, so it may only raise the mean.
     fn note_cancel(&mut self, now: Moment, waited: Duration) {
         self.probing = false;
-        let sample = waited.as_micros() as f64;
-        if sample > self.mean_us {
+        let sample = waited.as_micros() as f64 * CANCELLED_FACTOR;
+        if sample > self.mean_us * CANCELLED_FACTOR {
             self.sampled = now;
-            self.mean_us += MEAN_GAIN * (sample - self.mean_us);
+            self.mean_us += CANCELLED_GAIN * (sample - self.mean_us);
         }
     }
 
