Tests that bring about the failures; strangers no longer hold peers' links open

Found: a stranger that sends an HTTP/2 preface and part of a frame held its link for ever (now 5 s to the first message, 120 s idle); orders never let admission's limit rise above 16 a node, so 391 of 10,000 deliveries in once were refused as overloaded.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -153,7 +153,7 @@
     let caller = visit.caller.name.clone();
     let index = spec.name.clone();
     let ask = OrderAsk { request: id, caller, index, record, key, body: body.to_vec(), deadline };
-    let _admitted = let_in(node, &visit, deadline).await?;
+    let mut admitted = let_in(node, &visit, deadline).await?;
     let reply = match ask.key.starts_with(TICKET_PREFIX) {
         true => {
             let ticket = ask.key.parse().map_err(|_| CallerError::Order(OrderFailure::BadTicket, None))?;
@@ -161,6 +161,8 @@
         }
         false => run_claimed(node, ask).await,
     };
+    // An order waits for nothing that its place could be to blame for.
+    admitted.work.served = node.clock.now().since(visit.started);
     let (shard, index_version, result) = match reply {
         OrderReply::Done { shard, version, result } => (shard, version, result),
         OrderReply::Failed(failure @ OrderFailure::ClaimFailed) => {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -34,6 +34,10 @@
 const REPLY_BUFFER: usize = 64;
 /// How long a link may take to begin.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long until its first message, so that strangers do not hold links open.
+const FIRST_STREAM_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a link may be without a new message.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Serves the peers' port until the node ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
@@ -62,11 +66,14 @@
     let Ok(connection) = handshake else { return Ok(()) };
     let mut connection = connection?;
     let (close, mut closed) = mpsc::channel::<()>(1);
+    let mut patience = FIRST_STREAM_TIMEOUT;
     loop {
         tokio::select! {
-            accepted = connection.accept() => {
-                let Some(accepted) = accepted else { return Ok(()) };
+            accepted = tokio::time::timeout(patience, connection.accept()) => {
+                // Nodes connect when they have something to say, and again when they need to.
+                let Ok(Some(accepted)) = accepted else { return Ok(()) };
                 let (request, respond) = accepted?;
+                patience = IDLE_TIMEOUT;
                 tokio::spawn(serve_stream(node.clone(), request, respond, close.clone()));
             }
             _ = closed.recv() => {
--- a/crates/lab/src/experiments/cost.rs
+++ b/crates/lab/src/experiments/cost.rs
@@ -38,7 +38,8 @@
     }
 }
 
-fn plan(entry_upstreams: usize, far_upstreams: usize, shards: usize) -> FleetPlan {
+/// A fleet of fast servers: one node over `entry_upstreams`, and another over the far ones.
+pub fn plan(entry_upstreams: usize, far_upstreams: usize, shards: usize) -> FleetPlan {
     let domain = |name, upstreams| DomainPlan { name, nodes: 1, upstreams };
     let domains = match far_upstreams {
         0 => vec![domain("vienna", entry_upstreams)],
@@ -47,7 +48,8 @@
     FleetPlan { domains, servers: 2, shards, server: fast_server(), processes: true, ..FleetPlan::default() }
 }
 
-fn pids(fleet: &Fleet) -> Vec<u32> {
+/// The processes of a fleet's nodes.
+pub fn pids(fleet: &Fleet) -> Vec<u32> {
     let handles = fleet.nodes.iter().filter_map(|node| node.handle.as_ref());
     let children = handles.filter_map(|handle| match handle {
         NodeHandle::Process(child) => child.id(),
@@ -56,11 +58,13 @@
     children.collect()
 }
 
-fn cpu_of(pids: &[u32]) -> Duration {
+/// Processor time that processes have used.
+pub fn cpu_of(pids: &[u32]) -> Duration {
     pids.iter().filter_map(|pid| usage::read(*pid)).map(|used| used.cpu).sum()
 }
 
-fn memory_of(pids: &[u32]) -> Vec<u64> {
+/// Resident memory of each process, in KB.
+pub fn memory_of(pids: &[u32]) -> Vec<u64> {
     pids.iter().filter_map(|pid| usage::read(*pid)).map(|used| used.memory >> 10).collect()
 }
 
@@ -131,6 +135,23 @@
     Ok(found)
 }
 
+/// Processor time of all nodes for one query, in microseconds, at saturation.
+///
+/// # Errors
+/// The fleet did not come up.
+pub async fn cpu_a_query(plan: FleetPlan) -> Result<f64, FleetError> {
+    let fleet = Fleet::start(plan).await?;
+    let entry = fleet.callers()[0];
+    let pids = pids(&fleet);
+    let before = cpu_of(&pids);
+    let start = Instant::now();
+    let rate = saturate(&fleet, entry, CONCURRENCY).await;
+    let queries = rate * start.elapsed().as_secs_f64();
+    let used = (cpu_of(&pids) - before).as_secs_f64();
+    fleet.stop().await;
+    Ok(used / queries * 1e6)
+}
+
 /// Calls straight to a server, as the least a query can take.
 async fn measure_direct() -> Result<Value, FleetError> {
     let fleet = Fleet::start(plan(1, 0, 1)).await?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod platform;
 pub mod proxy;
 pub mod server;
+pub mod slopes;
 pub mod usage;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 use streamfold_lab::fleet::FleetError;
-use streamfold_lab::{demo, experiments};
+use streamfold_lab::{demo, experiments, slopes};
 
 /// streamfold-lab: stand-ins, load and experiments for streamfold.
 #[derive(Debug, Clone, Bpaf)]
@@ -16,6 +16,9 @@
         /// Stay up and print the addresses for the command line.
         keep: bool,
     },
+    /// Measure how the costs of a node grow, for docs/CAPACITY.md; prints JSON.
+    #[bpaf(command)]
+    Slopes,
     /// Run an experiment: a baseline and the policy in one run. Exit code 1 if it did not hold.
     #[bpaf(command)]
     Experiment {
@@ -62,6 +65,10 @@
             demo::run(*keep).await?;
             Ok(true)
         }
+        LabArgs::Slopes => {
+            println!("{}", serde_json::to_string_pretty(&slopes::run().await?)?);
+            Ok(true)
+        }
         LabArgs::Experiment { seed, json, list, name } => match name {
             Some(name) if !list => run_experiment(name, *seed, *json).await,
             _ => {
--- /dev/null
+++ b/crates/policy/tests/rules.rs
@@ -0,0 +1,254 @@
+//! Rules that must hold in any order of events, by quickcheck.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quickcheck::{TestResult, quickcheck};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use streamfold_model::operator::MemberHealth;
+use streamfold_model::{
+    AttemptOutcome, CallerName, ConfigVersion, Incarnation, IndexVersion, RanState, outcome::settle,
+};
+use streamfold_policy::hedge::{ContinuousHedge, FixedHedge, HedgeRule, TableHedge};
+use streamfold_policy::owner::{choose_owners, connection_share};
+use streamfold_policy::pin::choose_version;
+use streamfold_policy::{
+    AdaptiveRules, Admission, AdmissionAsk, AdmissionGate, CallReport, HeldVersions, LatencyTrack, MemberEntry,
+    MemberState, MemberTable, MemberTimes, Moment, QueueSubmission, ServerState, UpstreamQueue, WorkItem, WorkReport,
+};
+
+fn item(deadline: u64) -> WorkItem {
+    let index = "carts".parse().expect("a name");
+    WorkItem { index, version: None, deadline: Moment(deadline), avoid: None }
+}
+
+fn report(kind: u8) -> CallReport {
+    match kind % 4 {
+        0 => CallReport::Answered(Duration::from_millis(4)),
+        1 => CallReport::Shed,
+        2 => CallReport::Failed,
+        _ => CallReport::Cancelled(Duration::from_millis(9)),
+    }
+}
+
+quickcheck! {
+    /// No server ever has more calls than its limit allowed when they started, expired work
+    /// never starts, a leaving server gets nothing, and nothing is lost.
+    fn the_queue_keeps_its_limits(events: Vec<(u8, u8)>) -> bool {
+        let servers = vec![ServerState::new(2, 4), ServerState::new(2, 4)];
+        let mut queue = UpstreamQueue::new(Arc::new(AdaptiveRules::default()), servers);
+        let mut dice = SmallRng::seed_from_u64(7);
+        let mut running: Vec<usize> = Vec::new();
+        let mut submitted = 0;
+        let mut started_count = 0;
+        for (number, (kind, detail)) in events.into_iter().enumerate() {
+            let now = Moment(number as u64 * 1_000);
+            let mut started = Vec::new();
+            if kind % 3 != 0 || running.is_empty() {
+                submitted += 1;
+                let deadline = now.0 + u64::from(detail) * 100;
+                match queue.submit(now, item(deadline), false, deadline, &mut dice) {
+                    QueueSubmission::Started(server, _) => started.push((server, u64::MAX)),
+                    QueueSubmission::Leaving(_) => submitted -= 1,
+                    _ => {}
+                }
+            } else {
+                let server = running.swap_remove(usize::from(detail) % running.len());
+                if kind == 0 {
+                    queue.server_mut(1).mark_leaving();
+                }
+                let begun = queue.finish(now, server, report(detail), &mut dice);
+                started.extend(begun.into_iter().map(|work| (work.server, work.tag)));
+            }
+            for (server, deadline) in started {
+                let state = &queue.servers()[server];
+                if deadline <= now.0 || state.inflight() > state.limit() || state.is_leaving() {
+                    return false;
+                }
+                running.push(server);
+                started_count += 1;
+            }
+        }
+        let inflight: u32 = queue.servers().iter().map(ServerState::inflight).sum();
+        inflight as usize == running.len() && started_count + queue.waiting() <= submitted
+    }
+
+    /// Running never passes the limit, counts add up, and a place given back goes to waiting work.
+    fn admission_keeps_its_counts(events: Vec<(u8, u8)>) -> bool {
+        let mut gate: AdmissionGate<u8> = AdmissionGate::new(true);
+        let callers: [CallerName; 2] = ["greedy", "modest"].map(|name| name.parse().expect("a name"));
+        let mut running: Vec<usize> = Vec::new();
+        let mut waiting = 0usize;
+        for (number, (kind, who)) in events.into_iter().enumerate() {
+            let now = Moment(number as u64 * 2_000);
+            let who = usize::from(who % 4 == 0);
+            if kind % 3 != 0 || running.is_empty() {
+                let caller = callers[who].clone();
+                let ask = AdmissionAsk { caller, rate: 1e6, concurrency: 1_000, deadline: now.plus(Duration::from_secs(9)) };
+                match gate.ask(now, &ask, who as u8) {
+                    Admission::Started => running.push(who),
+                    Admission::Waiting(_) => waiting += 1,
+                    Admission::Displaced(..) | Admission::Refused(_) => {}
+                }
+            } else {
+                let who = running.swap_remove(usize::from(kind) % running.len());
+                let waited = Duration::from_millis(u64::from(kind));
+                let work = WorkReport { waited, served: Duration::from_millis(40) };
+                for (_, tag) in gate.leave(now, &callers[who], Duration::from_millis(50), work) {
+                    running.push(usize::from(tag));
+                    waiting -= 1;
+                }
+                if gate.running() < gate.limit() && gate.waiting() > 0 {
+                    return false;
+                }
+            }
+            if gate.running() as usize != running.len() || gate.waiting() != waiting {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// A pinned version is held by all where one is, and by somebody always; never above the cap.
+    fn a_pinned_version_is_held(ranges: Vec<(u8, u8)>, cap: u8) -> TestResult {
+        let held: Vec<HeldVersions> = ranges.iter().map(|(oldest, span)| HeldVersions {
+            oldest: IndexVersion(u64::from(*oldest)),
+            newest: IndexVersion(u64::from(*oldest) + u64::from(*span % 8)),
+        }).collect();
+        let cap = IndexVersion(u64::from(cap));
+        let Some(version) = choose_version(&held, cap) else { return TestResult::from_bool(held.is_empty()) };
+        let holders = |version: IndexVersion| held.iter().filter(|held| held.oldest <= version && version <= held.newest).count();
+        let most = (0..=cap.0).map(|version| holders(IndexVersion(version))).max().unwrap_or(0);
+        TestResult::from_bool(version <= cap && holders(version) == most)
+    }
+
+    /// What is known of a node does not depend on the order in which it was heard, and a node
+    /// that left never comes back within its run.
+    fn membership_does_not_depend_on_order(heard: Vec<(u8, u8, u8)>) -> bool {
+        let entries: Vec<MemberEntry> = heard.iter().map(|(run, beat, state)| entry("other", *run, *beat, *state)).collect();
+        let mut forward = table();
+        let mut backward = table();
+        for entry in &entries {
+            forward.learn(Moment(1), entry.clone());
+        }
+        for entry in entries.iter().rev() {
+            backward.learn(Moment(1), entry.clone());
+        }
+        let node = "other".parse().expect("an id");
+        let rank = |table: &MemberTable| table.get(&node).map(|entry| (entry.incarnation, entry.state, entry.beat));
+        let newest = entries.iter().map(|entry| entry.incarnation).max();
+        let furthest = entries.iter().filter(|entry| Some(entry.incarnation) == newest).map(|entry| entry.state).max();
+        rank(&forward) == rank(&backward) && rank(&forward).map(|(_, state, _)| state) == furthest
+    }
+
+    /// Losing one node changes no owner but its own.
+    fn one_node_less_changes_one_owner(nodes: BTreeSet<u8>, key: String, gone: u8) -> bool {
+        let names: Vec<String> = nodes.iter().map(|number| format!("node-{number}")).collect();
+        let rest: Vec<&str> = names.iter().map(String::as_str).filter(|name| *name != format!("node-{gone}")).collect();
+        let before = choose_owners(names.iter().map(String::as_str), &key, 3);
+        let after = choose_owners(rest.iter().copied(), &key, 3);
+        before.iter().filter(|name| rest.contains(*name)).all(|name| after.contains(name))
+    }
+
+    /// Owners that differ by one change still keep a server's limit.
+    fn shares_keep_a_servers_limit(limit: u16, owners: u8) -> TestResult {
+        let (limit, owners) = (u32::from(limit), usize::from(owners));
+        if (limit as usize) <= owners {
+            return TestResult::discard();
+        }
+        TestResult::from_bool(connection_share(limit, owners) * (owners as u32 + 1) <= limit)
+    }
+
+    /// "Not run" is said only if every attempt certainly did not run.
+    fn not_run_needs_every_attempt(kinds: Vec<u8>) -> bool {
+        let outcomes = [AttemptOutcome::NotSent, AttemptOutcome::Refused, AttemptOutcome::Answered, AttemptOutcome::Unknown];
+        let attempts: Vec<AttemptOutcome> = kinds.iter().map(|kind| outcomes[usize::from(kind % 4)]).collect();
+        let certain = attempts.iter().all(|outcome| outcome.is_not_run());
+        (settle(attempts.iter().copied()) == RanState::NotRun) == certain
+    }
+
+    /// No rule allows more than its share at any load, and none but the fixed one hedges when full.
+    fn hedges_shrink_with_load(loads: Vec<u8>) -> bool {
+        let mut rules: [Box<dyn HedgeRule>; 3] =
+            [Box::new(FixedHedge), Box::<TableHedge>::default(), Box::new(ContinuousHedge)];
+        loads.iter().map(|load| f64::from(*load) / 128.0).all(|load| {
+            let plans = rules.each_mut().map(|rule| rule.plan(load));
+            let is_small = plans.iter().flatten().all(|plan| plan.share <= 0.05 && plan.quantile < 1.0);
+            is_small && (load < 1.0 || (plans[1].is_none() && plans[2].is_none()))
+        })
+    }
+
+    /// A quantile is at least the samples it covers, and at most a bucket above them.
+    fn a_quantile_covers_its_samples(millis: Vec<u8>) -> TestResult {
+        let Some(most) = millis.iter().max().filter(|most| **most > 0) else { return TestResult::discard() };
+        let mut track = LatencyTrack::default();
+        for sample in &millis {
+            track.add(Duration::from_millis(u64::from(*sample)));
+        }
+        let most = f64::from(*most);
+        let highest = track.quantile(1.0).map_or(0.0, |quantile| quantile.as_secs_f64() * 1e3);
+        TestResult::from_bool(highest >= most * 0.999 && highest <= most * 1.2)
+    }
+}
+
+fn entry(node: &str, run: u8, beat: u8, state: u8) -> MemberEntry {
+    let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    MemberEntry {
+        node: node.parse().expect("an id"),
+        incarnation: Incarnation(u64::from(run % 3)),
+        beat: u64::from(beat),
+        domain: "vienna".parse().expect("a name"),
+        peer_address: address,
+        operator_address: address,
+        state: [MemberState::Live, MemberState::Leaving, MemberState::Gone][usize::from(state % 3)],
+        config: ConfigVersion(0),
+        config_age_ms: 0,
+    }
+}
+
+fn table() -> MemberTable {
+    let times = MemberTimes {
+        suspect_after: Duration::from_millis(600),
+        dead_after: Duration::from_millis(1_600),
+        forget_after: Duration::from_secs(600),
+    };
+    MemberTable::new(entry("own", 0, 0, 0), times, Moment(0))
+}
+
+#[test]
+fn silence_makes_a_node_suspect_then_dead_and_a_beat_brings_it_back() {
+    let mut table = table();
+    let node = "other".parse().expect("an id");
+    let at = |millis: u64| Moment(millis * 1_000);
+    table.learn(at(0), entry("other", 0, 1, 0));
+    let seen: Vec<MemberHealth> = [100, 700, 1_700].map(|millis| table.health(at(millis), &node)).to_vec();
+    assert_eq!(seen, [MemberHealth::Live, MemberHealth::Suspect, MemberHealth::Dead]);
+    table.learn(at(9_000), entry("other", 0, 2, 0));
+    assert_eq!(table.health(at(9_100), &node), MemberHealth::Live);
+    table.learn(at(9_200), entry("other", 0, 3, 1));
+    table.learn(at(9_300), entry("other", 0, 4, 0));
+    assert_eq!(table.workers(at(9_400)).count(), 1, "a node that said it leaves gets no work in this run");
+}
+
+#[test]
+fn a_modest_caller_displaces_a_greedy_one() {
+    let mut gate: AdmissionGate<&str> = AdmissionGate::new(true);
+    let ask = |name: &str| AdmissionAsk {
+        caller: name.parse().expect("a name"),
+        rate: 1e6,
+        concurrency: 1_000,
+        deadline: Moment(60_000_000),
+    };
+    let mut refused = 0;
+    for _ in 0..200 {
+        refused += usize::from(matches!(gate.ask(Moment(1), &ask("greedy"), "greedy"), Admission::Refused(_)));
+    }
+    assert!(refused > 0 && gate.waiting() > 0);
+    assert!(matches!(gate.ask(Moment(1), &ask("modest"), "modest"), Admission::Displaced(_, "greedy")));
+    let caller = "greedy".parse().expect("a name");
+    let started = gate.leave(Moment(2), &caller, Duration::from_millis(1), WorkReport::default());
+    assert_eq!(started[0].1, "modest", "the caller with the fewest running is next");
+}
