An owner that falls silent is hedged at the entry; stop, rounds and pieces apart

Ruled out: the owner's own hedges (it is frozen) and faster suspicion (a heartbeat cannot tell within 30 ms). Change: after twice the 99th percentile of other nodes' replies a silent remote owner's pieces go to the next owner too, out of 5% of all pieces; a loss counts only when no other send of the piece is open. The store's calls are now counted at the platform: a waiting watch was not counted.

--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -12,7 +12,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
-use crate::node::{Node, StopPhase};
+use crate::node::Node;
+use crate::stop::StopPhase;
 
 /// How long a sender may take for its headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,8 +11,8 @@
 use streamfold_model::{CallerName, ConfigBundle, ConfigVersion, FailureDomain, Incarnation};
 use streamfold_platform::{ConfigStore, HttpPlatform, ObjectStore, RequestClaims, VmList};
 use streamfold_policy::{
-    AdaptiveRules, AdmissionGate, AttemptRules, BaselineRules, MemberEntry, MemberState, MemberTable, MemberTimes,
-    Moment, RateGate,
+    AdaptiveRules, AdmissionGate, AttemptRules, BaselineRules, LatencyTrack, MemberEntry, MemberState, MemberTable,
+    MemberTimes, Moment, RateGate, TokenBudget,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot, watch};
@@ -27,9 +27,10 @@
 use crate::outcomes::OutcomeTable;
 use crate::owner::OwnerPools;
 use crate::settings::{NodeSettings, PolicyChoice};
+use crate::stop::StopPhase;
 use crate::tickets::{OrderTicket, TicketBook};
 use crate::view::{ClusterView, VersionTable, WorkTarget};
-use crate::wire::{AdoptRequest, PATH_ADOPT, TakenReply, TicketHandover};
+use crate::wire::TicketHandover;
 use crate::{callers, gossip, operators, peers, stats, watch as watcher};
 
 /// Heartbeats a node may miss before it is suspected, and before it gets no work.
@@ -37,29 +38,20 @@
 const DEAD_BEATS: u32 = 16;
 /// Callers' own keys remembered at most.
 const MAX_OWN_KEYS: usize = 100_000;
+/// Replies of other nodes wanted before their latency means something.
+const OWNER_SAMPLES: u32 = 100;
+/// A node that has not replied after so many times this quantile is taken to be silent.
+const OWNER_QUANTILE: f64 = 0.99;
+const OWNER_PATIENCE: u32 = 2;
+const MIN_PATIENCE: Duration = Duration::from_millis(10);
+/// Pieces sent to a second owner, as a share of all, and how many at once.
+const OWNER_HEDGE_SHARE: f64 = 0.05;
+const OWNER_HEDGE_RESERVE: f64 = 200.0;
 /// How often the view is looked at again without news.
 const VIEW_EVERY: Duration = Duration::from_millis(100);
-/// How long handing over tickets to one node may take.
-const ADOPT_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long telling the others of the end may take.
-const FAREWELL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Gives a waiting request its place; dropped, the request is given up.
 pub type AdmissionTag = oneshot::Sender<AdmittedVisit>;
 
-/// How far a planned stop has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum StopPhase {
-    /// No stop.
-    Serving,
-    /// It says that it is leaving and still takes work.
-    LameDuck,
-    /// It refuses new work and finishes what it has.
-    Refusing,
-    /// It is over.
-    Ended,
-}
-
 /// Where the ports of a running node are.
 #[derive(Debug, Clone, Copy)]
 pub struct NodeAddresses {
@@ -97,14 +89,15 @@
     pub urgent: Notify,
     members: Mutex<MemberTable>,
     view: ArcSwap<ClusterView>,
-    own_book: TicketBook,
+    pub(crate) own_book: TicketBook,
     adopted: Mutex<Vec<Arc<TicketBook>>>,
     gate: Mutex<AdmissionGate<AdmissionTag>>,
     claim_gate: Mutex<RateGate>,
     listed_seeds: Mutex<Vec<SocketAddr>>,
+    owner_replies: Mutex<(LatencyTrack, TokenBudget)>,
     phase: watch::Sender<StopPhase>,
-    work: Arc<AtomicUsize>,
-    orders: Arc<AtomicUsize>,
+    pub(crate) work: Arc<AtomicUsize>,
+    pub(crate) orders: Arc<AtomicUsize>,
 }
 
 /// Counts one piece of work for as long as it lives.
@@ -129,7 +122,7 @@
     pub node: Arc<Node>,
     /// Its ports.
     pub addresses: NodeAddresses,
-    tasks: JoinSet<()>,
+    pub(crate) tasks: JoinSet<()>,
 }
 
 async fn listen(port: &'static str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
@@ -233,6 +226,7 @@
             gate: Mutex::new(AdmissionGate::new(settings.policy == PolicyChoice::Adaptive)),
             claim_gate: Mutex::default(),
             listed_seeds: Mutex::default(),
+            owner_replies: Mutex::new((LatencyTrack::default(), TokenBudget::new(OWNER_HEDGE_RESERVE))),
             phase: watch::Sender::new(StopPhase::Serving),
             work: Arc::default(),
             orders: Arc::default(),
@@ -354,12 +348,39 @@
         gate.take(self.clock.now(), rate).is_ok()
     }
 
+    fn owner_replies(&self) -> MutexGuard<'_, (LatencyTrack, TokenBudget)> {
+        self.owner_replies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes how long another node took for the reply to a piece.
+    pub fn note_owner_reply(&self, took: Duration) {
+        let mut replies = self.owner_replies();
+        replies.0.add(took);
+        replies.1.earn(OWNER_HEDGE_SHARE);
+    }
+
+    /// After how long another node that has not replied is taken to be silent; `None` for
+    /// never: too little is known, or the rules in force make no hedges.
+    pub fn owners_patience(&self) -> Option<Duration> {
+        let replies = self.owner_replies();
+        if replies.0.samples() < OWNER_SAMPLES || self.settings.policy == PolicyChoice::Baseline {
+            return None;
+        }
+        let slow = replies.0.quantile(OWNER_QUANTILE)?;
+        Some((slow * OWNER_PATIENCE).max(MIN_PATIENCE))
+    }
+
+    /// Takes one piece from the budget of those that may be sent to a second owner.
+    pub fn spend_owner_hedge(&self) -> bool {
+        self.owner_replies().1.spend()
+    }
+
     /// The node's own tickets.
     pub fn own_book(&self) -> &TicketBook {
         &self.own_book
     }
 
-    fn books(&self) -> Vec<Arc<TicketBook>> {
+    pub(crate) fn books(&self) -> Vec<Arc<TicketBook>> {
         self.adopted.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
@@ -416,7 +437,7 @@
         self.phase.subscribe()
     }
 
-    fn enter(&self, phase: StopPhase) {
+    pub(crate) fn enter(&self, phase: StopPhase) {
         self.phase.send_replace(phase);
         self.beat();
         self.urgent.notify_one();
@@ -461,77 +482,3 @@
         }
     }
 }
-
-impl RunningNode {
-    /// Stops as planned: says leaving, serves while balancers lag, refuses new work, finishes
-    /// what is in flight, hands over tickets and says good-bye. Nothing in flight is cut off
-    /// unless it outlasts the grace.
-    pub async fn stop(mut self) {
-        let node = self.node.clone();
-        node.enter(StopPhase::LameDuck);
-        tokio::time::sleep(node.settings.lame_duck).await;
-        node.enter(StopPhase::Refusing);
-        wait_for_zero(&node.orders, node.settings.grace).await;
-        hand_over(&node).await;
-        wait_for_zero(&node.work, node.settings.grace).await;
-        node.enter(StopPhase::Ended);
-        say_good_bye(&node).await;
-        self.tasks.shutdown().await;
-    }
-
-    /// Ends at once, as a crash would.
-    pub fn kill(mut self) {
-        self.tasks.abort_all();
-    }
-}
-
-async fn wait_for_zero(counter: &AtomicUsize, grace: Duration) {
-    const LOOK_EVERY: Duration = Duration::from_millis(5);
-    let zero = async {
-        while counter.load(Ordering::SeqCst) > 0 {
-            tokio::time::sleep(LOOK_EVERY).await;
-        }
-    };
-    if tokio::time::timeout(grace, zero).await.is_err() {
-        tracing::warn!(event = "stop_grace_over", in_flight = counter.load(Ordering::SeqCst));
-    }
-}
-
-/// Hands tickets to one live node of the own domain, else of another. The hand-over counts
-/// only once it is acknowledged and told, so at most one node ever answers for a ticket.
-async fn hand_over(node: &Arc<Node>) {
-    let now = node.clock.now();
-    let mut books = vec![node.own_book.hand_over(now)];
-    books.extend(node.books().iter().map(|book| book.hand_over(now)));
-    let records: Vec<_> = books.iter().map(|book| (book.node.clone(), book.incarnation)).collect();
-    let request = AdoptRequest { books };
-    let mut candidates: Vec<MemberEntry> = node.members().workers(now).cloned().collect();
-    candidates.retain(|entry| entry.node != node.settings.node);
-    candidates.sort_by_key(|entry| entry.domain != node.settings.domain);
-    for candidate in candidates {
-        let link = node.links.at(candidate.peer_address);
-        let taken = link.call::<_, TakenReply>(PATH_ADOPT, &request, ADOPT_TIMEOUT).await;
-        if taken.is_ok() {
-            let mut members = node.members();
-            for (minter, incarnation) in records {
-                let successor = candidate.node.clone();
-                let record = streamfold_policy::HandoverRecord { node: minter, incarnation, successor };
-                members.learn_handover(now, record);
-            }
-            return;
-        }
-    }
-    tracing::warn!(event = "tickets_not_handed_over");
-}
-
-/// Tells every live node of the end and of the hand-over, and waits for them to take it in.
-async fn say_good_bye(node: &Arc<Node>) {
-    let now = node.clock.now();
-    let others: Vec<SocketAddr> = node.members().workers(now).map(|entry| entry.peer_address).collect();
-    let mut told = JoinSet::new();
-    for address in others {
-        told.spawn(gossip::exchange(node.clone(), node.links.at(address)));
-    }
-    // Whoever is not reached learns it from the others.
-    let _ = tokio::time::timeout(FAREWELL_TIMEOUT, async { while told.join_next().await.is_some() {} }).await;
-}
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -17,7 +17,8 @@
 use crate::clock::wall_ms;
 use crate::http_server;
 use crate::metrics_text;
-use crate::node::{Node, StopPhase};
+use crate::node::Node;
+use crate::stop::StopPhase;
 use crate::upstream::LinkState;
 
 /// Connections of operators at most.
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -17,7 +17,8 @@
 use crate::clock::NodeClock;
 use crate::error::PieceFailure;
 use crate::headers;
-use crate::pool::{PieceAnswer, PieceContext, PieceProgress, UpstreamPool};
+use crate::piece::{PieceAnswer, PieceContext, PieceProgress};
+use crate::pool::UpstreamPool;
 use crate::wire::{BatchRequest, PieceReply, PieceRequest};
 
 /// A pool of an upstream this node does not own is closed after this long without use.
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -1,31 +1,23 @@
 //! One query at its entry node: pin, plan, send to owners, fold, answer.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use streamfold_model::{
-    AttemptOutcome, Configuration, IndexSpec, IndexVersion, MissingReason, NodeId, QueryAnswer, RequestId, ShardId,
-    ShardLayout, UpstreamIndex,
+    Configuration, IndexSpec, IndexVersion, QueryAnswer, RequestId, ShardId, ShardLayout, UpstreamIndex,
 };
 use streamfold_policy::pin::choose_version;
 use streamfold_policy::{FinishRule, Moment, WorkReport};
-use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 
 use crate::fold::AnswerFold;
 use crate::node::Node;
+use crate::round::{QueryRound, RoundEnd};
 use crate::stats;
-use crate::view::{ClusterView, WorkTarget};
-use crate::wire::{BatchRequest, PATH_BATCH, PieceReply, PieceRequest};
+use crate::view::ClusterView;
 
 /// How often a query may start again at a newer index version.
 const MAX_ROUNDS: u32 = 6;
-/// How often one piece is sent to another owner or upstream.
-const MAX_SENDS: u32 = 3;
-/// Replies that may wait to be folded.
-const REPLY_BUFFER: usize = 256;
 /// Pause before versions are asked for again when no server told any.
 const UNPINNED_PAUSE: Duration = Duration::from_millis(20);
 
@@ -56,33 +48,6 @@
     NoVersion,
 }
 
-/// The shards of a query that go to the same upstreams.
-struct QueryPiece {
-    holders: Arc<[UpstreamIndex]>,
-    shards: Vec<ShardId>,
-    holder: usize,
-    owner: usize,
-    sends: u32,
-}
-
-impl QueryPiece {
-    fn upstream(&self) -> UpstreamIndex {
-        self.holders[self.holder]
-    }
-}
-
-/// What a sender task tells the fold.
-enum PieceEvent {
-    Reply(PieceReply),
-    /// The owner could not be reached, or its stream broke.
-    Lost(u32),
-}
-
-enum RoundEnd {
-    Answer(AnswerFold),
-    Restart,
-}
-
 /// Runs a query to its answer.
 ///
 /// # Errors
@@ -127,7 +92,7 @@
 
 /// The version to run at and its layout: the newest layout whose upstreams are believed to
 /// have reached it.
-fn pin<'a>(view: &ClusterView, ask: &'a QueryAsk) -> Option<(IndexVersion, &'a ShardLayout)> {
+pub fn pin<'a>(view: &ClusterView, ask: &'a QueryAsk) -> Option<(IndexVersion, &'a ShardLayout)> {
     let mut cap = IndexVersion(u64::MAX);
     for layout in ask.index.layouts.iter().rev() {
         let holders = wanted_shards(ask, layout).filter_map(|shard| layout.shards.get(shard.0 as usize));
@@ -145,7 +110,8 @@
     None
 }
 
-fn wanted_shards<'a>(ask: &'a QueryAsk, layout: &'a ShardLayout) -> Box<dyn Iterator<Item = ShardId> + 'a> {
+/// The shards a query wants of a layout.
+pub fn wanted_shards<'a>(ask: &'a QueryAsk, layout: &'a ShardLayout) -> Box<dyn Iterator<Item = ShardId> + 'a> {
     match &ask.wanted {
         Some(wanted) => Box::new(wanted.iter().copied()),
         None => Box::new((0..layout.shards.len() as u32).map(ShardId)),
@@ -170,257 +136,3 @@
     }
     Err(QueryFailure::NoVersion)
 }
-
-/// One try of a query at one index version.
-struct QueryRound<'a> {
-    node: &'a Arc<Node>,
-    view: &'a Arc<ClusterView>,
-    config: &'a Arc<Configuration>,
-    ask: &'a QueryAsk,
-    version: Option<IndexVersion>,
-    pieces: Vec<QueryPiece>,
-    fold: AnswerFold,
-    running: JoinSet<()>,
-    events: (mpsc::Sender<PieceEvent>, mpsc::Receiver<PieceEvent>),
-    calls: u64,
-    work: WorkReport,
-}
-
-impl<'a> QueryRound<'a> {
-    fn new(
-        node: &'a Arc<Node>,
-        view: &'a Arc<ClusterView>,
-        config: &'a Arc<Configuration>,
-        ask: &'a QueryAsk,
-        version: Option<IndexVersion>,
-        layout: &ShardLayout,
-    ) -> Result<Self, QueryFailure> {
-        let shards: Vec<ShardId> = wanted_shards(ask, layout).collect();
-        let pieces = plan(config, &node.settings.domain, layout, &shards)?;
-        let fold = AnswerFold::new(&shards);
-        let events = mpsc::channel(REPLY_BUFFER);
-        Ok(Self {
-            node,
-            view,
-            config,
-            ask,
-            version,
-            pieces,
-            fold,
-            running: JoinSet::new(),
-            events,
-            calls: 0,
-            work: WorkReport::default(),
-        })
-    }
-
-    async fn run(&mut self, may_restart: bool) -> RoundEnd {
-        let all: Vec<u32> = (0..self.pieces.len() as u32).collect();
-        self.send(&all);
-        while !self.fold.is_done() && !self.is_enough() {
-            let Some(event) = self.next_event().await else { break };
-            match event {
-                Some(PieceEvent::Reply(reply)) => self.take_reply(reply),
-                Some(PieceEvent::Lost(piece)) => self.take_loss(piece, MissingReason::NoOwner, AttemptOutcome::Unknown),
-                None => continue,
-            }
-            if may_restart && self.is_restart_due() {
-                return RoundEnd::Restart;
-            }
-        }
-        stats::count_calls(self.pieces.len() as u64, self.calls);
-        let empty = AnswerFold::new(&[]);
-        RoundEnd::Answer(std::mem::replace(&mut self.fold, empty))
-    }
-
-    /// The next event; `Some(None)` when it is time to look again, `None` at the deadline.
-    async fn next_event(&mut self) -> Option<Option<PieceEvent>> {
-        let now = self.node.clock.now();
-        if now >= self.ask.deadline {
-            return None;
-        }
-        let preferred = self.ask.started.plus(self.ask.rule.prefer_within);
-        let wake = if now < preferred { preferred.min(self.ask.deadline) } else { self.ask.deadline };
-        let waited = tokio::time::timeout(wake.since(now), self.events.1.recv()).await;
-        Some(waited.ok().flatten())
-    }
-
-    fn is_enough(&self) -> bool {
-        let elapsed = self.node.clock.now().since(self.ask.started);
-        self.version.is_some() && self.ask.rule.is_enough(elapsed, self.fold.answered(), self.fold.len())
-    }
-
-    /// Whether so many shards lost the version that a newer one serves the caller better.
-    fn is_restart_due(&self) -> bool {
-        let gone = self.fold.count_missing(MissingReason::VersionGone);
-        if gone == 0 {
-            return false;
-        }
-        let allowed = match self.ask.rule.prefer {
-            streamfold_model::CallerPreference::Coverage => 0.0,
-            streamfold_model::CallerPreference::Latency => 1.0 - self.ask.rule.wanted_coverage,
-        };
-        let next = pin(self.view, self.ask).map(|(version, _)| version);
-        gone as f64 > allowed * self.fold.len() as f64 && next > self.version
-    }
-
-    fn take_reply(&mut self, reply: PieceReply) {
-        let Some(piece) = self.pieces.get(reply.piece as usize) else { return };
-        let upstream = piece.upstream();
-        if let Some(held) = reply.held {
-            self.view.beliefs.learn(&self.ask.index.name, upstream, held);
-        }
-        self.calls += u64::from(reply.calls);
-        self.work.waited += Duration::from_micros(reply.waited_us);
-        self.work.served += Duration::from_micros(reply.served_us);
-        match reply.result {
-            Ok(results) => self.take_results(reply.piece, reply.version, results),
-            Err(reason) => self.take_loss(reply.piece, reason, reply.outcome),
-        }
-    }
-
-    /// Folds results; those of another version than the pinned one never get in.
-    fn take_results(&mut self, piece: u32, version: Option<IndexVersion>, results: Vec<(ShardId, Vec<u8>)>) {
-        let wanted = &self.pieces[piece as usize].shards;
-        if version.is_none() || version != self.version {
-            stats::count_other_version();
-            return self.miss(piece, MissingReason::BadAnswer);
-        }
-        for (shard, result) in results {
-            if wanted.binary_search(&shard).is_ok() {
-                self.fold.add(shard, result);
-            }
-        }
-        self.miss(piece, MissingReason::BadAnswer);
-    }
-
-    /// Marks what is not answered of a piece as missing.
-    fn miss(&mut self, piece: u32, reason: MissingReason) {
-        for shard in &self.pieces[piece as usize].shards {
-            self.fold.miss(*shard, reason);
-        }
-    }
-
-    /// Sends a lost piece elsewhere if there is somewhere and time, else marks it missing.
-    fn take_loss(&mut self, piece: u32, reason: MissingReason, outcome: AttemptOutcome) {
-        let has_time = self.node.clock.now() < self.ask.deadline;
-        if has_time && self.version.is_some() && self.turn_elsewhere(piece, reason, outcome) {
-            return self.send(&[piece]);
-        }
-        self.miss(piece, reason);
-    }
-
-    /// Points a piece at its next owner or, where the servers are at fault, its next upstream.
-    fn turn_elsewhere(&mut self, number: u32, reason: MissingReason, _outcome: AttemptOutcome) -> bool {
-        let piece = &mut self.pieces[number as usize];
-        piece.sends += 1;
-        if piece.sends > MAX_SENDS {
-            return false;
-        }
-        let owners = self.view.owners(piece.upstream()).len();
-        if reason == MissingReason::NoOwner && piece.owner + 1 < owners {
-            piece.owner += 1;
-            return true;
-        }
-        let elsewhere = !matches!(reason, MissingReason::VersionGone | MissingReason::Late | MissingReason::Queued);
-        if elsewhere && piece.holder + 1 < piece.holders.len() {
-            piece.holder += 1;
-            piece.owner = 0;
-            return true;
-        }
-        false
-    }
-
-    /// Sends pieces, one batch for each owner.
-    fn send(&mut self, numbers: &[u32]) {
-        let mut batches: BTreeMap<NodeId, (WorkTarget, Vec<PieceRequest>)> = BTreeMap::new();
-        let mut unowned = Vec::new();
-        let turn = self.ask.request.0 as usize;
-        for number in numbers {
-            let piece = &self.pieces[*number as usize];
-            let Some(target) = self.view.owner(piece.upstream(), turn, piece.owner) else {
-                unowned.push(*number);
-                continue;
-            };
-            let upstream = self.config.upstream(piece.upstream()).name.clone();
-            let request = PieceRequest { piece: *number, upstream, shards: piece.shards.clone() };
-            let batch = batches.entry(target.node.clone()).or_insert_with(|| (target.clone(), Vec::new()));
-            batch.1.push(request);
-        }
-        for (target, pieces) in batches.into_values() {
-            self.send_batch(target, pieces);
-        }
-        for number in unowned {
-            self.take_loss(number, MissingReason::NoOwner, AttemptOutcome::NotSent);
-        }
-    }
-
-    fn send_batch(&mut self, target: WorkTarget, pieces: Vec<PieceRequest>) {
-        let left = self.ask.deadline.since(self.node.clock.now());
-        let batch = BatchRequest {
-            request: self.ask.request,
-            remaining_us: u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
-            index: self.ask.index.name.clone(),
-            version: self.version,
-            repeatable: true,
-            key: None,
-            body: self.ask.body.to_vec(),
-            pieces,
-        };
-        let events = self.events.0.clone();
-        match target.link {
-            None => self.running.spawn(run_local(self.node.clone(), self.config.clone(), batch, events)),
-            Some(link) => self.running.spawn(async move {
-                let numbers: Vec<u32> = batch.pieces.iter().map(|piece| piece.piece).collect();
-                let mut open = numbers;
-                if let Ok(mut reader) = link.stream(PATH_BATCH, &batch).await {
-                    while let Ok(Some(reply)) = reader.next::<PieceReply>().await {
-                        open.retain(|number| *number != reply.piece);
-                        // The round ends only together with this task.
-                        let _ = events.send(PieceEvent::Reply(reply)).await;
-                    }
-                }
-                for number in open {
-                    let _ = events.send(PieceEvent::Lost(number)).await;
-                }
-            }),
-        };
-    }
-}
-
-async fn run_local(node: Arc<Node>, config: Arc<Configuration>, batch: BatchRequest, events: mpsc::Sender<PieceEvent>) {
-    let (sender, mut replies) = mpsc::channel(REPLY_BUFFER);
-    let owners = node.settings.owners;
-    let run = node.pools.run_batch(&config, owners, batch, sender);
-    let forward = async {
-        while let Some(reply) = replies.recv().await {
-            // The round ends only together with this task.
-            let _ = events.send(PieceEvent::Reply(reply)).await;
-        }
-    };
-    tokio::join!(run, forward);
-}
-
-/// Groups the wanted shards by the upstreams that hold them; the own domain's upstream first.
-fn plan(
-    config: &Configuration,
-    domain: &streamfold_model::FailureDomain,
-    layout: &ShardLayout,
-    shards: &[ShardId],
-) -> Result<Vec<QueryPiece>, QueryFailure> {
-    let mut pieces: Vec<QueryPiece> = Vec::new();
-    let mut by_holders: BTreeMap<&[UpstreamIndex], usize> = BTreeMap::new();
-    for shard in shards {
-        let holders = layout.shards.get(shard.0 as usize);
-        let holders = holders.ok_or(QueryFailure::NoSuchShard(*shard, layout.shards.len()))?;
-        let position = *by_holders.entry(holders).or_insert_with(|| {
-            let mut ordered = holders.to_vec();
-            ordered.sort_by_key(|upstream| config.upstream(*upstream).domain != *domain);
-            let holders: Arc<[UpstreamIndex]> = ordered.into();
-            pieces.push(QueryPiece { holders, shards: Vec::new(), holder: 0, owner: 0, sends: 0 });
-            pieces.len() - 1
-        });
-        pieces[position].shards.push(*shard);
-    }
-    Ok(pieces)
-}
--- a/crates/daemon/src/stats.rs
+++ b/crates/daemon/src/stats.rs
@@ -27,6 +27,11 @@
     counter!("streamfold_hedges_total").increment(1);
 }
 
+/// A piece was sent to a second owner because the first was silent.
+pub fn count_owner_hedge() {
+    counter!("streamfold_owner_hedges_total").increment(1);
+}
+
 /// A retry was wanted.
 pub fn count_retry(allowed: bool) {
     counter!("streamfold_retries_total", "allowed" => allowed.to_string()).increment(1);
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -4,6 +4,8 @@
 pub mod cost;
 pub mod crossed;
 pub mod drain;
+pub mod freeze;
+pub mod hedging;
 pub mod once;
 pub mod overload;
 pub mod prefer;
@@ -35,11 +37,13 @@
 }
 
 /// The experiments with what each shows.
-pub const EXPERIMENTS: [(&str, &str); 11] = [
+pub const EXPERIMENTS: [(&str, &str); 13] = [
     ("cost", "what the tier itself costs: added latency, processor time and memory, one hop and two"),
     ("cold", "a server restarts and is ten times as slow for five seconds"),
     ("crossed", "answers come late, crossed, cut and broken off; servers send other requests' answers"),
     ("drain", "servers start to leave while their health endpoints lie about it"),
+    ("freeze", "nodes freeze for three seconds in turn while others wait for their batches"),
+    ("hedging", "a fixed budget, a table of load ranges and a continuous rule, side by side"),
     ("once", "orders with every key, delivered twice, through kills, pauses, lost answers and a store outage"),
     ("overload", "0.5 to 3 times the capacity, most of it from one greedy caller"),
     ("prefer", "the same losses seen by latency and by coverage callers"),
@@ -69,6 +73,8 @@
         "prefer" => Some(prefer::run(seed).await),
         "shed" => Some(shed::run(seed).await),
         "snapshot" => Some(snapshot::run(seed).await),
+        "freeze" => Some(freeze::run(seed).await),
+        "hedging" => Some(hedging::run(seed).await),
         "once" => Some(once::run(seed).await),
         "stop" => Some(stop::run(seed).await),
         "straggler" => Some(straggler::run(seed).await),
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -1,5 +1,6 @@
 //! Measures how the costs of a node grow, as points, a straight line through them and its error.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 
 /// How long a fleet rests before and while it is measured.
 const SETTLE: Duration = Duration::from_secs(2);
-const WATCH: Duration = Duration::from_secs(8);
+const WATCH: Duration = Duration::from_secs(30);
 /// How long one call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -79,13 +80,19 @@
     sum
 }
 
+/// Calls that the platform has had, a watch counted when it begins.
+fn store_calls(fleet: &Fleet) -> f64 {
+    let calls = &fleet.platform.state.calls;
+    [&calls.reads, &calls.writes, &calls.watches].iter().map(|count| count.load(Ordering::Relaxed) as f64).sum()
+}
+
 async fn measure_idle(plan: FleetPlan) -> Result<IdleCost, FleetError> {
     let fleet = Fleet::start(plan).await?;
     tokio::time::sleep(SETTLE).await;
     let pids = cost::pids(&fleet);
     let nodes = pids.len() as f64;
     let (cpu, gossip) = (cost::cpu_of(&pids), read_metric(&fleet, "streamfold_gossip_bytes_total").await);
-    let calls = read_metric(&fleet, "streamfold_store_calls_total").await;
+    let calls = store_calls(&fleet);
     let start = Instant::now();
     tokio::time::sleep(WATCH).await;
     let span = start.elapsed().as_secs_f64();
@@ -93,7 +100,7 @@
         cpu_share: (cost::cpu_of(&pids) - cpu).as_secs_f64() / span / nodes,
         memory_kb: cost::memory_of(&pids).iter().sum::<u64>() as f64 / nodes,
         gossip_bytes: (read_metric(&fleet, "streamfold_gossip_bytes_total").await - gossip) / span / nodes,
-        store_calls: (read_metric(&fleet, "streamfold_store_calls_total").await - calls) / span,
+        store_calls: (store_calls(&fleet) - calls) / span,
     };
     fleet.stop().await;
     Ok(found)
