Busy owners are no longer taken for silent; tickets outlive restarts by name

Change: an owner counts as silent only if nothing at all was heard of it since the batch was sent; servers' hedges end at a load of 0.7. Reading the code again found: tickets handed over twice, where names are used again after a restart, went to the new run of the first taker, which does not know them (hand-overs now count hops, the latest wins, with a test); books taken over were kept for ever; the rule for "not run" stood twice.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::Request;
+use streamfold_policy::Moment;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::task::AbortHandle;
@@ -46,12 +47,19 @@
     current: ArcSwapOption<OpenLink>,
     failed: Mutex<Option<Instant>>,
     silent: AtomicU32,
+    heard: AtomicU64,
 }
 
 impl PeerLink {
     /// A link that is not connected yet.
     pub fn new(address: SocketAddr) -> Arc<Self> {
-        Arc::new(Self { address, current: ArcSwapOption::empty(), failed: Mutex::new(None), silent: AtomicU32::new(0) })
+        Arc::new(Self {
+            address,
+            current: ArcSwapOption::empty(),
+            failed: Mutex::new(None),
+            silent: AtomicU32::new(0),
+            heard: AtomicU64::new(0),
+        })
     }
 
     /// Where it leads.
@@ -59,6 +67,16 @@
         self.address
     }
 
+    /// Notes that the node replied to something.
+    pub fn note_heard(&self, now: Moment) {
+        self.heard.fetch_max(now.0, Ordering::Relaxed);
+    }
+
+    /// Whether the node has replied to nothing since a moment.
+    pub fn is_silent_since(&self, moment: Moment) -> bool {
+        self.heard.load(Ordering::Relaxed) < moment.0
+    }
+
     async fn sender(self: &Arc<Self>) -> Result<SendRequest<Bytes>, PeerError> {
         if let Some(open) = self.current.load().as_ref() {
             return Ok(open.sender.clone());
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -167,9 +167,7 @@
         let now = node.clock.now();
         node.own_book.sweep(now);
         node.own_keys.sweep(now);
-        for book in &node.books() {
-            book.sweep(now);
-        }
+        node.sweep_books(now);
     }
 }
 
@@ -384,6 +382,15 @@
         self.adopted.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Forgets what tickets that were taken over need no more.
+    fn sweep_books(&self, now: Moment) {
+        let mut adopted = self.adopted.lock().unwrap_or_else(PoisonError::into_inner);
+        adopted.retain(|book| !book.is_over(now));
+        for book in adopted.iter() {
+            book.sweep(now);
+        }
+    }
+
     /// Takes over tickets of a stopping node.
     pub fn adopt(&self, books: Vec<TicketHandover>) {
         let now = self.clock.now();
--- a/crates/daemon/src/piece.rs
+++ b/crates/daemon/src/piece.rs
@@ -90,12 +90,10 @@
         std::mem::replace(&mut self.lock().outcome, outcome)
     }
 
-    /// Keeps the outcome that says least for certain.
+    /// Adds the outcome of one more attempt.
     pub(crate) fn note(&self, outcome: AttemptOutcome) {
         let mut progress = self.lock();
-        if !outcome.is_not_run() || progress.outcome == AttemptOutcome::NotSent {
-            progress.outcome = outcome;
-        }
+        progress.outcome = progress.outcome.with(outcome);
     }
 }
 
--- a/crates/daemon/src/round.rs
+++ b/crates/daemon/src/round.rs
@@ -33,6 +33,7 @@
     sends: u32,
     /// Sends whose reply is still to come.
     open: u32,
+    sent: Moment,
     is_answered: bool,
 }
 
@@ -165,8 +166,10 @@
         let owners = self.view.owners(piece.upstream());
         let turn = self.ask.request.0 as usize;
         let asked = self.view.owner(piece.upstream(), turn, piece.owner);
-        let is_remote = asked.is_some_and(|target| target.link.is_some());
-        let is_silent = is_remote && piece.open > 0 && !piece.is_answered;
+        let link = asked.and_then(|target| target.link.as_ref());
+        // An owner that replies to others is busy, not silent: more load would not help it.
+        let is_silent = link.is_some_and(|link| link.is_silent_since(piece.sent));
+        let is_silent = is_silent && piece.open > 0 && !piece.is_answered;
         is_silent && piece.owner + 1 < owners.len() && self.node.spend_owner_hedge()
     }
 
@@ -268,6 +271,7 @@
         let mut batches: BTreeMap<NodeId, (WorkTarget, Vec<PieceRequest>)> = BTreeMap::new();
         let mut unowned = Vec::new();
         let turn = self.ask.request.0 as usize;
+        let now = self.node.clock.now();
         for number in numbers {
             let piece = &self.pieces[*number as usize];
             let shards = piece.shards.clone();
@@ -276,7 +280,9 @@
                 continue;
             };
             let upstream = self.config.upstream(piece.upstream()).name.clone();
-            self.pieces[*number as usize].open += 1;
+            let piece = &mut self.pieces[*number as usize];
+            piece.open += 1;
+            piece.sent = now;
             let request = PieceRequest { piece: *number, upstream, shards };
             let batch = batches.entry(target.node.clone()).or_insert_with(|| (target.clone(), Vec::new()));
             batch.1.push(request);
@@ -312,7 +318,9 @@
                 if let Ok(mut reader) = link.stream(PATH_BATCH, &batch).await {
                     while let Ok(Some(reply)) = reader.next::<PieceReply>().await {
                         open.retain(|number| *number != reply.piece);
-                        node.note_owner_reply(node.clock.now().since(sent));
+                        let now = node.clock.now();
+                        node.note_owner_reply(now.since(sent));
+                        link.note_heard(now);
                         // The round ends only together with this task.
                         let _ = events.send(PieceEvent::Reply(reply)).await;
                     }
@@ -361,6 +369,7 @@
                 owner: 0,
                 sends: 0,
                 open: 0,
+                sent: Moment::default(),
                 is_answered: false,
             });
             pieces.len() - 1
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -71,7 +71,7 @@
     let now = node.clock.now();
     let mut books = vec![node.own_book.hand_over(now)];
     books.extend(node.books().iter().map(|book| book.hand_over(now)));
-    let records: Vec<_> = books.iter().map(|book| (book.node.clone(), book.incarnation)).collect();
+    let records: Vec<_> = books.iter().map(|book| (book.node.clone(), book.incarnation, book.hops)).collect();
     let request = AdoptRequest { books };
     let mut candidates: Vec<MemberEntry> = node.members().workers(now).cloned().collect();
     candidates.retain(|entry| entry.node != node.settings.node);
@@ -81,9 +81,9 @@
         let taken = link.call::<_, TakenReply>(PATH_ADOPT, &request, ADOPT_TIMEOUT).await;
         if taken.is_ok() {
             let mut members = node.members();
-            for (minter, incarnation) in records {
+            for (minter, incarnation, hops) in records {
                 let successor = candidate.node.clone();
-                let record = HandoverRecord { node: minter, incarnation, successor };
+                let record = HandoverRecord { node: minter, incarnation, successor, hops };
                 members.learn_handover(now, record);
             }
             return;
--- a/crates/daemon/src/tickets.rs
+++ b/crates/daemon/src/tickets.rs
@@ -80,6 +80,8 @@
     secret: [u8; 32],
     life: Duration,
     started: Moment,
+    taken: Moment,
+    hops: u32,
     next: AtomicU64,
     used: OutcomeTable<u64>,
 }
@@ -88,7 +90,17 @@
     /// The book of a new run.
     pub fn new(node: NodeId, incarnation: Incarnation, life: Duration, now: Moment) -> Self {
         let used = OutcomeTable::new(life * 2, MAX_REMEMBERED);
-        Self { node, incarnation, secret: rand::random(), life, started: now, next: AtomicU64::new(1), used }
+        Self {
+            node,
+            incarnation,
+            secret: rand::random(),
+            life,
+            started: now,
+            taken: now,
+            hops: 0,
+            next: AtomicU64::new(1),
+            used,
+        }
     }
 
     /// The book of another run, taken over in its planned stop.
@@ -99,7 +111,17 @@
         }
         let started = Moment(now.0.saturating_sub(handover.elapsed_ms.saturating_mul(1000)));
         let (node, incarnation, secret) = (handover.node, handover.incarnation, handover.secret);
-        Self { node, incarnation, secret, life, started, next: AtomicU64::new(u64::MAX), used }
+        Self {
+            node,
+            incarnation,
+            secret,
+            life,
+            started,
+            taken: now,
+            hops: handover.hops,
+            next: AtomicU64::new(u64::MAX),
+            used,
+        }
     }
 
     fn mac(&self, sequence: u64, expires_ms: u64, caller: &CallerName) -> Hmac<Sha256> {
@@ -145,6 +167,11 @@
         Ok(self.used.begin(now, ticket.sequence))
     }
 
+    /// Whether a book that was taken over has nothing left to answer for.
+    pub fn is_over(&self, now: Moment) -> bool {
+        now.since(self.taken) > self.life * 3
+    }
+
     /// Forgets tickets that have expired.
     pub fn sweep(&self, now: Moment) {
         self.used.sweep(now);
@@ -156,6 +183,6 @@
         let used: Vec<(u64, OrderReply)> = self.used.export();
         let elapsed_ms = u64::try_from(now.since(self.started).as_millis()).unwrap_or(u64::MAX);
         let (node, incarnation) = (self.node.clone(), self.incarnation);
-        TicketHandover { node, incarnation, secret: self.secret, elapsed_ms, used }
+        TicketHandover { node, incarnation, secret: self.secret, hops: self.hops + 1, elapsed_ms, used }
     }
 }
--- a/crates/daemon/src/wire.rs
+++ b/crates/daemon/src/wire.rs
@@ -213,6 +213,8 @@
     pub incarnation: Incarnation,
     /// The key of its tickets' MAC.
     pub secret: [u8; 32],
+    /// How often they were handed over, this time included.
+    pub hops: u32,
     /// Milliseconds since the run started, by which its tickets expire.
     pub elapsed_ms: u64,
     /// Used tickets with what became of them.
--- a/crates/lab/src/experiments/trial.rs
+++ b/crates/lab/src/experiments/trial.rs
@@ -1,5 +1,6 @@
 //! What experiments share: one fleet under one load, as figures.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -27,6 +28,42 @@
     FleetPlan { domains: domains.collect(), policy, ..FleetPlan::default() }
 }
 
+/// One of the two users' fleets: three regions with a failure domain each.
+#[derive(Debug, Clone, Copy)]
+pub struct UserFleet {
+    /// What its callers weigh most.
+    pub prefer: &'static str,
+    /// When `latency` callers take less than the whole.
+    pub prefer_within: Option<&'static str>,
+    /// One-way delay between regions.
+    pub delay: Duration,
+}
+
+/// Alpenwasch: tail latency first.
+pub const ALPENWASCH: UserFleet =
+    UserFleet { prefer: "latency", prefer_within: Some("60ms"), delay: Duration::from_millis(8) };
+/// Moreton Coast: coverage first.
+pub const MORETON_COAST: UserFleet =
+    UserFleet { prefer: "coverage", prefer_within: None, delay: Duration::from_millis(12) };
+
+impl UserFleet {
+    /// Shapes a plan like this user's fleet; its nodes then stand behind proxies.
+    pub fn shape(&self, plan: &mut FleetPlan) {
+        plan.prefer = self.prefer;
+        plan.prefer_within = self.prefer_within;
+        plan.proxied = true;
+    }
+
+    /// Puts the delay between regions on the links between nodes of different ones. A link
+    /// within a region is told apart by its proxy no more than by its node, so links within a
+    /// region are delayed too; that makes the fleet slower than the user's, never faster.
+    pub fn delay(&self, fleet: &Fleet) {
+        for proxy in fleet.nodes.iter().filter_map(|node| node.proxy.as_ref()) {
+            proxy.faults.delay_us.store(self.delay.as_micros() as u64, Ordering::Relaxed);
+        }
+    }
+}
+
 /// A load on all nodes of a fleet.
 pub fn load_on(fleet: &Fleet, rate: f64, time: Duration) -> LoadPlan {
     LoadPlan {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -91,6 +91,8 @@
     pub policy: PolicyChoice,
     /// What the caller weighs most: `latency` or `coverage`.
     pub prefer: &'static str,
+    /// When a `latency` caller takes less than the whole; half its deadline without it.
+    pub prefer_within: Option<&'static str>,
     /// The caller's deadline.
     pub deadline: &'static str,
     /// Whether nodes run as processes of their own.
@@ -117,6 +119,7 @@
             server: ServerPlan::default(),
             policy: PolicyChoice::Adaptive,
             prefer: "coverage",
+            prefer_within: None,
             deadline: "1s",
             processes: false,
             callers: Vec::new(),
@@ -500,6 +503,9 @@
             "  {name}:\n    token_sha256: {digest}\n    indexes: [{INDEX}]\n    prefer: {prefer}\n    \
              deadline: {deadline}\n    rate: 100000/s\n    concurrency: 10000\n"
         );
+        if let Some(within) = plan.prefer_within {
+            let _ = writeln!(text, "    prefer_within: {within}");
+        }
     }
     text
 }
--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -97,6 +97,26 @@
     fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_outlives_restarts_under_the_same_names() {
+    let mut fleet = Fleet::start(plan()).await.expect("a fleet");
+    let sender = OrderSender::new(fleet.client.clone());
+    let tickets = sender.mint(fleet.nodes[0].addresses.callers, 2).await;
+    assert_eq!(ran(&order(&fleet, 3, &tickets[0]).await), "ran");
+    for number in [0, 1] {
+        let (domain, name) = (fleet.nodes[number].domain, fleet.nodes[number].name.clone());
+        let handle = fleet.nodes[number].handle.take().expect("a node");
+        assert!(handle.stop().await);
+        fleet.add_node(domain, &name).await.expect("the node again");
+        fleet.wait_ready().await.expect("a ready fleet");
+    }
+    for ticket in &tickets {
+        assert_eq!(ran(&order(&fleet, 3, ticket).await), "ran");
+        assert_eq!(fleet.log.count(ticket), 1);
+    }
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn crossed_and_cut_answers_are_never_folded() {
     let fleet = Fleet::start(plan()).await.expect("a fleet");
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -18,14 +18,16 @@
     fn plan(&mut self, load: f64) -> Option<HedgePlan>;
 }
 
-/// The same budget at any load: the rule in use. Full servers brake it all the same, since a
-/// hedge needs a free slot and never goes ahead of waiting work.
+/// The same budget up to a load at which servers are nearly full: the rule in use.
 #[derive(Debug, Default)]
 pub struct FixedHedge;
 
+/// Above this load there is no hedging.
+const FULL_LOAD: f64 = 0.7;
+
 impl HedgeRule for FixedHedge {
-    fn plan(&mut self, _load: f64) -> Option<HedgePlan> {
-        Some(HedgePlan { quantile: 0.95, share: 0.05 })
+    fn plan(&mut self, load: f64) -> Option<HedgePlan> {
+        (load < FULL_LOAD).then_some(HedgePlan { quantile: 0.95, share: 0.05 })
     }
 }
 
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -60,6 +60,8 @@
     pub incarnation: Incarnation,
     /// The node that took over.
     pub successor: NodeId,
+    /// How often the tickets were handed over by then; the latest hand-over counts.
+    pub hops: u32,
 }
 
 /// Who answers for a ticket.
@@ -94,7 +96,7 @@
     own: NodeId,
     times: MemberTimes,
     rows: BTreeMap<NodeId, MemberRow>,
-    handovers: BTreeMap<(NodeId, Incarnation), (NodeId, Moment)>,
+    handovers: BTreeMap<(NodeId, Incarnation), (HandoverRecord, Moment)>,
     cursor: Option<NodeId>,
 }
 
@@ -156,33 +158,26 @@
 
     /// Learns which node took over the tickets of a run that was stopped as planned.
     pub fn learn_handover(&mut self, now: Moment, record: HandoverRecord) {
-        let key = (record.node, record.incarnation);
-        self.handovers.entry(key).or_insert((record.successor, now));
+        let key = (record.node.clone(), record.incarnation);
+        let known = self.handovers.get(&key).map(|(known, _)| known.hops);
+        if known.is_none_or(|hops| record.hops > hops) {
+            self.handovers.insert(key, (record, now));
+        }
     }
 
-    /// The run that answers for the tickets of a run: itself, or the last that took over.
+    /// The node that answers for the tickets of a run: itself, or the last that took over.
     pub fn ticket_holder(&self, node: &NodeId, incarnation: Incarnation) -> TicketHolder {
-        let mut holder = node.clone();
-        let mut key = (node.clone(), incarnation);
-        for _ in 0..self.handovers.len() {
-            let Some((successor, _)) = self.handovers.get(&key) else { break };
-            holder = successor.clone();
-            let Some(entry) = self.get(successor) else { break };
-            key = (holder.clone(), entry.incarnation);
+        if let Some((record, _)) = self.handovers.get(&(node.clone(), incarnation)) {
+            let successor = record.successor.clone();
+            return TicketHolder { alive: self.get(&successor).is_some(), node: successor };
         }
-        let is_minter = holder == *node;
-        let known = self.get(&holder).map(|entry| entry.incarnation);
-        TicketHolder { alive: known.is_some_and(|known| !is_minter || known == incarnation), node: holder }
+        let alive = self.get(node).is_some_and(|entry| entry.incarnation == incarnation);
+        TicketHolder { alive, node: node.clone() }
     }
 
     /// All hand-overs still remembered.
     pub fn handovers(&self) -> Vec<HandoverRecord> {
-        let records = self.handovers.iter().map(|((node, incarnation), (successor, _))| HandoverRecord {
-            node: node.clone(),
-            incarnation: *incarnation,
-            successor: successor.clone(),
-        });
-        records.collect()
+        self.handovers.values().map(|(record, _)| record.clone()).collect()
     }
 
     /// How a node looks from here.
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -42,7 +42,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum HedgeChoice {
-    /// The same budget at any load.
+    /// The same budget until servers are nearly full.
     #[default]
     Fixed,
     /// A table of load ranges.
