--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -14,6 +14,7 @@
 use streamfold_platform::{CommitError, CommitRequest};
 use tokio::net::TcpListener;
 
+use crate::caller_input::find_parameter;
 use crate::clock::wall_ms;
 use crate::http_server;
 use crate::metrics_text;
@@ -178,8 +179,7 @@
 }
 
 fn find_number(parameters: Option<&str>, name: &str) -> Option<u64> {
-    let pairs = parameters?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(found, _)| *found == name).and_then(|(_, value)| value.parse().ok())
+    find_parameter(parameters, name).and_then(|value| value.parse().ok())
 }
 
 async fn read_config(State(node): State<Arc<Node>>, RawQuery(parameters): RawQuery) -> Response {
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -4,7 +4,8 @@
 
 use streamfold_model::QueryAnswer;
 
-use crate::fleet::{Fleet, FleetError, FleetPlan, INDEX, TOKEN};
+use crate::fleet::{Fleet, FleetError, INDEX, TOKEN};
+use crate::fleet_plan::FleetPlan;
 use crate::load::{self, GOOD_WITHIN, LoadPlan, LoadReport};
 
 /// Queries a second in the demo's load.
--- a/crates/lab/src/experiments/cost.rs
+++ b/crates/lab/src/experiments/cost.rs
@@ -12,7 +12,8 @@
 use streamfold_model::{AttemptId, RequestId};
 
 use super::ExperimentReport;
-use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, INDEX, NodeHandle, TOKEN};
+use crate::fleet::{Fleet, FleetError, INDEX, NodeHandle, TOKEN};
+use crate::fleet_plan::{DomainPlan, FleetPlan};
 use crate::load::{self, GOOD_WITHIN, LoadPlan};
 use crate::server::ServerPlan;
 use crate::usage;
--- a/crates/lab/src/experiments/crossed.rs
+++ b/crates/lab/src/experiments/crossed.rs
@@ -8,7 +8,8 @@
 
 use super::ExperimentReport;
 use super::trial::{load_on, measure, three_domains};
-use crate::fleet::{DomainPlan, Fleet, FleetError, FleetNode};
+use crate::fleet::{Fleet, FleetError, FleetNode};
+use crate::fleet_plan::DomainPlan;
 
 const RATE: f64 = 200.0;
 const QUERIES: f64 = 20_000.0;
--- a/crates/lab/src/experiments/once.rs
+++ b/crates/lab/src/experiments/once.rs
@@ -11,7 +11,8 @@
 use super::trial::three_domains;
 use super::{ExperimentReport, to_value};
 use crate::dice;
-use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, NodeHandle};
+use crate::fleet::{Fleet, FleetError, NodeHandle};
+use crate::fleet_plan::{DomainPlan, FleetPlan};
 use crate::orders::{OrderReport, OrderSender};
 
 const ORDERS: usize = 5_000;
--- a/crates/lab/src/experiments/stop.rs
+++ b/crates/lab/src/experiments/stop.rs
@@ -9,7 +9,8 @@
 
 use super::ExperimentReport;
 use super::trial::{load_on, three_domains};
-use crate::fleet::{DomainPlan, Fleet, FleetError};
+use crate::fleet::{Fleet, FleetError};
+use crate::fleet_plan::DomainPlan;
 use crate::load::{self, LoadPlan};
 use crate::orders::OrderSender;
 
--- a/crates/lab/src/experiments/trial.rs
+++ b/crates/lab/src/experiments/trial.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 use streamfold_daemon::settings::PolicyChoice;
 
-use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, INDEX, TOKEN};
+use crate::fleet::{Fleet, FleetError, INDEX, TOKEN};
+use crate::fleet_plan::{DomainPlan, FleetPlan};
 use crate::load::{self, GOOD_WITHIN, LoadPlan, LoadReport};
 
 /// Figures of one fleet under one load.
--- /dev/null
+++ b/crates/lab/src/fleet_plan.rs
@@ -0,0 +1,124 @@
+//! How a fleet is made, and the configuration that an operator would write for it.
+
+use std::fmt::Write;
+
+use streamfold_daemon::settings::PolicyChoice;
+use streamfold_model::ContentDigest;
+
+use crate::fleet::{INDEX, TOKEN};
+use crate::proxy::FaultProxy;
+use crate::server::{ServerPlan, ServerStandin};
+
+/// One failure domain of a fleet.
+#[derive(Debug, Clone)]
+pub struct DomainPlan {
+    /// Its name.
+    pub name: &'static str,
+    /// Nodes in it.
+    pub nodes: usize,
+    /// Upstreams in it.
+    pub upstreams: usize,
+}
+
+/// How a fleet is made.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    /// Its failure domains.
+    pub domains: Vec<DomainPlan>,
+    /// Servers of each upstream.
+    pub servers: usize,
+    /// Shards of each upstream.
+    pub shards: usize,
+    /// Each server.
+    pub server: ServerPlan,
+    /// Which rules nodes use.
+    pub policy: PolicyChoice,
+    /// What the caller weighs most: `latency` or `coverage`.
+    pub prefer: &'static str,
+    /// When a `latency` caller takes less than the whole; half its deadline without it.
+    pub prefer_within: Option<&'static str>,
+    /// The caller's deadline.
+    pub deadline: &'static str,
+    /// Whether nodes run as processes of their own.
+    pub processes: bool,
+    /// Callers besides the first; the token of each is its name.
+    pub callers: Vec<&'static str>,
+    /// From this index version on, every upstream has twice the shards.
+    pub repartition_at: Option<u64>,
+    /// Whether servers and nodes' peers' ports stand behind fault proxies.
+    pub proxied: bool,
+    /// Settings lines besides, for every node.
+    pub settings: String,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            domains: vec![
+                DomainPlan { name: "vienna", nodes: 2, upstreams: 10 },
+                DomainPlan { name: "tyrol", nodes: 2, upstreams: 10 },
+            ],
+            servers: 2,
+            shards: 1,
+            server: ServerPlan::default(),
+            policy: PolicyChoice::Adaptive,
+            prefer: "coverage",
+            prefer_within: None,
+            deadline: "1s",
+            processes: false,
+            callers: Vec::new(),
+            repartition_at: None,
+            proxied: false,
+            settings: "lame_duck: 200ms\ngrace: 10s\nheartbeat: 100ms\n".to_owned(),
+        }
+    }
+}
+
+/// The configuration of a fleet, as an operator would write it.
+pub fn write_config(plan: &FleetPlan, servers: &[Vec<Option<ServerStandin>>], proxies: &[FaultProxy]) -> String {
+    let mut text = format!("indexes:\n  {INDEX}:\n    layouts:\n");
+    write_layout(&mut text, 1, servers.len(), plan.shards);
+    if let Some(version) = plan.repartition_at {
+        write_layout(&mut text, version, servers.len(), plan.shards * 2);
+    }
+    // Writing to a String cannot fail.
+    text.push_str("upstreams:\n");
+    let names = plan.domains.iter().flat_map(|domain| std::iter::repeat_n(domain.name, domain.upstreams));
+    let mut proxies = proxies.iter();
+    for (number, (group, domain)) in servers.iter().zip(names).enumerate() {
+        let reached = group.iter().flatten().map(|server| proxies.next().map_or(server.address, |proxy| proxy.address));
+        let addresses = reached.map(|address| address.to_string());
+        let list = addresses.collect::<Vec<_>>().join("\", \"");
+        let (slots, connections) = (plan.server.slots, plan.server.connections);
+        let _ = writeln!(
+            text,
+            "  {INDEX}-{number:03}: {{failure_domain: {domain}, slots: {slots}, connections: {connections}, servers: [\"{list}\"]}}"
+        );
+    }
+    text.push_str("callers:\n");
+    let first = std::iter::once(("depot", TOKEN));
+    for (name, token) in first.chain(plan.callers.iter().map(|name| (*name, *name))) {
+        let digest = ContentDigest::of(token.as_bytes());
+        let (prefer, deadline) = (plan.prefer, plan.deadline);
+        let _ = write!(
+            text,
+            "  {name}:\n    token_sha256: {digest}\n    indexes: [{INDEX}]\n    prefer: {prefer}\n    \
+             deadline: {deadline}\n    rate: 100000/s\n    concurrency: 10000\n"
+        );
+        if let Some(within) = plan.prefer_within {
+            let _ = writeln!(text, "    prefer_within: {within}");
+        }
+    }
+    text
+}
+
+/// One layout: so many shards on each upstream.
+fn write_layout(text: &mut String, version: u64, upstreams: usize, shards: usize) {
+    // Writing to a String cannot fail.
+    let _ = write!(text, "      - from_version: {version}\n        shards:\n");
+    for number in 0..upstreams {
+        let first = number * shards;
+        let last = first + shards - 1;
+        let _ = writeln!(text, "          - {{ids: [{first}, {last}], upstreams: [{INDEX}-{number:03}]}}");
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod dice;
 pub mod experiments;
 pub mod fleet;
+pub mod fleet_plan;
 pub mod load;
 pub mod orders;
 pub mod platform;
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -10,7 +10,8 @@
 use streamfold_model::{ConfigVersion, SourceFile};
 
 use crate::experiments::cost;
-use crate::fleet::{DomainPlan, Fleet, FleetError, FleetPlan};
+use crate::fleet::{Fleet, FleetError};
+use crate::fleet_plan::{DomainPlan, FleetPlan};
 
 /// How long a fleet rests before and while it is measured.
 const SETTLE: Duration = Duration::from_secs(2);
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -7,7 +7,8 @@
 use insta::assert_json_snapshot;
 use serde_json::{Value, json};
 use streamfold_lab::client::{CallAnswer, LabClient};
-use streamfold_lab::fleet::{DomainPlan, Fleet, FleetError, FleetPlan, INDEX, TOKEN};
+use streamfold_lab::fleet::{Fleet, FleetError, INDEX, TOKEN};
+use streamfold_lab::fleet_plan::{DomainPlan, FleetPlan};
 use streamfold_lab::load::{self, GOOD_WITHIN, LoadPlan};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
