--- a/crates/daemon/src/round.rs
+++ b/crates/daemon/src/round.rs
@@ -209,7 +209,8 @@
 
     /// Folds results; those of another version than the pinned one never get in.
     fn take_results(&mut self, piece: u32, version: Option<IndexVersion>, results: Vec<(ShardId, Vec<u8>)>) {
-        self.pieces[piece as usize].open -= 1;
+        let state = &mut self.pieces[piece as usize];
+        state.open = state.open.saturating_sub(1);
         let wanted = &self.pieces[piece as usize].shards;
         if version.is_none() || version != self.version {
             stats::count_other_version();
@@ -317,7 +318,11 @@
                 let mut open = numbers;
                 if let Ok(mut reader) = link.stream(PATH_BATCH, &batch).await {
                     while let Ok(Some(reply)) = reader.next::<PieceReply>().await {
-                        open.retain(|number| *number != reply.piece);
+                        if !close_piece(&mut open, reply.piece) {
+                            // Such an owner is not to be believed; what is open counts as lost.
+                            stats::count_bad_peer();
+                            break;
+                        }
                         let now = node.clock.now();
                         node.note_owner_reply(now.since(sent));
                         link.note_heard(now);
@@ -333,6 +338,13 @@
     }
 }
 
+/// Takes a piece off a batch's open ones; false for one that is not open: it was replied to
+/// before, or belongs to another batch.
+pub fn close_piece(open: &mut Vec<u32>, piece: u32) -> bool {
+    let position = open.iter().position(|number| *number == piece);
+    position.map(|position| open.swap_remove(position)).is_some()
+}
+
 async fn run_local(node: Arc<Node>, config: Arc<Configuration>, batch: BatchRequest, events: mpsc::Sender<PieceEvent>) {
     let (sender, mut replies) = mpsc::channel(REPLY_BUFFER);
     let owners = node.settings.owners;
--- a/crates/daemon/tests/decode.rs
+++ b/crates/daemon/tests/decode.rs
@@ -2,6 +2,7 @@
 
 use quickcheck::quickcheck;
 use std::time::Duration;
+use streamfold_daemon::round::close_piece;
 use streamfold_daemon::tickets::{OrderTicket, TicketBook, TicketFault};
 use streamfold_daemon::wire::{
     AdoptRequest, BatchRequest, ConfigReply, GossipMessage, OrderRequest, PieceReply, decode_body, encode_frame,
@@ -42,6 +43,16 @@
         whole.body == body && whole.request.0 == request && decode_body::<BatchRequest>(&frame[4..cut]).is_err()
     }
 
+    /// However an owner replies, each piece of its batch is taken once and no other ever.
+    fn a_piece_is_replied_to_once(count: u8, replies: Vec<u8>) -> bool {
+        let mut open: Vec<u32> = (0..u32::from(count)).collect();
+        let mut taken: Vec<u32> = replies.into_iter().map(u32::from).filter(|piece| close_piece(&mut open, *piece)).collect();
+        let all = taken.len() + open.len() == usize::from(count);
+        taken.sort_unstable();
+        let once = taken.windows(2).all(|pair| pair[0] != pair[1]);
+        all && once && taken.iter().all(|piece| *piece < u32::from(count))
+    }
+
     fn any_text_is_a_ticket_or_not(text: String) -> bool {
         text.parse::<OrderTicket>().map_or(true, |ticket| ticket.to_string().len() <= text.len())
     }
