--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -141,6 +141,11 @@
     let (parts, body) = response.into_parts();
     let reply = router.format.read_reply(&request.id, parts.status, &parts.headers);
     learn(router.clock.now(), server, &reply);
+    if reply.is_other_server {
+        // Its address belongs to another now, so this run of it is over.
+        tracing::info!(event = "server_replaced", server = %server.id, address = %server.address);
+        server.mark_leaving();
+    }
     if reply.is_own && !reply.is_closing {
         server.put_back(router.clock.now(), leased, reply.keep_alive).await;
     } else {
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -71,6 +71,9 @@
         }
         metrics::counter!("streamfold_feed_failures_total").increment(1);
         self.router.set_followed(self.topic, false);
+        // What changed while a watch was cut may be hidden from the next one, so everything is
+        // listed again.
+        self.position = None;
         let pause = (FIRST_PAUSE * 2u32.pow(self.failures.min(6))).min(MAX_PAUSE);
         self.failures += 1;
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
