--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -8,10 +8,10 @@
 use streamfold_model::{ConfigVersion, NodeId};
 use streamfold_policy::{MemberEntry, MemberState};
 
-use crate::link::PeerLink;
 use crate::node::Node;
 use crate::stats;
-use crate::wire::{ConfigReply, GossipMessage, PATH_CONFIG, PATH_GOSSIP, encode_frame};
+use crate::wire::{ConfigReply, GossipMessage, PATH_CONFIG, PATH_GOSSIP};
+use streamfold_link::{PeerLink, encode_frame};
 
 /// Entries in one heartbeat, at most, so that its cost does not grow with the fleet.
 const MAX_ENTRIES: usize = 24;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod headers;
 pub mod http_server;
 pub mod keeper;
-pub mod link;
 pub mod links;
 pub mod logs;
 pub mod metered;
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -6,7 +6,7 @@
 
 use streamfold_model::NodeId;
 
-use crate::link::PeerLink;
+use streamfold_link::PeerLink;
 
 /// All links of this node. A link is kept by its address, so a node that comes back at
 /// another address gets another link.
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -8,7 +8,7 @@
 use streamfold_policy::HeldVersions;
 use streamfold_policy::owner::choose_owners;
 
-use crate::link::PeerLink;
+use streamfold_link::PeerLink;
 
 /// A node that may be given work.
 #[derive(Clone)]
--- a/crates/daemon/tests/decode.rs
+++ b/crates/daemon/tests/decode.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 use streamfold_daemon::round::close_piece;
 use streamfold_daemon::tickets::{OrderTicket, TicketBook, TicketFault};
-use streamfold_daemon::wire::{
-    AdoptRequest, BatchRequest, ConfigReply, GossipMessage, OrderRequest, PieceReply, decode_body, encode_frame,
-};
+use streamfold_daemon::wire::{AdoptRequest, BatchRequest, ConfigReply, GossipMessage, OrderRequest, PieceReply};
+use streamfold_link::{decode_body, encode_frame};
 use streamfold_model::{Incarnation, MissingReason, RequestId, ShardId};
 use streamfold_policy::Moment;
 
--- /dev/null
+++ b/crates/link/src/frame.rs
@@ -0,0 +1,101 @@
+//! Messages as length-prefixed frames of bincode. Every decode is bounded.
+
+use bincode::config::{Configuration as BincodeConfig, Limit, LittleEndian, Varint};
+use bincode::{Decode, Encode};
+use bytes::{Buf, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+
+use crate::error::PeerError;
+
+/// The largest frame of any kind.
+pub const MAX_FRAME: usize = 64 << 20;
+
+const BINCODE: BincodeConfig<LittleEndian, Varint, Limit<MAX_FRAME>> =
+    bincode::config::standard().with_limit::<MAX_FRAME>();
+
+/// Encodes a message as one frame.
+///
+/// # Errors
+/// The message cannot be encoded, or is over [`MAX_FRAME`].
+pub fn encode_frame<M: Encode>(message: &M) -> Result<Bytes, PeerError> {
+    let mut frame = vec![0; 4];
+    let length = bincode::encode_into_std_write(message, &mut frame, BINCODE)?;
+    if length > MAX_FRAME {
+        return Err(PeerError::FrameTooLong(length));
+    }
+    frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(Bytes::from(frame))
+}
+
+/// Decodes the body of one frame; bytes left over are an error.
+///
+/// # Errors
+/// The bytes are not exactly one message.
+pub fn decode_body<M: Decode<()>>(body: &[u8]) -> Result<M, PeerError> {
+    let (message, used) = bincode::decode_from_slice(body, BINCODE)?;
+    if used != body.len() {
+        return Err(PeerError::FrameTooLong(body.len() - used));
+    }
+    Ok(message)
+}
+
+/// Reads frames from a stream, giving back flow-control window as it goes.
+pub struct FrameReader {
+    stream: RecvStream,
+    buffer: BytesMut,
+    limit: usize,
+}
+
+impl FrameReader {
+    /// Frames of this stream, each at most `limit` bytes.
+    pub fn new(stream: RecvStream, limit: usize) -> Self {
+        Self { stream, buffer: BytesMut::new(), limit }
+    }
+
+    /// The next message; `None` at a clean end.
+    ///
+    /// # Errors
+    /// The stream fails or ends within a frame, or the frame is over the limit or malformed.
+    pub async fn next<M: Decode<()>>(&mut self) -> Result<Option<M>, PeerError> {
+        loop {
+            if let Some(body) = self.take_frame()? {
+                return decode_body(&body).map(Some);
+            }
+            let Some(data) = self.stream.data().await else {
+                return if self.buffer.is_empty() { Ok(None) } else { Err(PeerError::EndedEarly) };
+            };
+            let data = data?;
+            self.stream.flow_control().release_capacity(data.len())?;
+            self.buffer.extend_from_slice(&data);
+        }
+    }
+
+    fn take_frame(&mut self) -> Result<Option<BytesMut>, PeerError> {
+        let Some(prefix) = self.buffer.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > self.limit {
+            return Err(PeerError::FrameTooLong(length));
+        }
+        if self.buffer.len() < 4 + length {
+            return Ok(None);
+        }
+        self.buffer.advance(4);
+        Ok(Some(self.buffer.split_to(length)))
+    }
+}
+
+/// Sends one frame, waiting for flow-control window as needed.
+///
+/// # Errors
+/// The stream fails or is reset by the other side.
+pub async fn send_frame(stream: &mut SendStream<Bytes>, mut frame: Bytes, end: bool) -> Result<(), PeerError> {
+    while !frame.is_empty() {
+        stream.reserve_capacity(frame.len());
+        let granted = std::future::poll_fn(|cx| stream.poll_capacity(cx)).await;
+        let granted = granted.ok_or(PeerError::EndedEarly)??;
+        let chunk = frame.split_to(granted.min(frame.len()));
+        let last = end && frame.is_empty();
+        stream.send_data(chunk, last)?;
+    }
+    Ok(())
+}
--- a/crates/daemon/src/link.rs
+++ b/crates/link/src/link.rs
@@ -16,7 +16,8 @@
 use tokio::task::AbortHandle;
 
 use crate::error::PeerError;
-use crate::wire::{BatchRequest, FrameReader, MAX_FRAME, PieceReply, encode_frame, send_frame};
+use crate::frame::{FrameReader, MAX_FRAME, encode_frame, send_frame};
+use crate::socket::watch_peer;
 
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -67,6 +68,19 @@
         self.address
     }
 
+    /// Whether there is a connection now.
+    pub fn is_open(&self) -> bool {
+        self.current.load().is_some()
+    }
+
+    /// Connects if there is no connection.
+    ///
+    /// # Errors
+    /// The node cannot be reached.
+    pub async fn connect_now(self: &Arc<Self>) -> Result<(), PeerError> {
+        self.sender().await.map(|_| ())
+    }
+
     /// Notes that the node replied to something.
     pub fn note_heard(&self, now: Moment) {
         self.heard.fetch_max(now.0, Ordering::Relaxed);
@@ -103,7 +117,7 @@
 
     async fn connect(self: &Arc<Self>) -> Result<SendRequest<Bytes>, PeerError> {
         let stream = TcpStream::connect(self.address).await.map_err(|_| PeerError::NotConnected)?;
-        stream.set_nodelay(true).map_err(|_| PeerError::NotConnected)?;
+        watch_peer(&stream).map_err(|_| PeerError::NotConnected)?;
         let mut builder = h2::client::Builder::new();
         builder.initial_window_size(PEER_WINDOW).initial_connection_window_size(PEER_WINDOW);
         builder.max_frame_size(PEER_FRAME);
@@ -165,12 +179,16 @@
         }
     }
 
-    /// Sends a batch of one piece and returns its reply.
+    /// Sends a message and returns the first frame of its answer.
     ///
     /// # Errors
     /// As [`Self::stream`].
-    pub async fn call_batch(self: &Arc<Self>, path: &str, batch: &BatchRequest) -> Result<PieceReply, PeerError> {
-        let mut reader = self.stream(path, batch).await?;
+    pub async fn call_first<M: Encode, A: Decode<()>>(
+        self: &Arc<Self>,
+        path: &str,
+        message: &M,
+    ) -> Result<A, PeerError> {
+        let mut reader = self.stream(path, message).await?;
         reader.next().await?.ok_or(PeerError::EndedEarly)
     }
 
--- /dev/null
+++ b/crates/link/src/server.rs
@@ -0,0 +1,137 @@
+//! The peers' port: serves other nodes over `h2`. A malformed message closes its link alone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream};
+use http::{Request, Response, StatusCode};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use crate::error::PeerError;
+use crate::frame::{FrameReader, encode_frame, send_frame};
+use crate::link::{PEER_FRAME, PEER_WINDOW};
+use crate::socket::watch_peer;
+
+/// Streams one node may have open at once on one link.
+const MAX_STREAMS: u32 = 10_000;
+/// How long a link may take to begin.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long until its first message, so that strangers do not hold links open.
+const FIRST_STREAM_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a link may be without a new message.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Pause after a failed accept, such as with no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a node does with the messages of others.
+pub trait PeerService: Send + Sync {
+    /// Serves one message. Its errors that tell of a malformed message close the link.
+    fn serve<'a>(
+        &'a self,
+        path: &'a str,
+        body: RecvStream,
+        respond: &'a mut SendResponse<Bytes>,
+    ) -> BoxFuture<'a, Result<(), PeerError>>;
+
+    /// Notes a malformed message.
+    fn note_malformed(&self, path: &str);
+
+    /// How long a link may be without its first message.
+    fn first_message_within(&self) -> Duration {
+        FIRST_STREAM_TIMEOUT
+    }
+}
+
+/// Serves the peers' port until the node ends.
+pub async fn serve(service: Arc<dyn PeerService>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let service = service.clone();
+        tokio::spawn(async move {
+            if let Err(error) = serve_link(service, stream).await {
+                tracing::debug!(event = "peer_link_closed", error = %error);
+            }
+        });
+    }
+}
+
+async fn serve_link(service: Arc<dyn PeerService>, stream: TcpStream) -> Result<(), h2::Error> {
+    if let Err(error) = watch_peer(&stream) {
+        // Without the options frames wait for each other, and a cut is found later.
+        tracing::debug!(event = "peer_options_failed", %error);
+    }
+    let mut builder = h2::server::Builder::new();
+    builder.initial_window_size(PEER_WINDOW).initial_connection_window_size(PEER_WINDOW);
+    builder.max_frame_size(PEER_FRAME).max_concurrent_streams(MAX_STREAMS);
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, builder.handshake::<_, Bytes>(stream)).await;
+    let Ok(connection) = handshake else { return Ok(()) };
+    let mut connection = connection?;
+    let (close, mut closed) = mpsc::channel::<()>(1);
+    let mut patience = service.first_message_within();
+    loop {
+        tokio::select! {
+            accepted = tokio::time::timeout(patience, connection.accept()) => {
+                // Nodes connect when they have something to say, and again when they need to.
+                let Ok(Some(accepted)) = accepted else { return Ok(()) };
+                let (request, respond) = accepted?;
+                patience = IDLE_TIMEOUT;
+                tokio::spawn(serve_stream(service.clone(), request, respond, close.clone()));
+            }
+            _ = closed.recv() => {
+                connection.abrupt_shutdown(Reason::PROTOCOL_ERROR);
+                return std::future::poll_fn(|cx| connection.poll_closed(cx)).await;
+            }
+        }
+    }
+}
+
+async fn serve_stream(
+    service: Arc<dyn PeerService>,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    close: mpsc::Sender<()>,
+) {
+    let path = request.uri().path().to_owned();
+    let result = service.serve(&path, request.into_body(), &mut respond).await;
+    if let Err(PeerError::Decode(_) | PeerError::FrameTooLong(_) | PeerError::BadStatus(_)) = result {
+        service.note_malformed(&path);
+        tracing::warn!(event = "bad_peer_message", path = %path);
+        // A full channel means that the link is being closed already.
+        let _ = close.try_send(());
+    }
+}
+
+/// Reads the one message of a stream, at most `limit` bytes.
+///
+/// # Errors
+/// The stream fails, or the message is too long or malformed.
+pub async fn read_message<M: bincode::Decode<()>>(body: RecvStream, limit: usize) -> Result<M, PeerError> {
+    FrameReader::new(body, limit).next().await?.ok_or(PeerError::EndedEarly)
+}
+
+/// Answers with one message.
+///
+/// # Errors
+/// The stream fails.
+pub async fn reply<M: bincode::Encode>(respond: &mut SendResponse<Bytes>, message: &M) -> Result<(), PeerError> {
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    send_frame(&mut stream, encode_frame(message)?, true).await
+}
+
+/// Tells the other node that nothing was done with its message.
+///
+/// # Errors
+/// The stream fails.
+pub fn refuse(respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+    let mut refusal = Response::new(());
+    *refusal.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    respond.send_response(refusal, true)?;
+    Ok(())
+}
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -19,7 +19,7 @@
 
 /// Calls that were outrun go on for so long: their answers tell when a server that fell
 /// silent is back, and their connections stay usable.
-const OUTRUN_LIFE: Duration = Duration::from_millis(400);
+pub const OUTRUN_LIFE: Duration = Duration::from_millis(400);
 
 /// Added to the cost of a server whose entry is gone: any other that answers goes first.
 const DOUBT_COST_US: f64 = 1e9;
@@ -36,6 +36,8 @@
     pub request: Arc<CallerRequest>,
     /// Latencies of the route.
     pub times: RouteTimes,
+    /// The part of each request that this node counts for its budget of extra calls.
+    pub request_share: f64,
 }
 
 /// A call in flight; it resolves to the position of its service among the request's.
@@ -65,6 +67,17 @@
         Self { service, pending: 0, sent: 0, tried: Vec::new(), hedge_at: None, may_have_run: false }
     }
 
+    /// Servers that the request was sent to, by this node or for it.
+    pub fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Notes to how many servers another node sent the request.
+    pub fn note_sent_elsewhere(&mut self, sent: u32) {
+        self.sent = self.sent.max(sent);
+        self.may_have_run |= sent > 0;
+    }
+
     /// Notes how a call ended that gave no usable answer.
     pub fn note_failure(&mut self, failure: Option<CallFailure>) {
         self.pending = self.pending.saturating_sub(1);
@@ -86,6 +99,12 @@
         self.route.kind == RouteKind::AtMostOnce
     }
 
+    /// The server that a first attempt at a service would go to.
+    pub fn best_server(&self, attempts: &ServiceAttempts) -> Option<Arc<Server>> {
+        let service = self.view.services.get(&attempts.service)?;
+        self.choose(attempts, service)
+    }
+
     /// The server to try next: the one believed to answer soonest that was not tried yet.
     fn choose(&self, attempts: &ServiceAttempts, service: &Service) -> Option<Arc<Server>> {
         let now = self.now();
@@ -111,10 +130,10 @@
         let Some(server) = self.choose(attempts, service) else { return false };
         let now = self.now();
         let limits = self.router.extra_limits(&self.view);
-        let mut budget = service.budget.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut budget = service.budget();
         if attempts.sent == 0 {
             if attempts.tried.is_empty() {
-                budget.note_request(now, &limits, 1.0);
+                budget.note_request(now, &limits, self.request_share);
             }
         } else if !budget.spend(now, &limits) {
             metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
--- /dev/null
+++ b/crates/router/src/batch.rs
@@ -0,0 +1,107 @@
+//! Messages between nodes: shards that one node asks another to query and fold for it.
+
+use bincode::{Decode, Encode};
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Uri};
+use streamfold_model::{RouteName, ServiceName, TableVersion};
+
+/// Path of a batch of shards.
+pub const PATH_BATCH: &str = "/shards";
+/// Path of a request for what a node knows of the cluster.
+pub const PATH_KNOWLEDGE: &str = "/knowledge";
+
+/// A caller's request as it travels between nodes.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct RequestCopy {
+    /// Its id.
+    pub id: Vec<u8>,
+    /// Its method.
+    pub method: String,
+    /// Its path and query.
+    pub uri: String,
+    /// Its headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// Why a copied request cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the copied request is not one")]
+pub struct CopyError;
+
+impl RequestCopy {
+    /// Its method, path and headers as the HTTP library has them.
+    ///
+    /// # Errors
+    /// One of them is malformed.
+    pub fn read(&self) -> Result<(HeaderValue, Method, Uri, HeaderMap), CopyError> {
+        let id = HeaderValue::from_bytes(&self.id).map_err(|_| CopyError)?;
+        let method = self.method.parse().map_err(|_| CopyError)?;
+        let uri = self.uri.parse().map_err(|_| CopyError)?;
+        let mut headers = HeaderMap::with_capacity(self.headers.len());
+        for (name, value) in &self.headers {
+            let name: HeaderName = name.parse().map_err(|_| CopyError)?;
+            headers.append(name, HeaderValue::from_bytes(value).map_err(|_| CopyError)?);
+        }
+        Ok((id, method, uri, headers))
+    }
+}
+
+/// Shards that another node is to query.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct ShardBatch {
+    /// The request.
+    pub request: RequestCopy,
+    /// Its route, for what is known of its latencies.
+    pub route: RouteName,
+    /// The version of the routes it was found in.
+    pub version: TableVersion,
+    /// The shards.
+    pub shards: Vec<ServiceName>,
+    /// Records wanted, the greatest first.
+    pub top: usize,
+    /// The most servers of each shard.
+    pub max_attempts: u32,
+    /// The route's target latency, in microseconds.
+    pub target_us: u64,
+    /// How long the request may still run, in microseconds.
+    pub left_us: u64,
+    /// When the reply is wanted at the latest, with what is there, in microseconds from now.
+    pub reply_within_us: u64,
+    /// When a sign of life is wanted if the reply is not there yet, in microseconds from now.
+    pub alive_within_us: u64,
+}
+
+/// A shard in a reply.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct FoldedShard {
+    /// Its position in the batch.
+    pub position: u32,
+    /// The server's proof.
+    pub proof: Vec<u8>,
+}
+
+/// What became of a batch.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct ShardReply {
+    /// The version of the routes at the replying node.
+    pub version: TableVersion,
+    /// Whether the replying node is about to stop.
+    pub is_stopping: bool,
+    /// The shards whose records are in.
+    pub shards: Vec<FoldedShard>,
+    /// Positions of the shards that are not, with the servers each was sent to.
+    pub missing: Vec<(u32, u32)>,
+    /// The greatest records of the shards that are in.
+    pub records: Vec<u8>,
+}
+
+/// A frame of an answer to a batch.
+#[derive(Debug, Clone, Encode, Decode)]
+pub enum BatchFrame {
+    /// The node is at work.
+    Working,
+    /// The reply; the last frame.
+    Done(ShardReply),
+}
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -11,9 +11,11 @@
 };
 use streamfold_policy::Moment;
 use streamfold_policy::extra_budget::ExtraBudget;
+use streamfold_policy::owner::choose_owners;
 use streamfold_policy::replica::Distance;
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
+use crate::peers::PeerNode;
 use crate::server::Server;
 use crate::times::CallTimes;
 
@@ -25,6 +27,8 @@
 /// The share of a server's connections that the nodes divide among them; the rest is for the
 /// moment in which two of them count the nodes differently.
 const DIVIDED_SHARE: f64 = 0.9;
+/// Nodes of each other failure domain that a node keeps links to.
+const PEERS_PER_DOMAIN: usize = 4;
 /// Nodes counted on while none is known.
 const ASSUMED_NODES: f64 = 8.0;
 
@@ -32,8 +36,14 @@
 pub struct Service {
     /// The servers.
     pub servers: Vec<Arc<Server>>,
+    budget: Arc<Mutex<ExtraBudget>>,
+}
+
+impl Service {
     /// Extra calls spent on it by this node.
-    pub budget: Arc<Mutex<ExtraBudget>>,
+    pub fn budget(&self) -> MutexGuard<'_, ExtraBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Latencies of one route's calls to servers.
@@ -48,7 +58,9 @@
     /// Latencies by route.
     pub times: HashMap<RouteName, RouteTimes>,
     /// Nodes known, this one included.
-    pub nodes: Vec<NodeEntry>,
+    pub nodes: usize,
+    /// Nodes of other failure domains that this one keeps links to.
+    pub peers: Vec<Arc<PeerNode>>,
 }
 
 /// The parts of the view, changed under a lock.
@@ -59,6 +71,7 @@
     budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
     times: HashMap<RouteName, RouteTimes>,
     nodes: HashMap<NodeId, NodeEntry>,
+    peers: HashMap<NodeId, Arc<PeerNode>>,
 }
 
 /// Where a node stands among failure domains.
@@ -101,6 +114,7 @@
             budgets: HashMap::new(),
             times: HashMap::new(),
             nodes: HashMap::new(),
+            peers: HashMap::new(),
         };
         let view = ArcSwap::from_pointee(parts.build_view());
         Self { place, parts: Mutex::new(parts), view }
@@ -158,11 +172,7 @@
                     self.offer_table(*table, "store");
                 }
                 FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry),
-                FeedChange::Put(FeedItem::Node(entry)) => {
-                    is_changed = true;
-                    tracing::info!(event = "node_seen", node = %entry.node, incarnation = %entry.incarnation, address = %entry.peer_address);
-                    self.parts().nodes.insert(entry.node.clone(), entry);
-                }
+                FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry),
                 FeedChange::Removed(name) => is_changed |= self.remove(now, topic, &name),
             }
         }
@@ -209,13 +219,31 @@
         true
     }
 
+    fn put_node(&self, entry: NodeEntry) -> bool {
+        let mut parts = self.parts();
+        if parts.nodes.get(&entry.node) == Some(&entry) {
+            return false;
+        }
+        tracing::info!(
+            event = "node_seen",
+            node = %entry.node,
+            incarnation = %entry.incarnation,
+            address = %entry.peer_address
+        );
+        parts.nodes.insert(entry.node.clone(), entry);
+        parts.choose_peers(&self.place);
+        true
+    }
+
     fn remove(&self, now: Moment, topic: FeedTopic, name: &str) -> bool {
         let mut parts = self.parts();
         match topic {
             FeedTopic::Routes => false,
             FeedTopic::Nodes => {
                 tracing::info!(event = "node_gone", node = name);
-                name.parse::<NodeId>().is_ok_and(|node| parts.nodes.remove(&node).is_some())
+                let is_removed = name.parse::<NodeId>().is_ok_and(|node| parts.nodes.remove(&node).is_some());
+                parts.choose_peers(&self.place);
+                is_removed
             }
             FeedTopic::Servers => {
                 let Ok(id) = name.parse::<ServerId>() else { return false };
@@ -263,6 +291,26 @@
         true
     }
 
+    /// Chooses the nodes of other failure domains to keep links to, a few of each, so that
+    /// links grow with domains and not with nodes.
+    fn choose_peers(&mut self, place: &ClusterPlace) {
+        let mut by_domain: HashMap<&FailureDomain, Vec<&NodeEntry>> = HashMap::new();
+        for entry in self.nodes.values().filter(|entry| entry.domain != place.domain) {
+            by_domain.entry(&entry.domain).or_default().push(entry);
+        }
+        let mut peers = HashMap::new();
+        for (domain, entries) in by_domain {
+            let names = entries.iter().map(|entry| entry.node.as_str());
+            let chosen = choose_owners(names, place.node.as_str(), PEERS_PER_DOMAIN);
+            for entry in entries.into_iter().filter(|entry| chosen.contains(&entry.node.as_str())) {
+                let known = self.peers.get(&entry.node).filter(|peer| peer.entry == *entry);
+                let peer = known.cloned().unwrap_or_else(|| PeerNode::new(entry.clone(), place.distance(domain)));
+                peers.insert(entry.node.clone(), peer);
+            }
+        }
+        self.peers = peers;
+    }
+
     /// Keeps the latencies of routes that are in the new version too.
     fn keep_times(&mut self, table: &RouteTable) {
         let mut old = std::mem::take(&mut self.times);
@@ -283,7 +331,8 @@
             table: self.table.clone(),
             services,
             times: self.times.clone(),
-            nodes: self.nodes.values().cloned().collect(),
+            nodes: self.nodes.len(),
+            peers: self.peers.values().cloned().collect(),
         }
     }
 }
@@ -293,7 +342,7 @@
     pub fn connection_share(&self, service: &ServiceName) -> u32 {
         let spec = self.table.as_ref().and_then(|table| table.service(service));
         let Some(spec) = spec else { return 1 };
-        let nodes = if self.nodes.is_empty() { ASSUMED_NODES } else { self.nodes.len() as f64 };
+        let nodes = if self.nodes == 0 { ASSUMED_NODES } else { self.nodes as f64 };
         ((f64::from(spec.max_connections) * DIVIDED_SHARE / nodes) as u32).max(1)
     }
 }
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -12,35 +12,18 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
+use streamfold_link::socket::watch_peer;
 use tokio::net::TcpStream;
 
 use crate::error::ExchangeError;
 
-/// A path that acknowledges nothing for so long is given up; the platform's machines may
-/// vanish without a reset.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
-/// A server whose machine vanished while it worked is found by probes.
-const PROBE_AFTER: Duration = Duration::from_secs(1);
-
 /// A connection to one server.
 pub struct ServerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
 }
 
-/// Sets what finds a peer that vanished without a word.
-///
-/// # Errors
-/// The system refuses an option.
-pub fn watch_peer(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
-    let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER).with_retries(2);
-    socket.set_tcp_keepalive(&probes)
-}
-
 impl ServerConnection {
     /// Connects to a server.
     ///
--- /dev/null
+++ b/crates/router/src/delegate.rs
@@ -0,0 +1,183 @@
+//! Which shards of a request go to other nodes, and to which.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use streamfold_model::{FailureDomain, ServiceName};
+use streamfold_policy::Moment;
+use streamfold_policy::fold_rule::FoldRule;
+use streamfold_policy::replica::Distance;
+
+use crate::attempts::{AttemptContext, OUTRUN_LIFE};
+use crate::batch::{BatchFrame, ShardBatch};
+use crate::gather::ShardSlot;
+use crate::peers::{BatchNews, PeerNode, PendingBatch};
+
+/// Fewer shards than this are asked for directly: a second node would not save anything.
+const MIN_BATCH: usize = 2;
+/// The way to another node and back, with some work at both ends, by how far it is. The
+/// regions lie up to 12 ms apart one way.
+const REGION_WAY: Duration = Duration::from_millis(8);
+const FAR_WAY: Duration = Duration::from_millis(32);
+/// A reply is wanted at least so late, however little time is left.
+const MIN_REPLY: Duration = Duration::from_millis(5);
+/// The part of a request for a service that the asking node counts for its own budget of
+/// extra calls; the node that makes the first call counts the rest.
+pub const ASKING_SHARE: f64 = 0.3;
+
+/// A batch at another node; resolves to its number and what happened.
+pub type PendingBatchNews = BoxFuture<'static, (usize, PendingBatch, BatchNews)>;
+
+/// The batches of one request at other nodes.
+pub type PendingBatches = FuturesUnordered<PendingBatchNews>;
+
+/// A batch as the asking node sees it.
+pub struct BatchSlot {
+    /// The node asked.
+    pub peer: Arc<PeerNode>,
+    /// The shards' positions in the request.
+    pub positions: Vec<usize>,
+    /// When this node asks for the shards itself if it has heard nothing.
+    pub takeover_at: Option<Moment>,
+    /// When the reply must be here.
+    pub reply_by: Moment,
+    /// Whether a reply is still expected.
+    pub is_open: bool,
+    /// The folded records of its shards, once they are here.
+    pub records: Bytes,
+}
+
+/// Waits for the next frame of a batch.
+pub fn read_on(number: usize, pending: PendingBatch) -> PendingBatchNews {
+    async move {
+        let (pending, news) = pending.next().await;
+        (number, pending, news)
+    }
+    .boxed()
+}
+
+fn way(distance: Distance) -> Duration {
+    match distance {
+        Distance::Domain | Distance::Region => REGION_WAY,
+        Distance::Far => FAR_WAY,
+    }
+}
+
+impl AttemptContext {
+    /// The failure domains whose nodes are asked for shards, each with the shards' positions.
+    /// Shards with a server near are not among them, nor domains that would get very few.
+    pub fn plan_batches(&self, slots: &[ShardSlot]) -> Vec<(FailureDomain, Vec<usize>)> {
+        let now = self.now();
+        let mut by_domain: BTreeMap<FailureDomain, BTreeSet<usize>> = BTreeMap::new();
+        for (position, slot) in slots.iter().enumerate() {
+            let Some(best) = self.best_server(&slot.attempts) else { continue };
+            if best.distance == Distance::Domain {
+                continue;
+            }
+            let Some(service) = self.view.services.get(&slot.attempts.service) else { continue };
+            let usable = service.servers.iter().filter(|server| !server.state().is_avoided(now));
+            for server in usable.filter(|server| server.distance != Distance::Domain) {
+                by_domain.entry(server.domain.clone()).or_default().insert(position);
+            }
+        }
+        by_domain.retain(|domain, _| self.usable_peers(domain).next().is_some());
+        take_largest(by_domain)
+    }
+
+    fn usable_peers<'a>(&'a self, domain: &'a FailureDomain) -> impl Iterator<Item = &'a Arc<PeerNode>> {
+        let now = self.now();
+        self.view.peers.iter().filter(move |peer| peer.entry.domain == *domain && peer.is_usable(now))
+    }
+
+    /// The node of a failure domain with the least work from here.
+    pub fn choose_peer(&self, domain: &FailureDomain) -> Option<Arc<PeerNode>> {
+        let busy = |peer: &Arc<PeerNode>| f64::from(peer.state().running()) + rand::random_range(0.0..1.0);
+        let costed = self.usable_peers(domain).map(|peer| (busy(peer), peer));
+        costed.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, peer)| peer.clone())
+    }
+
+    /// Counts a request for a service whose first call another node makes.
+    pub fn note_delegated(&self, service: &ServiceName) {
+        let Some(service) = self.view.services.get(service) else { return };
+        let limits = self.router.extra_limits(&self.view);
+        service.budget().note_request(self.now(), &limits, ASKING_SHARE);
+    }
+
+    /// Sends shards to another node.
+    pub fn send_batch(
+        &self,
+        number: usize,
+        peer: Arc<PeerNode>,
+        positions: Vec<usize>,
+        shards: Vec<ServiceName>,
+        rule: &FoldRule,
+        top: usize,
+    ) -> (BatchSlot, PendingBatchNews) {
+        let now = self.now();
+        let way = way(peer.distance);
+        let alive_within = self.times.patience(Distance::Domain, self.route.target_latency);
+        let target = self.request.started.plus(rule.target.min(rule.limit));
+        let reply_within = target.since(now).saturating_sub(way).max(MIN_REPLY);
+        let batch = ShardBatch {
+            request: self.request.copy(),
+            route: self.route.name.clone(),
+            version: self.router.cluster.version(),
+            shards,
+            top,
+            max_attempts: self.route.max_attempts,
+            target_us: self.route.target_latency.as_micros() as u64,
+            left_us: self.request.deadline.since(now).as_micros() as u64,
+            reply_within_us: reply_within.as_micros() as u64,
+            alive_within_us: alive_within.as_micros() as u64,
+        };
+        let slot = BatchSlot {
+            peer: peer.clone(),
+            positions,
+            takeover_at: Some(now.plus(alive_within.min(reply_within) + way)),
+            reply_by: now.plus(reply_within + way),
+            is_open: true,
+            records: Bytes::new(),
+        };
+        let sending = PendingBatch::new(self.router.clone(), peer).send(batch);
+        let pending = async move {
+            let (pending, news) = sending.await;
+            (number, pending, news)
+        };
+        (slot, pending.boxed())
+    }
+
+    /// Lets batches that were outrun go on for a moment.
+    pub fn release_batches(&self, batches: PendingBatches) {
+        if batches.is_empty() {
+            return;
+        }
+        let drained = batches.for_each_concurrent(None, |(number, pending, news)| async move {
+            if let BatchNews::Frame(BatchFrame::Working) = news {
+                let _ = read_on(number, pending).await;
+            }
+        });
+        tokio::spawn(tokio::time::timeout(OUTRUN_LIFE, drained));
+    }
+}
+
+/// Gives each position to one domain, the domains with most positions first.
+fn take_largest(mut by_domain: BTreeMap<FailureDomain, BTreeSet<usize>>) -> Vec<(FailureDomain, Vec<usize>)> {
+    let mut batches = Vec::new();
+    loop {
+        let largest = by_domain.iter().max_by_key(|(_, positions)| (positions.len(), rand::random::<u32>()));
+        let Some((domain, positions)) = largest.filter(|(_, positions)| positions.len() >= MIN_BATCH) else {
+            return batches;
+        };
+        let (domain, positions) = (domain.clone(), positions.clone());
+        by_domain.remove(&domain);
+        for others in by_domain.values_mut() {
+            others.retain(|position| !positions.contains(position));
+        }
+        batches.push((domain, positions.into_iter().collect()));
+    }
+}
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -39,21 +39,24 @@
 
 impl FeedFollower {
     async fn step(&self) -> Result<FeedPosition, StoreError> {
+        let Some(position) = self.position else { return self.list().await };
         let router = &self.router;
-        match self.position {
-            None => {
-                let list = router.feed.list(self.topic).await?;
-                let now = router.clock.now();
-                router.cluster.replace(now, list.items, self.topic);
-                Ok(list.position)
+        let news = tokio::select! {
+            news = router.feed.watch(self.topic, position, WATCH_WAIT) => news?,
+            () = router.newer_routes.notified(), if self.topic == FeedTopic::Routes => {
+                tracing::info!(event = "routes_behind", version = %router.cluster.version());
+                return self.list().await;
             }
-            Some(position) => {
-                let news = router.feed.watch(self.topic, position, WATCH_WAIT).await?;
-                let now = router.clock.now();
-                router.cluster.apply(now, news.changes, self.topic);
-                Ok(news.position)
-            }
-        }
+        };
+        router.cluster.apply(router.clock.now(), news.changes, self.topic);
+        Ok(news.position)
+    }
+
+    async fn list(&self) -> Result<FeedPosition, StoreError> {
+        let router = &self.router;
+        let list = router.feed.list(self.topic).await?;
+        router.cluster.replace(router.clock.now(), list.items, self.topic);
+        Ok(list.position)
     }
 
     fn note_success(&mut self, position: FeedPosition) {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -12,6 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use streamfold_link::socket::watch_peer;
 use streamfold_model::{RouteSpec, RouteTable, RouteTarget};
 use streamfold_policy::Moment;
 use tokio::net::{TcpListener, TcpStream};
@@ -21,7 +22,6 @@
 use crate::attempts::AttemptContext;
 use crate::border::FeedTopic;
 use crate::cluster::ClusterView;
-use crate::connection::watch_peer;
 use crate::request::CallerRequest;
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::{gather, single};
@@ -132,6 +132,7 @@
         route: routed.route,
         request: Arc::new(request),
         times,
+        request_share: 1.0,
     })
 }
 
@@ -163,11 +164,11 @@
 }
 
 async fn run(router: &Arc<Router>, context: AttemptContext) -> CallerAnswer {
-    let mut coverage = None;
+    let mut coverage = GatherCoverage { answered: 1, shards: 1, delegated: 0 };
     let result = match &context.route.target {
         RouteTarget::All(fold) => {
             let end = gather::run(&context, fold).await;
-            coverage = Some((end.answered, end.shards));
+            coverage = GatherCoverage { answered: end.answered, shards: end.shards, delegated: end.delegated };
             end.result
         }
         RouteTarget::One(parts) => match single::choose_service(parts, rand::random()) {
@@ -175,16 +176,22 @@
             None => Err(RefusalKind::NoRoute),
         },
     };
-    note(&context, &result, coverage);
+    note(&context, &result, &coverage);
     result.unwrap_or_else(|kind| refuse(&*router.format, kind))
 }
 
+/// What an answer covers, for the log.
+struct GatherCoverage {
+    answered: usize,
+    shards: usize,
+    delegated: usize,
+}
+
 /// Counts a request and logs how it ended.
-fn note(context: &AttemptContext, result: &Result<CallerAnswer, RefusalKind>, coverage: Option<(usize, usize)>) {
+fn note(context: &AttemptContext, result: &Result<CallerAnswer, RefusalKind>, coverage: &GatherCoverage) {
     let took = context.now().since(context.request.started);
     let outcome = result.as_ref().map_or_else(|kind| kind.name(), |_| "answered");
     let status = result.as_ref().map_or_else(|kind| kind.status(), http::Response::status);
-    let (answered, shards) = coverage.unwrap_or((1, 1));
     metrics::counter!("streamfold_requests_total", "outcome" => outcome).increment(1);
     metrics::histogram!("streamfold_request_seconds").record(took.as_secs_f64());
     let is_late = took > context.route.target_latency;
@@ -195,8 +202,9 @@
         version = %context.view.table.as_ref().map_or(Default::default(), |table| table.version),
         outcome,
         status = status.as_u16(),
-        answered,
-        shards,
+        answered = coverage.answered,
+        shards = coverage.shards,
+        delegated = coverage.delegated,
         late = is_late,
         took_us = took.as_micros() as u64
     );
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -1,4 +1,5 @@
-//! A request to every shard: one server of each is asked, and the answers are folded.
+//! A request to every shard: one server of each is asked, near ones by this node and the
+//! others by nodes near them, and the answers are folded.
 
 use std::pin::pin;
 use std::time::Duration;
@@ -7,14 +8,17 @@
 use futures_util::stream::StreamExt;
 use http::{HeaderValue, Response};
 use http_body_util::Full;
-use streamfold_model::ShardFold;
+use streamfold_model::{ServiceName, ShardFold};
 use streamfold_policy::Moment;
 use streamfold_policy::fold_rule::{FoldRule, FoldStep};
 
 use crate::answer::{CallerAnswer, RefusalKind};
 use crate::attempts::{AttemptContext, PendingCalls, ServiceAttempts};
+use crate::batch::{FoldedShard, ShardReply};
 use crate::call::EndedCall;
+use crate::delegate::{BatchSlot, PendingBatches};
 use crate::fold::{ShardPart, fold_records};
+use crate::peers::BatchNews;
 
 /// An answer leaves so long before the target latency: the way to the caller and back, and
 /// the work of folding and sending.
@@ -23,17 +27,29 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// One shard of a request.
-struct ShardSlot {
-    attempts: ServiceAttempts,
-    part: Option<ShardPart>,
+pub struct ShardSlot {
+    /// Attempts of this node.
+    pub attempts: ServiceAttempts,
+    /// The batch it is in, if another node was asked.
+    pub batch: Option<usize>,
+    /// Its answer. One that came in a batch has its records there.
+    pub part: Option<ShardPart>,
 }
 
 /// A request to every shard under way.
-struct GatherRound<'a> {
-    context: &'a AttemptContext,
-    slots: Vec<ShardSlot>,
+pub struct GatherRound<'a> {
+    /// The request.
+    pub context: &'a AttemptContext,
+    /// Its shards.
+    pub slots: Vec<ShardSlot>,
+    /// Batches at other nodes.
+    pub batches: Vec<BatchSlot>,
+    /// When it is answered.
+    pub rule: FoldRule,
+    /// Records wanted.
+    pub top: usize,
     calls: PendingCalls,
-    rule: FoldRule,
+    pending_batches: PendingBatches,
 }
 
 /// How a request to every shard ended.
@@ -44,40 +60,78 @@
     pub answered: usize,
     /// Shards in all.
     pub shards: usize,
+    /// Shards that other nodes were asked for.
+    pub delegated: usize,
 }
 
 /// Asks every shard and folds the answers.
 pub async fn run(context: &AttemptContext, fold: &ShardFold) -> GatherEnd {
-    let mut round = GatherRound::new(context, fold);
-    round.start_all();
+    let rule = FoldRule {
+        target: context.route.target_latency.saturating_sub(ANSWER_MARGIN),
+        limit: context.request.deadline.since(context.request.started),
+        min_coverage: fold.min_coverage,
+        shards: fold.shards.len(),
+    };
+    let mut round = GatherRound::new(context, fold, rule);
+    round.delegate();
+    round.start_rest();
     let step = round.wait().await;
-    let calls = std::mem::take(&mut round.calls);
-    context.release(calls);
+    round.release();
     let answered = round.answered();
+    let delegated = round.slots.iter().filter(|slot| slot.batch.is_some()).count();
     let result = match step {
-        FoldStep::Answer => Ok(round.answer(fold)),
+        FoldStep::Answer => Ok(round.answer()),
         _ => Err(round.refusal()),
     };
-    GatherEnd { result, answered, shards: round.slots.len() }
+    GatherEnd { result, answered, shards: round.slots.len(), delegated }
+}
+
+/// Asks the shards of a batch for another node and replies with what is there in time.
+pub async fn run_for_peer(context: &AttemptContext, fold: &ShardFold, reply_within: Duration) -> ShardReply {
+    let rule = FoldRule { target: reply_within, limit: reply_within, min_coverage: 0.0, shards: fold.shards.len() };
+    let mut round = GatherRound::new(context, fold, rule);
+    round.start_rest();
+    round.wait().await;
+    round.release();
+    round.reply()
 }
 
 impl<'a> GatherRound<'a> {
-    fn new(context: &'a AttemptContext, fold: &ShardFold) -> Self {
-        let slot = |service: &streamfold_model::ServiceName| ShardSlot {
+    fn new(context: &'a AttemptContext, fold: &ShardFold, rule: FoldRule) -> Self {
+        let slot = |service: &ServiceName| ShardSlot {
             attempts: ServiceAttempts::new(service.clone()),
+            batch: None,
             part: None,
         };
-        let rule = FoldRule {
-            target: context.route.target_latency.saturating_sub(ANSWER_MARGIN),
-            limit: context.request.deadline.since(context.request.started),
-            min_coverage: fold.min_coverage,
-            shards: fold.shards.len(),
-        };
-        Self { context, slots: fold.shards.iter().map(slot).collect(), calls: PendingCalls::new(), rule }
+        Self {
+            context,
+            slots: fold.shards.iter().map(slot).collect(),
+            batches: Vec::new(),
+            rule,
+            top: fold.top,
+            calls: PendingCalls::new(),
+            pending_batches: PendingBatches::new(),
+        }
     }
 
-    fn start_all(&mut self) {
-        for (position, slot) in self.slots.iter_mut().enumerate() {
+    /// Hands shards without a server near to nodes near their servers.
+    fn delegate(&mut self) {
+        for (domain, positions) in self.context.plan_batches(&self.slots) {
+            let Some(peer) = self.context.choose_peer(&domain) else { continue };
+            let number = self.batches.len();
+            for position in &positions {
+                self.slots[*position].batch = Some(number);
+                self.context.note_delegated(&self.slots[*position].attempts.service);
+            }
+            let services = positions.iter().map(|position| self.slots[*position].attempts.service.clone()).collect();
+            let (slot, pending) = self.context.send_batch(number, peer, positions, services, &self.rule, self.top);
+            self.batches.push(slot);
+            self.pending_batches.push(pending);
+        }
+    }
+
+    fn start_rest(&mut self) {
+        for (position, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.batch.is_none()) {
             self.context.start(position, &mut slot.attempts, &self.calls);
         }
     }
@@ -86,13 +140,20 @@
         self.slots.iter().filter(|slot| slot.part.is_some()).count()
     }
 
+    fn is_pending(&self, slot: &ShardSlot) -> bool {
+        let in_batch = slot.batch.is_some_and(|number| self.batches[number].is_open);
+        slot.part.is_none() && (slot.attempts.pending > 0 || in_batch)
+    }
+
     fn pending(&self) -> usize {
-        self.slots.iter().filter(|slot| slot.part.is_none() && slot.attempts.pending > 0).count()
+        self.slots.iter().filter(|slot| self.is_pending(slot)).count()
     }
 
-    fn next_hedge(&self) -> Option<Moment> {
+    fn next_alarm(&self) -> Option<Moment> {
         let waiting = self.slots.iter().filter(|slot| slot.part.is_none());
-        waiting.filter_map(|slot| slot.attempts.hedge_at).min()
+        let hedges = waiting.filter_map(|slot| slot.attempts.hedge_at);
+        let takeovers = self.batches.iter().filter(|batch| batch.is_open).filter_map(|batch| batch.takeover_at);
+        hedges.chain(takeovers).min()
     }
 
     /// Waits until the answer is decided.
@@ -101,27 +162,116 @@
         let mut timer = pin!(tokio::time::sleep(Duration::ZERO));
         loop {
             let elapsed = clock.now().since(self.context.request.started);
-            let FoldStep::Wait(until) = self.rule.step(elapsed, self.answered(), self.pending()) else {
-                return self.rule.step(elapsed, self.answered(), self.pending());
-            };
+            let step = self.rule.step(elapsed, self.answered(), self.pending());
+            let FoldStep::Wait(until) = step else { return step };
             let until = self.context.request.started.plus(until);
-            let wake = self.next_hedge().map_or(until, |hedge| hedge.min(until));
+            let wake = self.next_alarm().map_or(until, |alarm| alarm.min(until));
             timer.as_mut().reset(clock.instant(wake));
             tokio::select! {
                 biased;
                 Some((position, took, ended)) = self.calls.next() => self.note_end(position, took, ended),
-                () = &mut timer => self.hedge_overdue(),
+                Some((number, pending, news)) = self.pending_batches.next() => {
+                    self.note_batch(number, news);
+                    self.keep_reading(number, pending);
+                }
+                () = &mut timer => self.note_alarms(),
             }
         }
     }
 
-    fn hedge_overdue(&mut self) {
+    fn note_alarms(&mut self) {
         let now = self.context.now();
         for (position, slot) in self.slots.iter_mut().enumerate() {
             if slot.part.is_none() && slot.attempts.hedge_at.is_some_and(|at| at <= now) {
                 self.context.hedge(position, &mut slot.attempts, &self.calls);
             }
         }
+        for number in 0..self.batches.len() {
+            let batch = &self.batches[number];
+            if batch.is_open && batch.takeover_at.is_some_and(|at| at <= now) {
+                self.take_over(number);
+            }
+        }
+    }
+
+    /// Asks for the shards of a batch itself, since the other node gives no sign of life.
+    fn take_over(&mut self, number: usize) {
+        let batch = &mut self.batches[number];
+        batch.takeover_at = None;
+        batch.peer.state().note_overdue(self.context.now(), 1.0);
+        tracing::info!(
+            event = "batch_overdue",
+            request = self.context.request.id_text(),
+            peer = %batch.peer.entry.node,
+            shards = batch.positions.len()
+        );
+        self.start_batch_shards(number, |_| 1);
+    }
+
+    /// Starts attempts of this node for the shards of a batch that are not in; `sent` tells
+    /// to how many servers each was sent before.
+    fn start_batch_shards(&mut self, number: usize, sent: impl Fn(usize) -> u32) {
+        for position in self.batches[number].positions.clone() {
+            let slot = &mut self.slots[position];
+            if slot.part.is_none() && slot.attempts.pending == 0 {
+                slot.attempts.note_sent_elsewhere(sent(position));
+                self.context.start(position, &mut slot.attempts, &self.calls);
+            }
+        }
+    }
+
+    fn note_batch(&mut self, number: usize, news: BatchNews) {
+        match news {
+            BatchNews::Frame(crate::batch::BatchFrame::Working) => {
+                let batch = &mut self.batches[number];
+                batch.takeover_at = Some(batch.reply_by);
+            }
+            BatchNews::Frame(crate::batch::BatchFrame::Done(reply)) => self.take_reply(number, reply),
+            BatchNews::Failed(error) => {
+                self.batches[number].is_open = false;
+                let sent = u32::from(!error.is_not_sent());
+                tracing::info!(
+                    event = "batch_failed",
+                    request = self.context.request.id_text(),
+                    peer = %self.batches[number].peer.entry.node,
+                    %error
+                );
+                self.start_batch_shards(number, |_| sent);
+            }
+        }
+    }
+
+    fn keep_reading(&mut self, number: usize, pending: crate::peers::PendingBatch) {
+        if self.batches[number].is_open {
+            self.pending_batches.push(crate::delegate::read_on(number, pending));
+        }
+    }
+
+    /// Takes over the shards of a reply. Their records lie folded together, so they replace
+    /// what this node may have fetched of the same shards meanwhile.
+    fn take_reply(&mut self, number: usize, reply: ShardReply) {
+        let batch = &mut self.batches[number];
+        batch.is_open = false;
+        self.context.router.note_version(reply.version);
+        if reply.is_stopping {
+            batch.peer.mark_stopping();
+        }
+        let Some(proofs) = read_proofs(&reply.shards, batch.positions.len()) else {
+            tracing::warn!(event = "batch_malformed", peer = %batch.peer.entry.node);
+            return self.start_batch_shards(number, |_| 1);
+        };
+        batch.records = Bytes::from(reply.records);
+        let positions = batch.positions.clone();
+        for (index, proof) in proofs {
+            let slot = &mut self.slots[positions[index]];
+            slot.attempts.may_have_run = true;
+            slot.part = Some(ShardPart { proof, records: Bytes::new() });
+        }
+        let sent = |position: usize| {
+            let told = reply.missing.iter().find(|(index, _)| positions.get(*index as usize) == Some(&position));
+            told.map_or(1, |(_, sent)| *sent)
+        };
+        self.start_batch_shards(number, sent);
     }
 
     fn note_end(&mut self, position: usize, took: Duration, ended: EndedCall) {
@@ -144,18 +294,42 @@
         }
     }
 
-    fn answer(&self, fold: &ShardFold) -> CallerAnswer {
-        let parts: Vec<&ShardPart> = self.slots.iter().filter_map(|slot| slot.part.as_ref()).collect();
-        let proofs: Vec<HeaderValue> = parts.iter().map(|part| part.proof.clone()).collect();
-        let body = fold_records(parts.iter().map(|part| &part.records), fold.top);
-        let mut answer: Response<Full<Bytes>> = Response::new(Full::new(body));
-        let missing = self.slots.len() - parts.len();
+    /// Lets what was outrun go on for a moment.
+    fn release(&mut self) {
+        self.context.release(std::mem::take(&mut self.calls));
+        self.context.release_batches(std::mem::take(&mut self.pending_batches));
+    }
+
+    fn fold(&self) -> Bytes {
+        let direct = self.slots.iter().filter_map(|slot| slot.part.as_ref()).map(|part| &part.records);
+        let folded = self.batches.iter().map(|batch| &batch.records);
+        fold_records(direct.chain(folded), self.top)
+    }
+
+    fn answer(&self) -> CallerAnswer {
+        let parts = self.slots.iter().filter_map(|slot| slot.part.as_ref());
+        let proofs: Vec<HeaderValue> = parts.map(|part| part.proof.clone()).collect();
+        let missing = self.slots.len() - proofs.len();
+        let mut answer: Response<Full<Bytes>> = Response::new(Full::new(self.fold()));
         self.context.router.format.write_folded(answer.headers_mut(), &proofs, missing);
         answer
     }
 
+    fn reply(&self) -> ShardReply {
+        let mut shards = Vec::new();
+        let mut missing = Vec::new();
+        for (slot, position) in self.slots.iter().zip(0..) {
+            match &slot.part {
+                Some(part) => shards.push(FoldedShard { position, proof: part.proof.as_bytes().to_vec() }),
+                None => missing.push((position, slot.attempts.sent())),
+            }
+        }
+        let version = self.context.router.cluster.version();
+        ShardReply { version, is_stopping: false, shards, missing, records: self.fold().to_vec() }
+    }
+
     fn refusal(&self) -> RefusalKind {
-        let has_run = self.slots.iter().any(|slot| slot.attempts.may_have_run || slot.attempts.pending > 0);
+        let has_run = self.slots.iter().any(|slot| slot.attempts.may_have_run || self.is_pending(slot));
         match has_run {
             false => RefusalKind::NotRun(RETRY_AFTER),
             true if self.context.now() >= self.context.request.deadline => RefusalKind::Late,
@@ -163,3 +337,16 @@
         }
     }
 }
+
+/// The proofs of a reply by their positions in the batch; `None` where one is out of range,
+/// there twice or no header value.
+fn read_proofs(shards: &[FoldedShard], count: usize) -> Option<Vec<(usize, HeaderValue)>> {
+    let mut seen = vec![false; count];
+    let read = |shard: &FoldedShard| {
+        let index = shard.position as usize;
+        let is_new = seen.get_mut(index).is_some_and(|seen| !std::mem::replace(seen, true));
+        let proof = HeaderValue::from_bytes(&shard.proof).ok()?;
+        is_new.then_some((index, proof))
+    };
+    shards.iter().map(read).collect()
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,16 +6,20 @@
 
 pub mod answer;
 pub mod attempts;
+pub mod batch;
 pub mod border;
 pub mod call;
 pub mod clock;
 pub mod cluster;
 pub mod connection;
+pub mod delegate;
 pub mod error;
 pub mod feed;
 pub mod fold;
 pub mod front;
 pub mod gather;
+pub mod peer_service;
+pub mod peers;
 pub mod ready;
 pub mod request;
 pub mod router;
--- /dev/null
+++ b/crates/router/src/peer_service.rs
@@ -0,0 +1,133 @@
+//! What this node does for others: queries shards near it and folds them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Request, Response};
+use streamfold_link::server::{self, PeerService};
+use streamfold_link::{PeerError, encode_frame, read_message, refuse, send_frame};
+use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold};
+use tokio::net::TcpListener;
+
+use crate::attempts::AttemptContext;
+use crate::batch::{BatchFrame, PATH_BATCH, ShardBatch, ShardReply};
+use crate::border::CallerHead;
+use crate::delegate::ASKING_SHARE;
+use crate::gather;
+use crate::request::CallerRequest;
+use crate::router::{LiveCount, Router, RouterPhase};
+
+/// The largest batch taken: a caller's head and body, and the names of the shards.
+const BATCH_LIMIT: usize = 8 << 20;
+/// Links are opened ahead of the first batch.
+const FIRST_MESSAGE_WITHIN: Duration = Duration::from_secs(120);
+
+/// A router as other nodes see it.
+struct RouterService(Arc<Router>);
+
+impl PeerService for RouterService {
+    fn serve<'a>(
+        &'a self,
+        path: &'a str,
+        body: RecvStream,
+        respond: &'a mut SendResponse<Bytes>,
+    ) -> BoxFuture<'a, Result<(), PeerError>> {
+        match path {
+            PATH_BATCH => serve_batch(&self.0, body, respond).boxed(),
+            _ => std::future::ready(Err(PeerError::BadStatus(404))).boxed(),
+        }
+    }
+
+    fn note_malformed(&self, _path: &str) {
+        metrics::counter!("streamfold_bad_peer_messages_total").increment(1);
+    }
+
+    fn first_message_within(&self) -> Duration {
+        FIRST_MESSAGE_WITHIN
+    }
+}
+
+/// Serves other nodes until this one ends.
+pub async fn serve(router: Arc<Router>, listener: TcpListener) {
+    server::serve(Arc::new(RouterService(router)), listener).await;
+}
+
+async fn serve_batch(
+    router: &Arc<Router>,
+    body: RecvStream,
+    respond: &mut SendResponse<Bytes>,
+) -> Result<(), PeerError> {
+    let batch: ShardBatch = read_message(body, BATCH_LIMIT).await?;
+    if *router.phase.borrow() == RouterPhase::Closing {
+        return refuse(respond);
+    }
+    let _count = LiveCount::new(&router.requests);
+    router.note_version(batch.version);
+    let context = build_context(router, &batch)?;
+    let alive_within = Duration::from_micros(batch.alive_within_us);
+    let reply_within = Duration::from_micros(batch.reply_within_us);
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    let RouteTarget::All(fold) = &context.route.target else { return Err(PeerError::BadStatus(400)) };
+    let mut run = Box::pin(gather::run_for_peer(&context, fold, reply_within));
+    let mut is_told = false;
+    let end = loop {
+        tokio::select! {
+            end = &mut run => break end,
+            () = tokio::time::sleep(alive_within), if !is_told => {
+                is_told = true;
+                send_frame(&mut stream, encode_frame(&BatchFrame::Working)?, false).await?;
+            }
+            // The asking node is done with it or its caller has left.
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
+        }
+    };
+    let reply = ShardReply {
+        version: router.cluster.version(),
+        is_stopping: *router.phase.borrow() != RouterPhase::Serving,
+        ..end
+    };
+    send_frame(&mut stream, encode_frame(&BatchFrame::Done(reply))?, true).await
+}
+
+/// The batch as a request of its own, over just its shards.
+fn build_context(router: &Arc<Router>, batch: &ShardBatch) -> Result<AttemptContext, PeerError> {
+    let malformed = |_| PeerError::BadStatus(400);
+    let (id, method, uri, headers) = batch.request.read().map_err(malformed)?;
+    let mut copy = Request::new(());
+    *copy.method_mut() = method;
+    *copy.uri_mut() = uri;
+    *copy.headers_mut() = headers;
+    let (parts, ()) = copy.into_parts();
+    let now = router.clock.now();
+    let head = CallerHead { request: id, deadline: None };
+    let body = Bytes::copy_from_slice(&batch.request.body);
+    let left = Duration::from_micros(batch.left_us);
+    let request = CallerRequest::new(head, parts, body, now, left);
+    let view = router.cluster.view();
+    let times = view.times.get(&batch.route).cloned().unwrap_or_default();
+    let fold = ShardFold { shards: batch.shards.clone(), top: batch.top, min_coverage: 0.0 };
+    let route = RouteSpec {
+        name: batch.route.clone(),
+        host: String::new(),
+        path_prefix: String::new(),
+        kind: RouteKind::Repeatable,
+        timeout: left,
+        target_latency: Duration::from_micros(batch.target_us),
+        max_attempts: batch.max_attempts,
+        priority: 0,
+        target: RouteTarget::All(fold),
+    };
+    Ok(AttemptContext {
+        router: router.clone(),
+        view,
+        route: Arc::new(route),
+        request: Arc::new(request),
+        times,
+        request_share: 1.0 - ASKING_SHARE,
+    })
+}
--- /dev/null
+++ b/crates/router/src/peers.rs
@@ -0,0 +1,140 @@
+//! Other nodes: the links to them, what is believed of them, and batches sent to them.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use streamfold_link::{FrameReader, PeerError, PeerLink};
+use streamfold_model::NodeEntry;
+use streamfold_policy::Moment;
+use streamfold_policy::replica::{CallSample, Distance, ReplicaState};
+
+use crate::batch::{BatchFrame, PATH_BATCH, ShardBatch};
+use crate::router::Router;
+
+/// Batches that a node works on at the same time before more of them wait.
+const PEER_SLOTS: u32 = 16;
+/// How often links that are down are tried again.
+const CONNECT_EVERY: Duration = Duration::from_millis(500);
+
+/// Another node.
+pub struct PeerNode {
+    /// Its entry.
+    pub entry: NodeEntry,
+    /// How far away it is.
+    pub distance: Distance,
+    /// The link to it.
+    pub link: Arc<PeerLink>,
+    state: Mutex<ReplicaState>,
+    is_stopping: AtomicBool,
+}
+
+impl PeerNode {
+    /// A node that is not connected to yet.
+    pub fn new(entry: NodeEntry, distance: Distance) -> Arc<Self> {
+        let link = PeerLink::new(entry.peer_address);
+        let state = Mutex::new(ReplicaState::new(PEER_SLOTS, Moment::default()));
+        Arc::new(Self { entry, distance, link, state, is_stopping: AtomicBool::new(false) })
+    }
+
+    /// What is believed of it.
+    pub fn state(&self) -> MutexGuard<'_, ReplicaState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether it may be given work.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        self.link.is_open() && !self.is_stopping.load(Ordering::Relaxed) && !self.state().is_avoided(now)
+    }
+
+    /// Marks it as about to stop; its next run has another entry.
+    pub fn mark_stopping(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Keeps the links to other nodes connected until the node ends.
+pub async fn keep_connected(router: Arc<Router>) {
+    loop {
+        let view = router.cluster.view();
+        for peer in view.peers.iter().filter(|peer| !peer.link.is_open()) {
+            let peer = peer.clone();
+            tokio::spawn(async move {
+                if peer.link.connect_now().await.is_ok() {
+                    tracing::info!(event = "peer_connected", peer = %peer.entry.node, address = %peer.entry.peer_address);
+                }
+            });
+        }
+        tokio::time::sleep(CONNECT_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
+    }
+}
+
+/// A batch under way at another node. Dropped, the work there is cancelled.
+pub struct PendingBatch {
+    /// The node.
+    pub peer: Arc<PeerNode>,
+    reader: Option<FrameReader>,
+    record: PeerRecord,
+}
+
+/// Tells the node's state how a batch ended, also when it is dropped.
+struct PeerRecord {
+    peer: Arc<PeerNode>,
+    router: Arc<Router>,
+    sample: CallSample,
+}
+
+impl Drop for PeerRecord {
+    fn drop(&mut self) {
+        let now = self.router.clock.now();
+        self.peer.state().finish(now, self.sample);
+    }
+}
+
+/// What happened to a batch.
+pub enum BatchNews {
+    /// A frame came.
+    Frame(BatchFrame),
+    /// It failed.
+    Failed(PeerError),
+}
+
+impl PendingBatch {
+    /// A batch about to be sent.
+    pub fn new(router: Arc<Router>, peer: Arc<PeerNode>) -> Self {
+        peer.state().start();
+        let record = PeerRecord { peer: peer.clone(), router, sample: CallSample::Abandoned };
+        Self { peer, reader: None, record }
+    }
+
+    /// Sends the batch and waits for its first frame.
+    pub async fn send(mut self, batch: ShardBatch) -> (Self, BatchNews) {
+        match self.peer.link.stream(PATH_BATCH, &batch).await {
+            Ok(reader) => {
+                self.reader = Some(reader);
+                self.next().await
+            }
+            Err(error) => self.fail(error),
+        }
+    }
+
+    /// Waits for the next frame.
+    pub async fn next(mut self) -> (Self, BatchNews) {
+        let Some(reader) = &mut self.reader else { return self.fail(PeerError::NotConnected) };
+        match reader.next::<BatchFrame>().await {
+            Ok(Some(frame)) => {
+                if let BatchFrame::Done(_) = frame {
+                    self.record.sample = CallSample::Answered(1.0);
+                }
+                (self, BatchNews::Frame(frame))
+            }
+            Ok(None) => self.fail(PeerError::EndedEarly),
+            Err(error) => self.fail(error),
+        }
+    }
+
+    fn fail(mut self, error: PeerError) -> (Self, BatchNews) {
+        self.record.sample = CallSample::Failed;
+        (self, BatchNews::Failed(error))
+    }
+}
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -12,6 +12,7 @@
 use streamfold_model::ServerId;
 use streamfold_policy::Moment;
 
+use crate::batch::RequestCopy;
 use crate::border::{CallFormat, CallerHead};
 
 /// Headers that concern one connection only.
@@ -82,6 +83,18 @@
         }
     }
 
+    /// The request as another node gets it.
+    pub fn copy(&self) -> RequestCopy {
+        let headers = self.headers.iter().map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()));
+        RequestCopy {
+            id: self.id.as_bytes().to_vec(),
+            method: self.method.as_str().to_owned(),
+            uri: self.uri.to_string(),
+            headers: headers.collect(),
+            body: self.body.to_vec(),
+        }
+    }
+
     /// The id for logs.
     pub fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("not-text")
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,11 +4,11 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use streamfold_model::{Incarnation, NodeEntry};
+use streamfold_model::{Incarnation, NodeEntry, TableVersion};
 use streamfold_policy::Moment;
 use streamfold_policy::extra_budget::ExtraLimits;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
 use crate::border::{CallFormat, ClusterFeed, FeedTopic};
@@ -16,7 +16,7 @@
 use crate::cluster::{Cluster, ClusterPlace, ClusterView};
 use crate::error::RouterError;
 use crate::settings::RouterSettings;
-use crate::{feed, front, ready};
+use crate::{feed, front, peer_service, peers, ready};
 
 /// The share of the fixed allowance that the nodes divide; the rest is for moments in which
 /// they count themselves differently.
@@ -65,6 +65,8 @@
     pub requests: AtomicUsize,
     /// Callers' connections.
     pub connections: AtomicUsize,
+    /// Told when another node has newer routes.
+    pub newer_routes: Notify,
     feeds: [FeedState; 3],
     started: Moment,
 }
@@ -117,6 +119,7 @@
     let callers = listen("callers", settings.callers).await?;
     let readiness = listen("ready", settings.ready).await?;
     let metrics = listen("metrics", settings.metrics).await?;
+    let peers_listener = listen("peers", settings.peers).await?;
     let router = Arc::new(Router::new(settings, format, feed));
     tracing::info!(
         event = "started",
@@ -134,6 +137,8 @@
         tasks.spawn(feed::follow(router.clone(), topic));
     }
     tasks.spawn(feed::announce(router.clone()));
+    tasks.spawn(peer_service::serve(router.clone(), peers_listener));
+    tasks.spawn(peers::keep_connected(router.clone()));
     tasks.spawn(sweep(router.clone()));
     Ok(RunningRouter { router, tasks })
 }
@@ -163,6 +168,7 @@
             phase: watch::Sender::new(RouterPhase::Serving),
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            newer_routes: Notify::new(),
             feeds: Default::default(),
             settings,
         }
@@ -192,6 +198,13 @@
         self.feeds[topic as usize].is_followed.load(Ordering::Relaxed)
     }
 
+    /// Notes the version of the routes at another node.
+    pub fn note_version(&self, version: TableVersion) {
+        if version > self.cluster.version() {
+            self.newer_routes.notify_one();
+        }
+    }
+
     /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
         let knows_servers = self.feeds[FeedTopic::Servers as usize].is_listed.load(Ordering::Relaxed);
@@ -204,11 +217,15 @@
     pub fn extra_limits(&self, view: &ClusterView) -> ExtraLimits {
         let extra = &self.settings.extra_calls;
         let is_new = !self.settings.first_start && self.clock.now().since(self.started) < extra.window.0;
-        let nodes = view.nodes.len().max(1) as f64;
+        let nodes = view.nodes.max(1) as f64;
         let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / nodes };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
     }
 
+    fn is_busy(&self) -> bool {
+        self.connections.load(Ordering::SeqCst) > 0 || self.requests.load(Ordering::SeqCst) > 0
+    }
+
     fn set_phase(&self, phase: RouterPhase) {
         tracing::info!(
             event = "stop_phase",
@@ -230,7 +247,7 @@
         tokio::time::sleep(LAME_DUCK).await;
         router.set_phase(RouterPhase::Closing);
         let end = began + router.settings.grace.0.saturating_sub(KILL_MARGIN);
-        while router.connections.load(Ordering::SeqCst) > 0 && tokio::time::Instant::now() < end {
+        while router.is_busy() && tokio::time::Instant::now() < end {
             tokio::time::sleep(STOP_LOOK).await;
         }
         tracing::info!(
