--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -67,7 +67,7 @@
     pub target_us: u64,
     /// How long the request may still run, in microseconds.
     pub left_us: u64,
-    /// When the reply is wanted at the latest, with what is there, in microseconds from now.
+    /// When a reply is wanted with what is there, in microseconds from now.
     pub reply_within_us: u64,
     /// When a sign of life is wanted if the reply is not there yet, in microseconds from now.
     pub alive_within_us: u64,
@@ -102,6 +102,8 @@
 pub enum BatchFrame {
     /// The node is at work.
     Working,
+    /// What is there, since the wanted time is over; another frame follows.
+    Partial(ShardReply),
     /// The reply; the last frame.
     Done(ShardReply),
 }
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -24,6 +24,9 @@
 /// regions lie up to 12 ms apart one way.
 const REGION_WAY: Duration = Duration::from_millis(8);
 const FAR_WAY: Duration = Duration::from_millis(32);
+/// How much later than expected a sign of life may come: nodes have a quarter of a core, and
+/// taking over too early asks a third server for a shard.
+const ALIVE_SLACK: Duration = Duration::from_millis(25);
 /// A reply is wanted at least so late, however little time is left.
 const MIN_REPLY: Duration = Duration::from_millis(5);
 /// The part of a request for a service that the asking node counts for its own budget of
@@ -138,8 +141,8 @@
         let slot = BatchSlot {
             peer: peer.clone(),
             positions,
-            takeover_at: Some(now.plus(alive_within.min(reply_within) + way)),
-            reply_by: now.plus(reply_within + way),
+            takeover_at: Some(now.plus(alive_within.min(reply_within) + way + ALIVE_SLACK)),
+            reply_by: now.plus(reply_within + way + ALIVE_SLACK),
             is_open: true,
             records: Bytes::new(),
         };
@@ -158,6 +161,7 @@
         }
         let drained = batches.for_each_concurrent(None, |(number, pending, news)| async move {
             if let BatchNews::Frame(BatchFrame::Working) = news {
+                // What it brings comes too late for this request.
                 let _ = read_on(number, pending).await;
             }
         });
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -1,7 +1,7 @@
 //! A request to every shard: one server of each is asked, near ones by this node and the
 //! others by nodes near them, and the answers are folded.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,14 +11,15 @@
 use streamfold_model::{ServiceName, ShardFold};
 use streamfold_policy::Moment;
 use streamfold_policy::fold_rule::{FoldRule, FoldStep};
+use tokio::time::Sleep;
 
 use crate::answer::{CallerAnswer, RefusalKind};
 use crate::attempts::{AttemptContext, PendingCalls, ServiceAttempts};
-use crate::batch::{FoldedShard, ShardReply};
+use crate::batch::{BatchFrame, FoldedShard, ShardReply};
 use crate::call::EndedCall;
-use crate::delegate::{BatchSlot, PendingBatches};
+use crate::delegate::{BatchSlot, PendingBatches, read_on};
 use crate::fold::{ShardPart, fold_records};
-use crate::peers::BatchNews;
+use crate::peers::{BatchNews, PendingBatch};
 
 /// An answer leaves so long before the target latency: the way to the caller and back, and
 /// the work of folding and sending.
@@ -86,14 +87,43 @@
     GatherEnd { result, answered, shards: round.slots.len(), delegated }
 }
 
-/// Asks the shards of a batch for another node and replies with what is there in time.
-pub async fn run_for_peer(context: &AttemptContext, fold: &ShardFold, reply_within: Duration) -> ShardReply {
-    let rule = FoldRule { target: reply_within, limit: reply_within, min_coverage: 0.0, shards: fold.shards.len() };
-    let mut round = GatherRound::new(context, fold, rule);
-    round.start_rest();
-    round.wait().await;
-    round.release();
-    round.reply()
+/// The shards of a batch, asked for another node.
+pub struct PeerGather<'a> {
+    round: GatherRound<'a>,
+    told: usize,
+}
+
+impl<'a> PeerGather<'a> {
+    /// Starts to ask the shards.
+    pub fn start(context: &'a AttemptContext, fold: &ShardFold, reply_within: Duration) -> Self {
+        let limit = context.request.deadline.since(context.request.started);
+        let rule = FoldRule { target: reply_within.min(limit), limit, min_coverage: 0.0, shards: fold.shards.len() };
+        let mut round = GatherRound::new(context, fold, rule);
+        round.start_rest();
+        Self { round, told: 0 }
+    }
+
+    /// The next reply: one with what is there once the wanted time is over, one with each
+    /// shard that comes after, and at last one with all that will come. Only the last is
+    /// marked so.
+    pub async fn next(&mut self) -> (ShardReply, bool) {
+        loop {
+            self.round.wait().await;
+            let answered = self.round.answered();
+            let elapsed = self.round.context.now().since(self.round.context.request.started);
+            let is_last = self.round.pending() == 0 || elapsed >= self.round.rule.limit;
+            if is_last || answered > self.told {
+                self.told = answered;
+                return (self.round.reply(), is_last);
+            }
+            self.round.wait_for_more().await;
+        }
+    }
+
+    /// Lets what was outrun go on for a moment.
+    pub fn release(mut self) {
+        self.round.release();
+    }
 }
 
 impl<'a> GatherRound<'a> {
@@ -167,15 +197,27 @@
             let until = self.context.request.started.plus(until);
             let wake = self.next_alarm().map_or(until, |alarm| alarm.min(until));
             timer.as_mut().reset(clock.instant(wake));
-            tokio::select! {
-                biased;
-                Some((position, took, ended)) = self.calls.next() => self.note_end(position, took, ended),
-                Some((number, pending, news)) = self.pending_batches.next() => {
-                    self.note_batch(number, news);
-                    self.keep_reading(number, pending);
-                }
-                () = &mut timer => self.note_alarms(),
+            self.wait_event(timer.as_mut()).await;
+        }
+    }
+
+    /// Waits for the next thing to happen, at most to the end of the request.
+    async fn wait_for_more(&mut self) {
+        let end = self.context.request.started.plus(self.rule.limit);
+        let wake = self.next_alarm().map_or(end, |alarm| alarm.min(end));
+        let timer = pin!(tokio::time::sleep_until(self.context.router.clock.instant(wake)));
+        self.wait_event(timer).await;
+    }
+
+    async fn wait_event(&mut self, timer: Pin<&mut Sleep>) {
+        tokio::select! {
+            biased;
+            Some((position, took, ended)) = self.calls.next() => self.note_end(position, took, ended),
+            Some((number, pending, news)) = self.pending_batches.next() => {
+                self.note_batch(number, news);
+                self.keep_reading(number, pending);
             }
+            () = timer => self.note_alarms(),
         }
     }
 
@@ -222,11 +264,20 @@
 
     fn note_batch(&mut self, number: usize, news: BatchNews) {
         match news {
-            BatchNews::Frame(crate::batch::BatchFrame::Working) => {
+            BatchNews::Frame(BatchFrame::Working) => {
                 let batch = &mut self.batches[number];
                 batch.takeover_at = Some(batch.reply_by);
             }
-            BatchNews::Frame(crate::batch::BatchFrame::Done(reply)) => self.take_reply(number, reply),
+            BatchNews::Frame(BatchFrame::Partial(reply)) => {
+                self.batches[number].takeover_at = None;
+                self.take_reply(number, reply);
+            }
+            BatchNews::Frame(BatchFrame::Done(reply)) => {
+                self.batches[number].is_open = false;
+                let missing = reply.missing.clone();
+                self.take_reply(number, reply);
+                self.start_missing(number, &missing);
+            }
             BatchNews::Failed(error) => {
                 self.batches[number].is_open = false;
                 let sent = u32::from(!error.is_not_sent());
@@ -241,9 +292,9 @@
         }
     }
 
-    fn keep_reading(&mut self, number: usize, pending: crate::peers::PendingBatch) {
+    fn keep_reading(&mut self, number: usize, pending: PendingBatch) {
         if self.batches[number].is_open {
-            self.pending_batches.push(crate::delegate::read_on(number, pending));
+            self.pending_batches.push(read_on(number, pending));
         }
     }
 
@@ -251,14 +302,13 @@
     /// what this node may have fetched of the same shards meanwhile.
     fn take_reply(&mut self, number: usize, reply: ShardReply) {
         let batch = &mut self.batches[number];
-        batch.is_open = false;
         self.context.router.note_version(reply.version);
         if reply.is_stopping {
             batch.peer.mark_stopping();
         }
         let Some(proofs) = read_proofs(&reply.shards, batch.positions.len()) else {
             tracing::warn!(event = "batch_malformed", peer = %batch.peer.entry.node);
-            return self.start_batch_shards(number, |_| 1);
+            return;
         };
         batch.records = Bytes::from(reply.records);
         let positions = batch.positions.clone();
@@ -267,8 +317,13 @@
             slot.attempts.may_have_run = true;
             slot.part = Some(ShardPart { proof, records: Bytes::new() });
         }
+    }
+
+    /// Asks itself for the shards that the other node could not get.
+    fn start_missing(&mut self, number: usize, missing: &[(u32, u32)]) {
+        let positions = self.batches[number].positions.clone();
         let sent = |position: usize| {
-            let told = reply.missing.iter().find(|(index, _)| positions.get(*index as usize) == Some(&position));
+            let told = missing.iter().find(|(index, _)| positions.get(*index as usize) == Some(&position));
             told.map_or(1, |(_, sent)| *sent)
         };
         self.start_batch_shards(number, sent);
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -18,7 +18,7 @@
 use crate::batch::{BatchFrame, PATH_BATCH, ShardBatch, ShardReply};
 use crate::border::CallerHead;
 use crate::delegate::ASKING_SHARE;
-use crate::gather;
+use crate::gather::PeerGather;
 use crate::request::CallerRequest;
 use crate::router::{LiveCount, Router, RouterPhase};
 
@@ -73,25 +73,31 @@
     let reply_within = Duration::from_micros(batch.reply_within_us);
     let mut stream = respond.send_response(Response::new(()), false)?;
     let RouteTarget::All(fold) = &context.route.target else { return Err(PeerError::BadStatus(400)) };
-    let mut run = Box::pin(gather::run_for_peer(&context, fold, reply_within));
+    let mut gather = PeerGather::start(&context, fold, reply_within);
+    let alive = tokio::time::sleep(alive_within);
+    tokio::pin!(alive);
     let mut is_told = false;
-    let end = loop {
+    loop {
         tokio::select! {
-            end = &mut run => break end,
-            () = tokio::time::sleep(alive_within), if !is_told => {
+            (reply, is_last) = gather.next() => {
+                is_told = true;
+                let is_stopping = *router.phase.borrow() != RouterPhase::Serving;
+                let reply = ShardReply { is_stopping, ..reply };
+                let frame = if is_last { BatchFrame::Done(reply) } else { BatchFrame::Partial(reply) };
+                send_frame(&mut stream, encode_frame(&frame)?, is_last).await?;
+                if is_last {
+                    gather.release();
+                    return Ok(());
+                }
+            }
+            () = &mut alive, if !is_told => {
                 is_told = true;
                 send_frame(&mut stream, encode_frame(&BatchFrame::Working)?, false).await?;
             }
             // The asking node is done with it or its caller has left.
             _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
         }
-    };
-    let reply = ShardReply {
-        version: router.cluster.version(),
-        is_stopping: *router.phase.borrow() != RouterPhase::Serving,
-        ..end
-    };
-    send_frame(&mut stream, encode_frame(&BatchFrame::Done(reply))?, true).await
+    }
 }
 
 /// The batch as a request of its own, over just its shards.
