Servers that took nothing are tried again after a pause; spare connections rest shortly

Hedges go out at the 0.97 quantile, bounded by 0.15 and 0.45 of the target; watches gather changes for 0.2 s.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod orders;
 pub mod platform;
 pub mod proxy;
+pub mod route_fleet;
+pub mod route_server;
 pub mod server;
 pub mod slopes;
 pub mod usage;
--- /dev/null
+++ b/crates/lab/src/route_fleet.rs
@@ -0,0 +1,360 @@
+//! Routers as real processes on loopback: a platform's store, servers registered in it, the
+//! operator's document, and `streamfoldd` with the settings file of a deployment.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStdout, Command};
+
+use crate::client::{CallAnswer, CallError, LabClient};
+use crate::fleet::find_binary;
+use crate::platform::{self, PlatformStandin};
+use crate::route_server::{self, HEALTH_PATH, RouteServer, RouteServerPlan};
+
+/// The failure domains of a fleet.
+pub const DOMAINS: [&str; 2] = ["zone-a", "zone-b"];
+/// Their regions.
+pub const REGIONS: [&str; 2] = ["north", "south"];
+/// The host of its routes.
+pub const HOST: &str = "shop.example";
+/// The settings of a deployment, with gaps.
+const SETTINGS: &str = include_str!("../../../deploy/settings.yaml");
+/// How long a fleet may take to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// How often readiness is looked at.
+const READY_LOOK: Duration = Duration::from_millis(20);
+/// How long one call of the fleet itself may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Extra calls allowed for each service and window: enough for any test.
+const ALLOWANCE: u32 = 1_000;
+/// Seconds between asking a node to stop and killing it.
+const GRACE_SECONDS: u32 = 6;
+
+/// Why a fleet did not come up.
+#[derive(Debug, thiserror::Error)]
+pub enum RouteFleetError {
+    /// A stand-in could not listen, or a process could not be started.
+    #[error("starting {what}: {source}")]
+    Io {
+        /// What was being started.
+        what: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A gap of the settings is not known here.
+    #[error("settings have a gap that nobody fills: {0}")]
+    Gap(String),
+    /// A node did not become ready.
+    #[error("node {0} was not ready within {READY_TIMEOUT:?}")]
+    NotReady(String),
+    /// A node's process ended.
+    #[error("the process of node {0} ended")]
+    Ended(String),
+}
+
+/// How a fleet is made.
+#[derive(Debug, Clone, Default)]
+pub struct RouteFleetPlan {
+    /// Nodes of each failure domain.
+    pub nodes: [usize; 2],
+    /// Its servers.
+    pub servers: Vec<RouteServerPlan>,
+    /// Its routes; without any the operator has written nothing yet.
+    pub routes: Vec<Value>,
+}
+
+/// The ports of a node.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteAddresses {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    /// Where counters are served.
+    pub metrics: SocketAddr,
+}
+
+/// What a node wrote to its log.
+pub type NodeLog = Arc<Mutex<Vec<String>>>;
+
+/// One node of a fleet.
+pub struct RouteNode {
+    /// Its name.
+    pub name: String,
+    /// Its ports.
+    pub addresses: RouteAddresses,
+    /// Its process.
+    pub process: Child,
+    log: NodeLog,
+}
+
+impl RouteNode {
+    /// Lines of its log that hold all of some texts.
+    pub fn logged(&self, texts: &[&str]) -> Vec<String> {
+        let lines = lock(&self.log);
+        lines.iter().filter(|line| texts.iter().all(|text| line.contains(text))).cloned().collect()
+    }
+}
+
+/// A running fleet.
+pub struct RouteFleet {
+    /// The platform's store.
+    pub platform: PlatformStandin,
+    /// Its servers, in the order of the plan.
+    pub servers: Vec<RouteServer>,
+    /// Its nodes, those of the first failure domain first.
+    pub nodes: Vec<RouteNode>,
+    /// A client to call it with.
+    pub client: LabClient,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn io(what: &'static str) -> impl Fn(std::io::Error) -> RouteFleetError {
+    move |source| RouteFleetError::Io { what, source }
+}
+
+/// The operator's document with some routes; it names their services.
+pub fn write_document(version: u64, routes: &[Value]) -> Value {
+    let mut names: Vec<String> = Vec::new();
+    for route in routes {
+        names.extend(route["service"].as_str().map(str::to_owned));
+        let parts = route["split"].as_array().into_iter().flatten().filter_map(|part| part["service"].as_str());
+        names.extend(parts.map(str::to_owned));
+        let shards = route["gather"].as_array().into_iter().flatten().filter_map(Value::as_str);
+        names.extend(shards.map(str::to_owned));
+    }
+    names.sort();
+    names.dedup();
+    let service = |name: &String| json!({ "name": name, "healthPath": HEALTH_PATH, "maxConnections": 64 });
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": names.iter().map(service).collect::<Vec<_>>(),
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000 }
+    })
+}
+
+/// A route without a target: repeatable, with time enough for a busy machine.
+pub fn write_route(name: &str, prefix: &str, target: &Value) -> Value {
+    let mut route = json!({
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeType": "safe",
+        "timeoutMs": 8000,
+        "targetLatencyMs": 1500,
+        "priority": 0,
+        "maxAttempts": 3
+    });
+    for (field, value) in target.as_object().into_iter().flatten() {
+        route[field] = value.clone();
+    }
+    route
+}
+
+impl RouteFleet {
+    /// Starts everything and waits until it is ready.
+    ///
+    /// # Errors
+    /// Something did not come up.
+    pub async fn start(plan: RouteFleetPlan) -> Result<Self, RouteFleetError> {
+        let has_routes = !plan.routes.is_empty();
+        let platform = platform::start(any_port()).await.map_err(io("the platform"))?;
+        let mut fleet = Self { platform, servers: Vec::new(), nodes: Vec::new(), client: LabClient::default() };
+        for server in plan.servers {
+            fleet.servers.push(route_server::start(any_port(), server).await.map_err(io("a server"))?);
+        }
+        (0..fleet.servers.len()).for_each(|position| fleet.register(position, "ready"));
+        if has_routes {
+            fleet.put_document(1, &plan.routes);
+        }
+        for (domain, count) in plan.nodes.into_iter().enumerate() {
+            for number in 0..count {
+                fleet.add_node(domain, &format!("{}-{number}", DOMAINS[domain])).await?;
+            }
+        }
+        let wanted = if has_routes { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        fleet.wait_ready(wanted).await?;
+        Ok(fleet)
+    }
+
+    /// Writes a server's entry in a state.
+    pub fn register(&self, position: usize, state: &str) {
+        let server = &self.servers[position];
+        self.platform.state.put_object("servers", &server.state.plan.id, server.entry(state));
+    }
+
+    /// Removes a server's entry.
+    pub fn unregister(&self, position: usize) {
+        self.platform.state.remove_object("servers", &self.servers[position].state.plan.id);
+    }
+
+    /// Writes the operator's document.
+    pub fn put_document(&self, version: u64, routes: &[Value]) {
+        self.platform.state.put_object("config", "main", write_document(version, routes));
+    }
+
+    /// Starts one more node; it may not be ready yet.
+    ///
+    /// # Errors
+    /// Its process cannot be started.
+    pub async fn add_node(&mut self, domain: usize, name: &str) -> Result<(), RouteFleetError> {
+        let addresses = find_ports().map_err(io("finding ports"))?;
+        let seeds: Vec<String> = self.nodes.iter().map(|node| node.addresses.peers.to_string()).collect();
+        let text = write_settings(name, domain, &addresses, self.platform.address, &seeds)?;
+        let (process, log) = start_process(name, &text).await?;
+        self.nodes.push(RouteNode { name: name.to_owned(), addresses, process, log });
+        Ok(())
+    }
+
+    /// Waits until every node answers the balancer with a status.
+    ///
+    /// # Errors
+    /// That did not happen in time, or a process ended.
+    pub async fn wait_ready(&mut self, wanted: StatusCode) -> Result<(), RouteFleetError> {
+        let start = Instant::now();
+        for position in 0..self.nodes.len() {
+            while self.ready_status(position).await != Some(wanted) {
+                let node = &mut self.nodes[position];
+                if node.process.try_wait().map_err(io("a process"))?.is_some() {
+                    return Err(RouteFleetError::Ended(node.name.clone()));
+                }
+                if start.elapsed() > READY_TIMEOUT {
+                    return Err(RouteFleetError::NotReady(node.name.clone()));
+                }
+                tokio::time::sleep(READY_LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// What a node answers to the balancer; `None` if it cannot be reached.
+    pub async fn ready_status(&self, position: usize) -> Option<StatusCode> {
+        let address = self.nodes[position].addresses.ready;
+        let answer = self.client.call(Method::GET, address, "/ready", &[], Bytes::new(), CALL_TIMEOUT).await;
+        answer.ok().map(|answer| answer.status)
+    }
+
+    /// Makes a caller's request through a node.
+    ///
+    /// # Errors
+    /// There was no whole answer in time.
+    pub async fn call(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+        body: Bytes,
+    ) -> Result<CallAnswer, CallError> {
+        let headers = [("host", HOST), ("x-request-id", id), ("x-deadline-ms", "8000")];
+        self.client.call(method, self.nodes[node].addresses.callers, path, &headers, body, CALL_TIMEOUT).await
+    }
+
+    /// How often all servers together have read a request.
+    pub fn count_calls(&self, id: &str) -> usize {
+        self.servers.iter().flat_map(|server| server.state.calls()).filter(|call| call.id() == id).count()
+    }
+
+    /// How often all servers together ran a request.
+    pub fn count_runs(&self, id: &str) -> usize {
+        self.servers.iter().flat_map(|server| server.state.runs()).filter(|run| run.request.id() == id).count()
+    }
+
+    /// The service of the server that made a proof for a request.
+    pub fn find_proof(&self, id: &str, proof: &str) -> Option<&str> {
+        let made =
+            |server: &&RouteServer| server.state.runs().iter().any(|run| run.proof == proof && run.request.id() == id);
+        self.servers.iter().find(made).map(|server| server.state.plan.service.as_str())
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Free ports on a loopback address of the node's own: nobody else takes them before it does.
+fn find_ports() -> std::io::Result<RouteAddresses> {
+    let address = Ipv4Addr::new(127, rand::random_range(1..=254), rand::random(), rand::random_range(1..=254));
+    let bind = || std::net::TcpListener::bind((address, 0));
+    let listeners = [bind()?, bind()?, bind()?, bind()?];
+    let port = |position: usize| listeners[position].local_addr();
+    Ok(RouteAddresses { callers: port(0)?, ready: port(1)?, peers: port(2)?, metrics: port(3)? })
+}
+
+/// The settings of a deployment with their gaps filled.
+fn write_settings(
+    name: &str,
+    domain: usize,
+    addresses: &RouteAddresses,
+    platform: SocketAddr,
+    seeds: &[String],
+) -> Result<String, RouteFleetError> {
+    let regions = json!({ DOMAINS[0]: REGIONS[0], DOMAINS[1]: REGIONS[1] });
+    let gaps = [
+        ("nodeName", name.to_owned()),
+        ("zone", DOMAINS[domain].to_owned()),
+        ("zones|json", regions.to_string()),
+        ("listenAddrs.front", addresses.callers.to_string()),
+        ("listenAddrs.ready", addresses.ready.to_string()),
+        ("ip", addresses.peers.ip().to_string()),
+        ("internalPorts.0", addresses.peers.port().to_string()),
+        ("internalPorts.1", addresses.metrics.port().to_string()),
+        ("platform.address", platform.to_string()),
+        ("seeds|json", json!(seeds).to_string()),
+        ("bootstrap", "true".to_owned()),
+        ("bounds.graceS", GRACE_SECONDS.to_string()),
+        ("bounds.retryBudgetRatio", "0.1".to_owned()),
+        ("bounds.budgetWindowS", "10".to_owned()),
+        ("bounds.budgetSlack", ALLOWANCE.to_string()),
+    ];
+    let text =
+        gaps.iter().fold(SETTINGS.to_owned(), |text, (gap, value)| text.replace(&format!("{{{{{gap}}}}}"), value));
+    match text.split_once("{{") {
+        Some((_, gap)) => Err(RouteFleetError::Gap(gap.lines().next().unwrap_or_default().to_owned())),
+        None => Ok(text),
+    }
+}
+
+async fn start_process(name: &str, text: &str) -> Result<(Child, NodeLog), RouteFleetError> {
+    let unique: u64 = rand::random();
+    let path = std::env::temp_dir().join(format!("streamfold-routes-{unique:016x}-{name}.yaml"));
+    std::fs::write(&path, text).map_err(io("writing settings"))?;
+    let mut command = Command::new(find_binary("streamfoldd"));
+    command.arg("--settings").arg(&path).arg("--log").arg("info").stdout(Stdio::piped()).kill_on_drop(true);
+    let mut process = command.spawn().map_err(io("streamfoldd"))?;
+    let stdout = process.stdout.take().ok_or_else(|| RouteFleetError::Ended(name.to_owned()))?;
+    let log = NodeLog::default();
+    let (started, has_started) = tokio::sync::oneshot::channel();
+    tokio::spawn(keep_log(stdout, log.clone(), started));
+    let is_started = has_started.await.is_ok();
+    // The settings were read before the node said so.
+    let _ = std::fs::remove_file(&path);
+    if is_started { Ok((process, log)) } else { Err(RouteFleetError::Ended(name.to_owned())) }
+}
+
+/// Keeps a node's log and tells when it has started.
+async fn keep_log(stdout: ChildStdout, log: NodeLog, started: tokio::sync::oneshot::Sender<()>) {
+    let mut lines = BufReader::new(stdout).lines();
+    let mut started = Some(started);
+    while let Ok(Some(line)) = lines.next_line().await {
+        if line.contains("event=started")
+            && let Some(started) = started.take()
+        {
+            // Nobody waits any more where the fleet was given up.
+            let _ = started.send(());
+        }
+        lock(&log).push(line);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/routing_rules.rs
@@ -0,0 +1,326 @@
+//! Rules of routing: extra calls stay in their bounds, servers that fall silent are gone round
+//! and come back, and an answer over shards goes out at the right moment.
+
+use std::time::Duration;
+
+use quickcheck::{TestResult, quickcheck};
+use streamfold_policy::Moment;
+use streamfold_policy::extra_budget::{ExtraBudget, ExtraLimits};
+use streamfold_policy::fold_rule::{FoldRule, FoldStep};
+use streamfold_policy::replica::{CallSample, Distance, ReplicaState};
+
+const WINDOW: Duration = Duration::from_secs(10);
+const TYPICAL: Duration = Duration::from_millis(10);
+
+fn ms(millis: u64) -> Moment {
+    Moment(millis * 1000)
+}
+
+/// Traffic at one node: pauses in milliseconds before each step, and requests or extra calls.
+struct Traffic {
+    requests: Vec<(Moment, f64)>,
+    extras: Vec<Moment>,
+    refused: Vec<Moment>,
+}
+
+fn run_traffic(steps: Vec<(u16, u8)>, limits: &ExtraLimits) -> Traffic {
+    let mut budget = ExtraBudget::default();
+    let mut traffic = Traffic { requests: Vec::new(), extras: Vec::new(), refused: Vec::new() };
+    let mut now = ms(0);
+    for (pause, kind) in steps {
+        now = now.plus(Duration::from_millis(u64::from(pause % 3000)));
+        for _ in 0..u64::from(kind / 8) {
+            match kind % 8 {
+                0..=3 => {
+                    let share = if kind % 2 == 0 { 1.0 } else { 0.3 };
+                    budget.note_request(now, limits, share);
+                    traffic.requests.push((now, share));
+                }
+                _ if budget.spend(now, limits) => traffic.extras.push(now),
+                _ => traffic.refused.push(now),
+            }
+        }
+    }
+    traffic
+}
+
+/// Extra calls and what bounds them in the window that ends with a moment.
+fn look_back(traffic: &Traffic, end: Moment, limits: &ExtraLimits) -> (f64, f64) {
+    let is_in = |moment: Moment| moment <= end && end.since(moment) < limits.window;
+    let extras = traffic.extras.iter().filter(|moment| is_in(**moment)).count();
+    let requests: f64 = traffic.requests.iter().filter(|(moment, _)| is_in(*moment)).map(|(_, share)| share).sum();
+    (extras as f64, limits.ratio * requests + limits.allowance)
+}
+
+/// Whether the bound holds in every window that ends with an extra call: others hold no more.
+fn keeps_bound(traffic: &Traffic, limits: &ExtraLimits) -> bool {
+    traffic.extras.iter().all(|end| {
+        let (extras, bound) = look_back(traffic, *end, limits);
+        extras <= bound + 1e-6
+    })
+}
+
+quickcheck! {
+    fn extra_calls_keep_their_bound_in_every_window(steps: Vec<(u16, u8)>, ratio: u8, allowance: u8) -> bool {
+        let ratio = f64::from(ratio) / 255.0;
+        let limits = ExtraLimits { ratio, window: WINDOW, allowance: f64::from(allowance) / 8.0 };
+        keeps_bound(&run_traffic(steps, &limits), &limits)
+    }
+
+    fn extra_calls_keep_their_bound_in_windows_of_any_length(steps: Vec<(u16, u8)>, window: u16) -> TestResult {
+        if window == 0 {
+            return TestResult::discard();
+        }
+        let limits = ExtraLimits { ratio: 0.1, window: Duration::from_millis(u64::from(window)), allowance: 3.0 };
+        TestResult::from_bool(keeps_bound(&run_traffic(steps, &limits), &limits))
+    }
+
+    /// Without requests only the allowance is spent, and after a quiet window all of it is there.
+    fn the_allowance_comes_back_whole(allowance: u8, asked: u8, pause: u32) -> bool {
+        let limits = ExtraLimits { ratio: 0.1, window: WINDOW, allowance: f64::from(allowance) };
+        let mut budget = ExtraBudget::default();
+        let start = ms(u64::from(pause));
+        let first = (0..asked).filter(|_| budget.spend(start, &limits)).count();
+        // A little more than a window, since the oldest bucket counts until it is out whole.
+        let later = start.plus(WINDOW).plus(WINDOW / 20);
+        let second = (0..asked).filter(|_| budget.spend(later, &limits)).count();
+        let expected = usize::from(allowance.min(asked));
+        (first, second) == (expected, expected)
+    }
+
+    /// Nobody is refused an extra call that even the requests of a slightly shorter window allow.
+    fn the_budget_is_not_stingy(steps: Vec<(u16, u8)>) -> bool {
+        let limits = ExtraLimits { ratio: 0.5, window: WINDOW, allowance: 2.0 };
+        let traffic = run_traffic(steps, &limits);
+        let shorter = ExtraLimits { window: WINDOW - WINDOW / 10, ..limits };
+        let longer = ExtraLimits { window: WINDOW + WINDOW / 10, ..limits };
+        traffic.refused.iter().all(|end| {
+            let extras = look_back(&traffic, *end, &longer).0;
+            let bound = look_back(&traffic, *end, &shorter).1;
+            // Later steps of the same moment may have been added after the refusal.
+            let is_alone = traffic.requests.iter().all(|(moment, _)| moment != end);
+            !is_alone || extras + 1.0 > bound - 1e-6
+        })
+    }
+}
+
+fn server() -> ReplicaState {
+    ReplicaState::new(4, Moment::default())
+}
+
+fn cost(server: &ReplicaState, now: Moment) -> f64 {
+    server.cost(now, Distance::Domain, TYPICAL)
+}
+
+/// For how many milliseconds from a moment on a server is gone round.
+fn avoided_for(server: &ReplicaState, from: Moment) -> u64 {
+    (0..20_000).find(|millis| !server.is_avoided(from.plus(Duration::from_millis(*millis)))).expect("an end")
+}
+
+#[test]
+fn a_silent_server_is_gone_round_longer_each_time_and_comes_back_by_an_answer() {
+    let mut server = server();
+    let mut now = ms(1);
+    let mut spans = Vec::new();
+    for _ in 0..8 {
+        server.start();
+        server.note_overdue(now, 3.0);
+        let span = avoided_for(&server, now);
+        spans.push(span);
+        // While it is gone round, more overdue calls add nothing.
+        server.note_overdue(now.plus(Duration::from_millis(1)), 3.0);
+        assert_eq!(avoided_for(&server, now), span);
+        now = now.plus(Duration::from_millis(span));
+    }
+    insta::assert_debug_snapshot!(spans);
+    server.note_overdue(now, 3.0);
+    assert!(server.is_avoided(now));
+    server.finish(now, CallSample::Answered(1.0));
+    assert!(!server.is_avoided(now), "an answer ends the silence");
+    server.note_overdue(now, 3.0);
+    assert_eq!(avoided_for(&server, now), spans[0], "and the next one is a first again");
+}
+
+#[test]
+fn a_failing_server_rests_longer_each_time_until_it_answers() {
+    let mut server = server();
+    let mut now = ms(1);
+    let mut spans = Vec::new();
+    for _ in 0..8 {
+        server.start();
+        server.finish(now, CallSample::Failed);
+        spans.push(avoided_for(&server, now));
+        now = now.plus(Duration::from_secs(10));
+    }
+    insta::assert_debug_snapshot!(spans);
+    server.start();
+    server.finish(now, CallSample::Answered(1.0));
+    assert!(!server.is_avoided(now));
+    server.start();
+    server.finish(now, CallSample::Failed);
+    assert_eq!(avoided_for(&server, now), spans[0]);
+}
+
+#[test]
+fn a_full_server_rests_shortly_and_an_abandoned_call_says_nothing() {
+    let now = ms(1);
+    let mut full = server();
+    full.start();
+    full.finish(now, CallSample::Full);
+    let mut failed = server();
+    failed.start();
+    failed.finish(now, CallSample::Failed);
+    let mut abandoned = server();
+    abandoned.start();
+    abandoned.finish(now, CallSample::Abandoned);
+    assert!(avoided_for(&full, now) > 0 && avoided_for(&full, now) < avoided_for(&failed, now));
+    assert_eq!((avoided_for(&abandoned, now), abandoned.running()), (0, 0));
+    assert_eq!(cost(&abandoned, now).to_bits(), cost(&server(), now).to_bits());
+}
+
+#[test]
+fn slowness_is_learnt_and_fades() {
+    let mut slow = server();
+    let mut now = ms(1);
+    for _ in 0..30 {
+        now = now.plus(Duration::from_millis(10));
+        slow.start();
+        slow.finish(now, CallSample::Answered(4.0));
+    }
+    let mut seen = vec![format!("learnt: {:.2}", slow.slowness(now))];
+    for seconds in [1, 2, 4, 10] {
+        let later = now.plus(Duration::from_secs(seconds));
+        seen.push(format!("after {seconds} s: {:.2}", slow.slowness(later)));
+    }
+    insta::assert_snapshot!(seen.join("\n"));
+    assert!(cost(&slow, now) > 2.0 * cost(&server(), now));
+    let mut outlier = server();
+    outlier.start();
+    outlier.finish(now, CallSample::Answered(1e9));
+    assert!(outlier.slowness(now) < 10.0, "one answer says only so much");
+}
+
+#[test]
+fn a_warming_server_counts_as_slow_until_it_is_warm() {
+    let warming = ReplicaState::new(4, ms(3_000));
+    assert!(cost(&warming, ms(2_999)) > cost(&server(), ms(2_999)));
+    assert_eq!(cost(&warming, ms(3_000)).to_bits(), cost(&server(), ms(3_000)).to_bits());
+}
+
+#[test]
+fn costs_rank_servers() {
+    let now = ms(100);
+    let mut avoided = server();
+    avoided.note_overdue(now, 1.0);
+    let mut busy = server();
+    (0..12).for_each(|_| busy.start());
+    let mut told = server();
+    told.learn_load(now, 4, 8);
+    let typical = |server: &ReplicaState, distance| server.cost(now, distance, TYPICAL);
+    let mut ranked = vec![
+        ("idle, near", typical(&server(), Distance::Domain)),
+        ("idle, in the region", typical(&server(), Distance::Region)),
+        ("idle, far", typical(&server(), Distance::Far)),
+        ("busy with our calls, near", typical(&busy, Distance::Domain)),
+        ("busy by its own word, near", typical(&told, Distance::Domain)),
+        ("silent, near", typical(&avoided, Distance::Domain)),
+    ];
+    ranked.sort_by(|(_, a), (_, b)| a.total_cmp(b));
+    let names: Vec<&str> = ranked.iter().map(|(name, _)| *name).collect();
+    insta::assert_debug_snapshot!(names);
+    let later = now.plus(Duration::from_secs(2));
+    assert_eq!(cost(&told, later).to_bits(), cost(&server(), later).to_bits(), "a told load is soon forgotten");
+}
+
+quickcheck! {
+    /// Whatever happens, calls are counted, costs are finite and nobody is gone round for ever.
+    fn any_events_leave_a_usable_server(events: Vec<(u16, u8, u8)>) -> bool {
+        let mut server = server();
+        let mut now = ms(0);
+        let mut running = 0u32;
+        for (pause, kind, detail) in events {
+            now = now.plus(Duration::from_millis(u64::from(pause)));
+            match kind % 6 {
+                0 | 1 => {
+                    server.start();
+                    running += 1;
+                }
+                2 => server.note_overdue(now, f64::from(detail)),
+                3 => server.learn_load(now, u32::from(detail), u32::from(pause)),
+                _ if running == 0 => {}
+                _ => {
+                    running -= 1;
+                    let sample = match detail % 4 {
+                        0 => CallSample::Answered(f64::from(pause) / 10.0),
+                        1 => CallSample::Full,
+                        2 => CallSample::Failed,
+                        _ => CallSample::Abandoned,
+                    };
+                    server.finish(now, sample);
+                }
+            }
+            if server.running() != running || !cost(&server, now).is_finite() || cost(&server, now) < 0.0 {
+                return false;
+            }
+        }
+        !server.is_avoided(now.plus(Duration::from_secs(5)))
+    }
+}
+
+fn rule() -> FoldRule {
+    let (target, limit) = (Duration::from_millis(100), Duration::from_millis(500));
+    FoldRule { target, limit, min_coverage: 0.5, shards: 4 }
+}
+
+fn tell_step(step: FoldStep) -> String {
+    match step {
+        FoldStep::Answer => "answer".to_owned(),
+        FoldStep::Wait(until) => format!("wait to {}", until.as_millis()),
+        FoldStep::GiveUp => "give up".to_owned(),
+    }
+}
+
+#[test]
+fn steps_of_a_fold() {
+    let rule = rule();
+    let mut table = vec!["at   in  due  step".to_owned()];
+    for elapsed in [0, 99, 100, 499, 500, 900] {
+        for (answered, pending) in
+            [(4, 0), (3, 1), (3, 0), (2, 2), (2, 0), (1, 3), (1, 1), (1, 0), (0, 4), (0, 1), (0, 0)]
+        {
+            let step = rule.step(Duration::from_millis(elapsed), answered, pending);
+            table.push(format!("{elapsed:<4} {answered:<3} {pending:<4} {}", tell_step(step)));
+        }
+    }
+    insta::assert_snapshot!(table.join("\n"));
+}
+
+#[test]
+fn a_fold_holds_at_least_one_shard_whatever_the_bound() {
+    let none = FoldRule { min_coverage: 0.0, ..rule() };
+    assert!(!none.is_enough(0));
+    assert!(none.is_enough(1));
+    assert_eq!(none.step(Duration::from_millis(600), 0, 2), FoldStep::GiveUp);
+    // A third of three shards is one, however the share is rounded.
+    assert!(FoldRule { min_coverage: 1.0 / 3.0, shards: 3, ..rule() }.is_enough(1));
+    assert!(!FoldRule { min_coverage: 0.34, shards: 3, ..rule() }.is_enough(1));
+}
+
+quickcheck! {
+    /// An answer is never given below the bound, a wait never goes past the limit, and at the
+    /// limit all is decided.
+    fn a_fold_is_sound(elapsed: u16, target: u16, limit: u16, share: u8, answered: usize, pending: usize) -> bool {
+        let shards = 20;
+        let answered = answered % (shards + 1);
+        let pending = pending % (shards - answered + 1);
+        let min_coverage = f64::from(share) / 255.0;
+        let span = |millis: u16| Duration::from_millis(u64::from(millis));
+        let rule = FoldRule { target: span(target), limit: span(limit), min_coverage, shards };
+        let is_enough = answered > 0 && answered as f64 / shards as f64 >= min_coverage - 1e-9;
+        match rule.step(span(elapsed), answered, pending) {
+            FoldStep::Answer => is_enough,
+            FoldStep::Wait(until) => pending > 0 && until <= rule.limit && until > span(elapsed) && elapsed < limit,
+            FoldStep::GiveUp => !is_enough,
+        }
+    }
+}
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -24,6 +24,11 @@
 /// Added to the cost of a server whose entry is gone: any other that answers goes first.
 const DOUBT_COST_US: f64 = 1e9;
 
+/// The pause before servers that did not take a request are tried again: the first, doubled
+/// with each further one, and the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const MAX_PAUSE: Duration = Duration::from_millis(200);
+
 /// What all attempts of one request share.
 pub struct AttemptContext {
     /// This node.
@@ -36,6 +41,8 @@
     pub request: Arc<CallerRequest>,
     /// Latencies of the route.
     pub times: RouteTimes,
+    /// How long servers that did not take the request are tried again.
+    pub retry_until: Moment,
     /// The part of each request that this node counts for its budget of extra calls.
     pub request_share: f64,
 }
@@ -52,9 +59,15 @@
     pub service: ServiceName,
     /// Calls in flight.
     pub pending: u32,
-    /// Servers that the request was sent to.
+    /// Servers that may have run the request.
     sent: u32,
+    /// Whether a call has reached a server, so that each further one is extra.
+    has_arrived: bool,
     tried: Vec<Arc<Server>>,
+    /// Pauses made so far because no server took the request.
+    pauses: u32,
+    /// When the servers that did not take it are tried again.
+    pub retry_at: Option<Moment>,
     /// When the newest call counts as overdue.
     pub hedge_at: Option<Moment>,
     /// Whether a server may have run the request.
@@ -64,7 +77,17 @@
 impl ServiceAttempts {
     /// No attempt yet.
     pub fn new(service: ServiceName) -> Self {
-        Self { service, pending: 0, sent: 0, tried: Vec::new(), hedge_at: None, may_have_run: false }
+        Self {
+            service,
+            pending: 0,
+            sent: 0,
+            has_arrived: false,
+            tried: Vec::new(),
+            pauses: 0,
+            retry_at: None,
+            hedge_at: None,
+            may_have_run: false,
+        }
     }
 
     /// Servers that the request was sent to, by this node or for it.
@@ -75,6 +98,7 @@
     /// Notes to how many servers another node sent the request.
     pub fn note_sent_elsewhere(&mut self, sent: u32) {
         self.sent = self.sent.max(sent);
+        self.has_arrived |= sent > 0;
         self.may_have_run |= sent > 0;
     }
 
@@ -83,10 +107,26 @@
         self.pending = self.pending.saturating_sub(1);
         match failure {
             Some(CallFailure::NotSent) => self.sent = self.sent.saturating_sub(1),
-            Some(CallFailure::NotRun) => {}
-            Some(CallFailure::Unknown) | None => self.may_have_run = true,
+            Some(CallFailure::NotRun) => {
+                self.sent = self.sent.saturating_sub(1);
+                self.has_arrived = true;
+            }
+            Some(CallFailure::Unknown) | None => {
+                self.has_arrived = true;
+                self.may_have_run = true;
+            }
         }
     }
+
+    /// Whether an answer may still come.
+    pub fn is_open(&self) -> bool {
+        self.pending > 0 || self.retry_at.is_some()
+    }
+
+    /// When something is to be done for it.
+    pub fn next_alarm(&self) -> Option<Moment> {
+        self.hedge_at.into_iter().chain(self.retry_at).min()
+    }
 }
 
 impl AttemptContext {
@@ -131,11 +171,11 @@
         let now = self.now();
         let limits = self.router.extra_limits(&self.view);
         let mut budget = service.budget();
-        if attempts.sent == 0 {
-            if attempts.tried.is_empty() {
-                budget.note_request(now, &limits, self.request_share);
-            }
-        } else if !budget.spend(now, &limits) {
+        if attempts.tried.is_empty() && attempts.pauses == 0 && !attempts.has_arrived {
+            budget.note_request(now, &limits, self.request_share);
+        }
+        let is_extra = attempts.has_arrived || attempts.pending > 0;
+        if is_extra && !budget.spend(now, &limits) {
             metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
             return false;
         }
@@ -158,7 +198,7 @@
     }
 
     /// Tries another server because the newest call is overdue.
-    pub fn hedge(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
+    fn hedge(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
         attempts.hedge_at = None;
         let now = self.now();
         let Some(late) = attempts.tried.last().cloned() else { return };
@@ -177,18 +217,47 @@
         );
     }
 
-    /// Tries another server after one failed.
-    pub fn retry(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) -> bool {
+    /// Tries another server after one failed. Where none is left and the request did not run,
+    /// all are tried again after a pause.
+    pub fn retry(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
         let failed = attempts.tried.last().map(|server| server.id.to_string());
         let has_started = self.start(position, attempts, calls);
+        if !has_started {
+            self.pause(attempts);
+        }
         tracing::info!(
             event = "call_failed",
             request = self.request.id_text(),
             service = %attempts.service,
             server = failed,
-            retry = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str())
+            retry = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str()),
+            pauses = attempts.pauses
         );
-        has_started
+    }
+
+    /// Plans to try all servers again, if there is time and the request may run on one more.
+    fn pause(&self, attempts: &mut ServiceAttempts) {
+        let is_spent = attempts.sent >= self.route.max_attempts || (self.is_once() && attempts.may_have_run);
+        let pause = (FIRST_PAUSE * 2u32.pow(attempts.pauses.min(4))).min(MAX_PAUSE);
+        let again = self.now().plus(pause.mul_f64(rand::random_range(0.8..1.2)));
+        if is_spent || again > self.retry_until {
+            return;
+        }
+        attempts.pauses += 1;
+        attempts.tried.clear();
+        attempts.retry_at = Some(again);
+    }
+
+    /// Does what is due: tries again after a pause, or goes round a call that is overdue.
+    pub fn note_alarm(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
+        let now = self.now();
+        if attempts.retry_at.is_some_and(|at| at <= now) {
+            attempts.retry_at = None;
+            self.retry(position, attempts, calls);
+        }
+        if attempts.hedge_at.is_some_and(|at| at <= now) {
+            self.hedge(position, attempts, calls);
+        }
     }
 
     /// Lets calls that were outrun go on for a moment.
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -8,8 +8,12 @@
 use crate::border::{FeedPosition, FeedTopic};
 use crate::router::Router;
 
-/// How long a watch waits in the store; the longest it allows is 30 s.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long a watch waits in the store: the longest it allows.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Pauses after changes, in which more of them may come that one call then brings. A server
+/// that leaves must get no request 3 s after; nodes matter little from one second to the next.
+const SERVERS_PAUSE: Duration = Duration::from_millis(200);
+const NODES_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pauses after a failed call: the first, doubled with each further one, and the longest. The
 /// store's rates bear all nodes asking at the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -48,10 +52,22 @@
                 return self.list().await;
             }
         };
+        let has_changed = !news.changes.is_empty();
         router.cluster.apply(router.clock.now(), news.changes, self.topic);
+        if has_changed {
+            tokio::time::sleep(self.pause()).await;
+        }
         Ok(news.position)
     }
 
+    fn pause(&self) -> Duration {
+        match self.topic {
+            FeedTopic::Routes => Duration::ZERO,
+            FeedTopic::Servers => SERVERS_PAUSE,
+            FeedTopic::Nodes => NODES_PAUSE,
+        }
+    }
+
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
         let list = router.feed.list(self.topic).await?;
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -36,6 +36,9 @@
 /// When a caller may come back while no routes are known, or none may be there for lack of news.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 
+/// The share of the target latency within which a request that no server takes is refused.
+const EARLY_SHARE: f64 = 0.2;
+
 /// Accepts callers until the node ends.
 pub async fn serve(router: Arc<Router>, listener: TcpListener) {
     loop {
@@ -126,7 +129,13 @@
     let body = read_body(body, routed.body_limit).await?;
     let times = routed.view.times.get(&routed.route.name).cloned().unwrap_or_default();
     let request = CallerRequest::new(head, parts, body, started, routed.route.timeout);
+    // A request that one server must take is refused early, so that its caller can come back.
+    let retry_within = match routed.route.target {
+        RouteTarget::All(_) => routed.route.target_latency,
+        RouteTarget::One(_) => routed.route.target_latency.mul_f64(EARLY_SHARE),
+    };
     Ok(AttemptContext {
+        retry_until: started.plus(retry_within),
         router: router.clone(),
         view: routed.view,
         route: routed.route,
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -172,7 +172,7 @@
 
     fn is_pending(&self, slot: &ShardSlot) -> bool {
         let in_batch = slot.batch.is_some_and(|number| self.batches[number].is_open);
-        slot.part.is_none() && (slot.attempts.pending > 0 || in_batch)
+        slot.part.is_none() && (slot.attempts.is_open() || in_batch)
     }
 
     fn pending(&self) -> usize {
@@ -181,7 +181,7 @@
 
     fn next_alarm(&self) -> Option<Moment> {
         let waiting = self.slots.iter().filter(|slot| slot.part.is_none());
-        let hedges = waiting.filter_map(|slot| slot.attempts.hedge_at);
+        let hedges = waiting.filter_map(|slot| slot.attempts.next_alarm());
         let takeovers = self.batches.iter().filter(|batch| batch.is_open).filter_map(|batch| batch.takeover_at);
         hedges.chain(takeovers).min()
     }
@@ -223,10 +223,8 @@
 
     fn note_alarms(&mut self) {
         let now = self.context.now();
-        for (position, slot) in self.slots.iter_mut().enumerate() {
-            if slot.part.is_none() && slot.attempts.hedge_at.is_some_and(|at| at <= now) {
-                self.context.hedge(position, &mut slot.attempts, &self.calls);
-            }
+        for (position, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.part.is_none()) {
+            self.context.note_alarm(position, &mut slot.attempts, &self.calls);
         }
         for number in 0..self.batches.len() {
             let batch = &self.batches[number];
@@ -255,7 +253,7 @@
     fn start_batch_shards(&mut self, number: usize, sent: impl Fn(usize) -> u32) {
         for position in self.batches[number].positions.clone() {
             let slot = &mut self.slots[position];
-            if slot.part.is_none() && slot.attempts.pending == 0 {
+            if slot.part.is_none() && !slot.attempts.is_open() {
                 slot.attempts.note_sent_elsewhere(sent(position));
                 self.context.start(position, &mut slot.attempts, &self.calls);
             }
@@ -344,7 +342,7 @@
             Ok(_) => slot.attempts.note_failure(None),
             Err(failure) => slot.attempts.note_failure(Some(failure)),
         }
-        if slot.part.is_none() && slot.attempts.pending == 0 {
+        if slot.part.is_none() && !slot.attempts.is_open() {
             self.context.retry(position, &mut slot.attempts, &self.calls);
         }
     }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -128,7 +128,9 @@
         priority: 0,
         target: RouteTarget::All(fold),
     };
+    let retry_until = now.plus(Duration::from_micros(batch.reply_within_us));
     Ok(AttemptContext {
+        retry_until,
         router: router.clone(),
         view,
         route: Arc::new(route),
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -16,6 +16,9 @@
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 /// A connection is given up so long before the server would close it.
 const REST_MARGIN: Duration = Duration::from_millis(500);
+/// Connections beyond the first rest only shortly: when machines lose power, servers hold the
+/// old connections for a while beside the new ones, and refuse those over their limit.
+const SPARE_REST: Duration = Duration::from_millis(400);
 /// A request that must not run twice takes no connection that has rested longer: the server
 /// may be closing it at this moment.
 const FRESH_REST: Duration = Duration::from_millis(500);
@@ -177,8 +180,10 @@
             return;
         }
         let rest = told.map_or(DEFAULT_REST, |told| told.saturating_sub(REST_MARGIN));
-        let resting = RestingConnection { leased, since: now, until: now.plus(rest) };
-        lock(&self.resting).push(resting);
+        let mut resting = lock(&self.resting);
+        let rest = if resting.is_empty() { rest } else { rest.min(SPARE_REST) };
+        resting.push(RestingConnection { leased, since: now, until: now.plus(rest) });
+        drop(resting);
         self.count.freed.notify_one();
     }
 
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -58,11 +58,11 @@
         let clock = self.context.router.clock;
         let deadline = self.context.request.deadline;
         let mut timer = pin!(tokio::time::sleep(Duration::ZERO));
-        while self.attempts.pending > 0 {
+        while self.attempts.is_open() {
             if clock.now() >= deadline {
                 return None;
             }
-            let wake = self.attempts.hedge_at.map_or(deadline, |hedge| hedge.min(deadline));
+            let wake = self.attempts.next_alarm().map_or(deadline, |alarm| alarm.min(deadline));
             timer.as_mut().reset(clock.instant(wake));
             tokio::select! {
                 biased;
@@ -73,7 +73,7 @@
                 }
                 () = &mut timer => {
                     if clock.now() < deadline {
-                        self.context.hedge(0, &mut self.attempts, &self.calls);
+                        self.context.note_alarm(0, &mut self.attempts, &self.calls);
                     }
                 }
             }
@@ -96,7 +96,7 @@
             }
             Err(failure) => self.attempts.note_failure(Some(failure)),
         }
-        if self.attempts.pending == 0 {
+        if !self.attempts.is_open() {
             self.context.retry(0, &mut self.attempts, &self.calls);
         }
         None
--- a/crates/router/src/times.rs
+++ b/crates/router/src/times.rs
@@ -9,11 +9,11 @@
 /// Below so many samples the route's target latency tells more.
 const MIN_SAMPLES: u32 = 20;
 /// A call that takes longer than this quantile of its kind is overdue.
-const PATIENCE_QUANTILE: f64 = 0.95;
-/// Bounds on the patience, as a share of the target latency and in time: a second try must
-/// still be able to come back in time, and must not go out for a scheduling hiccup.
-const MAX_PATIENCE_SHARE: f64 = 0.4;
-const MIN_PATIENCE: Duration = Duration::from_millis(4);
+const PATIENCE_QUANTILE: f64 = 0.97;
+/// Bounds on the patience as shares of the target latency: a second try must still be able to
+/// come back in time, and is wasted where the first would have been in time as well.
+const MIN_PATIENCE_SHARE: f64 = 0.15;
+const MAX_PATIENCE_SHARE: f64 = 0.45;
 /// What a call is taken to need while nothing is measured, as shares of the target latency.
 const ASSUMED_TYPICAL_SHARE: f64 = 0.15;
 const ASSUMED_PATIENCE_SHARE: f64 = 0.3;
@@ -49,6 +49,6 @@
     pub fn patience(&self, distance: Distance, target: Duration) -> Duration {
         let measured = self.quantile(distance, PATIENCE_QUANTILE);
         let patience = measured.unwrap_or(target.mul_f64(ASSUMED_PATIENCE_SHARE));
-        patience.clamp(MIN_PATIENCE, target.mul_f64(MAX_PATIENCE_SHARE).max(MIN_PATIENCE))
+        patience.clamp(target.mul_f64(MIN_PATIENCE_SHARE), target.mul_f64(MAX_PATIENCE_SHARE))
     }
 }
