--- a/crates/policy/tests/routing_rules.rs
+++ b/crates/policy/tests/routing_rules.rs
@@ -217,7 +217,7 @@
     let mut told = server();
     told.learn_load(now, 4, 8);
     let typical = |server: &ReplicaState, distance| server.cost(now, distance, TYPICAL);
-    let mut ranked = vec![
+    let mut ranked = [
         ("idle, near", typical(&server(), Distance::Domain)),
         ("idle, in the region", typical(&server(), Distance::Region)),
         ("idle, far", typical(&server(), Distance::Far)),
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -90,15 +90,15 @@
         }
     }
 
-    /// Servers that the request was sent to, by this node or for it.
-    pub fn sent(&self) -> u32 {
-        self.sent
+    /// Servers that may have run the request, and whether a call reached any.
+    pub fn tally(&self) -> (u32, bool) {
+        (self.sent, self.has_arrived || self.pending > 0)
     }
 
-    /// Notes to how many servers another node sent the request.
-    pub fn note_sent_elsewhere(&mut self, sent: u32) {
+    /// Notes what another node did for the request.
+    pub fn note_elsewhere(&mut self, sent: u32, has_arrived: bool) {
         self.sent = self.sent.max(sent);
-        self.has_arrived |= sent > 0;
+        self.has_arrived |= has_arrived;
         self.may_have_run |= sent > 0;
     }
 
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -82,6 +82,17 @@
     pub proof: Vec<u8>,
 }
 
+/// A shard that a reply lacks.
+#[derive(Debug, Clone, Copy, Encode, Decode)]
+pub struct MissingShard {
+    /// Its position in the batch.
+    pub position: u32,
+    /// Servers that may have run the request.
+    pub sent: u32,
+    /// Whether a call reached a server, be it one that refused.
+    pub has_arrived: bool,
+}
+
 /// What became of a batch.
 #[derive(Debug, Clone, Encode, Decode)]
 pub struct ShardReply {
@@ -91,8 +102,8 @@
     pub is_stopping: bool,
     /// The shards whose records are in.
     pub shards: Vec<FoldedShard>,
-    /// Positions of the shards that are not, with the servers each was sent to.
-    pub missing: Vec<(u32, u32)>,
+    /// The shards that are not.
+    pub missing: Vec<MissingShard>,
     /// The greatest records of the shards that are in.
     pub records: Vec<u8>,
 }
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -15,7 +15,7 @@
 
 use crate::answer::{CallerAnswer, RefusalKind};
 use crate::attempts::{AttemptContext, PendingCalls, ServiceAttempts};
-use crate::batch::{BatchFrame, FoldedShard, ShardReply};
+use crate::batch::{BatchFrame, FoldedShard, MissingShard, ShardReply};
 use crate::call::EndedCall;
 use crate::delegate::{BatchSlot, PendingBatches, read_on};
 use crate::fold::{ShardPart, fold_records};
@@ -245,16 +245,17 @@
             peer = %batch.peer.entry.node,
             shards = batch.positions.len()
         );
-        self.start_batch_shards(number, |_| 1);
+        self.start_batch_shards(number, |_| (1, true));
     }
 
-    /// Starts attempts of this node for the shards of a batch that are not in; `sent` tells
-    /// to how many servers each was sent before.
-    fn start_batch_shards(&mut self, number: usize, sent: impl Fn(usize) -> u32) {
+    /// Starts attempts of this node for the shards of a batch that are not in; `tally` tells
+    /// how many servers may have run each, and whether a call reached any.
+    fn start_batch_shards(&mut self, number: usize, tally: impl Fn(usize) -> (u32, bool)) {
         for position in self.batches[number].positions.clone() {
             let slot = &mut self.slots[position];
             if slot.part.is_none() && !slot.attempts.is_open() {
-                slot.attempts.note_sent_elsewhere(sent(position));
+                let (sent, has_arrived) = tally(position);
+                slot.attempts.note_elsewhere(sent, has_arrived);
                 self.context.start(position, &mut slot.attempts, &self.calls);
             }
         }
@@ -285,7 +286,7 @@
                     peer = %self.batches[number].peer.entry.node,
                     %error
                 );
-                self.start_batch_shards(number, |_| sent);
+                self.start_batch_shards(number, |_| (sent, sent > 0));
             }
         }
     }
@@ -318,13 +319,13 @@
     }
 
     /// Asks itself for the shards that the other node could not get.
-    fn start_missing(&mut self, number: usize, missing: &[(u32, u32)]) {
+    fn start_missing(&mut self, number: usize, missing: &[MissingShard]) {
         let positions = self.batches[number].positions.clone();
-        let sent = |position: usize| {
-            let told = missing.iter().find(|(index, _)| positions.get(*index as usize) == Some(&position));
-            told.map_or(1, |(_, sent)| *sent)
+        let tally = |position: usize| {
+            let told = missing.iter().find(|shard| positions.get(shard.position as usize) == Some(&position));
+            told.map_or((1, true), |shard| (shard.sent, shard.has_arrived))
         };
-        self.start_batch_shards(number, sent);
+        self.start_batch_shards(number, tally);
     }
 
     fn note_end(&mut self, position: usize, took: Duration, ended: EndedCall) {
@@ -374,7 +375,10 @@
         for (slot, position) in self.slots.iter().zip(0..) {
             match &slot.part {
                 Some(part) => shards.push(FoldedShard { position, proof: part.proof.as_bytes().to_vec() }),
-                None => missing.push((position, slot.attempts.sent())),
+                None => {
+                    let (sent, has_arrived) = slot.attempts.tally();
+                    missing.push(MissingShard { position, sent, has_arrived });
+                }
             }
         }
         let version = self.context.router.cluster.version();
