--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -19,6 +19,11 @@
 const MAX_REST: Duration = Duration::from_secs(2);
 /// How long a server that was full is gone round.
 const FULL_REST: Duration = Duration::from_millis(50);
+/// Share of a new sample in the share of calls that a server refuses or fails.
+const REFUSAL_GAIN: f64 = 0.15;
+/// What a server that refuses or fails every call costs, relative to one that answers: a call
+/// to it is lost time and then one more call.
+const REFUSAL_COST: f64 = 8.0;
 /// A reported load counts for this long.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 /// Added to a server that is believed not to answer now; any that answers goes first.
@@ -73,6 +78,8 @@
     silences: u32,
     silent_until: Option<Moment>,
     failures: u32,
+    refusals: f64,
+    answered: Moment,
     resting_until: Moment,
     load: Option<(f64, Moment)>,
 }
@@ -89,6 +96,8 @@
             silences: 0,
             silent_until: None,
             failures: 0,
+            refusals: 0.0,
+            answered: Moment::default(),
             resting_until: Moment::default(),
             load: None,
         }
@@ -101,11 +110,32 @@
 
     /// Relative slowness: 1 for a typical server.
     pub fn slowness(&self, now: Moment) -> f64 {
-        let age = now.since(self.sampled).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
-        let learnt = 1.0 + (self.slowness - 1.0) * 0.5f64.powf(age);
+        let learnt = 1.0 + (self.slowness - 1.0) * self.fading(now);
         if now < self.warm_at { learnt.max(WARMUP_SLOWNESS) } else { learnt }
     }
 
+    /// What is left of a belief since the last call told something, 0 to 1.
+    fn fading(&self, now: Moment) -> f64 {
+        let age = now.since(self.sampled).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        0.5f64.powf(age)
+    }
+
+    /// Whether all its slots are taken, by this node's calls or by what it told lately.
+    pub fn is_busy(&self, now: Moment) -> bool {
+        self.ahead(now) >= f64::from(self.slots)
+    }
+
+    /// Work that it runs or holds waiting.
+    fn ahead(&self, now: Moment) -> f64 {
+        let told = self.load.filter(|(_, told)| now.since(*told) < LOAD_LIFE).map_or(0.0, |(load, _)| load);
+        told.max(f64::from(self.running))
+    }
+
+    /// Whether it has answered anything since a moment.
+    pub fn has_answered_since(&self, moment: Moment) -> bool {
+        self.answered > moment
+    }
+
     /// Whether it is believed not to answer now.
     pub fn is_avoided(&self, now: Moment) -> bool {
         let is_silent = self.silent_until.is_some_and(|until| now < until);
@@ -116,14 +146,14 @@
     /// usually takes.
     pub fn cost(&self, now: Moment, distance: Distance, typical: Duration) -> f64 {
         let typical = typical.as_micros() as f64 * self.slowness(now);
-        let others = self.load.filter(|(_, told)| now.since(*told) < LOAD_LIFE).map_or(0.0, |(load, _)| load);
-        let ahead = others.max(f64::from(self.running));
+        let ahead = self.ahead(now);
         let slots = f64::from(self.slots);
         let queued = (ahead + 1.0 - slots).max(0.0) / slots;
         // Work that runs but does not queue still tells which of two idle servers to take.
         let busy = 0.1 * ahead / slots;
         let avoided = if self.is_avoided(now) { AVOIDED } else { 0.0 };
-        avoided + typical * (1.0 + queued + busy) + distance.cost_us()
+        let refused = REFUSAL_COST * self.refusals * self.fading(now);
+        avoided + typical * (1.0 + queued + busy + refused) + distance.cost_us()
     }
 
     /// Notes that a call starts.
@@ -131,12 +161,16 @@
         self.running += 1;
     }
 
-    /// Notes that a call has waited longer than usual, `ratio` times what is typical: others
-    /// go round the server until it answers something or a span has passed.
-    pub fn note_overdue(&mut self, now: Moment, ratio: f64) {
+    /// Notes that a call that started at a moment has waited longer than usual, `ratio` times
+    /// what is typical. If nothing was answered since, others go round the server until it
+    /// answers something or a span has passed; else it is only slow or has a queue.
+    pub fn note_overdue(&mut self, now: Moment, started: Moment, ratio: f64) {
         if self.is_avoided(now) {
             return;
         }
+        if self.has_answered_since(started) {
+            return self.learn_slowness(now, ratio);
+        }
         let span = FIRST_SILENCE * 2u32.pow(self.silences.min(5));
         self.silences += 1;
         self.silent_until = Some(now.plus(span.min(MAX_SILENCE)));
@@ -145,6 +179,8 @@
 
     fn learn_slowness(&mut self, now: Moment, ratio: f64) {
         let known = self.slowness(now);
+        // Both beliefs fade from the same moment on.
+        self.refusals *= self.fading(now);
         self.slowness = known + SLOWNESS_GAIN * (ratio.min(MAX_SLOWNESS) - known);
         self.sampled = now;
     }
@@ -158,10 +194,17 @@
                 self.silent_until = None;
                 self.failures = 0;
                 self.resting_until = Moment::default();
+                self.answered = now;
                 self.learn_slowness(now, ratio);
+                self.refusals -= REFUSAL_GAIN * self.refusals;
+            }
+            CallSample::Full => {
+                self.answered = now;
+                self.note_refusal(now);
+                self.resting_until = now.plus(FULL_REST);
             }
-            CallSample::Full => self.resting_until = now.plus(FULL_REST),
             CallSample::Failed => {
+                self.note_refusal(now);
                 let span = FIRST_REST * 2u32.pow(self.failures.min(5));
                 self.failures += 1;
                 self.resting_until = now.plus(span.min(MAX_REST));
@@ -170,6 +213,11 @@
         }
     }
 
+    fn note_refusal(&mut self, now: Moment) {
+        self.learn_slowness(now, self.slowness(now));
+        self.refusals += REFUSAL_GAIN * (1.0 - self.refusals);
+    }
+
     /// Notes the load it told: requests it runs and holds waiting, from everybody.
     pub fn learn_load(&mut self, now: Moment, running: u32, waiting: u32) {
         self.load = Some((f64::from(running + waiting), now));
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -29,6 +29,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const MAX_PAUSE: Duration = Duration::from_millis(200);
 
+/// How long until a hedge that found no free server is looked at again.
+const HEDGE_PAUSE: Duration = Duration::from_millis(15);
+
 /// What all attempts of one request share.
 pub struct AttemptContext {
     /// This node.
@@ -68,6 +71,8 @@
     pauses: u32,
     /// When the servers that did not take it are tried again.
     pub retry_at: Option<Moment>,
+    /// When the newest call started.
+    started: Moment,
     /// When the newest call counts as overdue.
     pub hedge_at: Option<Moment>,
     /// Whether a server may have run the request.
@@ -85,6 +90,7 @@
             tried: Vec::new(),
             pauses: 0,
             retry_at: None,
+            started: Moment::default(),
             hedge_at: None,
             may_have_run: false,
         }
@@ -183,6 +189,7 @@
         attempts.sent += 1;
         attempts.pending += 1;
         attempts.tried.push(server.clone());
+        attempts.started = now;
         let typical = self.times.typical(server.distance, self.route.target_latency);
         let patience = self.times.patience(server.distance, self.route.target_latency);
         attempts.hedge_at = (!self.is_once()).then(|| now.plus(patience));
@@ -197,22 +204,30 @@
         true
     }
 
-    /// Tries another server because the newest call is overdue.
+    /// Tries another server because the newest call is overdue, if one has a free slot: a hedge
+    /// that would only wait in another queue makes both longer.
     fn hedge(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
         attempts.hedge_at = None;
         let now = self.now();
         let Some(late) = attempts.tried.last().cloned() else { return };
-        let waited = self.times.patience(late.distance, self.route.target_latency);
+        let waited = now.since(attempts.started);
         let typical = self.times.typical(late.distance, self.route.target_latency);
-        late.state().note_overdue(now, waited.as_secs_f64() / typical.as_secs_f64().max(1e-4));
-        let has_started = self.start(position, attempts, calls);
+        late.state().note_overdue(now, attempts.started, waited.as_secs_f64() / typical.as_secs_f64().max(1e-4));
+        let next = self.best_server(attempts).filter(|server| !server.state().is_busy(now));
+        let has_started = next.is_some() && self.start(position, attempts, calls);
+        if !has_started && now.plus(HEDGE_PAUSE) < self.retry_until {
+            attempts.hedge_at = Some(now.plus(HEDGE_PAUSE));
+        }
         metrics::counter!("streamfold_overdue_calls_total").increment(1);
+        if !has_started && waited > self.times.patience(late.distance, self.route.target_latency) + HEDGE_PAUSE {
+            return;
+        }
         tracing::info!(
             event = "call_overdue",
             request = self.request.id_text(),
             service = %attempts.service,
             server = %late.id,
-            patience_ms = waited.as_millis() as u64,
+            waited_ms = waited.as_millis() as u64,
             hedge = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str())
         );
     }
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -45,6 +45,8 @@
     pub peer: Arc<PeerNode>,
     /// The shards' positions in the request.
     pub positions: Vec<usize>,
+    /// When it was sent.
+    pub started: Moment,
     /// When this node asks for the shards itself if it has heard nothing.
     pub takeover_at: Option<Moment>,
     /// When the reply must be here.
@@ -141,6 +143,7 @@
         let slot = BatchSlot {
             peer: peer.clone(),
             positions,
+            started: now,
             takeover_at: Some(now.plus(alive_within.min(reply_within) + way + ALIVE_SLACK)),
             reply_by: now.plus(reply_within + way + ALIVE_SLACK),
             is_open: true,
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -238,7 +238,7 @@
     fn take_over(&mut self, number: usize) {
         let batch = &mut self.batches[number];
         batch.takeover_at = None;
-        batch.peer.state().note_overdue(self.context.now(), 1.0);
+        batch.peer.state().note_overdue(self.context.now(), batch.started, 1.0);
         tracing::info!(
             event = "batch_overdue",
             request = self.context.request.id_text(),
