A node that starts while the store is away learns routes and servers from others

Cause: a killed node that came back in an outage of the store answered 503 until the store returned. It now asks the nodes it is linked to, or those its settings name (the control addresses carry the links between nodes), for newer routes and, if it knows none, for servers and nodes. Routes from others only move upward.

--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -308,6 +308,7 @@
         ("zones|json", regions.to_string()),
         ("listenAddrs.front", addresses.callers.to_string()),
         ("listenAddrs.ready", addresses.ready.to_string()),
+        ("listenAddrs.control", addresses.peers.to_string()),
         ("ip", addresses.peers.ip().to_string()),
         ("internalPorts.0", addresses.peers.port().to_string()),
         ("internalPorts.1", addresses.metrics.port().to_string()),
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -259,6 +259,13 @@
         }
     }
 
+    /// The entries of servers and nodes known, for a node that knows none.
+    pub fn entries(&self) -> (Vec<ServerEntry>, Vec<NodeEntry>) {
+        let parts = self.parts();
+        let servers = parts.servers.values().filter(|server| !server.is_doubtful()).map(|server| server.entry());
+        (servers.collect(), parts.nodes.values().cloned().collect())
+    }
+
     /// Drops doubtful servers that did not come back and closes connections that rested long.
     pub fn sweep(&self, now: Moment) {
         let mut parts = self.parts();
@@ -338,11 +345,15 @@
 }
 
 impl ClusterView {
+    /// Nodes that share what is divided among all of them.
+    pub fn node_count(&self) -> f64 {
+        if self.nodes == 0 { ASSUMED_NODES } else { self.nodes as f64 }
+    }
+
     /// Connections that this node may have to each server of a service.
     pub fn connection_share(&self, service: &ServiceName) -> u32 {
         let spec = self.table.as_ref().and_then(|table| table.service(service));
         let Some(spec) = spec else { return 1 };
-        let nodes = if self.nodes == 0 { ASSUMED_NODES } else { self.nodes as f64 };
-        ((f64::from(spec.max_connections) * DIVIDED_SHARE / nodes) as u32).max(1)
+        ((f64::from(spec.max_connections) * DIVIDED_SHARE / self.node_count()) as u32).max(1)
     }
 }
--- /dev/null
+++ b/crates/router/src/knowledge.rs
@@ -0,0 +1,90 @@
+//! What nodes tell each other of routes, servers and nodes while the platform's store is away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+use streamfold_link::{PeerError, PeerLink};
+use streamfold_model::{NodeEntry, RouteTable, ServerEntry, TableVersion};
+
+use crate::batch::PATH_KNOWLEDGE;
+use crate::border::{FeedItem, FeedTopic};
+use crate::router::Router;
+
+/// How often another node is asked while the store is away.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+/// How long a node may take to tell.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// What a node does not know.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct KnowledgeRequest {
+    /// The version of the routes it has; only a newer one is of use.
+    pub version: TableVersion,
+    /// Whether it knows no servers and nodes at all.
+    pub wants_entries: bool,
+}
+
+/// What another node knows.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct KnowledgeReply {
+    /// Newer routes, if it has them.
+    pub table: Option<RouteTable>,
+    /// Servers, if they were asked for.
+    pub servers: Vec<ServerEntry>,
+    /// Nodes, if they were asked for.
+    pub nodes: Vec<NodeEntry>,
+}
+
+/// Answers another node.
+pub fn tell(router: &Router, request: &KnowledgeRequest) -> KnowledgeReply {
+    let view = router.cluster.view();
+    let newer = view.table.as_ref().filter(|table| table.version > request.version);
+    let (servers, nodes) = match request.wants_entries {
+        true => router.cluster.entries(),
+        false => (Vec::new(), Vec::new()),
+    };
+    KnowledgeReply { table: newer.map(|table| RouteTable::clone(table)), servers, nodes }
+}
+
+/// Asks other nodes while the store is away, until the node ends.
+pub async fn ask_in_outages(router: Arc<Router>) {
+    // The store is asked first.
+    loop {
+        tokio::time::sleep(ASK_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
+        if router.is_followed(FeedTopic::Routes) && router.is_listed(FeedTopic::Servers) {
+            continue;
+        }
+        let Some(link) = choose_link(&router) else { continue };
+        if let Err(error) = ask(&router, &link).await {
+            tracing::debug!(event = "knowledge_failed", address = %link.address(), %error);
+        }
+    }
+}
+
+/// A node to ask: one that is connected, or one that the settings name.
+fn choose_link(router: &Router) -> Option<Arc<PeerLink>> {
+    let view = router.cluster.view();
+    let open: Vec<Arc<PeerLink>> =
+        view.peers.iter().filter(|peer| peer.link.is_open()).map(|peer| peer.link.clone()).collect();
+    let links = if open.is_empty() { &router.seed_links } else { &open };
+    let count = links.len();
+    (count > 0).then(|| links[rand::random_range(0..count)].clone())
+}
+
+async fn ask(router: &Router, link: &Arc<PeerLink>) -> Result<(), PeerError> {
+    let wants_entries = !router.is_listed(FeedTopic::Servers);
+    let request = KnowledgeRequest { version: router.cluster.version(), wants_entries };
+    let reply: KnowledgeReply = link.call(PATH_KNOWLEDGE, &request, ASK_TIMEOUT).await?;
+    if let Some(table) = reply.table {
+        router.cluster.offer_table(table, "peer");
+    }
+    let now = router.clock.now();
+    if wants_entries && !router.is_listed(FeedTopic::Servers) && !reply.servers.is_empty() {
+        tracing::info!(event = "entries_from_peer", address = %link.address(), servers = reply.servers.len());
+        router.cluster.replace(now, reply.servers.into_iter().map(FeedItem::Server).collect(), FeedTopic::Servers);
+        router.cluster.replace(now, reply.nodes.into_iter().map(FeedItem::Node).collect(), FeedTopic::Nodes);
+        router.set_listed(FeedTopic::Servers);
+    }
+    Ok(())
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fold;
 pub mod front;
 pub mod gather;
+pub mod knowledge;
 pub mod peer_service;
 pub mod peers;
 pub mod ready;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -10,20 +10,23 @@
 use h2::server::SendResponse;
 use http::{Request, Response};
 use streamfold_link::server::{self, PeerService};
-use streamfold_link::{PeerError, encode_frame, read_message, refuse, send_frame};
+use streamfold_link::{PeerError, encode_frame, read_message, refuse, reply, send_frame};
 use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold};
 use tokio::net::TcpListener;
 
 use crate::attempts::AttemptContext;
-use crate::batch::{BatchFrame, PATH_BATCH, ShardBatch, ShardReply};
+use crate::batch::{BatchFrame, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
 use crate::border::CallerHead;
 use crate::delegate::ASKING_SHARE;
 use crate::gather::PeerGather;
+use crate::knowledge::{self, KnowledgeRequest};
 use crate::request::CallerRequest;
 use crate::router::{LiveCount, Router, RouterPhase};
 
 /// The largest batch taken: a caller's head and body, and the names of the shards.
 const BATCH_LIMIT: usize = 8 << 20;
+/// The largest question about the cluster taken.
+const KNOWLEDGE_LIMIT: usize = 1 << 10;
 /// Links are opened ahead of the first batch.
 const FIRST_MESSAGE_WITHIN: Duration = Duration::from_secs(120);
 
@@ -39,6 +42,7 @@
     ) -> BoxFuture<'a, Result<(), PeerError>> {
         match path {
             PATH_BATCH => serve_batch(&self.0, body, respond).boxed(),
+            PATH_KNOWLEDGE => serve_knowledge(&self.0, body, respond).boxed(),
             _ => std::future::ready(Err(PeerError::BadStatus(404))).boxed(),
         }
     }
@@ -100,6 +104,15 @@
     }
 }
 
+async fn serve_knowledge(
+    router: &Router,
+    body: RecvStream,
+    respond: &mut SendResponse<Bytes>,
+) -> Result<(), PeerError> {
+    let request: KnowledgeRequest = read_message(body, KNOWLEDGE_LIMIT).await?;
+    reply(respond, &knowledge::tell(router, &request)).await
+}
+
 /// The batch as a request of its own, over just its shards.
 fn build_context(router: &Arc<Router>, batch: &ShardBatch) -> Result<AttemptContext, PeerError> {
     let malformed = |_| PeerError::BadStatus(400);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use streamfold_link::PeerLink;
 use streamfold_model::{Incarnation, NodeEntry, TableVersion};
 use streamfold_policy::Moment;
 use streamfold_policy::extra_budget::ExtraLimits;
@@ -16,7 +17,7 @@
 use crate::cluster::{Cluster, ClusterPlace, ClusterView};
 use crate::error::RouterError;
 use crate::settings::RouterSettings;
-use crate::{feed, front, peer_service, peers, ready};
+use crate::{feed, front, knowledge, peer_service, peers, ready};
 
 /// The share of the fixed allowance that the nodes divide; the rest is for moments in which
 /// they count themselves differently.
@@ -65,6 +66,8 @@
     pub requests: AtomicUsize,
     /// Callers' connections.
     pub connections: AtomicUsize,
+    /// Links to the nodes that the settings name.
+    pub seed_links: Vec<Arc<PeerLink>>,
     /// Told when another node has newer routes.
     pub newer_routes: Notify,
     feeds: [FeedState; 3],
@@ -139,6 +142,7 @@
     tasks.spawn(feed::announce(router.clone()));
     tasks.spawn(peer_service::serve(router.clone(), peers_listener));
     tasks.spawn(peers::keep_connected(router.clone()));
+    tasks.spawn(knowledge::ask_in_outages(router.clone()));
     tasks.spawn(sweep(router.clone()));
     Ok(RunningRouter { router, tasks })
 }
@@ -150,6 +154,12 @@
     }
 }
 
+/// Links to the nodes that the settings name, without this one.
+fn seed_links(settings: &RouterSettings) -> Vec<Arc<PeerLink>> {
+    let others = settings.seeds.iter().filter(|seed| **seed != settings.peers);
+    others.map(|seed| PeerLink::new(*seed)).collect()
+}
+
 impl Router {
     fn new(settings: RouterSettings, format: Arc<dyn CallFormat>, feed: Arc<dyn ClusterFeed>) -> Self {
         let clock = NodeClock::start();
@@ -168,6 +178,7 @@
             phase: watch::Sender::new(RouterPhase::Serving),
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            seed_links: seed_links(&settings),
             newer_routes: Notify::new(),
             feeds: Default::default(),
             settings,
@@ -189,10 +200,20 @@
         let state = &self.feeds[topic as usize];
         state.is_followed.store(is_followed, Ordering::Relaxed);
         if is_followed {
-            state.is_listed.store(true, Ordering::Relaxed);
+            self.set_listed(topic);
         }
     }
 
+    /// Whether anything of a topic is known.
+    pub fn is_listed(&self, topic: FeedTopic) -> bool {
+        self.feeds[topic as usize].is_listed.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a topic is known, though not from the store.
+    pub fn set_listed(&self, topic: FeedTopic) {
+        self.feeds[topic as usize].is_listed.store(true, Ordering::Relaxed);
+    }
+
     /// Whether a topic is followed without a failure since.
     pub fn is_followed(&self, topic: FeedTopic) -> bool {
         self.feeds[topic as usize].is_followed.load(Ordering::Relaxed)
@@ -207,9 +228,8 @@
 
     /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        let knows_servers = self.feeds[FeedTopic::Servers as usize].is_listed.load(Ordering::Relaxed);
         let has_routes = self.cluster.view().table.is_some();
-        knows_servers && has_routes && *self.phase.borrow() == RouterPhase::Serving
+        self.is_listed(FeedTopic::Servers) && has_routes && *self.phase.borrow() == RouterPhase::Serving
     }
 
     /// The bounds on this node's extra calls to one service. A node that has started anew does
@@ -217,8 +237,7 @@
     pub fn extra_limits(&self, view: &ClusterView) -> ExtraLimits {
         let extra = &self.settings.extra_calls;
         let is_new = !self.settings.first_start && self.clock.now().since(self.started) < extra.window.0;
-        let nodes = view.nodes.max(1) as f64;
-        let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / nodes };
+        let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / view.node_count() };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
     }
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -42,6 +42,7 @@
     pub domain: FailureDomain,
     /// How far away it is.
     pub distance: Distance,
+    slots: u32,
     leaving: AtomicBool,
     doubtful: AtomicBool,
     state: Mutex<ReplicaState>,
@@ -98,6 +99,7 @@
             address: entry.address,
             domain: entry.domain.clone(),
             distance,
+            slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
             doubtful: AtomicBool::new(false),
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup))),
@@ -106,6 +108,19 @@
         })
     }
 
+    /// Its entry as another node needs it; the rest of its warm-up is not passed on.
+    pub fn entry(&self) -> ServerEntry {
+        ServerEntry {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            domain: self.domain.clone(),
+            slots: self.slots,
+            is_draining: self.is_leaving(),
+            warmup: Duration::ZERO,
+        }
+    }
+
     /// What is believed of it.
     pub fn state(&self) -> MutexGuard<'_, ReplicaState> {
         lock(&self.state)
