--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -39,7 +39,7 @@
     if args.check {
         return tell_valid(settings.node.as_str());
     }
-    end(run_routes(settings))
+    end(run_routes(args, settings))
 }
 
 fn tell_valid(node: &str) -> ExitCode {
@@ -79,10 +79,11 @@
 }
 
 #[tokio::main(worker_threads = 2)]
-async fn run_routes(settings: RouterSettings) -> Result<(), StartError> {
+async fn run_routes(args: &DaemonArgs, settings: RouterSettings) -> Result<(), StartError> {
     logs::start(&settings.log);
     metrics_text::install()?;
     let running = route_node::start(settings).await?;
+    tokio::spawn(route_node::follow_settings(args.clone(), running.router.clone()));
     wait_for_signal().await;
     running.stop().await;
     Ok(())
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use streamfold_link::PeerLink;
 use streamfold_model::{Incarnation, NodeEntry, TableVersion};
 use streamfold_policy::Moment;
@@ -48,8 +49,10 @@
 
 /// One router and everything its parts share.
 pub struct Router {
-    /// Its settings.
+    /// Its settings as it started.
     pub settings: RouterSettings,
+    /// Its settings as last read; only what may change while it runs is taken from here.
+    live: ArcSwap<RouterSettings>,
     /// Its clock.
     pub clock: NodeClock,
     /// Its run.
@@ -178,6 +181,7 @@
             phase: watch::Sender::new(RouterPhase::Serving),
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            live: ArcSwap::from_pointee(settings.clone()),
             seed_links: seed_links(&settings),
             newer_routes: Notify::new(),
             feeds: Default::default(),
@@ -219,6 +223,20 @@
         self.feeds[topic as usize].is_followed.load(Ordering::Relaxed)
     }
 
+    /// Takes settings that were read anew. The bounds on extra calls and the time for a stop
+    /// change at once; ports, names and places only with a restart.
+    pub fn reload(&self, settings: RouterSettings) {
+        let needs_restart = !settings.has_same_place(&self.settings);
+        tracing::info!(
+            event = "settings_reloaded",
+            extra_ratio = settings.extra_calls.ratio,
+            extra_allowance = settings.extra_calls.allowance,
+            grace = %settings.grace,
+            needs_restart
+        );
+        self.live.store(Arc::new(settings));
+    }
+
     /// Notes the version of the routes at another node.
     pub fn note_version(&self, version: TableVersion) {
         if version > self.cluster.version() {
@@ -235,7 +253,7 @@
     /// The bounds on this node's extra calls to one service. A node that has started anew does
     /// not know what it spent before, so it waits a window for its part of the allowance.
     pub fn extra_limits(&self, view: &ClusterView) -> ExtraLimits {
-        let extra = &self.settings.extra_calls;
+        let extra = self.live.load().extra_calls;
         let is_new = !self.settings.first_start && self.clock.now().since(self.started) < extra.window.0;
         let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / view.node_count() };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
@@ -265,7 +283,7 @@
         router.set_phase(RouterPhase::LameDuck);
         tokio::time::sleep(LAME_DUCK).await;
         router.set_phase(RouterPhase::Closing);
-        let end = began + router.settings.grace.0.saturating_sub(KILL_MARGIN);
+        let end = began + router.live.load().grace.0.saturating_sub(KILL_MARGIN);
         while router.is_busy() && tokio::time::Instant::now() < end {
             tokio::time::sleep(STOP_LOOK).await;
         }
