--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -8,7 +8,7 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use futures_util::stream::StreamExt;
-use streamfold_model::{RouteKind, RouteSpec, ServiceName};
+use streamfold_model::{FailureDomain, RouteKind, RouteSpec, ServiceName};
 use streamfold_policy::Moment;
 
 use crate::call::{self, CallFailure, CallTerms, EndedCall};
@@ -77,6 +77,9 @@
     pub hedge_at: Option<Moment>,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
+    /// Where another node may have sent the request: its server there is asked again before
+    /// one that certainly was not, so that the bound on servers holds.
+    sent_in: Option<FailureDomain>,
 }
 
 impl ServiceAttempts {
@@ -93,6 +96,7 @@
             started: Moment::default(),
             hedge_at: None,
             may_have_run: false,
+            sent_in: None,
         }
     }
 
@@ -108,6 +112,11 @@
         self.may_have_run |= sent > 0;
     }
 
+    /// Notes that a node fell silent that may have sent the request to a server near it.
+    pub fn note_silent_node(&mut self, domain: &FailureDomain) {
+        self.sent_in = Some(domain.clone());
+    }
+
     /// Notes how a call ended that gave no usable answer.
     pub fn note_failure(&mut self, failure: Option<CallFailure>) {
         self.pending = self.pending.saturating_sub(1);
@@ -155,7 +164,10 @@
     fn choose(&self, attempts: &ServiceAttempts, service: &Service) -> Option<Arc<Server>> {
         let now = self.now();
         let untried = |server: &&Arc<Server>| !attempts.tried.iter().any(|tried| Arc::ptr_eq(tried, server));
+        let is_asked = |server: &&Arc<Server>| attempts.sent_in.as_ref() == Some(&server.domain);
+        let has_asked = service.servers.iter().any(|server| is_asked(&server));
         let candidates = service.servers.iter().filter(untried).filter(|server| !server.is_leaving());
+        let candidates = candidates.filter(|server| !has_asked || is_asked(server));
         let cost = |server: &Arc<Server>| {
             let typical = self.times.typical(server.distance, self.route.target_latency);
             let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -24,9 +24,9 @@
 /// regions lie up to 12 ms apart one way.
 const REGION_WAY: Duration = Duration::from_millis(8);
 const FAR_WAY: Duration = Duration::from_millis(32);
-/// How much later than expected a sign of life may come: nodes have a quarter of a core, and
-/// taking over too early asks a third server for a shard.
-const ALIVE_SLACK: Duration = Duration::from_millis(25);
+/// How much later than expected a sign of life may come: nodes have an eighth to a half of a
+/// core, and taking over from a node at work doubles the load.
+const ALIVE_SLACK: Duration = Duration::from_millis(40);
 /// A reply is wanted at least so late, however little time is left.
 const MIN_REPLY: Duration = Duration::from_millis(5);
 /// The part of a request for a service that the asking node counts for its own budget of
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -13,7 +13,7 @@
 /// Pauses after changes, in which more of them may come that one call then brings. A server
 /// that leaves must get no request 3 s after; nodes matter little from one second to the next.
 const SERVERS_PAUSE: Duration = Duration::from_millis(200);
-const NODES_PAUSE: Duration = Duration::from_millis(1_000);
+const NODES_PAUSE: Duration = Duration::from_millis(3_000);
 /// Pauses after a failed call: the first, doubled with each further one, and the longest. The
 /// store's rates bear all nodes asking at the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -245,6 +245,15 @@
             peer = %batch.peer.entry.node,
             shards = batch.positions.len()
         );
+        self.start_silent(number);
+    }
+
+    /// Starts attempts for the shards of a node that fell silent with them.
+    fn start_silent(&mut self, number: usize) {
+        let domain = self.batches[number].peer.entry.domain.clone();
+        for position in self.batches[number].positions.clone() {
+            self.slots[position].attempts.note_silent_node(&domain);
+        }
         self.start_batch_shards(number, |_| (1, true));
     }
 
@@ -279,14 +288,17 @@
             }
             BatchNews::Failed(error) => {
                 self.batches[number].is_open = false;
-                let sent = u32::from(!error.is_not_sent());
+                let is_not_sent = error.is_not_sent();
                 tracing::info!(
                     event = "batch_failed",
                     request = self.context.request.id_text(),
                     peer = %self.batches[number].peer.entry.node,
                     %error
                 );
-                self.start_batch_shards(number, |_| (sent, sent > 0));
+                match is_not_sent {
+                    true => self.start_batch_shards(number, |_| (0, false)),
+                    false => self.start_silent(number),
+                }
             }
         }
     }
