--- a/crates/lab/tests/routes.rs
+++ b/crates/lab/tests/routes.rs
@@ -2,7 +2,7 @@
 //! faults of servers, of the store and of nodes.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use streamfold_lab::client::CallAnswer;
 use streamfold_lab::fleet::send_signal;
 use streamfold_lab::route_fleet::{DOMAINS, HOST, RouteFleet, RouteFleetPlan, write_route};
-use streamfold_lab::route_server::{RouteServer, RouteServerPlan, make_records};
+use streamfold_lab::route_server::{RouteServer, RouteServerPlan, RouteSwitches, make_records};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -46,9 +46,9 @@
 }
 
 /// Two servers of one service behind `/any/` (repeatable) and `/once/`, and one node: `i-0` in
-/// its failure domain and `i-1` there or in the other one, where it comes second at first.
-async fn start_pair(second: impl Fn(&str, &str) -> RouteServerPlan) -> RouteFleet {
-    let servers = vec![near("i-0", "cart"), second("i-1", "cart")];
+/// its failure domain, which is asked first, and `i-1` in the other one.
+async fn start_pair() -> RouteFleet {
+    let servers = vec![near("i-0", "cart"), far("i-1", "cart")];
     let routes =
         vec![write_route("any", "/any/", &to_service("cart")), write_route("once", "/once/", &once_to("cart"))];
     RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes }).await.expect("a fleet")
@@ -285,7 +285,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_paused_server_is_gone_round() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     fleet.servers[0].state.switches.pause_ms.store(30_000, Ordering::Relaxed);
     wait_for("a request that met the paused server", async || {
         let id = format!("r-{}", fleet.servers[1].state.runs().len());
@@ -298,7 +298,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_answers_for_another_is_not_called_again() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     fleet.servers[0].state.set_id("i-other");
     for number in 0..60 {
         let id = format!("r-{number}");
@@ -318,25 +318,21 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_goes_to_another_server() {
-    let fleet = start_pair(near).await;
-    fleet.servers[0].state.switches.refuse.store(true, Ordering::Relaxed);
-    let mut number = 0;
-    wait_for("refusals of both kinds of request", async || {
-        for path in ["/any/x", "/once/x"] {
-            number += 1;
+    for path in ["/any/x", "/once/x"] {
+        let fleet = start_pair().await;
+        fleet.servers[0].state.switches.refuse.store(true, Ordering::Relaxed);
+        for number in 0..10 {
             let id = format!("r-{number}");
             check_own(&fleet, &get(&fleet, path, &id).await, &id);
             assert_eq!(fleet.count_runs(&id), 1);
         }
-        let refused = fleet.servers[0].state.calls();
-        ["/any/x", "/once/x"].iter().all(|path| refused.iter().any(|call| call.path == *path))
-    })
-    .await;
+        assert_eq!(fleet.servers[0].state.calls()[0].id(), "r-0", "the near server is asked first");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn when_all_servers_refuse_the_caller_learns_that_it_did_not_run() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     for server in &fleet.servers {
         server.state.switches.refuse.store(true, Ordering::Relaxed);
     }
@@ -352,7 +348,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_have_run_is_not_repeated() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     for server in &fleet.servers {
         server.state.switches.lose_answer.store(true, Ordering::Relaxed);
     }
@@ -368,7 +364,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeatable_request_that_ran_is_not_sent_to_the_same_server_again() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     for server in &fleet.servers {
         server.state.switches.lose_answer.store(true, Ordering::Relaxed);
     }
@@ -426,7 +422,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_without_a_reachable_server_does_not_run() {
-    let mut fleet = start_pair(far).await;
+    let mut fleet = start_pair().await;
     fleet.servers.clear();
     let mut seen = Vec::new();
     for path in ["/any/x", "/once/x"] {
@@ -437,7 +433,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_s_own_failure_is_told_as_it_is() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     for server in &fleet.servers {
         server.state.switches.fail.store(true, Ordering::Relaxed);
     }
@@ -456,34 +452,45 @@
     .await;
 }
 
+/// A fault of a server as its switch.
+type Fault = fn(&RouteSwitches) -> &AtomicBool;
+
+/// Faults that put bytes on a connection that are not the whole answer to its request.
+const STRANGE_BYTES: [(&str, Fault); 4] = [
+    ("wrong", |switches| &switches.wrong_id),
+    ("cut", |switches| &switches.cut_body),
+    ("before", |switches| &switches.surplus_first),
+    ("after", |switches| &switches.surplus),
+];
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_of_another_request_never_reaches_a_caller() {
-    let fleet = start_pair(near).await;
-    let switches = &fleet.servers[0].state.switches;
-    for (name, fault) in [
-        ("after", &switches.surplus),
-        ("wrong", &switches.wrong_id),
-        ("before", &switches.surplus_first),
-        ("cut", &switches.cut_body),
-    ] {
-        fault.store(true, Ordering::Relaxed);
-        let already = fleet.servers[0].state.runs().len();
-        let mut number = 0;
-        wait_for("answers with each fault", async || {
-            number += 1;
+    for (name, fault) in STRANGE_BYTES {
+        let fleet = start_pair().await;
+        fault(&fleet.servers[0].state.switches).store(true, Ordering::Relaxed);
+        for number in 0..10 {
             let id = format!("{name}-{number}");
             check_own(&fleet, &get(&fleet, "/any/x", &id).await, &id);
-            let id = format!("{name}-once-{number}");
-            let once = get(&fleet, "/once/x", &id).await;
-            match once.status.is_success() {
-                true => check_own(&fleet, &once, &id),
-                false => assert_eq!(once.status, 502, "{once:?}"),
+        }
+        assert_eq!(fleet.servers[0].state.calls()[0].id(), format!("{name}-0"), "the near server is asked first");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_of_another_request_is_no_reason_to_run_one_twice() {
+    for (name, fault) in STRANGE_BYTES {
+        let fleet = start_pair().await;
+        fault(&fleet.servers[0].state.switches).store(true, Ordering::Relaxed);
+        for number in 0..10 {
+            let id = format!("{name}-{number}");
+            let answer = get(&fleet, "/once/x", &id).await;
+            match answer.status.is_success() {
+                true => check_own(&fleet, &answer, &id),
+                false => assert_eq!(answer.status, 502, "{id}: {answer:?}"),
             }
-            assert!(fleet.count_calls(&id) == 1, "{id} was sent twice");
-            fleet.servers[0].state.runs().len() >= already + 2
-        })
-        .await;
-        fault.store(false, Ordering::Relaxed);
+            assert_eq!(fleet.count_calls(&id), 1, "{id}");
+        }
+        assert_eq!(fleet.servers[0].state.calls()[0].id(), format!("{name}-0"), "the near server is asked first");
     }
 }
 
@@ -634,7 +641,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn servers_that_came_and_went_behind_a_cut_watch_are_known_after() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     let outage = &fleet.platform.state.faults.outage;
     let reads = &fleet.platform.state.calls.reads;
     let listed = reads.load(Ordering::Relaxed);
@@ -655,7 +662,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_server_finishes_what_it_has_and_gets_nothing_new() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     fleet.servers[0].state.switches.work_ms.store(3_000, Ordering::Relaxed);
     fleet.servers[1].state.switches.refuse.store(true, Ordering::Relaxed);
     let callers = fleet.nodes[0].addresses.callers;
@@ -687,7 +694,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_without_an_entry_is_used_only_where_there_is_no_other() {
-    let fleet = start_pair(far).await;
+    let fleet = start_pair().await;
     fleet.unregister(0);
     wait_for("the entry gone", async || !fleet.nodes[0].logged(&["event=server_doubtful"]).is_empty()).await;
     let before = fleet.servers[0].state.calls().len();
--- a/crates/policy/tests/routing_rules.rs
+++ b/crates/policy/tests/routing_rules.rs
@@ -124,23 +124,77 @@
     let mut spans = Vec::new();
     for _ in 0..8 {
         server.start();
-        server.note_overdue(now, 3.0);
+        server.note_overdue(now, now, 3.0);
         let span = avoided_for(&server, now);
         spans.push(span);
         // While it is gone round, more overdue calls add nothing.
-        server.note_overdue(now.plus(Duration::from_millis(1)), 3.0);
+        server.note_overdue(now.plus(Duration::from_millis(1)), now, 3.0);
         assert_eq!(avoided_for(&server, now), span);
         now = now.plus(Duration::from_millis(span));
     }
     insta::assert_debug_snapshot!(spans);
-    server.note_overdue(now, 3.0);
+    server.note_overdue(now, now, 3.0);
     assert!(server.is_avoided(now));
     server.finish(now, CallSample::Answered(1.0));
     assert!(!server.is_avoided(now), "an answer ends the silence");
-    server.note_overdue(now, 3.0);
+    server.note_overdue(now, now, 3.0);
     assert_eq!(avoided_for(&server, now), spans[0], "and the next one is a first again");
 }
 
+#[test]
+fn a_slow_server_that_answers_others_is_not_taken_for_silent() {
+    let started = ms(100);
+    let mut server = server();
+    (0..2).for_each(|_| server.start());
+    server.finish(ms(150), CallSample::Answered(1.0));
+    assert!(server.has_answered_since(started));
+    server.note_overdue(ms(200), started, 5.0);
+    assert!(!server.is_avoided(ms(200)));
+    assert!(server.slowness(ms(200)) > 1.0, "but slower than the others");
+    // Nothing since the answer: now it is silent.
+    server.note_overdue(ms(300), ms(160), 5.0);
+    assert!(server.is_avoided(ms(300)));
+}
+
+#[test]
+fn a_server_is_busy_only_where_work_waits() {
+    let now = ms(100);
+    let mut server = server();
+    (0..4).for_each(|_| server.start());
+    assert!(!server.is_busy(now), "all slots are taken and nothing waits");
+    server.start();
+    assert!(server.is_busy(now));
+    server.finish(now, CallSample::Abandoned);
+    server.learn_load(now, 4, 1);
+    assert!(server.is_busy(now), "by its own word");
+    assert!(!server.is_busy(now.plus(Duration::from_secs(2))), "which is soon forgotten");
+}
+
+#[test]
+fn refusals_and_failures_make_a_server_dear_until_they_fade() {
+    for sample in [CallSample::Full, CallSample::Failed] {
+        let mut now = ms(1);
+        let mut refusing = server();
+        for _ in 0..20 {
+            now = now.plus(Duration::from_secs(5));
+            refusing.start();
+            refusing.finish(now, sample);
+        }
+        // Long enough that it is not gone round any more, and soon enough to remember.
+        let soon = now.plus(Duration::from_millis(2_100));
+        assert!(!refusing.is_avoided(soon));
+        assert!(cost(&refusing, soon) > 1.3 * cost(&server(), soon), "{sample:?}");
+        let late = now.plus(Duration::from_secs(60));
+        assert!((cost(&refusing, late) / cost(&server(), late) - 1.0).abs() < 1e-3, "{sample:?}");
+        let mut healed = refusing.clone();
+        for _ in 0..40 {
+            healed.start();
+            healed.finish(soon, CallSample::Answered(1.0));
+        }
+        assert!((cost(&healed, soon) / cost(&server(), soon) - 1.0).abs() < 0.05, "{sample:?}");
+    }
+}
+
 #[test]
 fn a_failing_server_rests_longer_each_time_until_it_answers() {
     let mut server = server();
@@ -211,7 +265,7 @@
 fn costs_rank_servers() {
     let now = ms(100);
     let mut avoided = server();
-    avoided.note_overdue(now, 1.0);
+    avoided.note_overdue(now, now, 1.0);
     let mut busy = server();
     (0..12).for_each(|_| busy.start());
     let mut told = server();
@@ -245,7 +299,10 @@
                     server.start();
                     running += 1;
                 }
-                2 => server.note_overdue(now, f64::from(detail)),
+                2 => {
+                    let started = Moment(now.0.saturating_sub(u64::from(pause) * 500));
+                    server.note_overdue(now, started, f64::from(detail));
+                }
                 3 => server.learn_load(now, u32::from(detail), u32::from(pause)),
                 _ if running == 0 => {}
                 _ => {
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -17,9 +17,10 @@
 use crate::router::Router;
 use crate::server::Server;
 
-/// Calls that were outrun go on for so long: their answers tell when a server that fell
-/// silent is back, and their connections stay usable.
-pub const OUTRUN_LIFE: Duration = Duration::from_millis(400);
+/// Calls that were outrun, or whose caller left another node, go on for so long: their answers
+/// tell when a server that fell silent is back, and their connections stay usable. A caller
+/// that left may keep servers at work for half a second.
+const OUTRUN_LIFE: Duration = Duration::from_millis(300);
 
 /// Added to the cost of a server whose entry is gone: any other that answers goes first.
 const DOUBT_COST_US: f64 = 1e9;
@@ -67,6 +68,8 @@
     /// Whether a call has reached a server, so that each further one is extra.
     has_arrived: bool,
     tried: Vec<Arc<Server>>,
+    /// Those of them that did not take the request.
+    passed: Vec<Arc<Server>>,
     /// Pauses made so far because no server took the request.
     pauses: u32,
     /// When the servers that did not take it are tried again.
@@ -91,6 +94,7 @@
             sent: 0,
             has_arrived: false,
             tried: Vec::new(),
+            passed: Vec::new(),
             pauses: 0,
             retry_at: None,
             started: Moment::default(),
@@ -118,13 +122,17 @@
     }
 
     /// Notes how a call ended that gave no usable answer.
-    pub fn note_failure(&mut self, failure: Option<CallFailure>) {
+    pub fn note_failure(&mut self, server: Arc<Server>, failure: Option<CallFailure>) {
         self.pending = self.pending.saturating_sub(1);
         match failure {
-            Some(CallFailure::NotSent) => self.sent = self.sent.saturating_sub(1),
+            Some(CallFailure::NotSent) => {
+                self.sent = self.sent.saturating_sub(1);
+                self.passed.push(server);
+            }
             Some(CallFailure::NotRun) => {
                 self.sent = self.sent.saturating_sub(1);
                 self.has_arrived = true;
+                self.passed.push(server);
             }
             Some(CallFailure::Unknown) | None => {
                 self.has_arrived = true;
@@ -244,8 +252,8 @@
         );
     }
 
-    /// Tries another server after one failed. Where none is left and the request did not run,
-    /// all are tried again after a pause.
+    /// Tries another server after one failed. Where none is left, those that did not take the
+    /// request are tried again after a pause.
     pub fn retry(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
         let failed = attempts.tried.last().map(|server| server.id.to_string());
         let has_started = self.start(position, attempts, calls);
@@ -262,16 +270,18 @@
         );
     }
 
-    /// Plans to try all servers again, if there is time and the request may run on one more.
+    /// Plans to try servers again that did not take the request, if there are any, there is
+    /// time and the request may run on one more.
     fn pause(&self, attempts: &mut ServiceAttempts) {
         let is_spent = attempts.sent >= self.route.max_attempts || (self.is_once() && attempts.may_have_run);
         let pause = (FIRST_PAUSE * 2u32.pow(attempts.pauses.min(4))).min(MAX_PAUSE);
         let again = self.now().plus(pause.mul_f64(rand::random_range(0.8..1.2)));
-        if is_spent || again > self.retry_until {
+        if is_spent || attempts.passed.is_empty() || again > self.retry_until {
             return;
         }
         attempts.pauses += 1;
-        attempts.tried.clear();
+        let passed = std::mem::take(&mut attempts.passed);
+        attempts.tried.retain(|tried| !passed.iter().any(|server| Arc::ptr_eq(server, tried)));
         attempts.retry_at = Some(again);
     }
 
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -7,14 +7,14 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use futures_util::stream::{FuturesUnordered, StreamExt};
+use futures_util::stream::FuturesUnordered;
 use streamfold_model::{FailureDomain, ServiceName};
 use streamfold_policy::Moment;
 use streamfold_policy::fold_rule::FoldRule;
 use streamfold_policy::replica::Distance;
 
-use crate::attempts::{AttemptContext, OUTRUN_LIFE};
-use crate::batch::{BatchFrame, ShardBatch};
+use crate::attempts::AttemptContext;
+use crate::batch::ShardBatch;
 use crate::gather::ShardSlot;
 use crate::peers::{BatchNews, PeerNode, PendingBatch};
 
@@ -156,20 +156,6 @@
         };
         (slot, pending.boxed())
     }
-
-    /// Lets batches that were outrun go on for a moment.
-    pub fn release_batches(&self, batches: PendingBatches) {
-        if batches.is_empty() {
-            return;
-        }
-        let drained = batches.for_each_concurrent(None, |(number, pending, news)| async move {
-            if let BatchNews::Frame(BatchFrame::Working) = news {
-                // What it brings comes too late for this request.
-                let _ = read_on(number, pending).await;
-            }
-        });
-        tokio::spawn(tokio::time::timeout(OUTRUN_LIFE, drained));
-    }
 }
 
 /// Gives each position to one domain, the domains with most positions first.
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -352,18 +352,19 @@
                 }
                 return;
             }
-            Ok(_) => slot.attempts.note_failure(None),
-            Err(failure) => slot.attempts.note_failure(Some(failure)),
+            Ok(_) => slot.attempts.note_failure(ended.server, None),
+            Err(failure) => slot.attempts.note_failure(ended.server, Some(failure)),
         }
         if slot.part.is_none() && !slot.attempts.is_open() {
             self.context.retry(position, &mut slot.attempts, &self.calls);
         }
     }
 
-    /// Lets what was outrun go on for a moment.
+    /// Lets calls that were outrun go on for a moment.
     fn release(&mut self) {
         self.context.release(std::mem::take(&mut self.calls));
-        self.context.release_batches(std::mem::take(&mut self.pending_batches));
+        // Dropped, they tell the other nodes that no more is wanted.
+        self.pending_batches.clear();
     }
 
     fn fold(&self) -> Bytes {
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -98,8 +98,11 @@
                 is_told = true;
                 send_frame(&mut stream, encode_frame(&BatchFrame::Working)?, false).await?;
             }
-            // The asking node is done with it or its caller has left.
-            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
+            // The asking node is done with it or its caller has left: no call starts any more.
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => {
+                gather.release();
+                return Ok(());
+            }
         }
     }
 }
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -89,12 +89,12 @@
                 return Some(reply);
             }
             Ok(reply) => {
-                self.attempts.note_failure(None);
+                self.attempts.note_failure(ended.server, None);
                 if !reply.status.is_success() {
                     self.failure = Some(reply);
                 }
             }
-            Err(failure) => self.attempts.note_failure(Some(failure)),
+            Err(failure) => self.attempts.note_failure(ended.server, Some(failure)),
         }
         if !self.attempts.is_open() {
             self.context.retry(0, &mut self.attempts, &self.calls);
