Stand-ins for the platform stand beside its adapter

The store's and servers' stand-ins speak the platform's wire, so they moved to platform/standin: nothing outside platform/ knows its names.

--- a/crates/lab/src/experiments/apply.rs
+++ b/crates/lab/src/experiments/apply.rs
@@ -17,7 +17,7 @@
 use super::trial::three_domains;
 use crate::client::LabClient;
 use crate::fleet::{Fleet, FleetError, NodeHandle};
-use crate::platform;
+use streamfold_standin::store as platform;
 
 /// Changes of each operator.
 const CHANGES: usize = 100;
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -21,8 +21,8 @@
 use serde_json::Value;
 
 use self::trial::{ALPENWASCH, MORETON_COAST};
-use crate::dice;
 use crate::fleet::FleetError;
+use streamfold_standin::dice;
 
 /// What an experiment found.
 #[derive(Debug, Clone, Serialize)]
--- a/crates/lab/src/experiments/once.rs
+++ b/crates/lab/src/experiments/once.rs
@@ -10,10 +10,10 @@
 
 use super::trial::three_domains;
 use super::{ExperimentReport, to_value};
-use crate::dice;
 use crate::fleet::{Fleet, FleetError, NodeHandle};
 use crate::fleet_plan::{DomainPlan, FleetPlan};
 use crate::orders::{OrderReport, OrderSender};
+use streamfold_standin::dice;
 
 const ORDERS: usize = 5_000;
 const RATE: f64 = 150.0;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -19,9 +19,9 @@
 
 use crate::client::{CallError, LabClient};
 use crate::fleet_plan::{FleetPlan, write_config};
-use crate::platform::{self, PlatformStandin};
 use crate::proxy::{self, FaultProxy};
 use crate::server::{self, RunLog, ServerPlan, ServerStandin};
+use streamfold_standin::store::{self as platform, PlatformStandin};
 
 /// The one index of a fleet.
 pub const INDEX: &str = "carts";
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,16 +3,13 @@
 
 pub mod client;
 pub mod demo;
-pub mod dice;
 pub mod experiments;
 pub mod fleet;
 pub mod fleet_plan;
 pub mod load;
 pub mod orders;
-pub mod platform;
 pub mod proxy;
 pub mod route_fleet;
-pub mod route_server;
 pub mod server;
 pub mod slopes;
 pub mod usage;
--- a/crates/lab/src/orders.rs
+++ b/crates/lab/src/orders.rs
@@ -11,9 +11,9 @@
 use streamfold_model::{ProblemDetails, RanState};
 
 use crate::client::LabClient;
-use crate::dice;
 use crate::fleet::{INDEX, TOKEN};
 use crate::server::RunLog;
+use streamfold_standin::dice;
 
 /// How long one delivery may take.
 const GIVE_UP: Duration = Duration::from_secs(8);
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -12,7 +12,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
-use crate::dice;
+use streamfold_standin::dice;
 
 /// Chunks that may wait out their delay on one connection.
 const QUEUED_CHUNKS: usize = 4_096;
--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -8,21 +8,21 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use serde_json::{Value, json};
+use serde_json::Value;
+use streamfold_standin::documents::{self, SettingsGaps, write_document};
+pub use streamfold_standin::documents::{HOST, write_route};
+use streamfold_standin::server::{self as route_server, RouteServer, RouteServerPlan};
+use streamfold_standin::store::{self as platform, PlatformStandin};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdout, Command};
 
 use crate::client::{CallAnswer, CallError, LabClient};
 use crate::fleet::find_binary;
-use crate::platform::{self, PlatformStandin};
-use crate::route_server::{self, HEALTH_PATH, RouteServer, RouteServerPlan};
 
 /// The failure domains of a fleet.
 pub const DOMAINS: [&str; 2] = ["zone-a", "zone-b"];
 /// Their regions.
 pub const REGIONS: [&str; 2] = ["north", "south"];
-/// The host of its routes.
-pub const HOST: &str = "shop.example";
 /// The settings of a deployment, with gaps.
 const SETTINGS: &str = include_str!("../../../deploy/settings.yaml");
 /// How long a fleet may take to be ready.
@@ -124,45 +124,6 @@
     move |source| RouteFleetError::Io { what, source }
 }
 
-/// The operator's document with some routes; it names their services.
-pub fn write_document(version: u64, routes: &[Value]) -> Value {
-    let mut names: Vec<String> = Vec::new();
-    for route in routes {
-        names.extend(route["service"].as_str().map(str::to_owned));
-        let parts = route["split"].as_array().into_iter().flatten().filter_map(|part| part["service"].as_str());
-        names.extend(parts.map(str::to_owned));
-        let shards = route["gather"].as_array().into_iter().flatten().filter_map(Value::as_str);
-        names.extend(shards.map(str::to_owned));
-    }
-    names.sort();
-    names.dedup();
-    let service = |name: &String| json!({ "name": name, "healthPath": HEALTH_PATH, "maxConnections": 64 });
-    json!({
-        "version": version,
-        "routes": routes,
-        "services": names.iter().map(service).collect::<Vec<_>>(),
-        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000 }
-    })
-}
-
-/// A route without a target: repeatable, with time enough for a busy machine.
-pub fn write_route(name: &str, prefix: &str, target: &Value) -> Value {
-    let mut route = json!({
-        "name": name,
-        "host": HOST,
-        "pathPrefix": prefix,
-        "routeType": "safe",
-        "timeoutMs": 8000,
-        "targetLatencyMs": 1500,
-        "priority": 0,
-        "maxAttempts": 3
-    });
-    for (field, value) in target.as_object().into_iter().flatten() {
-        route[field] = value.clone();
-    }
-    route
-}
-
 impl RouteFleet {
     /// Starts everything and waits until it is ready.
     ///
@@ -192,17 +153,17 @@
     /// Writes a server's entry in a state.
     pub fn register(&self, position: usize, state: &str) {
         let server = &self.servers[position];
-        self.platform.state.put_object("servers", &server.state.plan.id, server.entry(state));
+        self.platform.state.put_object(documents::SERVERS, &server.state.plan.id, server.entry(state));
     }
 
     /// Removes a server's entry.
     pub fn unregister(&self, position: usize) {
-        self.platform.state.remove_object("servers", &self.servers[position].state.plan.id);
+        self.platform.state.remove_object(documents::SERVERS, &self.servers[position].state.plan.id);
     }
 
     /// Writes the operator's document.
     pub fn put_document(&self, version: u64, routes: &[Value]) {
-        self.platform.state.put_object("config", "main", write_document(version, routes));
+        self.platform.state.put_object(documents::CONFIG, documents::CONFIG_NAME, write_document(version, routes));
     }
 
     /// Starts one more node; it may not be ready yet.
@@ -301,31 +262,21 @@
     platform: SocketAddr,
     seeds: &[String],
 ) -> Result<String, RouteFleetError> {
-    let regions = json!({ DOMAINS[0]: REGIONS[0], DOMAINS[1]: REGIONS[1] });
-    let gaps = [
-        ("nodeName", name.to_owned()),
-        ("zone", DOMAINS[domain].to_owned()),
-        ("zones|json", regions.to_string()),
-        ("listenAddrs.front", addresses.callers.to_string()),
-        ("listenAddrs.ready", addresses.ready.to_string()),
-        ("listenAddrs.control", addresses.peers.to_string()),
-        ("ip", addresses.peers.ip().to_string()),
-        ("internalPorts.0", addresses.peers.port().to_string()),
-        ("internalPorts.1", addresses.metrics.port().to_string()),
-        ("platform.address", platform.to_string()),
-        ("seeds|json", json!(seeds).to_string()),
-        ("bootstrap", "true".to_owned()),
-        ("bounds.graceS", GRACE_SECONDS.to_string()),
-        ("bounds.retryBudgetRatio", "0.1".to_owned()),
-        ("bounds.budgetWindowS", "10".to_owned()),
-        ("bounds.budgetSlack", ALLOWANCE.to_string()),
-    ];
-    let text =
-        gaps.iter().fold(SETTINGS.to_owned(), |text, (gap, value)| text.replace(&format!("{{{{{gap}}}}}"), value));
-    match text.split_once("{{") {
-        Some((_, gap)) => Err(RouteFleetError::Gap(gap.lines().next().unwrap_or_default().to_owned())),
-        None => Ok(text),
-    }
+    let gaps = SettingsGaps {
+        name,
+        domain: DOMAINS[domain],
+        regions: DOMAINS.into_iter().zip(REGIONS).collect(),
+        callers: addresses.callers,
+        ready: addresses.ready,
+        peers: addresses.peers,
+        metrics: addresses.metrics,
+        platform,
+        seeds,
+        grace_seconds: GRACE_SECONDS,
+        extra_ratio: 0.1,
+        extra_allowance: ALLOWANCE,
+    };
+    gaps.fill(SETTINGS).map_err(RouteFleetError::Gap)
 }
 
 async fn start_process(name: &str, text: &str) -> Result<(Child, NodeLog), RouteFleetError> {
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -24,7 +24,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::dice;
+use streamfold_standin::dice;
 
 /// Shards one call may name.
 const MAX_SHARDS: usize = 65_536;
--- a/crates/lab/tests/routes.rs
+++ b/crates/lab/tests/routes.rs
@@ -11,7 +11,7 @@
 use streamfold_lab::client::CallAnswer;
 use streamfold_lab::fleet::send_signal;
 use streamfold_lab::route_fleet::{DOMAINS, HOST, RouteFleet, RouteFleetPlan, write_route};
-use streamfold_lab::route_server::{RouteServer, RouteServerPlan, RouteSwitches, make_records};
+use streamfold_standin::server::{RouteServer, RouteServerPlan, RouteSwitches, make_records};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
