--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -80,6 +80,8 @@
     pub hedge_at: Option<Moment>,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
+    /// How the last call that failed did so, for the log.
+    failure: &'static str,
     /// Where another node may have sent the request: its server there is asked again before
     /// one that certainly was not, so that the bound on servers holds.
     sent_in: Option<FailureDomain>,
@@ -100,6 +102,7 @@
             started: Moment::default(),
             hedge_at: None,
             may_have_run: false,
+            failure: "none",
             sent_in: None,
         }
     }
@@ -124,6 +127,7 @@
     /// Notes how a call ended that gave no usable answer.
     pub fn note_failure(&mut self, server: Arc<Server>, failure: Option<CallFailure>) {
         self.pending = self.pending.saturating_sub(1);
+        self.failure = failure.map_or("bad_answer", CallFailure::name);
         match failure {
             Some(CallFailure::NotSent) => {
                 self.sent = self.sent.saturating_sub(1);
@@ -256,6 +260,7 @@
     /// request are tried again after a pause.
     pub fn retry(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
         let failed = attempts.tried.last().map(|server| server.id.to_string());
+        let waited = self.now().since(attempts.started);
         let has_started = self.start(position, attempts, calls);
         if !has_started {
             self.pause(attempts);
@@ -265,6 +270,9 @@
             request = self.request.id_text(),
             service = %attempts.service,
             server = failed,
+            failure = attempts.failure,
+            waited_ms = waited.as_millis() as u64,
+            sent = attempts.sent,
             retry = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str()),
             pauses = attempts.pauses
         );
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -50,13 +50,14 @@
     Unknown,
 }
 
-impl std::fmt::Display for CallFailure {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
+impl CallFailure {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
             Self::NotSent => "not_sent",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
-        })
+        }
     }
 }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -122,6 +122,7 @@
             request = id,
             path = request.uri().path(),
             version = %router.cluster.version(),
+            routes_followed = router.is_followed(FeedTopic::Routes),
             reason = kind.name()
         );
     })?;
@@ -173,11 +174,17 @@
 }
 
 async fn run(router: &Arc<Router>, context: AttemptContext) -> CallerAnswer {
-    let mut coverage = GatherCoverage { answered: 1, shards: 1, delegated: 0 };
+    let mut record = RequestRecord::new(&context);
     let result = match &context.route.target {
         RouteTarget::All(fold) => {
             let end = gather::run(&context, fold).await;
-            coverage = GatherCoverage { answered: end.answered, shards: end.shards, delegated: end.delegated };
+            record.coverage = Some(RequestCoverage {
+                answered: end.answered,
+                shards: end.shards,
+                delegated: end.delegated,
+                peers: end.peers,
+                missing: end.missing,
+            });
             end.result
         }
         RouteTarget::One(parts) => match single::choose_service(parts, rand::random()) {
@@ -185,36 +192,56 @@
             None => Err(RefusalKind::NoRoute),
         },
     };
-    note(&context, &result, &coverage);
+    record.outcome = result.as_ref().map_or_else(|kind| kind.name(), |_| "answered");
+    record.status = result.as_ref().map_or_else(|kind| kind.status(), http::Response::status).as_u16();
+    drop(record);
     result.unwrap_or_else(|kind| refuse(&*router.format, kind))
 }
 
-/// What an answer covers, for the log.
-struct GatherCoverage {
+/// What an answer over all shards covers.
+struct RequestCoverage {
     answered: usize,
     shards: usize,
     delegated: usize,
+    peers: String,
+    missing: String,
 }
 
-/// Counts a request and logs how it ended.
-fn note(context: &AttemptContext, result: &Result<CallerAnswer, RefusalKind>, coverage: &GatherCoverage) {
-    let took = context.now().since(context.request.started);
-    let outcome = result.as_ref().map_or_else(|kind| kind.name(), |_| "answered");
-    let status = result.as_ref().map_or_else(|kind| kind.status(), http::Response::status);
-    metrics::counter!("streamfold_requests_total", "outcome" => outcome).increment(1);
-    metrics::histogram!("streamfold_request_seconds").record(took.as_secs_f64());
-    let is_late = took > context.route.target_latency;
-    tracing::info!(
-        event = "request",
-        request = context.request.id_text(),
-        route = %context.route.name,
-        version = %context.view.table.as_ref().map_or(Default::default(), |table| table.version),
-        outcome,
-        status = status.as_u16(),
-        answered = coverage.answered,
-        shards = coverage.shards,
-        delegated = coverage.delegated,
-        late = is_late,
-        took_us = took.as_micros() as u64
-    );
+/// Counts a request and logs how it ended, also when its caller left and it is dropped.
+struct RequestRecord<'a> {
+    context: &'a AttemptContext,
+    outcome: &'static str,
+    status: u16,
+    coverage: Option<RequestCoverage>,
+}
+
+impl<'a> RequestRecord<'a> {
+    fn new(context: &'a AttemptContext) -> Self {
+        Self { context, outcome: "caller_left", status: 0, coverage: None }
+    }
+}
+
+impl Drop for RequestRecord<'_> {
+    fn drop(&mut self) {
+        let context = self.context;
+        let took = context.now().since(context.request.started);
+        metrics::counter!("streamfold_requests_total", "outcome" => self.outcome).increment(1);
+        metrics::histogram!("streamfold_request_seconds").record(took.as_secs_f64());
+        let coverage = self.coverage.as_ref();
+        tracing::info!(
+            event = "request",
+            request = context.request.id_text(),
+            route = %context.route.name,
+            version = %context.view.table.as_ref().map_or(Default::default(), |table| table.version),
+            outcome = self.outcome,
+            status = self.status,
+            answered = coverage.map(|coverage| coverage.answered),
+            shards = coverage.map(|coverage| coverage.shards),
+            delegated = coverage.map(|coverage| coverage.delegated),
+            peers = coverage.map(|coverage| coverage.peers.as_str()).filter(|peers| !peers.is_empty()),
+            missing = coverage.map(|coverage| coverage.missing.as_str()).filter(|missing| !missing.is_empty()),
+            late = took > context.route.target_latency,
+            took_us = took.as_micros() as u64
+        );
+    }
 }
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -24,6 +24,8 @@
 /// An answer leaves so long before the target latency: the way to the caller and back, and
 /// the work of folding and sending.
 const ANSWER_MARGIN: Duration = Duration::from_millis(12);
+/// Missing shards that a log line names at most.
+const NAMED_SHARDS: usize = 5;
 /// When a caller whose request did not run may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -63,6 +65,10 @@
     pub shards: usize,
     /// Shards that other nodes were asked for.
     pub delegated: usize,
+    /// The nodes asked, for the log.
+    pub peers: String,
+    /// The first of the missing shards, for the log.
+    pub missing: String,
 }
 
 /// Asks every shard and folds the answers.
@@ -84,7 +90,14 @@
         FoldStep::Answer => Ok(round.answer()),
         _ => Err(round.refusal()),
     };
-    GatherEnd { result, answered, shards: round.slots.len(), delegated }
+    GatherEnd {
+        result,
+        answered,
+        shards: round.slots.len(),
+        delegated,
+        peers: round.name_peers(),
+        missing: round.name_missing(),
+    }
 }
 
 /// The shards of a batch, asked for another node.
@@ -382,6 +395,15 @@
         answer
     }
 
+    fn name_peers(&self) -> String {
+        join(self.batches.iter().map(|batch| batch.peer.entry.node.as_str()))
+    }
+
+    fn name_missing(&self) -> String {
+        let missing = self.slots.iter().filter(|slot| slot.part.is_none());
+        join(missing.take(NAMED_SHARDS).map(|slot| slot.attempts.service.as_str()))
+    }
+
     fn reply(&self) -> ShardReply {
         let mut shards = Vec::new();
         let mut missing = Vec::new();
@@ -408,6 +430,10 @@
     }
 }
 
+fn join<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    names.collect::<Vec<_>>().join(",")
+}
+
 /// The proofs of a reply by their positions in the batch; `None` where one is out of range,
 /// there twice or no header value.
 fn read_proofs(shards: &[FoldedShard], count: usize) -> Option<Vec<(usize, HeaderValue)>> {
