A node cut off from the store learns servers from others too, before newer routes

They now ask for servers and nodes as long as they have no news of them, and take them before the routes. The test (a node that never reaches the store, a new service with a new server) failed before and passes.

--- /dev/null
+++ b/crates/lab/tests/routes_alone.rs
@@ -0,0 +1,83 @@
+//! Nodes in routing mode that the platform's store does not reach, and settings that are read
+//! again while a node runs; with real processes.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::{Value, json};
+use streamfold_lab::fleet::send_signal;
+use streamfold_lab::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, write_route};
+use streamfold_standin::server::RouteServerPlan;
+
+/// How long a condition may take to hold; only a hung test waits so long.
+const WAIT_AT_MOST: Duration = Duration::from_secs(30);
+/// How often a condition is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+fn server(id: &str, service: &str) -> RouteServerPlan {
+    RouteServerPlan::new(id, service, DOMAINS[0])
+}
+
+fn route(service: &str) -> Value {
+    write_route(service, &format!("/{service}/"), &json!({ "service": service }))
+}
+
+async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let began = Instant::now();
+    while !holds().await {
+        assert!(began.elapsed() < WAIT_AT_MOST, "{what} did not come about");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn answers(fleet: &RouteFleet, node: usize, path: &str) -> bool {
+    let id = format!("r-{:08x}", rand::random::<u32>());
+    let answer = fleet.call(node, Method::GET, path, &id, Bytes::new()).await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
+
+/// An address at which nothing listens.
+fn dead_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_the_store_learns_newer_routes_and_their_servers_from_another() {
+    let servers = vec![server("i-0", "cart"), server("i-1", "late")];
+    let plan = RouteFleetPlan { nodes: [1, 0], servers, routes: vec![route("cart")] };
+    let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
+    fleet.unregister(1);
+    wait_for("the second server's end", async || {
+        !fleet.nodes[0].logged(&["event=server_gone", "server=i-1"]).is_empty()
+    })
+    .await;
+    let store = std::mem::replace(&mut fleet.platform.address, dead_address());
+    fleet.add_node(1, "alone").await.expect("a node");
+    fleet.platform.address = store;
+    wait_for("an answer of the node without the store", async || answers(&fleet, 1, "/cart/x").await).await;
+    // A service whose only server is new, and routes to it: both must come from the other node.
+    fleet.register(1, "ready");
+    fleet.put_document(2, &[route("cart"), route("late")]);
+    wait_for("an answer on the new route", async || answers(&fleet, 1, "/late/x").await).await;
+    assert!(answers(&fleet, 1, "/cart/x").await, "the old route is served on");
+    wait_for("the line that tells where the routes are from", async || {
+        fleet.nodes[1].logged(&["event=routes_in_force", "version=2", "source=peer"]).len() == 1
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hangup_with_settings_that_cannot_be_read_changes_and_ends_nothing() {
+    let plan = RouteFleetPlan { nodes: [1, 0], servers: vec![server("i-0", "cart")], routes: vec![route("cart")] };
+    let fleet = RouteFleet::start(plan).await.expect("a fleet");
+    for round in 1..=3 {
+        send_signal(&fleet.nodes[0].process, "HUP").await;
+        // The fleet removes a settings file once its node has started.
+        let told = async || fleet.nodes[0].logged(&["event=settings_not_reloaded"]).len() >= round;
+        wait_for("the line about the reload", told).await;
+        assert!(answers(&fleet, 0, "/cart/x").await, "after hangup {round}");
+    }
+}
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -8,11 +8,11 @@
 use streamfold_model::{NodeEntry, RouteTable, ServerEntry, TableVersion};
 
 use crate::batch::PATH_KNOWLEDGE;
-use crate::border::{FeedItem, FeedTopic};
+use crate::border::{FeedChange, FeedItem, FeedTopic};
 use crate::router::Router;
 
 /// How often another node is asked while the store is away.
-const ASK_EVERY: Duration = Duration::from_millis(300);
+const ASK_EVERY: Duration = Duration::from_millis(500);
 /// How long a node may take to tell.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -21,7 +21,7 @@
 pub struct KnowledgeRequest {
     /// The version of the routes it has; only a newer one is of use.
     pub version: TableVersion,
-    /// Whether it knows no servers and nodes at all.
+    /// Whether it has no news of servers and nodes.
     pub wants_entries: bool,
 }
 
@@ -52,7 +52,7 @@
     // The store is asked first.
     loop {
         tokio::time::sleep(ASK_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
-        if router.is_followed(FeedTopic::Routes) && router.is_listed(FeedTopic::Servers) {
+        if router.is_followed(FeedTopic::Routes) && router.is_followed(FeedTopic::Servers) {
             continue;
         }
         let Some(link) = choose_link(&router) else { continue };
@@ -73,18 +73,30 @@
 }
 
 async fn ask(router: &Router, link: &Arc<PeerLink>) -> Result<(), PeerError> {
-    let wants_entries = !router.is_listed(FeedTopic::Servers);
+    let wants_entries = !router.is_followed(FeedTopic::Servers);
     let request = KnowledgeRequest { version: router.cluster.version(), wants_entries };
     let reply: KnowledgeReply = link.call(PATH_KNOWLEDGE, &request, ASK_TIMEOUT).await?;
+    // Servers first, since newer routes may name services that only the newer entries have.
+    take_entries(router, link, reply.servers, reply.nodes);
     if let Some(table) = reply.table {
         router.cluster.offer_table(table, "peer");
     }
-    let now = router.clock.now();
-    if wants_entries && !router.is_listed(FeedTopic::Servers) && !reply.servers.is_empty() {
-        tracing::info!(event = "entries_from_peer", address = %link.address(), servers = reply.servers.len());
-        router.cluster.replace(now, reply.servers.into_iter().map(FeedItem::Server).collect(), FeedTopic::Servers);
-        router.cluster.replace(now, reply.nodes.into_iter().map(FeedItem::Node).collect(), FeedTopic::Nodes);
+    Ok(())
+}
+
+/// Adds servers and nodes that another node knows. None is removed: that the other node does
+/// not know one does not say that it is gone.
+fn take_entries(router: &Router, link: &PeerLink, servers: Vec<ServerEntry>, nodes: Vec<NodeEntry>) {
+    if servers.is_empty() || router.is_followed(FeedTopic::Servers) {
+        return;
+    }
+    if !router.is_listed(FeedTopic::Servers) {
+        tracing::info!(event = "entries_from_peer", address = %link.address(), servers = servers.len());
         router.set_listed(FeedTopic::Servers);
     }
-    Ok(())
+    let now = router.clock.now();
+    let servers = servers.into_iter().map(FeedItem::Server).map(FeedChange::Put).collect();
+    router.cluster.apply(now, servers, FeedTopic::Servers);
+    let nodes = nodes.into_iter().map(FeedItem::Node).map(FeedChange::Put).collect();
+    router.cluster.apply(now, nodes, FeedTopic::Nodes);
 }
