--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -8,7 +8,7 @@
 use streamfold_router::{Router, RouterSettings, RunningRouter, router};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::error::StartError;
+use crate::error::{SettingError, SettingProblem, StartError};
 use crate::metrics_text;
 use crate::settings::{self, DaemonArgs};
 
@@ -18,11 +18,47 @@
 /// Reads and checks the settings that the arguments name.
 ///
 /// # Errors
-/// The file cannot be read, or the first problem found in it.
+/// The file cannot be read or parsed, or every problem found in its values.
 pub fn load(args: &DaemonArgs) -> Result<RouterSettings, StartError> {
     let (name, text) = settings::read_file(args)?;
-    let parsed = serde_saphyr::from_str(&text);
-    parsed.map_err(|error| StartError::BadSettings(vec![settings::syntax_error(&name, &error)]))
+    parse(&name, &text).map_err(StartError::BadSettings)
+}
+
+/// Parses and checks settings from the text of a file.
+///
+/// # Errors
+/// The first problem of syntax, or every problem found in the values.
+pub fn parse(name: &str, text: &str) -> Result<RouterSettings, Vec<SettingError>> {
+    let parsed: Result<RouterSettings, _> = serde_saphyr::from_str(text);
+    let settings = parsed.map_err(|error| vec![settings::syntax_error(name, &error)])?;
+    let problems: Vec<SettingError> =
+        check(&settings).into_iter().map(|problem| SettingError { file: name.to_owned(), line: 0, problem }).collect();
+    if problems.is_empty() { Ok(settings) } else { Err(problems) }
+}
+
+fn check(settings: &RouterSettings) -> Vec<SettingProblem> {
+    let extra = &settings.extra_calls;
+    let mut problems = Vec::new();
+    let mut check_range = |name, found: f64, is_allowed: bool, range| {
+        if !is_allowed {
+            problems.push(SettingProblem::OutOfRange { name, found: found.to_string(), range });
+        }
+    };
+    check_range("extra_calls.ratio", extra.ratio, (0.0..=10.0).contains(&extra.ratio), "0 to 10");
+    check_range("extra_calls.allowance", extra.allowance, extra.allowance >= 0.0, "0 or more");
+    let window = extra.window.0.as_secs_f64();
+    check_range("extra_calls.window", window, window > 0.0, "longer than 0s");
+    let ports = [
+        ("callers", settings.callers),
+        ("ready", settings.ready),
+        ("peers", settings.peers),
+        ("metrics", settings.metrics),
+    ];
+    for (position, (name, address)) in ports.iter().enumerate() {
+        let same = ports[..position].iter().find(|(_, other)| other == address && address.port() != 0);
+        problems.extend(same.map(|(other, _)| SettingProblem::SameAddress(other, name, *address)));
+    }
+    problems
 }
 
 /// Starts a router on the platform.
--- /dev/null
+++ b/crates/daemon/tests/route_settings.rs
@@ -0,0 +1,47 @@
+//! Settings in routing mode: what is missing or out of range is told, what is unknown is ignored.
+
+use insta::assert_snapshot;
+use streamfold_daemon::route_node::parse;
+
+const GOOD: &str = "\
+serve: routes
+node: vienna-1
+failure_domain: vienna
+regions: {vienna: east, graz: south}
+callers: 127.0.0.1:7100
+ready: 127.0.0.1:7101
+peers: 127.0.0.1:7102
+metrics: 127.0.0.1:7103
+platform: 127.0.0.1:7000
+seeds: []
+first_start: true
+grace: 6s
+extra_calls: {ratio: 0.2, window: 10s, allowance: 54}
+";
+
+fn problems(text: &str) -> String {
+    let errors = parse("node.yaml", text).expect_err("problems");
+    errors.iter().map(|error| format!("{error}\n")).collect()
+}
+
+#[test]
+fn settings_that_the_platform_fills_in_are_read_and_unknown_ones_ignored() {
+    let settings = parse("node.yaml", &format!("{GOOD}added_later: 3\n")).expect("settings");
+    assert_eq!(settings.node.as_str(), "vienna-1");
+    assert_eq!(settings.regions.len(), 2);
+    assert!(settings.first_start);
+}
+
+#[test]
+fn what_is_missing_or_malformed_is_told_with_its_line() {
+    let without_callers = GOOD.replace("callers: 127.0.0.1:7100\n", "");
+    assert_snapshot!(problems(&without_callers));
+    assert_snapshot!(problems(&GOOD.replace("127.0.0.1:7101", "somewhere")));
+    assert_snapshot!(problems(&GOOD.replace("10s", "soon")));
+}
+
+#[test]
+fn values_out_of_range_and_ports_that_are_the_same_are_told_at_once() {
+    let wrong = GOOD.replace("ratio: 0.2", "ratio: -1").replace("allowance: 54", "allowance: -2");
+    assert_snapshot!(problems(&wrong.replace("127.0.0.1:7103", "127.0.0.1:7100").replace("10s", "0s")));
+}
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -194,10 +194,31 @@
     /// Starts the next attempt, if there is a server and the bounds allow one.
     pub fn start(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) -> bool {
         let Some(service) = self.view.services.get(&attempts.service) else { return false };
-        if attempts.sent >= self.route.max_attempts || (self.is_once() && attempts.may_have_run) {
+        if self.is_spent(attempts) {
             return false;
         }
         let Some(server) = self.choose(attempts, service) else { return false };
+        if !self.charge(attempts, service) {
+            metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
+            return false;
+        }
+        attempts.sent += 1;
+        attempts.pending += 1;
+        attempts.tried.push(server.clone());
+        attempts.started = self.now();
+        let patience = self.times.patience(server.distance, self.route.target_latency);
+        attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
+        calls.push(self.call(position, server));
+        true
+    }
+
+    /// Whether the request may run on no further server.
+    fn is_spent(&self, attempts: &ServiceAttempts) -> bool {
+        attempts.sent >= self.route.max_attempts || (self.is_once() && attempts.may_have_run)
+    }
+
+    /// Counts a call in the budget of the service; false if it is extra and the budget is spent.
+    fn charge(&self, attempts: &ServiceAttempts, service: &Service) -> bool {
         let now = self.now();
         let limits = self.router.extra_limits(&self.view);
         let mut budget = service.budget();
@@ -205,27 +226,20 @@
             budget.note_request(now, &limits, self.request_share);
         }
         let is_extra = attempts.has_arrived || attempts.pending > 0;
-        if is_extra && !budget.spend(now, &limits) {
-            metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
-            return false;
-        }
-        drop(budget);
-        attempts.sent += 1;
-        attempts.pending += 1;
-        attempts.tried.push(server.clone());
-        attempts.started = now;
+        !is_extra || budget.spend(now, &limits)
+    }
+
+    fn call(&self, position: usize, server: Arc<Server>) -> PendingCall {
         let typical = self.times.typical(server.distance, self.route.target_latency);
-        let patience = self.times.patience(server.distance, self.route.target_latency);
-        attempts.hedge_at = (!self.is_once()).then(|| now.plus(patience));
         let terms = CallTerms { is_once: self.is_once(), typical };
         let running = call::run(self.router.clone(), server, self.request.clone(), terms);
-        let router = self.router.clone();
+        let clock = self.router.clock;
+        let started = self.now();
         let timed = async move {
             let ended = running.await;
-            (position, router.clock.now().since(now), ended)
+            (position, clock.now().since(started), ended)
         };
-        calls.push(timed.boxed());
-        true
+        timed.boxed()
     }
 
     /// Tries another server because the newest call is overdue, if one has a free slot: a hedge
@@ -281,10 +295,9 @@
     /// Plans to try servers again that did not take the request, if there are any, there is
     /// time and the request may run on one more.
     fn pause(&self, attempts: &mut ServiceAttempts) {
-        let is_spent = attempts.sent >= self.route.max_attempts || (self.is_once() && attempts.may_have_run);
         let pause = (FIRST_PAUSE * 2u32.pow(attempts.pauses.min(4))).min(MAX_PAUSE);
         let again = self.now().plus(pause.mul_f64(rand::random_range(0.8..1.2)));
-        if is_spent || attempts.passed.is_empty() || again > self.retry_until {
+        if self.is_spent(attempts) || attempts.passed.is_empty() || again > self.retry_until {
             return;
         }
         attempts.pauses += 1;
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -12,7 +12,7 @@
 use crate::error::ExchangeError;
 use crate::request::CallerRequest;
 use crate::router::Router;
-use crate::server::{LeasedConnection, Server};
+use crate::server::Server;
 
 /// How long connecting may take: the way there and back, the handshake, and a pause.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -147,10 +147,11 @@
         tracing::info!(event = "server_replaced", server = %server.id, address = %server.address);
         server.mark_leaving();
     }
+    // A connection on which something came that is no answer to its request is not used again.
     if reply.is_own && !reply.is_closing {
         server.put_back(router.clock.now(), leased, reply.keep_alive).await;
     } else {
-        close(leased);
+        drop(leased);
     }
     if reply.is_not_run {
         return Err(CallFailure::NotRun);
@@ -161,11 +162,6 @@
     Ok(ServerReply { status: parts.status, headers: parts.headers, body, proof: reply.proof })
 }
 
-/// A connection on which something came that is no answer to its request is not used again.
-fn close(leased: LeasedConnection) {
-    drop(leased);
-}
-
 fn learn(now: Moment, server: &Server, reply: &ReplyHead) {
     if let Some(load) = reply.load {
         server.state().learn_load(now, load.running, load.waiting);
--- /dev/null
+++ b/crates/router/src/gather_batch.rs
@@ -0,0 +1,147 @@
+//! The part of a gather that other nodes do: shards handed to them, and what becomes of those.
+
+use bytes::Bytes;
+use http::HeaderValue;
+
+use crate::batch::{BatchFrame, FoldedShard, MissingShard, ShardReply};
+use crate::delegate::read_on;
+use crate::fold::ShardPart;
+use crate::gather::GatherRound;
+use crate::peers::{BatchNews, PendingBatch};
+
+impl GatherRound<'_> {
+    /// Hands shards without a server near to nodes near their servers.
+    pub(crate) fn delegate(&mut self) {
+        for (domain, positions) in self.context.plan_batches(&self.slots) {
+            let Some(peer) = self.context.choose_peer(&domain) else { continue };
+            let number = self.batches.len();
+            for position in &positions {
+                self.slots[*position].batch = Some(number);
+                self.context.note_delegated(&self.slots[*position].attempts.service);
+            }
+            let services = positions.iter().map(|position| self.slots[*position].attempts.service.clone()).collect();
+            let (slot, pending) = self.context.send_batch(number, peer, positions, services, &self.rule, self.top);
+            self.batches.push(slot);
+            self.pending_batches.push(pending);
+        }
+    }
+
+    /// Asks for the shards of a batch itself, since the other node gives no sign of life.
+    pub(crate) fn take_over(&mut self, number: usize) {
+        let batch = &mut self.batches[number];
+        batch.takeover_at = None;
+        batch.peer.state().note_overdue(self.context.now(), batch.started, 1.0);
+        tracing::info!(
+            event = "batch_overdue",
+            request = self.context.request.id_text(),
+            peer = %batch.peer.entry.node,
+            shards = batch.positions.len()
+        );
+        self.start_silent(number);
+    }
+
+    /// Starts attempts for the shards of a node that fell silent with them.
+    fn start_silent(&mut self, number: usize) {
+        let domain = self.batches[number].peer.entry.domain.clone();
+        for position in self.batches[number].positions.clone() {
+            self.slots[position].attempts.note_silent_node(&domain);
+        }
+        self.start_batch_shards(number, |_| (1, true));
+    }
+
+    /// Starts attempts of this node for the shards of a batch that are not in; `tally` tells
+    /// how many servers may have run each, and whether a call reached any.
+    fn start_batch_shards(&mut self, number: usize, tally: impl Fn(usize) -> (u32, bool)) {
+        for position in self.batches[number].positions.clone() {
+            let slot = &mut self.slots[position];
+            if slot.part.is_none() && !slot.attempts.is_open() {
+                let (sent, has_arrived) = tally(position);
+                slot.attempts.note_elsewhere(sent, has_arrived);
+                self.context.start(position, &mut slot.attempts, &self.calls);
+            }
+        }
+    }
+
+    pub(crate) fn note_batch(&mut self, number: usize, news: BatchNews) {
+        match news {
+            BatchNews::Frame(BatchFrame::Working) => {
+                let batch = &mut self.batches[number];
+                batch.takeover_at = Some(batch.reply_by);
+            }
+            BatchNews::Frame(BatchFrame::Partial(reply)) => {
+                self.batches[number].takeover_at = None;
+                self.take_reply(number, reply);
+            }
+            BatchNews::Frame(BatchFrame::Done(reply)) => {
+                self.batches[number].is_open = false;
+                let missing = reply.missing.clone();
+                self.take_reply(number, reply);
+                self.start_missing(number, &missing);
+            }
+            BatchNews::Failed(error) => {
+                self.batches[number].is_open = false;
+                let is_not_sent = error.is_not_sent();
+                tracing::info!(
+                    event = "batch_failed",
+                    request = self.context.request.id_text(),
+                    peer = %self.batches[number].peer.entry.node,
+                    %error
+                );
+                match is_not_sent {
+                    true => self.start_batch_shards(number, |_| (0, false)),
+                    false => self.start_silent(number),
+                }
+            }
+        }
+    }
+
+    pub(crate) fn keep_reading(&mut self, number: usize, pending: PendingBatch) {
+        if self.batches[number].is_open {
+            self.pending_batches.push(read_on(number, pending));
+        }
+    }
+
+    /// Takes over the shards of a reply. Their records lie folded together, so they replace
+    /// what this node may have fetched of the same shards meanwhile.
+    fn take_reply(&mut self, number: usize, reply: ShardReply) {
+        let batch = &mut self.batches[number];
+        self.context.router.note_version(reply.version);
+        if reply.is_stopping {
+            batch.peer.mark_stopping();
+        }
+        let Some(proofs) = read_proofs(&reply.shards, batch.positions.len()) else {
+            tracing::warn!(event = "batch_malformed", peer = %batch.peer.entry.node);
+            return;
+        };
+        batch.records = Bytes::from(reply.records);
+        let positions = batch.positions.clone();
+        for (index, proof) in proofs {
+            let slot = &mut self.slots[positions[index]];
+            slot.attempts.may_have_run = true;
+            slot.part = Some(ShardPart { proof, records: Bytes::new() });
+        }
+    }
+
+    /// Asks itself for the shards that the other node could not get.
+    fn start_missing(&mut self, number: usize, missing: &[MissingShard]) {
+        let positions = self.batches[number].positions.clone();
+        let tally = |position: usize| {
+            let told = missing.iter().find(|shard| positions.get(shard.position as usize) == Some(&position));
+            told.map_or((1, true), |shard| (shard.sent, shard.has_arrived))
+        };
+        self.start_batch_shards(number, tally);
+    }
+}
+
+/// The proofs of a reply by their positions in the batch; `None` where one is out of range,
+/// there twice or no header value.
+fn read_proofs(shards: &[FoldedShard], count: usize) -> Option<Vec<(usize, HeaderValue)>> {
+    let mut seen = vec![false; count];
+    let read = |shard: &FoldedShard| {
+        let index = shard.position as usize;
+        let is_new = seen.get_mut(index).is_some_and(|seen| !std::mem::replace(seen, true));
+        let proof = HeaderValue::from_bytes(&shard.proof).ok()?;
+        is_new.then_some((index, proof))
+    };
+    shards.iter().map(read).collect()
+}
--- /dev/null
+++ b/crates/router/src/peer_gather.rs
@@ -0,0 +1,67 @@
+//! A gather over the shards of a batch, for another node.
+
+use std::time::Duration;
+
+use streamfold_model::ShardFold;
+use streamfold_policy::fold_rule::FoldRule;
+
+use crate::attempts::AttemptContext;
+use crate::batch::{FoldedShard, MissingShard, ShardReply};
+use crate::gather::GatherRound;
+
+/// The shards of a batch, asked for another node.
+pub struct PeerGather<'a> {
+    round: GatherRound<'a>,
+    told: usize,
+}
+
+impl<'a> PeerGather<'a> {
+    /// Starts to ask the shards.
+    pub fn start(context: &'a AttemptContext, fold: &ShardFold, reply_within: Duration) -> Self {
+        let limit = context.request.deadline.since(context.request.started);
+        let rule = FoldRule { target: reply_within.min(limit), limit, min_coverage: 0.0, shards: fold.shards.len() };
+        let mut round = GatherRound::new(context, fold, rule);
+        round.start_rest();
+        Self { round, told: 0 }
+    }
+
+    /// The next reply: one with what is there once the wanted time is over, one with each
+    /// shard that comes after, and at last one with all that will come. Only the last is
+    /// marked so.
+    pub async fn next(&mut self) -> (ShardReply, bool) {
+        loop {
+            self.round.wait().await;
+            let answered = self.round.answered();
+            let elapsed = self.round.context.now().since(self.round.context.request.started);
+            let is_last = self.round.pending() == 0 || elapsed >= self.round.rule.limit;
+            if is_last || answered > self.told {
+                self.told = answered;
+                return (self.round.reply(), is_last);
+            }
+            self.round.wait_for_more().await;
+        }
+    }
+
+    /// Lets what was outrun go on for a moment.
+    pub fn release(mut self) {
+        self.round.release();
+    }
+}
+
+impl GatherRound<'_> {
+    pub(crate) fn reply(&self) -> ShardReply {
+        let mut shards = Vec::new();
+        let mut missing = Vec::new();
+        for (slot, position) in self.slots.iter().zip(0..) {
+            match &slot.part {
+                Some(part) => shards.push(FoldedShard { position, proof: part.proof.as_bytes().to_vec() }),
+                None => {
+                    let (sent, has_arrived) = slot.attempts.tally();
+                    missing.push(MissingShard { position, sent, has_arrived });
+                }
+            }
+        }
+        let version = self.context.router.cluster.version();
+        ShardReply { version, is_stopping: false, shards, missing, records: self.fold().to_vec() }
+    }
+}
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -18,8 +18,8 @@
 use crate::batch::{BatchFrame, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
 use crate::border::CallerHead;
 use crate::delegate::ASKING_SHARE;
-use crate::gather::PeerGather;
 use crate::knowledge::{self, KnowledgeRequest};
+use crate::peer_gather::PeerGather;
 use crate::request::CallerRequest;
 use crate::router::{LiveCount, Router, RouterPhase};
 
--- a/crates/router/src/times.rs
+++ b/crates/router/src/times.rs
@@ -8,6 +8,8 @@
 
 /// Below so many samples the route's target latency tells more.
 const MIN_SAMPLES: u32 = 20;
+/// What a call of a kind usually takes.
+const TYPICAL_QUANTILE: f64 = 0.5;
 /// A call that takes longer than this quantile of its kind is overdue.
 const PATIENCE_QUANTILE: f64 = 0.97;
 /// Bounds on the patience as shares of the target latency: a second try must still be able to
@@ -42,7 +44,7 @@
 
     /// The time a call usually takes.
     pub fn typical(&self, distance: Distance, target: Duration) -> Duration {
-        self.quantile(distance, 0.5).unwrap_or(target.mul_f64(ASSUMED_TYPICAL_SHARE))
+        self.quantile(distance, TYPICAL_QUANTILE).unwrap_or(target.mul_f64(ASSUMED_TYPICAL_SHARE))
     }
 
     /// The time after which a call is overdue.
