A call is noted as overdue once, and a hedge that may not go is not looked at again

Cause: with no free server left an overdue call was looked at every 15 ms, and each look raised the server's slowness anew, so that one slow call could mark a server for seconds; with its attempts spent the looks went on for nothing.

--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -33,6 +33,9 @@
 /// How long until a hedge that found no free server is looked at again.
 const HEDGE_PAUSE: Duration = Duration::from_millis(15);
 
+/// The least that a call is taken to need, in seconds, where latencies are divided by it.
+pub(crate) const MIN_TYPICAL_SECONDS: f64 = 1e-4;
+
 /// What all attempts of one request share.
 pub struct AttemptContext {
     /// This node.
@@ -76,8 +79,10 @@
     pub retry_at: Option<Moment>,
     /// When the newest call started.
     started: Moment,
-    /// When the newest call counts as overdue.
+    /// When the newest call counts as overdue, or a hedge is looked at again.
     pub hedge_at: Option<Moment>,
+    /// Whether the newest call is known to be overdue.
+    is_overdue: bool,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
     /// How the last call that failed did so, for the log.
@@ -101,6 +106,7 @@
             retry_at: None,
             started: Moment::default(),
             hedge_at: None,
+            is_overdue: false,
             may_have_run: false,
             failure: "none",
             sent_in: None,
@@ -206,6 +212,7 @@
         attempts.pending += 1;
         attempts.tried.push(server.clone());
         attempts.started = self.now();
+        attempts.is_overdue = false;
         let patience = self.times.patience(server.distance, self.route.target_latency);
         attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
         calls.push(self.call(position, server));
@@ -248,16 +255,18 @@
         attempts.hedge_at = None;
         let now = self.now();
         let Some(late) = attempts.tried.last().cloned() else { return };
+        let is_news = !std::mem::replace(&mut attempts.is_overdue, true);
         let waited = now.since(attempts.started);
-        let typical = self.times.typical(late.distance, self.route.target_latency);
-        late.state().note_overdue(now, attempts.started, waited.as_secs_f64() / typical.as_secs_f64().max(1e-4));
+        if is_news {
+            self.note_overdue(&late, attempts.started);
+        }
         let next = self.best_server(attempts).filter(|server| !server.state().is_busy(now));
         let has_started = next.is_some() && self.start(position, attempts, calls);
-        if !has_started && now.plus(HEDGE_PAUSE) < self.retry_until {
-            attempts.hedge_at = Some(now.plus(HEDGE_PAUSE));
+        let again = now.plus(HEDGE_PAUSE);
+        if !has_started && !self.is_spent(attempts) && again < self.retry_until {
+            attempts.hedge_at = Some(again);
         }
-        metrics::counter!("streamfold_overdue_calls_total").increment(1);
-        if !has_started && waited > self.times.patience(late.distance, self.route.target_latency) + HEDGE_PAUSE {
+        if !is_news && !has_started {
             return;
         }
         tracing::info!(
@@ -270,6 +279,15 @@
         );
     }
 
+    /// Tells the server's state, once a call, that the call is overdue.
+    fn note_overdue(&self, server: &Server, started: Moment) {
+        let now = self.now();
+        let typical = self.times.typical(server.distance, self.route.target_latency);
+        let ratio = now.since(started).as_secs_f64() / typical.as_secs_f64().max(MIN_TYPICAL_SECONDS);
+        server.state().note_overdue(now, started, ratio);
+        metrics::counter!("streamfold_overdue_calls_total").increment(1);
+    }
+
     /// Tries another server after one failed. Where none is left, those that did not take the
     /// request are tried again after a pause.
     pub fn retry(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -8,6 +8,7 @@
 use streamfold_policy::Moment;
 use streamfold_policy::replica::CallSample;
 
+use crate::attempts::MIN_TYPICAL_SECONDS;
 use crate::border::ReplyHead;
 use crate::error::ExchangeError;
 use crate::request::CallerRequest;
@@ -110,7 +111,9 @@
     };
     let now = router.clock.now();
     record.sample = match &result {
-        Ok(_) => CallSample::Answered(now.since(started).as_secs_f64() / terms.typical.as_secs_f64().max(1e-4)),
+        Ok(_) => CallSample::Answered(
+            now.since(started).as_secs_f64() / terms.typical.as_secs_f64().max(MIN_TYPICAL_SECONDS),
+        ),
         Err(CallFailure::NotRun) => CallSample::Full,
         Err(_) => CallSample::Failed,
     };
