--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,7 +4,7 @@
 
 use streamfold_daemon::error::StartError;
 use streamfold_daemon::settings::{self, DaemonArgs, NodeSettings, ServeMode, daemon_args};
-use streamfold_daemon::{logs, metrics_text, node, route_node};
+use streamfold_daemon::{logs, metrics_text, node_start, route_node};
 use streamfold_router::RouterSettings;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -72,7 +72,7 @@
 async fn run_indexes(settings: NodeSettings) -> Result<(), StartError> {
     logs::start(&settings.log);
     metrics_text::install()?;
-    let running = node::start(settings).await?;
+    let running = node_start::start(settings).await?;
     wait_for_signal().await;
     running.stop().await;
     Ok(())
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,38 +1,33 @@
-//! One node: what its parts share, how it starts and how it stops.
+//! One node: what its parts share. How it starts, its view of the cluster and the books of
+//! tickets it holds have files of their own.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use streamfold_model::operator::MemberHealth;
-use streamfold_model::{CallerName, ConfigBundle, ConfigVersion, FailureDomain, Incarnation};
+use streamfold_model::{CallerName, ConfigBundle, ConfigVersion, Incarnation};
 use streamfold_platform::PlatformClient;
 use streamfold_policy::{
     AdaptiveRules, AdmissionGate, AttemptRules, BaselineRules, LatencyTrack, MemberEntry, MemberState, MemberTable,
-    MemberTimes, Moment, RateGate, TokenBudget,
+    MemberTimes, RateGate, TokenBudget,
 };
 use streamfold_store::{ConfigStore, ObjectStore, RequestClaims, VmList};
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::JoinSet;
 
 use crate::admission::AdmittedVisit;
 use crate::clock::{NodeClock, wall_ms};
-use crate::error::StartError;
 use crate::keeper::{ConfigKeeper, OfferResult};
 use crate::links::PeerLinks;
 use crate::metered::MeteredStore;
+use crate::node_start::NodeAddresses;
 use crate::outcomes::OutcomeTable;
 use crate::owner::OwnerPools;
 use crate::settings::{NodeSettings, PolicyChoice};
 use crate::stop::StopPhase;
-use crate::tickets::{OrderTicket, TicketBook};
-use crate::view::{ClusterView, VersionTable, WorkTarget};
-use crate::wire::TicketHandover;
-use crate::{callers, gossip, operators, peers, stats, watch as watcher};
+use crate::tickets::TicketBook;
+use crate::view::ClusterView;
 
 /// Heartbeats a node may miss before it is suspected, and before it gets no work.
 const SUSPECT_BEATS: u32 = 6;
@@ -48,22 +43,9 @@
 /// Pieces sent to a second owner, as a share of all, and how many at once.
 const OWNER_HEDGE_SHARE: f64 = 0.05;
 const OWNER_HEDGE_RESERVE: f64 = 200.0;
-/// How often the view is looked at again without news.
-const VIEW_EVERY: Duration = Duration::from_millis(100);
 /// Gives a waiting request its place; dropped, the request is given up.
 pub type AdmissionTag = oneshot::Sender<AdmittedVisit>;
 
-/// Where the ports of a running node are.
-#[derive(Debug, Clone, Copy)]
-pub struct NodeAddresses {
-    /// Callers' port.
-    pub callers: SocketAddr,
-    /// Operators' port.
-    pub operators: SocketAddr,
-    /// Peers' port.
-    pub peers: SocketAddr,
-}
-
 /// One node and everything its parts share.
 pub struct Node {
     /// Its settings.
@@ -89,9 +71,9 @@
     /// Told when news should not wait for the next heartbeat.
     pub urgent: Notify,
     members: Mutex<MemberTable>,
-    view: ArcSwap<ClusterView>,
+    pub(crate) view: ArcSwap<ClusterView>,
     pub(crate) own_book: TicketBook,
-    adopted: Mutex<Vec<Arc<TicketBook>>>,
+    pub(crate) adopted: Mutex<Vec<Arc<TicketBook>>>,
     gate: Mutex<AdmissionGate<AdmissionTag>>,
     claim_gate: Mutex<RateGate>,
     listed_seeds: Mutex<Vec<SocketAddr>>,
@@ -117,61 +99,6 @@
     }
 }
 
-/// A node with its ports open and its tasks running.
-pub struct RunningNode {
-    /// The node.
-    pub node: Arc<Node>,
-    /// Its ports.
-    pub addresses: NodeAddresses,
-    pub(crate) tasks: JoinSet<()>,
-}
-
-async fn listen(port: &'static str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
-    let failed = |source| StartError::Listen { port, address, source };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let bound = listener.local_addr().map_err(failed)?;
-    Ok((listener, bound))
-}
-
-/// Opens the ports and starts a node.
-///
-/// # Errors
-/// A port cannot be opened.
-pub async fn start(settings: NodeSettings) -> Result<RunningNode, StartError> {
-    let (callers_listener, callers) = listen("callers", settings.callers).await?;
-    let (operators_listener, operators) = listen("operators", settings.operators).await?;
-    let (peers_listener, peers) = listen("peers", settings.peers).await?;
-    let addresses = NodeAddresses { callers, operators, peers };
-    let node = Arc::new(Node::new(settings, addresses));
-    tracing::info!(
-        event = "listening",
-        node = %node.settings.node,
-        failure_domain = %node.settings.domain,
-        callers = %callers,
-        operators = %operators,
-        peers = %peers
-    );
-    let mut tasks = JoinSet::new();
-    tasks.spawn(callers::serve(node.clone(), callers_listener));
-    tasks.spawn(operators::serve(node.clone(), operators_listener));
-    tasks.spawn(peers::serve(node.clone(), peers_listener));
-    tasks.spawn(gossip::run(node.clone()));
-    tasks.spawn(watcher::run(node.clone()));
-    tasks.spawn(keep_view(node.clone()));
-    Ok(RunningNode { node, addresses, tasks })
-}
-
-async fn keep_view(node: Arc<Node>) {
-    loop {
-        tokio::time::sleep(VIEW_EVERY).await;
-        node.refresh_view();
-        let now = node.clock.now();
-        node.own_book.sweep(now);
-        node.own_keys.sweep(now);
-        node.sweep_books(now);
-    }
-}
-
 fn own_entry(settings: &NodeSettings, addresses: NodeAddresses, incarnation: Incarnation) -> MemberEntry {
     MemberEntry {
         node: settings.node.clone(),
@@ -194,7 +121,7 @@
 }
 
 impl Node {
-    fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
+    pub(crate) fn new(settings: NodeSettings, addresses: NodeAddresses) -> Self {
         let clock = NodeClock::start();
         let now = clock.now();
         let incarnation = Incarnation(wall_ms());
@@ -269,57 +196,6 @@
         result
     }
 
-    /// Works the view out again if members or configuration changed.
-    pub fn refresh_view(&self) {
-        let now = self.clock.now();
-        let workers = self.find_workers(now);
-        let kept = self.keeper.current();
-        let config = kept.map(|kept| kept.config.clone());
-        let old = self.view.load_full();
-        let same_config = match (&config, &old.config) {
-            (Some(new), Some(old)) => Arc::ptr_eq(new, old),
-            (None, None) => true,
-            _ => false,
-        };
-        if same_config && is_same_set(&workers, &old.workers) {
-            self.keep_pools(&old);
-            return;
-        }
-        let beliefs = match (&config, same_config) {
-            (Some(config), false) => Arc::new(carry_beliefs(config, &old)),
-            _ => old.beliefs.clone(),
-        };
-        stats::set_workers(workers.values().map(Vec::len).sum());
-        let view = Arc::new(ClusterView::build(config, workers, beliefs, self.settings.owners));
-        self.keep_pools(&view);
-        self.view.store(view);
-    }
-
-    fn find_workers(&self, now: Moment) -> HashMap<FailureDomain, Vec<WorkTarget>> {
-        let mut members = self.members();
-        members.forget(now);
-        let all: HashMap<_, _> = members.entries().map(|entry| (entry.node.clone(), entry.peer_address)).collect();
-        self.links.keep(all, &self.seeds());
-        let mut workers: HashMap<FailureDomain, Vec<WorkTarget>> = HashMap::new();
-        for entry in members.workers(now) {
-            let is_own = entry.node == self.settings.node;
-            let suspect = members.health(now, &entry.node) == MemberHealth::Suspect;
-            let link = (!is_own).then(|| self.links.at(entry.peer_address));
-            let target = WorkTarget { node: entry.node.clone(), link, suspect };
-            workers.entry(entry.domain.clone()).or_default().push(target);
-        }
-        workers
-    }
-
-    fn keep_pools(&self, view: &ClusterView) {
-        let Some(config) = &view.config else { return };
-        let owners = view.owners.iter();
-        let is_own = |targets: &[WorkTarget]| targets.iter().any(|target| target.link.is_none());
-        let owned = config.upstreams.iter().zip(owners).filter(|(_, targets)| is_own(targets));
-        let owned: Vec<_> = owned.map(|(spec, _)| spec.clone()).collect();
-        self.pools.keep(&owned, self.settings.owners);
-    }
-
     /// Peers' addresses to begin with, from the settings and the platform's VM list.
     pub fn seeds(&self) -> Vec<SocketAddr> {
         let mut seeds = self.settings.seeds.clone();
@@ -379,37 +255,6 @@
         &self.own_book
     }
 
-    pub(crate) fn books(&self) -> Vec<Arc<TicketBook>> {
-        self.adopted.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Forgets what tickets that were taken over need no more.
-    fn sweep_books(&self, now: Moment) {
-        let mut adopted = self.adopted.lock().unwrap_or_else(PoisonError::into_inner);
-        adopted.retain(|book| !book.is_over(now));
-        for book in adopted.iter() {
-            book.sweep(now);
-        }
-    }
-
-    /// Takes over tickets of a stopping node.
-    pub fn adopt(&self, books: Vec<TicketHandover>) {
-        let now = self.clock.now();
-        let mut adopted = self.adopted.lock().unwrap_or_else(PoisonError::into_inner);
-        for book in books {
-            tracing::info!(event = "tickets_taken_over", from = %book.node, incarnation = %book.incarnation, used = book.used.len());
-            adopted.push(Arc::new(TicketBook::adopt(book, self.settings.ticket_life, now)));
-        }
-    }
-
-    /// The book that a ticket belongs to, own or taken over.
-    pub fn find_book(self: &Arc<Self>, ticket: &OrderTicket) -> Option<BookRef> {
-        if self.own_book.is_own(ticket) {
-            return Some(BookRef::Own(self.clone()));
-        }
-        self.books().into_iter().find(|book| book.is_own(ticket)).map(BookRef::Adopted)
-    }
-
     /// Counts work in flight, for the stop to wait for.
     pub fn count_work(&self) -> WorkCount {
         WorkCount::new(&self.work)
@@ -452,41 +297,3 @@
         tracing::info!(event = "stopping", phase = ?phase, in_flight = self.work_in_flight());
     }
 }
-
-fn is_same_set(new: &HashMap<FailureDomain, Vec<WorkTarget>>, old: &HashMap<FailureDomain, Vec<WorkTarget>>) -> bool {
-    let same_target = |(a, b): (&WorkTarget, &WorkTarget)| {
-        let address = |target: &WorkTarget| target.link.as_ref().map(|link| link.address());
-        a.node == b.node && a.suspect == b.suspect && address(a) == address(b)
-    };
-    let same_domain = |domain: &FailureDomain, targets: &[WorkTarget]| {
-        old.get(domain).is_some_and(|old| old.len() == targets.len() && targets.iter().zip(old).all(same_target))
-    };
-    new.len() == old.len() && new.iter().all(|(domain, targets)| same_domain(domain, targets))
-}
-
-fn carry_beliefs(config: &streamfold_model::Configuration, old: &ClusterView) -> VersionTable {
-    let table = VersionTable::new(config);
-    if let Some(old_config) = &old.config {
-        table.carry_over(config, &old.beliefs, old_config);
-    }
-    table
-}
-
-/// A book of tickets, the node's own or one taken over.
-pub enum BookRef {
-    /// The own one.
-    Own(Arc<Node>),
-    /// One taken over.
-    Adopted(Arc<TicketBook>),
-}
-
-impl std::ops::Deref for BookRef {
-    type Target = TicketBook;
-
-    fn deref(&self) -> &TicketBook {
-        match self {
-            Self::Own(node) => &node.own_book,
-            Self::Adopted(book) => book,
-        }
-    }
-}
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -9,7 +9,8 @@
 use tokio::task::JoinSet;
 
 use crate::gossip;
-use crate::node::{Node, RunningNode};
+use crate::node::Node;
+use crate::node_start::RunningNode;
 use crate::wire::{AdoptRequest, PATH_ADOPT, TakenReply};
 
 /// How long handing over tickets to one node may take.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use streamfold_daemon::error::StartError;
-use streamfold_daemon::node::{self, NodeAddresses, RunningNode};
+use streamfold_daemon::node_start::{self, NodeAddresses, RunningNode};
 use streamfold_daemon::settings::{DaemonArgs, NodeSettings, PolicyChoice, parse};
 use streamfold_model::operator::ApplyRequest;
 use streamfold_model::{ChangeId, IndexName, ParseIdError, SourceFile};
@@ -361,7 +361,7 @@
 
 async fn start_local(text: &str) -> Result<(NodeAddresses, NodeHandle), FleetError> {
     let settings: NodeSettings = parse("fleet", text, &DaemonArgs::default()).map_err(StartError::BadSettings)?;
-    let running = node::start(settings).await?;
+    let running = node_start::start(settings).await?;
     Ok((running.addresses, NodeHandle::Local(running)))
 }
 
