--- /dev/null
+++ b/crates/lab/tests/deploy.rs
@@ -0,0 +1,58 @@
+//! The deploy file: the program it names starts with the settings that the platform fills in.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+
+use streamfold_lab::fleet::find_binary;
+use streamfold_standin::documents::SettingsGaps;
+
+const DEPLOY: &str = include_str!("../../../deploy/system.toml");
+
+/// The text of a `name = "text"` line of the deploy file.
+fn read_line(name: &str) -> &'static str {
+    let start = format!("{name} = \"");
+    let line = DEPLOY.lines().find_map(|line| line.strip_prefix(start.as_str()));
+    line.and_then(|rest| rest.strip_suffix('"')).expect("a line of the deploy file")
+}
+
+fn fill_template() -> String {
+    let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(read_line("template"));
+    let template = std::fs::read_to_string(template).expect("the template");
+    let port = |number| SocketAddr::from(([127, 0, 0, 1], number));
+    let gaps = SettingsGaps {
+        name: "front-vienna-1",
+        domain: "vienna",
+        regions: BTreeMap::from([("vienna", "east"), ("graz", "south")]),
+        callers: port(7100),
+        ready: port(7101),
+        peers: port(7102),
+        metrics: port(7103),
+        platform: port(7000),
+        seeds: &["127.0.0.1:7102".to_owned()],
+        grace_seconds: 6,
+        extra_ratio: 0.2,
+        extra_allowance: 54,
+    };
+    gaps.fill(&template).expect("a template without other gaps")
+}
+
+#[test]
+fn the_deployed_command_takes_the_deployed_settings() {
+    let mut words = read_line("run").split(' ');
+    let program = Path::new(words.next().expect("a program"));
+    assert_eq!(program.parent(), Some(Path::new("target/release")));
+    let name = program.file_name().and_then(|name| name.to_str()).expect("a name");
+    let path = std::env::temp_dir().join(format!("streamfold-deploy-{:016x}.yaml", rand::random::<u64>()));
+    std::fs::write(&path, fill_template()).expect("a written file");
+    let arguments = words.map(|word| match word.starts_with("/etc/") {
+        true => path.clone().into_os_string(),
+        false => word.into(),
+    });
+    let output = Command::new(find_binary(name)).args(arguments).arg("--check").output().expect("a run");
+    std::fs::remove_file(&path).expect("the file");
+    let told = String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+    assert_eq!(told.trim(), "settings of node front-vienna-1 are valid");
+    assert!(output.status.success());
+}
