A fault soak of real processes; a node that closes takes no new connection

The port closes with the connections now, and a connection is counted before its task runs; the test failed before.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,7 +6,7 @@
 use streamfold_daemon::settings::{self, DaemonArgs, NodeSettings, ServeMode, daemon_args};
 use streamfold_daemon::{logs, metrics_text, node_start, route_node};
 use streamfold_router::RouterSettings;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for wrong settings.
 const EXIT_SETTINGS: u8 = 2;
@@ -70,33 +70,48 @@
 
 #[tokio::main]
 async fn run_indexes(settings: NodeSettings) -> Result<(), StartError> {
+    let stop = StopSignals::take();
     logs::start(&settings.log);
     metrics_text::install()?;
     let running = node_start::start(settings).await?;
-    wait_for_signal().await;
+    stop.wait().await;
     running.stop().await;
     Ok(())
 }
 
 #[tokio::main(worker_threads = 2)]
 async fn run_routes(args: &DaemonArgs, settings: RouterSettings) -> Result<(), StartError> {
+    // Signals are taken first: a node may be stopped or told of settings while it starts.
+    let stop = StopSignals::take();
+    let hangups = route_node::take_hangups();
     logs::start(&settings.log);
     metrics_text::install()?;
     let running = route_node::start(settings).await?;
-    tokio::spawn(route_node::follow_settings(args.clone(), running.router.clone()));
-    wait_for_signal().await;
+    tokio::spawn(route_node::follow_settings(args.clone(), running.router.clone(), hangups));
+    stop.wait().await;
     running.stop().await;
     Ok(())
 }
 
-async fn wait_for_signal() {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// SIGTERM and SIGINT, taken before anything else runs.
+struct StopSignals {
+    terminate: std::io::Result<Signal>,
+    interrupt: std::io::Result<Signal>,
+}
+
+impl StopSignals {
+    fn take() -> Self {
+        Self { terminate: signal(SignalKind::terminate()), interrupt: signal(SignalKind::interrupt()) }
+    }
+
+    async fn wait(self) {
+        let (Ok(mut terminate), Ok(mut interrupt)) = (self.terminate, self.interrupt) else {
+            tracing::warn!(event = "signal_unavailable", signal = "SIGTERM");
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
     }
 }
--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -71,16 +71,20 @@
     running.map_err(StartError::Router)
 }
 
-/// Takes settings that changed while the node runs, on SIGHUP or found by looking. Settings
-/// that cannot be read change nothing.
-pub async fn follow_settings(args: DaemonArgs, router: Arc<Router>) {
-    let mut hangups = match signal(SignalKind::hangup()) {
+/// Takes SIGHUP from now on; until then it ends the process.
+pub fn take_hangups() -> Option<Signal> {
+    match signal(SignalKind::hangup()) {
         Ok(hangups) => Some(hangups),
         Err(error) => {
             tracing::warn!(event = "signal_unavailable", signal = "SIGHUP", %error);
             None
         }
-    };
+    }
+}
+
+/// Takes settings that changed while the node runs, on SIGHUP or found by looking. Settings
+/// that cannot be read change nothing.
+pub async fn follow_settings(args: DaemonArgs, router: Arc<Router>, mut hangups: Option<Signal>) {
     let mut known = settings::read_file(&args).ok();
     loop {
         let is_told = wait_look(&mut hangups).await;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,12 @@
 //! `streamfold-lab`: the demo, stand-ins and experiments.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 use streamfold_lab::fleet::FleetError;
+use streamfold_lab::route_fleet::RouteFleetError;
+use streamfold_lab::soak::{self, SoakPlan};
 use streamfold_lab::{demo, experiments, slopes};
 
 /// streamfold-lab: stand-ins, load and experiments for streamfold.
@@ -19,6 +22,20 @@
     /// Measure how the costs of a node grow, for docs/CAPACITY.md; prints JSON.
     #[bpaf(command)]
     Slopes,
+    /// Play random faults on a fleet of real processes and check the promises meanwhile. Exit
+    /// code 1 if one was broken.
+    #[bpaf(command)]
+    Soak {
+        /// Seed of the faults and of the callers.
+        #[bpaf(argument("N"))]
+        seed: u64,
+        /// How long faults are played.
+        #[bpaf(argument("S"), fallback(15))]
+        seconds: u64,
+        /// Nodes of each of the two failure domains.
+        #[bpaf(argument("N"), fallback(2))]
+        nodes: usize,
+    },
     /// Run an experiment: a baseline and the policy in one run. Exit code 1 if it did not hold.
     #[bpaf(command)]
     Experiment {
@@ -40,6 +57,8 @@
 enum LabError {
     #[error(transparent)]
     Fleet(#[from] FleetError),
+    #[error(transparent)]
+    RouteFleet(#[from] RouteFleetError),
     #[error("there is no experiment {0:?}; see streamfold-lab experiment --list")]
     NoExperiment(String),
     #[error("writing the report: {0}")]
@@ -69,6 +88,12 @@
             println!("{}", serde_json::to_string_pretty(&slopes::run().await?)?);
             Ok(true)
         }
+        LabArgs::Soak { seed, seconds, nodes } => {
+            let plan = SoakPlan { seed: *seed, time: Duration::from_secs(*seconds), nodes: (*nodes).max(1) };
+            let report = soak::run(plan).await?;
+            println!("{report}");
+            Ok(report.violations.is_empty())
+        }
         LabArgs::Experiment { seed, json, list, name } => match name {
             Some(name) if !list => run_experiment(name, *seed, *json).await,
             _ => {
--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -241,12 +241,12 @@
     }
 }
 
-fn any_port() -> SocketAddr {
+pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
 /// Free ports on a loopback address of the node's own: nobody else takes them before it does.
-fn find_ports() -> std::io::Result<RouteAddresses> {
+pub(crate) fn find_ports() -> std::io::Result<RouteAddresses> {
     let address = Ipv4Addr::new(127, rand::random_range(1..=254), rand::random(), rand::random_range(1..=254));
     let bind = || std::net::TcpListener::bind((address, 0));
     let listeners = [bind()?, bind()?, bind()?, bind()?];
@@ -255,7 +255,7 @@
 }
 
 /// The settings of a deployment with their gaps filled.
-fn write_settings(
+pub(crate) fn write_settings(
     name: &str,
     domain: usize,
     addresses: &RouteAddresses,
--- a/crates/lab/tests/routes_alone.rs
+++ b/crates/lab/tests/routes_alone.rs
@@ -2,14 +2,16 @@
 //! again while a node runs; with real processes.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Method;
 use serde_json::{Value, json};
 use streamfold_lab::fleet::send_signal;
-use streamfold_lab::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, write_route};
+use streamfold_lab::route_fleet::{DOMAINS, HOST, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_standin::server::RouteServerPlan;
+use tokio::net::TcpStream;
 
 /// How long a condition may take to hold; only a hung test waits so long.
 const WAIT_AT_MOST: Duration = Duration::from_secs(30);
@@ -69,6 +71,28 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_closes_takes_no_new_connection_and_finishes_what_it_has() {
+    let plan = RouteFleetPlan { nodes: [1, 0], servers: vec![server("i-0", "cart")], routes: vec![route("cart")] };
+    let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
+    // Longer than the node serves on after the signal, shorter than its time to stop.
+    fleet.servers[0].state.switches.pause_ms.store(4_000, Ordering::Relaxed);
+    let callers = fleet.nodes[0].addresses.callers;
+    let headers = [("host", HOST), ("x-request-id", "r-last"), ("x-deadline-ms", "8000")];
+    let client = fleet.client.clone();
+    let last = tokio::spawn(async move {
+        client.call(Method::GET, callers, "/cart/x", &headers, Bytes::new(), WAIT_AT_MOST).await
+    });
+    wait_for("the request at the server", async || fleet.count_calls("r-last") > 0).await;
+    send_signal(&fleet.nodes[0].process, "TERM").await;
+    wait_for("a closed port", async || TcpStream::connect(callers).await.is_err()).await;
+    assert!(!last.is_finished(), "the port closes while a request is in flight");
+    let answer = last.await.expect("a task").expect("an answer");
+    assert!(answer.status.is_success(), "{answer:?}");
+    let status = fleet.nodes[0].process.wait().await.expect("an exit");
+    assert!(status.success(), "{status}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hangup_with_settings_that_cannot_be_read_changes_and_ends_nothing() {
     let plan = RouteFleetPlan { nodes: [1, 0], servers: vec![server("i-0", "cart")], routes: vec![route("cart")] };
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -39,11 +40,19 @@
 /// The share of the target latency within which a request that no server takes is refused.
 const EARLY_SHARE: f64 = 0.2;
 
-/// Accepts callers until the node ends.
+/// Accepts callers until the node closes. Then the port closes too: a request on a connection
+/// made so late could not be finished before the process ends.
 pub async fn serve(router: Arc<Router>, listener: TcpListener) {
+    let mut phase = router.phase.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_closing(&mut phase) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
+                // Counted before its task runs, so that a stop waits for it.
+                router.connections.fetch_add(1, Ordering::SeqCst);
                 tokio::spawn(serve_connection(router.clone(), stream));
             }
             Err(error) => {
@@ -55,11 +64,11 @@
 }
 
 async fn serve_connection(router: Arc<Router>, stream: TcpStream) {
+    let _count = LiveCount::of_counted(&router.connections);
     if let Err(error) = watch_peer(&stream) {
         tracing::debug!(event = "connection_options_failed", %error);
         return;
     }
-    let _count = LiveCount::new(&router.connections);
     let limits = router.cluster.view().table.as_ref().map(|table| table.limits);
     let mut builder = http1::Builder::new();
     builder
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -100,6 +100,11 @@
         counter.fetch_add(1, Ordering::SeqCst);
         Self(counter)
     }
+
+    /// Stands for one that was counted before.
+    pub fn of_counted(counter: &'a AtomicUsize) -> Self {
+        Self(counter)
+    }
 }
 
 impl Drop for LiveCount<'_> {
