A test reads a failed request's cause from its id, on a real process

Two servers that lose their answers, a 502, and the three lines under its id: both calls failed as unknown, two servers may have run it.

--- a/crates/lab/tests/routes_alone.rs
+++ b/crates/lab/tests/routes_alone.rs
@@ -1,5 +1,5 @@
-//! Nodes in routing mode that the platform's store does not reach, and settings that are read
-//! again while a node runs; with real processes.
+//! Nodes in routing mode, with real processes: without the platform's store, while they stop,
+//! when settings are read again, and what their logs tell of a failed request.
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -105,3 +105,30 @@
         assert!(answers(&fleet, 0, "/cart/x").await, "after hangup {round}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_request_is_explained_from_its_id_alone() {
+    let servers = vec![server("i-0", "cart"), server("i-1", "cart")];
+    let mut route = route("cart");
+    route["maxAttempts"] = json!(2);
+    let fleet =
+        RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes: vec![route] }).await.expect("a fleet");
+    for server in &fleet.servers {
+        server.state.switches.lose_answer.store(true, Ordering::Relaxed);
+    }
+    let answer = fleet.call(0, Method::GET, "/cart/x", "r-lost", Bytes::new()).await.expect("an answer");
+    assert_eq!(answer.status.as_u16(), 502);
+    let lines = async || fleet.nodes[0].logged(&["request=r-lost"]);
+    wait_for("the request's last line", async || lines().await.iter().any(|line| line.contains("event=request ")))
+        .await;
+    // The first field is the time; ids of servers come in the order in which they were asked.
+    let told = lines().await.iter().map(|line| tell(line)).collect::<Vec<_>>().join("\n");
+    insta::assert_snapshot!(told);
+}
+
+/// The fields of a line that say what happened and why, without times and server ids.
+fn tell(line: &str) -> String {
+    let kept = ["event", "request", "service", "failure", "sent", "route", "version", "outcome", "status"];
+    let is_kept = |field: &&str| field.split_once('=').is_some_and(|(name, _)| kept.contains(&name));
+    line.split(' ').filter(is_kept).collect::<Vec<_>>().join(" ")
+}
