--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -10,6 +10,7 @@
 use futures_util::stream::StreamExt;
 use streamfold_model::{FailureDomain, RouteKind, RouteSpec, ServiceName};
 use streamfold_policy::Moment;
+use streamfold_policy::replica::Distance;
 
 use crate::call::{self, CallFailure, CallTerms, EndedCall};
 use crate::cluster::{ClusterView, RouteTimes, Service};
@@ -52,6 +53,9 @@
     pub retry_until: Moment,
     /// The part of each request that this node counts for its budget of extra calls.
     pub request_share: f64,
+    /// Whether another node asked for the shards. It may take over with the server near this
+    /// node, so one of the servers that a shard may be sent to is kept for that one.
+    pub is_for_peer: bool,
 }
 
 /// A call in flight; it resolves to the position of its service among the request's.
@@ -186,6 +190,8 @@
         let has_asked = service.servers.iter().any(|server| is_asked(&server));
         let candidates = service.servers.iter().filter(untried).filter(|server| !server.is_leaving());
         let candidates = candidates.filter(|server| !has_asked || is_asked(server));
+        let needs_near = self.needs_near(attempts, service);
+        let candidates = candidates.filter(|server| !needs_near || server.distance == Distance::Domain);
         let cost = |server: &Arc<Server>| {
             let typical = self.times.typical(server.distance, self.route.target_latency);
             let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
@@ -197,6 +203,15 @@
         costed.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, server)| server.clone())
     }
 
+    /// Whether only the server near this node may be tried: for another node, which may ask it
+    /// too, all but one of the servers allowed may be others.
+    fn needs_near(&self, attempts: &ServiceAttempts, service: &Service) -> bool {
+        let is_near = |server: &&Arc<Server>| server.distance == Distance::Domain;
+        let others = attempts.tried.iter().filter(|server| !is_near(server)).count();
+        let is_kept = others + 1 >= self.route.max_attempts as usize;
+        self.is_for_peer && is_kept && service.servers.iter().any(|server| is_near(&server))
+    }
+
     /// Starts the next attempt, if there is a server and the bounds allow one.
     pub fn start(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) -> bool {
         let Some(service) = self.view.services.get(&attempts.service) else { return false };
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -152,6 +152,7 @@
         request: Arc::new(request),
         times,
         request_share: 1.0,
+        is_for_peer: false,
     })
 }
 
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -153,5 +153,6 @@
         request: Arc::new(request),
         times,
         request_share: 1.0 - ASKING_SHARE,
+        is_for_peer: true,
     })
 }
