The soak takes the wire's names from the stand-ins

Cause: soak_audit.rs, soak_fleet.rs and two others outside platform/ named headers and fields of the platform themselves; the stand-ins have them now, as constants and writers of route targets.

--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use streamfold_standin::documents::{self, SettingsGaps, write_document};
 pub use streamfold_standin::documents::{HOST, write_route};
+use streamfold_standin::names;
 use streamfold_standin::server::{self as route_server, RouteServer, RouteServerPlan};
 use streamfold_standin::store::{self as platform, PlatformStandin};
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -219,7 +220,7 @@
         id: &str,
         body: Bytes,
     ) -> Result<CallAnswer, CallError> {
-        let headers = [("host", HOST), ("x-request-id", id), ("x-deadline-ms", "8000")];
+        let headers = [("host", HOST), (names::REQUEST_ID, id), (names::DEADLINE_MS, "8000")];
         self.client.call(method, self.nodes[node].addresses.callers, path, &headers, body, CALL_TIMEOUT).await
     }
 
--- a/crates/lab/src/soak_audit.rs
+++ b/crates/lab/src/soak_audit.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use streamfold_standin::names;
 use streamfold_standin::server::{ReadRequest, make_records};
 
 use crate::client::{CallAnswer, CallError};
@@ -337,13 +338,13 @@
 
     fn check_own(&self, request: &SeenRequest) {
         let Ok(answer) = &request.result else { return };
-        let proof = request.header("x-server-stamp");
+        let proof = request.header(names::PROOF);
         if !answer.status.is_success() && proof.is_none() {
             return;
         }
         let run = self.runs(&request.id).iter().find(|run| Some(run.proof.as_str()) == proof);
         let is_whole = run.is_some_and(|run| answer.body == self.fleet.servers[run.server].server.state.body());
-        if !is_whole || request.header("x-request-id") != Some(&request.id) {
+        if !is_whole || request.header(names::REQUEST_ID) != Some(&request.id) {
             let seen = format!("proof {proof:?}, ran {}, whole {is_whole}, {:?}", run.is_some(), answer.headers);
             self.note(BrokenPromise::NotOwn, request, &seen);
         }
@@ -351,12 +352,12 @@
 
     fn check_fold(&self, request: &SeenRequest) {
         let Some(answer) = request.result.as_ref().ok().filter(|answer| answer.status.is_success()) else { return };
-        let values = answer.headers.get_all("x-part-stamps").iter().filter_map(|value| value.to_str().ok());
+        let values = answer.headers.get_all(names::FOLDED_PROOFS).iter().filter_map(|value| value.to_str().ok());
         let proofs: Vec<&str> = values.flat_map(|value| value.split(',')).map(str::trim).collect();
         let runs = self.runs(&request.id);
         let find = |proof: &&str| runs.iter().find(|run| run.proof == **proof).map(|run| self.service(run));
         let shards: BTreeSet<&str> = proofs.iter().filter_map(find).collect();
-        let missing: Option<usize> = request.header("x-missing-parts").and_then(|count| count.parse().ok());
+        let missing: Option<usize> = request.header(names::MISSING_SHARDS).and_then(|count| count.parse().ok());
         let is_right = shards.len() == proofs.len()
             && missing == Some(SHARDS.len() - shards.len())
             && shards.len() as f64 >= MIN_COVERAGE * SHARDS.len() as f64
@@ -394,7 +395,7 @@
     fn check_left(&self, request: &SeenRequest) {
         let gone = self.fleet.gone();
         for call in self.calls(&request.id) {
-            let Some(target) = call.request.header("x-target-instance") else { continue };
+            let Some(target) = call.request.header(names::TARGET_SERVER) else { continue };
             let left = Duration::from_secs_f64(call.request.deadline_ms().unwrap_or_default().max(0.0) / 1000.0);
             let at = request.sent + request.deadline.saturating_sub(left);
             let senders = (request.route != SoakRoute::All).then_some(request.node);
--- a/crates/lab/src/soak_callers.rs
+++ b/crates/lab/src/soak_callers.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use streamfold_standin::names;
 
 use crate::client::LabClient;
 use crate::route_fleet::HOST;
@@ -39,7 +40,7 @@
     ) -> bool {
         let id = format!("{}-{}", route.name(), self.next.fetch_add(1, Ordering::Relaxed));
         let millis = deadline.as_millis().to_string();
-        let headers = [("host", HOST), ("x-request-id", id.as_str()), ("x-deadline-ms", millis.as_str())];
+        let headers = [("host", HOST), (names::REQUEST_ID, id.as_str()), (names::DEADLINE_MS, millis.as_str())];
         let path = format!("/{}/x", route.name());
         let target = &fleet.nodes[node];
         let (run, sent) = (target.run.load(Ordering::SeqCst), Instant::now());
--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
-use streamfold_standin::documents::{self, write_document, write_route};
+use streamfold_standin::documents::{
+    self, write_all_target, write_document, write_once_target, write_route, write_target,
+};
 use streamfold_standin::server::{self as route_server, RouteServer, RouteServerPlan};
 use streamfold_standin::store::{self as platform, PlatformStandin};
 use tokio::process::{Child, Command};
@@ -115,11 +117,10 @@
 pub fn routes_of(version: u64) -> Vec<Value> {
     let service = color_name(color_of(version));
     let timeout = 3_000 + version * 1_700 % 5_000;
-    let once = json!({ "service": service, "routeType": "non_idempotent", "timeoutMs": timeout });
-    let all = json!({ "gather": SHARDS, "topK": TOP, "minCoverage": MIN_COVERAGE, "timeoutMs": timeout });
+    let all = write_all_target(&SHARDS, TOP, MIN_COVERAGE, timeout);
     vec![
-        write_route("any", "/any/", &json!({ "service": service, "timeoutMs": timeout })),
-        write_route("once", "/once/", &once),
+        write_route("any", "/any/", &write_target(&service, timeout)),
+        write_route("once", "/once/", &write_once_target(&service, timeout)),
         write_route("all", "/all/", &all),
     ]
 }
