The soak plays faults on the links between nodes

Each node's port for other nodes has a proxy: the stand-in store keeps the proxy's address where a node announces its own, and seeds name proxies. Two lanes delay, break, reset, cut, hold one way or both on the links to one node or several. A third lane does so between several nodes and the store, which also turns them away.

The report counts connections through these proxies and requests handed on; the test asks for both.

--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -16,6 +16,8 @@
 
 /// Chunks that may wait out their delay on one connection.
 const QUEUED_CHUNKS: usize = 4_096;
+/// What a caller that is turned away gets instead of its way.
+const TURNED_AWAY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// How often a paused direction looks whether it may go on.
 const PAUSE_LOOK: Duration = Duration::from_millis(5);
 
@@ -26,12 +28,16 @@
     pub delay_us: AtomicU64,
     /// New connections are closed at once.
     pub cut: AtomicBool,
+    /// New connections get a refusal of HTTP to their first bytes and are closed.
+    pub turn_away: AtomicBool,
     /// Bytes towards the server are held.
     pub pause_out: AtomicBool,
     /// Bytes towards the client are held.
     pub pause_back: AtomicBool,
     /// Of a thousand chunks towards the client, after so many the connection breaks off midway.
     pub resets: AtomicU64,
+    /// Connections carried so far.
+    pub carried: AtomicU64,
     break_all: Notify,
 }
 
@@ -80,6 +86,11 @@
         if faults.cut.load(Ordering::Relaxed) {
             continue;
         }
+        if faults.turn_away.load(Ordering::Relaxed) {
+            connections.spawn(turn_away(client));
+            continue;
+        }
+        faults.carried.fetch_add(1, Ordering::Relaxed);
         let faults = faults.clone();
         let target = *target.lock().unwrap_or_else(PoisonError::into_inner);
         connections.spawn(async move {
@@ -97,6 +108,15 @@
     }
 }
 
+async fn turn_away(mut client: TcpStream) {
+    let mut head = [0; 4 << 10];
+    // Read first: a connection closed over unread bytes is reset, and the refusal with it.
+    if client.read(&mut head).await.is_ok_and(|length| length > 0) {
+        // A caller that has left needs no refusal.
+        let _ = client.write_all(TURNED_AWAY).await;
+    }
+}
+
 /// Carries one direction. Delayed chunks queue up one behind the other, so a delay costs no
 /// throughput.
 async fn carry(
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -16,8 +16,9 @@
 use crate::route_fleet::RouteFleetError;
 use crate::soak_audit::{BrokenPromise, SoakAudit, SoakRoute, Violation};
 use crate::soak_callers::{CallerLog, keep_calling};
-use crate::soak_faults::{FaultLane, watch_machine, watch_processes};
+use crate::soak_faults::{FaultLane, watch_processes};
 use crate::soak_fleet::{SoakFleet, lock};
+use crate::soak_machine::watch_machine;
 
 /// How often promises are checked meanwhile.
 const CHECK_EVERY: Duration = Duration::from_secs(3);
@@ -54,6 +55,10 @@
     pub routed: usize,
     /// Requests that had to spare a server that had left long enough ago.
     pub spared: usize,
+    /// Connections between nodes that went through proxies.
+    pub links: u64,
+    /// Requests that a node handed in part to another.
+    pub delegated: usize,
     /// The longest that the lab itself woke up late, as a measure of the machine's load.
     pub lab_late: Duration,
     /// What was broken.
@@ -68,7 +73,7 @@
         let outcomes: Vec<String> = self.outcomes.iter().map(|(name, count)| format!("{name}={count}")).collect();
         write!(
             f,
-            "soak seed={} seconds={} nodes={} requests={requests} {} faults={} routed={} spared={} lab_late_ms={} violations={} logs={}",
+            "soak seed={} seconds={} nodes={} requests={requests} {} faults={} routed={} spared={} links={} delegated={} lab_late_ms={} violations={} logs={}",
             self.plan.seed,
             self.plan.time.as_secs(),
             2 * self.plan.nodes,
@@ -76,6 +81,8 @@
             self.faults,
             self.routed,
             self.spared,
+            self.links,
+            self.delegated,
             self.lab_late.as_millis(),
             self.violations.len(),
             self.folder.display()
@@ -115,6 +122,8 @@
         outcomes,
         routed,
         spared,
+        links: fleet.nodes.iter().map(|node| node.links.faults.carried.load(Ordering::Relaxed)).sum(),
+        delegated: fleet.count_delegated(),
         faults: fleet.faults.load(Ordering::Relaxed),
         lab_late: Duration::from_micros(late.load(Ordering::Relaxed)),
         violations: fleet.violations(),
@@ -150,6 +159,9 @@
     lanes.spawn(lane(6).play_servers());
     lanes.spawn(lane(7).play_store());
     lanes.spawn(lane(8).play_changes());
+    lanes.spawn(lane(9).play_links());
+    lanes.spawn(lane(10).play_links());
+    lanes.spawn(lane(11).play_store_ways());
     while lanes.join_next().await.is_some() {}
 }
 
--- a/crates/lab/src/soak_faults.rs
+++ b/crates/lab/src/soak_faults.rs
@@ -10,9 +10,9 @@
 use streamfold_standin::server::RouteSwitches;
 use tokio::task::JoinSet;
 
-use crate::proxy::ProxyFaults;
 use crate::soak_audit::{BrokenPromise, SpanKind};
 use crate::soak_fleet::{SoakFleet, color_of};
+use crate::soak_ways::OLDEST_FAULTS;
 
 /// How long a node may take to stop as planned: the grace of its settings.
 const GRACE: Duration = Duration::from_secs(6);
@@ -35,16 +35,16 @@
 }
 
 impl FaultLane {
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         Instant::now() >= self.end
     }
 
-    fn millis(&mut self, from: u64, until: u64) -> Duration {
+    pub(crate) fn millis(&mut self, from: u64, until: u64) -> Duration {
         Duration::from_millis(self.dice.random_range(from..until))
     }
 
     /// Waits, though not beyond the end of the lane.
-    async fn rest(&mut self, from: u64, until: u64) {
+    pub(crate) async fn rest(&mut self, from: u64, until: u64) {
         let span = self.millis(from, until);
         tokio::time::sleep_until((Instant::now() + span).min(self.end).into()).await;
     }
@@ -150,7 +150,7 @@
             let position = self.dice.random_range(0..self.fleet.servers.len());
             if self.dice.random_range(0..3) == 0 {
                 let faults = self.fleet.servers[position].proxy.faults.clone();
-                self.play_proxy(&faults, &format!("before server {position}")).await;
+                self.play_ways(&[faults], &format!("before server {position}"), OLDEST_FAULTS).await;
             } else {
                 self.play_switch(position).await;
             }
@@ -187,25 +187,6 @@
         switch(&state.switches).store(false, Ordering::Relaxed);
     }
 
-    async fn play_proxy(&mut self, faults: &ProxyFaults, place: &str) {
-        let choice = self.dice.random_range(0..6);
-        let name = ["delay", "break", "hold_out", "hold_back", "cut", "resets"][choice];
-        self.fleet.note_fault(&format!("proxy {place}: {name}"));
-        let set = |is_on: bool, delay: u64| match choice {
-            0 => faults.delay_us.store(delay, Ordering::Relaxed),
-            2 => faults.pause_out.store(is_on, Ordering::Relaxed),
-            3 => faults.pause_back.store(is_on, Ordering::Relaxed),
-            5 => faults.resets.store(u64::from(is_on) * 200, Ordering::Relaxed),
-            _ => faults.cut.store(is_on && choice == 4, Ordering::Relaxed),
-        };
-        set(true, self.dice.random_range(5_000..400_000));
-        if choice == 1 || (choice == 4 && self.dice.random_bool(0.5)) {
-            faults.break_all();
-        }
-        self.rest(100, 2_500).await;
-        set(false, 0);
-    }
-
     /// Faults of the store and of the way to it.
     pub async fn play_store(mut self) {
         while !self.is_over() {
@@ -217,8 +198,8 @@
             let node = self.dice.random_range(0..self.fleet.nodes.len());
             if self.dice.random_bool(0.5) {
                 let span = self.fleet.disturb(SpanKind::Store, Some(node));
-                let fleet = self.fleet.clone();
-                self.play_proxy(&fleet.nodes[node].store.faults, &format!("between node {node} and the store")).await;
+                let faults = self.fleet.nodes[node].store.faults.clone();
+                self.play_ways(&[faults], &format!("between node {node} and the store"), OLDEST_FAULTS).await;
                 self.fleet.spans.end(span);
             } else {
                 let span = self.fleet.disturb(SpanKind::Store, None);
@@ -357,20 +338,3 @@
         }
     }
 }
-
-/// Writes to the log of faults where a node waited long for a processor, until it is dropped.
-/// It excuses nothing; it tells a late node from a slow machine when a seed is traced.
-pub async fn watch_machine(fleet: Arc<SoakFleet>) {
-    let mut known = vec![Duration::ZERO; fleet.nodes.len()];
-    loop {
-        tokio::time::sleep(WATCH_EVERY).await;
-        for (position, known) in known.iter_mut().enumerate() {
-            let starved = fleet.starved(position).await.unwrap_or_default();
-            let waited = starved.saturating_sub(*known);
-            *known = starved;
-            if waited >= WATCH_EVERY {
-                fleet.tell(&format!("node {position} waited {waited:?} for a processor"));
-            }
-        }
-    }
-}
--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -1,5 +1,6 @@
 //! What a soak runs on: real nodes that it signals and starts again, stand-ins, and a proxy
-//! before each server and between each node and the store.
+//! before each server, before each node's port for other nodes, and between each node and the
+//! store.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -56,6 +57,8 @@
     pub addresses: RouteAddresses,
     /// What stands between it and the store.
     pub store: FaultProxy,
+    /// What stands between it and the nodes that connect to it.
+    pub links: FaultProxy,
     /// How often it was started; it changes when a run ends, too.
     pub run: AtomicU64,
     settings: PathBuf,
@@ -125,13 +128,18 @@
     ]
 }
 
+/// A colour has a server in each failure domain. A shard has both in one, the first half of the
+/// shards in the first: each node needs another for the other half.
 fn plan_servers() -> Vec<RouteServerPlan> {
-    let services = (0..COLORS).map(color_name).chain(SHARDS.into_iter().map(str::to_owned));
-    let pair = |service: String| {
-        let server = |domain: usize| RouteServerPlan::new(&format!("{service}-i{domain}"), &service, DOMAINS[domain]);
-        [server(0), server(1)]
+    let pair = |service: &str, domains: [usize; 2]| {
+        let plan = |number: usize, domain: usize| {
+            RouteServerPlan::new(&format!("{service}-i{number}"), service, DOMAINS[domain])
+        };
+        [plan(0, domains[0]), plan(1, domains[1])]
     };
-    services.flat_map(pair).collect()
+    let colors = (0..COLORS).flat_map(|color| pair(&color_name(color), [0, 1]));
+    let shards = SHARDS.iter().enumerate().flat_map(|(number, shard)| pair(shard, [2 * number / SHARDS.len(); 2]));
+    colors.chain(shards).collect()
 }
 
 impl SoakFleet {
@@ -182,16 +190,24 @@
         for _ in &places {
             ports.push(find_ports().map_err(io("finding ports"))?);
         }
-        let seeds: Vec<String> = ports.iter().map(|ports| ports.peers.to_string()).collect();
-        for ((domain, number), addresses) in places.into_iter().zip(ports) {
+        let mut links = Vec::new();
+        for ports in &ports {
+            let proxy = proxy::start(any_port(), ports.peers).await.map_err(io("a proxy"))?;
+            self.platform.state.replace_text(&ports.peers.to_string(), &proxy.address.to_string());
+            links.push(proxy);
+        }
+        let proxies: Vec<String> = links.iter().map(|proxy| proxy.address.to_string()).collect();
+        for ((domain, number), (addresses, links)) in places.into_iter().zip(ports.into_iter().zip(links)) {
             let name = format!("{}-{number}", DOMAINS[domain]);
+            let own = links.address.to_string();
+            let seeds: Vec<String> = proxies.iter().filter(|proxy| **proxy != own).cloned().collect();
             let store = proxy::start(any_port(), self.platform.address).await.map_err(io("a proxy"))?;
             let settings = self.folder.join(format!("{name}.yaml"));
             let text = write_settings(&name, domain, &addresses, store.address, &seeds)?;
             std::fs::write(&settings, text).map_err(io("writing settings"))?;
             let log = self.folder.join(format!("{name}.log"));
             let (run, process) = (AtomicU64::new(0), tokio::sync::Mutex::default());
-            self.nodes.push(SoakNode { name, addresses, store, run, settings, log, process });
+            self.nodes.push(SoakNode { name, addresses, store, links, run, settings, log, process });
         }
         Ok(())
     }
@@ -340,6 +356,14 @@
         None
     }
 
+    /// Requests that nodes handed in part to another, as they logged.
+    pub fn count_delegated(&self) -> usize {
+        // A log that cannot be read counts for nothing, which the report then shows.
+        let read = |node: &SoakNode| std::fs::read_to_string(&node.log).unwrap_or_default();
+        let is_delegated = |line: &&str| line.contains(" event=request ") && line.contains(" peers=");
+        self.nodes.iter().map(|node| read(node).lines().filter(is_delegated).count()).sum()
+    }
+
     /// How a node's process ended, if it did since it was last asked.
     pub async fn look_end(&self, position: usize) -> Option<ExitStatus> {
         self.take_end(position, &mut *self.nodes[position].process.lock().await)
@@ -359,16 +383,9 @@
         Some(status)
     }
 
-    /// How long the threads of a node's process have waited for a processor so far, as the
-    /// system counts it.
-    pub async fn starved(&self, position: usize) -> Option<Duration> {
-        let id = self.nodes[position].process.lock().await.as_ref()?.id()?;
-        let tasks = std::fs::read_dir(format!("/proc/{id}/task")).ok()?;
-        let read = |task: std::fs::DirEntry| -> Option<u64> {
-            let counts = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
-            counts.split_whitespace().nth(1)?.parse().ok()
-        };
-        Some(Duration::from_nanos(tasks.flatten().filter_map(read).max()?))
+    /// The id of a node's process, while it has one.
+    pub async fn process_id(&self, position: usize) -> Option<u32> {
+        self.nodes[position].process.lock().await.as_ref()?.id()
     }
 
     /// Begins a span in which a node or, without one, all of them are disturbed.
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -26,6 +26,7 @@
         println!("{report}");
         let requests: usize = report.outcomes.values().sum();
         assert!(requests > 0 && report.faults > 0, "nothing was played: {report}");
+        assert!(report.links > 0 && report.delegated > 0, "nothing went through proxies between nodes: {report}");
         broken.extend(report.violations.iter().map(|violation| format!("seed {seed}: {violation}")));
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
