--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -162,6 +162,7 @@
     lanes.spawn(lane(9).play_links());
     lanes.spawn(lane(10).play_links());
     lanes.spawn(lane(11).play_store_ways());
+    lanes.spawn(lane(12).play_settings());
     while lanes.join_next().await.is_some() {}
 }
 
--- a/crates/lab/src/soak_faults.rs
+++ b/crates/lab/src/soak_faults.rs
@@ -21,6 +21,9 @@
 /// How often a node that does not come up is started.
 const STARTS: u32 = 3;
 
+/// What befalls a settings file.
+const TORN_SETTINGS: [&str; 3] = ["gone", "empty", "cut short"];
+
 /// A fault of a server as its switch.
 type SwitchOf = fn(&RouteSwitches) -> &AtomicBool;
 
@@ -77,6 +80,32 @@
         }
     }
 
+    /// Settings files are gone, empty or cut short for a while, with hangups and without: a
+    /// node goes on with what it has read.
+    pub async fn play_settings(mut self) {
+        while !self.is_over() {
+            self.rest(200, 2_500).await;
+            let node = self.dice.random_range(0..self.fleet.nodes.len());
+            let choice = self.dice.random_range(0..TORN_SETTINGS.len());
+            let fleet = self.fleet.clone();
+            let Some((file, text)) = fleet.read_settings(node) else { continue };
+            fleet.note_fault(&format!("settings of node {node}: {}", TORN_SETTINGS[choice]));
+            let torn = match choice {
+                0 => std::fs::remove_file(&file),
+                1 => std::fs::write(&file, ""),
+                _ => std::fs::write(&file, &text[..text.len() / 2]),
+            };
+            if self.dice.random_bool(0.7) {
+                self.hang_up(node).await;
+            }
+            // The longest are noticed without a hangup, too.
+            self.rest(50, 4_000).await;
+            if let Err(error) = torn.and_then(|()| std::fs::write(&file, text)) {
+                fleet.tell(&format!("the settings of node {node} were not torn or mended: {error}"));
+            }
+        }
+    }
+
     async fn hang_up(&mut self, node: usize) {
         let run = self.fleet.nodes[node].run.load(Ordering::SeqCst);
         for _ in 0..self.dice.random_range(1..4) {
--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -61,7 +61,8 @@
     pub links: FaultProxy,
     /// How often it was started; it changes when a run ends, too.
     pub run: AtomicU64,
-    settings: PathBuf,
+    settings: String,
+    settings_file: Mutex<PathBuf>,
     log: PathBuf,
     process: tokio::sync::Mutex<Option<Child>>,
 }
@@ -202,12 +203,11 @@
             let own = links.address.to_string();
             let seeds: Vec<String> = proxies.iter().filter(|proxy| **proxy != own).cloned().collect();
             let store = proxy::start(any_port(), self.platform.address).await.map_err(io("a proxy"))?;
-            let settings = self.folder.join(format!("{name}.yaml"));
-            let text = write_settings(&name, domain, &addresses, store.address, &seeds)?;
-            std::fs::write(&settings, text).map_err(io("writing settings"))?;
+            let settings = write_settings(&name, domain, &addresses, store.address, &seeds)?;
+            let settings_file = Mutex::default();
             let log = self.folder.join(format!("{name}.log"));
             let (run, process) = (AtomicU64::new(0), tokio::sync::Mutex::default());
-            self.nodes.push(SoakNode { name, addresses, store, links, run, settings, log, process });
+            self.nodes.push(SoakNode { name, addresses, store, links, run, settings, settings_file, log, process });
         }
         Ok(())
     }
@@ -310,7 +310,11 @@
     /// It cannot be started.
     pub async fn start_node(&self, position: usize) -> Result<(), RouteFleetError> {
         let node = &self.nodes[position];
-        let child = spawn(&node.settings, &node.log).map_err(io("streamfoldd"))?;
+        // A file of its own for each run: what is done to one run's disturbs no start.
+        let file = self.folder.join(format!("{}-{}.yaml", node.name, node.run.load(Ordering::SeqCst)));
+        std::fs::write(&file, &node.settings).map_err(io("writing settings"))?;
+        let child = spawn(&file, &node.log).map_err(io("streamfoldd"))?;
+        *lock(&node.settings_file) = file;
         *node.process.lock().await = Some(child);
         node.run.fetch_add(1, Ordering::SeqCst);
         Ok(())
@@ -383,6 +387,14 @@
         Some(status)
     }
 
+    /// The settings file that a node's process has read, and what was in it; `None` while the
+    /// process may still have to read it.
+    pub fn read_settings(&self, position: usize) -> Option<(PathBuf, &str)> {
+        let node = &self.nodes[position];
+        let file = lock(&node.settings_file).clone();
+        (!self.spans.is_leaving(position)).then_some((file, node.settings.as_str()))
+    }
+
     /// The id of a node's process, while it has one.
     pub async fn process_id(&self, position: usize) -> Option<u32> {
         self.nodes[position].process.lock().await.as_ref()?.id()
