One node of a failure domain follows the store for the others; nodes remove their entries at a planned stop

Cause: every node watched the store by itself.

A node that stops as planned removes its entry, and one that is gone counts for another 10 s where the nodes share a budget. Connections to a server are divided by who uses them: half for the nodes of its failure domain.

Ruled out: merging the streams of two readers (the store's tombstones carry no revision of their own, so replays could not be told from news); two readers for each domain (twice the calls; a lost reader is replaced within 1 s of being noticed).

--- /dev/null
+++ b/crates/lab/tests/relay.rs
@@ -0,0 +1,141 @@
+//! Many nodes of one failure domain, with real processes: one of them follows the store for all,
+//! and the others learn everything when it is stopped, killed, paused or cut off.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use streamfold_lab::fleet::send_signal;
+use streamfold_lab::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, RouteNode, write_route};
+use streamfold_standin::server::RouteServerPlan;
+
+/// How long a condition may take to hold; only a hung test waits so long.
+const WAIT_AT_MOST: Duration = Duration::from_secs(30);
+/// How often a condition is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Nodes of the failure domain.
+const NODES: usize = 6;
+
+fn server(id: &str) -> RouteServerPlan {
+    RouteServerPlan::new(id, "cart", DOMAINS[0])
+}
+
+fn routes() -> Vec<Value> {
+    vec![write_route("cart", "/cart/", &json!({ "service": "cart" }))]
+}
+
+async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let began = Instant::now();
+    while !holds().await {
+        assert!(began.elapsed() < WAIT_AT_MOST, "{what} did not come about");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn start_fleet() -> RouteFleet {
+    let plan = RouteFleetPlan { nodes: [NODES, 0], servers: vec![server("i-0"), server("i-1")], routes: routes() };
+    let fleet = RouteFleet::start(plan).await.expect("a fleet");
+    wait_for("one reader", async || find_readers(&fleet).len() == 1).await;
+    fleet
+}
+
+/// Where a node last said that it has its news from.
+fn read_source(node: &RouteNode) -> Option<String> {
+    let line = node.logged(&["event=feed_source"]).pop()?;
+    line.split(' ').find_map(|field| field.strip_prefix("source=").map(str::to_owned))
+}
+
+/// The positions of the living nodes that follow the store by themselves.
+fn find_readers(fleet: &RouteFleet) -> Vec<usize> {
+    let reads = |position: &usize| read_source(&fleet.nodes[*position]).as_deref() == Some("Store");
+    (0..fleet.nodes.len()).filter(reads).collect()
+}
+
+fn has_version(node: &RouteNode, version: u64) -> bool {
+    !node.logged(&["event=routes_in_force", &format!("version={version} ")]).is_empty()
+}
+
+/// Waits until all nodes but some have a version of the routes in force.
+async fn wait_version(fleet: &RouteFleet, version: u64, without: &[usize]) {
+    let others = || (0..fleet.nodes.len()).filter(|position| !without.contains(position));
+    let all_have = async || others().all(|position| has_version(&fleet.nodes[position], version));
+    wait_for(&format!("version {version} at all nodes"), all_have).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_node_follows_the_store_for_its_failure_domain() {
+    let fleet = start_fleet().await;
+    let watches = || fleet.platform.state.calls.watches.load(Ordering::Relaxed);
+    // A watch of each topic ends at once with each change, and begins anew.
+    let before = watches();
+    fleet.put_document(2, &routes());
+    wait_version(&fleet, 2, &[]).await;
+    fleet.register(0, "draining");
+    let all_know =
+        async || fleet.nodes.iter().all(|node| !node.logged(&["event=server_leaving", "server=i-0"]).is_empty());
+    wait_for("the leaving server at all nodes", all_know).await;
+    let made = watches() - before;
+    assert!(made <= 4, "{made} watches for two changes at {NODES} nodes");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_reader_is_followed_by_another_one() {
+    let mut fleet = start_fleet().await;
+    let reader = find_readers(&fleet)[0];
+    fleet.nodes[reader].process.kill().await.expect("a killed reader");
+    fleet.put_document(2, &routes());
+    wait_version(&fleet, 2, &[reader]).await;
+    let is_shared = async || find_readers(&fleet).iter().filter(|position| **position != reader).count() == 1;
+    wait_for("one new reader", is_shared).await;
+    fleet.put_document(3, &routes());
+    wait_version(&fleet, 3, &[reader]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_reader_keeps_no_news_from_the_others() {
+    let fleet = start_fleet().await;
+    let reader = find_readers(&fleet)[0];
+    send_signal(&fleet.nodes[reader].process, "STOP").await;
+    fleet.put_document(2, &routes());
+    fleet.register(1, "draining");
+    wait_version(&fleet, 2, &[reader]).await;
+    let all_know = async || {
+        let others = (0..NODES).filter(|position| *position != reader);
+        others
+            .into_iter()
+            .all(|position| !fleet.nodes[position].logged(&["event=server_leaving", "server=i-1"]).is_empty())
+    };
+    wait_for("the leaving server at the other nodes", all_know).await;
+    send_signal(&fleet.nodes[reader].process, "CONT").await;
+    wait_version(&fleet, 2, &[]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_nodes_learn_what_came_while_the_store_was_away_and_one_follows_it_again() {
+    let fleet = start_fleet().await;
+    fleet.platform.state.faults.outage.store(true, Ordering::Relaxed);
+    // A change ends the waiting watches, so that every node notices.
+    fleet.put_document(2, &routes());
+    let is_lost = async || fleet.nodes.iter().all(|node| !node.logged(&["event=feed_lost"]).is_empty());
+    wait_for("the outage at all nodes", is_lost).await;
+    fleet.platform.state.faults.outage.store(false, Ordering::Relaxed);
+    wait_version(&fleet, 2, &[]).await;
+    wait_for("one reader", async || find_readers(&fleet).len() == 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_removes_the_nodes_entry_and_a_kill_leaves_it() {
+    let mut fleet = start_fleet().await;
+    let names = |fleet: &RouteFleet| -> BTreeSet<String> {
+        fleet.platform.state.dump("nodes/").into_iter().map(|(key, _)| key).collect()
+    };
+    let all = names(&fleet);
+    assert_eq!(all.len(), NODES);
+    send_signal(&fleet.nodes[0].process, "TERM").await;
+    let status = fleet.nodes[0].process.wait().await.expect("an exit");
+    assert!(status.success(), "{status}");
+    fleet.nodes[1].process.kill().await.expect("a killed node");
+    let left = names(&fleet);
+    assert_eq!(all.difference(&left).collect::<Vec<_>>(), ["nodes/zone-a-0"]);
+}
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -22,7 +22,7 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long until its first message, so that strangers do not hold links open.
 const FIRST_STREAM_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a link may be without a new message.
+/// How long a link may be without a new message, and with none open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Pause after a failed accept, such as with no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -79,7 +79,14 @@
         tokio::select! {
             accepted = tokio::time::timeout(patience, connection.accept()) => {
                 // Nodes connect when they have something to say, and again when they need to.
-                let Ok(Some(accepted)) = accepted else { return Ok(()) };
+                let Ok(accepted) = accepted else {
+                    // Each open stream holds a sender; some last as long as their nodes.
+                    if close.strong_count() > 1 {
+                        continue;
+                    }
+                    return Ok(());
+                };
+                let Some(accepted) = accepted else { return Ok(()) };
                 let (request, respond) = accepted?;
                 patience = IDLE_TIMEOUT;
                 tokio::spawn(serve_stream(service.clone(), request, respond, close.clone()));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod extra_budget;
+pub mod feed_rule;
 pub mod finish;
 pub mod fold_rule;
 pub mod hedge;
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -25,3 +25,32 @@
     let parts = u32::try_from(owners).unwrap_or(u32::MAX).saturating_add(1);
     (limit / parts).max(1)
 }
+
+/// The share of a server's connections that nodes divide; the rest is for the moment in which
+/// two of them count the nodes differently.
+const DIVIDED_SHARE: f64 = 0.9;
+/// The part of those that the nodes of the server's own failure domain divide, if there are
+/// other nodes: theirs are nearly all calls, the others' are calls round a slow or lost server.
+const NEAR_PART: f64 = 0.5;
+
+/// Nodes that may call one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallingNodes {
+    /// Those of its own failure domain.
+    pub near: usize,
+    /// All others.
+    pub far: usize,
+}
+
+/// Connections that a node may have to a server that accepts `limit` from all nodes together;
+/// at least one, since without it the node could not call the server at all.
+pub fn divide_connections(limit: u32, nodes: CallingNodes, is_near: bool) -> u32 {
+    let (part, count) = match (nodes, is_near) {
+        (CallingNodes { near, far: 0 }, _) => (1.0, near),
+        (CallingNodes { near: 0, far }, _) => (1.0, far),
+        (CallingNodes { near, .. }, true) => (NEAR_PART, near),
+        (CallingNodes { far, .. }, false) => (1.0 - NEAR_PART, far),
+    };
+    let share = f64::from(limit) * DIVIDED_SHARE * part / count.max(1) as f64;
+    (share as u32).max(1)
+}
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -114,6 +114,11 @@
         if now < self.warm_at { learnt.max(WARMUP_SLOWNESS) } else { learnt }
     }
 
+    /// How much longer it is slow from its start.
+    pub fn warmup_left(&self, now: Moment) -> Duration {
+        self.warm_at.since(now)
+    }
+
     /// What is left of a belief since the last call told something, 0 to 1.
     fn fading(&self, now: Moment) -> f64 {
         let age = now.since(self.sampled).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -5,8 +5,9 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{NodeEntry, RouteTable, ServerEntry, ServerId};
+use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry, ServerId};
 use streamfold_store::StoreError;
 
 /// A future that a trait object returns.
@@ -89,7 +90,7 @@
 }
 
 /// What can be followed in the platform's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Encode, Decode)]
 pub enum FeedTopic {
     /// The routes, whole.
     Routes,
@@ -110,7 +111,7 @@
 }
 
 /// One thing of a topic.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Encode, Decode)]
 pub enum FeedItem {
     /// A version of the routes.
     Routes(Box<RouteTable>),
@@ -121,7 +122,7 @@
 }
 
 /// A change of a topic.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Encode, Decode)]
 pub enum FeedChange {
     /// Something is there or has changed.
     Put(FeedItem),
@@ -160,6 +161,9 @@
     /// Waits for changes after a position, at most `wait`.
     fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges>;
 
-    /// Registers this node for the others.
-    fn announce<'a>(&'a self, entry: &'a NodeEntry) -> FeedFuture<'a, ()>;
+    /// Registers this node for the others; the position at which its entry was written.
+    fn announce<'a>(&'a self, entry: &'a NodeEntry) -> FeedFuture<'a, FeedPosition>;
+
+    /// Removes a node's entry if it is the one written at a position.
+    fn withdraw<'a>(&'a self, node: &'a NodeId, position: FeedPosition) -> FeedFuture<'a, ()>;
 }
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -11,7 +11,7 @@
 };
 use streamfold_policy::Moment;
 use streamfold_policy::extra_budget::ExtraBudget;
-use streamfold_policy::owner::choose_owners;
+use streamfold_policy::owner::{CallingNodes, choose_owners, divide_connections};
 use streamfold_policy::replica::Distance;
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
@@ -24,13 +24,13 @@
 /// those of servers that live are back within about two seconds. A server that left gets no
 /// request later than three seconds after.
 const DOUBT: Duration = Duration::from_millis(2_200);
-/// The share of a server's connections that the nodes divide among them; the rest is for the
-/// moment in which two of them count the nodes differently.
-const DIVIDED_SHARE: f64 = 0.9;
+/// A node that is gone may have spent of what all nodes share for so long: the window in which
+/// extra calls are counted.
+const SPENT_FOR: Duration = Duration::from_secs(10);
 /// Nodes of each other failure domain that a node keeps links to.
 const PEERS_PER_DOMAIN: usize = 4;
 /// Nodes counted on while none is known.
-const ASSUMED_NODES: f64 = 8.0;
+const ASSUMED_NODES: usize = 8;
 
 /// A service with the servers that may get work.
 pub struct Service {
@@ -57,8 +57,8 @@
     pub services: HashMap<ServiceName, Service>,
     /// Latencies by route.
     pub times: HashMap<RouteName, RouteTimes>,
-    /// Nodes known, this one included.
-    pub nodes: usize,
+    /// Nodes by failure domain, this one included; also those that were there until lately.
+    pub nodes: HashMap<FailureDomain, usize>,
     /// Nodes of other failure domains that this one keeps links to.
     pub peers: Vec<Arc<PeerNode>>,
 }
@@ -71,6 +71,8 @@
     budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
     times: HashMap<RouteName, RouteTimes>,
     nodes: HashMap<NodeId, NodeEntry>,
+    /// Nodes that went, with the moment until which they count.
+    gone_nodes: Vec<(FailureDomain, Moment)>,
     peers: HashMap<NodeId, Arc<PeerNode>>,
 }
 
@@ -114,6 +116,7 @@
             budgets: HashMap::new(),
             times: HashMap::new(),
             nodes: HashMap::new(),
+            gone_nodes: Vec::new(),
             peers: HashMap::new(),
         };
         let view = ArcSwap::from_pointee(parts.build_view());
@@ -141,9 +144,8 @@
 
     fn publish(&self, parts: &ClusterParts) {
         let view = parts.build_view();
-        for (name, service) in &view.services {
-            let share = view.connection_share(name);
-            service.servers.iter().for_each(|server| server.set_share(share));
+        for server in view.services.values().flat_map(|service| &service.servers) {
+            server.set_share(view.connection_share(server));
         }
         self.view.store(Arc::new(view));
     }
@@ -240,10 +242,12 @@
         match topic {
             FeedTopic::Routes => false,
             FeedTopic::Nodes => {
+                let gone = name.parse::<NodeId>().ok().and_then(|node| parts.nodes.remove(&node));
+                let Some(gone) = gone else { return false };
                 tracing::info!(event = "node_gone", node = name);
-                let is_removed = name.parse::<NodeId>().is_ok_and(|node| parts.nodes.remove(&node).is_some());
+                parts.gone_nodes.push((gone.domain, now.plus(SPENT_FOR)));
                 parts.choose_peers(&self.place);
-                is_removed
+                true
             }
             FeedTopic::Servers => {
                 let Ok(id) = name.parse::<ServerId>() else { return false };
@@ -259,10 +263,16 @@
         }
     }
 
-    /// The entries of servers and nodes known, for a node that knows none.
-    pub fn entries(&self) -> (Vec<ServerEntry>, Vec<NodeEntry>) {
+    /// The nodes of this one's failure domain, itself included.
+    pub fn neighbours(&self) -> Vec<NodeEntry> {
         let parts = self.parts();
-        let servers = parts.servers.values().filter(|server| !server.is_doubtful()).map(|server| server.entry());
+        parts.nodes.values().filter(|entry| entry.domain == self.place.domain).cloned().collect()
+    }
+
+    /// The entries of servers and nodes known, for another node.
+    pub fn entries(&self, now: Moment) -> (Vec<ServerEntry>, Vec<NodeEntry>) {
+        let parts = self.parts();
+        let servers = parts.servers.values().filter(|server| !server.is_doubtful()).map(|server| server.entry(now));
         (servers.collect(), parts.nodes.values().cloned().collect())
     }
 
@@ -276,7 +286,9 @@
             parts.drop_server(id);
         }
         parts.servers.values().for_each(|server| server.sweep(now));
-        if !overdue.is_empty() {
+        let counted = parts.gone_nodes.len();
+        parts.gone_nodes.retain(|(_, until)| now < *until);
+        if !overdue.is_empty() || parts.gone_nodes.len() < counted {
             self.publish(&parts);
         }
     }
@@ -325,6 +337,15 @@
         self.times = table.routes().iter().map(|route| (route.name.clone(), keep(&route.name))).collect();
     }
 
+    fn count_nodes(&self) -> HashMap<FailureDomain, usize> {
+        let gone = self.gone_nodes.iter().map(|(domain, _)| domain);
+        let mut counts = HashMap::new();
+        for domain in self.nodes.values().map(|entry| &entry.domain).chain(gone) {
+            *counts.entry(domain.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     fn build_view(&self) -> ClusterView {
         let mut services: HashMap<ServiceName, Service> = HashMap::new();
         for server in self.servers.values().filter(|server| !server.is_leaving()) {
@@ -338,7 +359,7 @@
             table: self.table.clone(),
             services,
             times: self.times.clone(),
-            nodes: self.nodes.len(),
+            nodes: self.count_nodes(),
             peers: self.peers.values().cloned().collect(),
         }
     }
@@ -346,14 +367,19 @@
 
 impl ClusterView {
     /// Nodes that share what is divided among all of them.
-    pub fn node_count(&self) -> f64 {
-        if self.nodes == 0 { ASSUMED_NODES } else { self.nodes as f64 }
+    pub fn node_count(&self) -> usize {
+        match self.nodes.values().sum() {
+            0 => ASSUMED_NODES,
+            count => count,
+        }
     }
 
-    /// Connections that this node may have to each server of a service.
-    pub fn connection_share(&self, service: &ServiceName) -> u32 {
-        let spec = self.table.as_ref().and_then(|table| table.service(service));
+    /// Connections that this node may have to a server.
+    fn connection_share(&self, server: &Server) -> u32 {
+        let spec = self.table.as_ref().and_then(|table| table.service(&server.service));
         let Some(spec) = spec else { return 1 };
-        ((f64::from(spec.max_connections) * DIVIDED_SHARE / self.node_count()) as u32).max(1)
+        let near = self.nodes.get(&server.domain).copied().unwrap_or(0);
+        let nodes = CallingNodes { near, far: self.node_count() - near };
+        divide_connections(spec.max_connections, nodes, server.distance == Distance::Domain)
     }
 }
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -6,6 +6,7 @@
 use streamfold_store::StoreError;
 
 use crate::border::{FeedPosition, FeedTopic};
+use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
 
 /// How long a watch waits in the store: the longest it allows.
@@ -18,6 +19,10 @@
 /// store's rates bear all nodes asking at the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// How long newer routes that another node has may take to arrive here as well, before they are
+/// asked for.
+const NEWER_WITHIN: Duration = Duration::from_millis(150);
+
 /// What is known of one topic's feed.
 struct FeedFollower {
     router: Arc<Router>,
@@ -26,33 +31,57 @@
     failures: u32,
 }
 
-/// Follows a topic until the node ends.
+/// Follows a topic in the store until the node ends, whenever no other node is followed.
 pub async fn follow(router: Arc<Router>, topic: FeedTopic) {
-    let mut follower = FeedFollower { router, topic, position: None, failures: 0 };
+    let mut source = router.source.subscribe();
+    // The sender lives as long as the router, so waiting for it cannot fail.
+    while source.wait_for(|source| *source == FeedSource::Store).await.is_ok() {
+        let mut follower = FeedFollower { router: router.clone(), topic, position: None, failures: 0 };
+        tokio::select! {
+            () = follower.run() => {}
+            _ = source.wait_for(|source| *source != FeedSource::Store) => {}
+        }
+    }
+}
+
+/// Reads the routes from the store when another node has newer ones that do not arrive.
+pub async fn catch_up(router: Arc<Router>) {
     loop {
-        match follower.step().await {
-            Ok(position) => follower.note_success(position),
-            Err(StoreError::HistoryGone) => {
-                tracing::info!(event = "feed_history_gone", topic = %topic);
-                follower.position = None;
-            }
-            Err(error) => follower.note_failure(&error).await,
+        router.newer_routes.notified().await;
+        tokio::time::sleep(NEWER_WITHIN).await;
+        if !router.is_behind() {
+            continue;
+        }
+        tracing::info!(event = "routes_behind", version = %router.cluster.version());
+        match router.feed.list(FeedTopic::Routes).await {
+            Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Routes),
+            Err(error) => tracing::warn!(event = "routes_not_read", %error),
         }
     }
 }
 
 impl FeedFollower {
+    async fn run(&mut self) {
+        loop {
+            match self.step().await {
+                Ok(position) => self.note_success(position),
+                Err(StoreError::HistoryGone) => {
+                    tracing::info!(event = "feed_history_gone", topic = %self.topic);
+                    self.position = None;
+                }
+                Err(error) => self.note_failure(&error).await,
+            }
+        }
+    }
+
     async fn step(&self) -> Result<FeedPosition, StoreError> {
         let Some(position) = self.position else { return self.list().await };
         let router = &self.router;
-        let news = tokio::select! {
-            news = router.feed.watch(self.topic, position, WATCH_WAIT) => news?,
-            () = router.newer_routes.notified(), if self.topic == FeedTopic::Routes => {
-                tracing::info!(event = "routes_behind", version = %router.cluster.version());
-                return self.list().await;
-            }
-        };
+        let news = router.feed.watch(self.topic, position, WATCH_WAIT).await?;
         let has_changed = !news.changes.is_empty();
+        if has_changed {
+            router.outlet.publish(|| RelayFrame::Changed(self.topic, news.changes.clone()));
+        }
         router.cluster.apply(router.clock.now(), news.changes, self.topic);
         if has_changed {
             tokio::time::sleep(self.pause()).await;
@@ -71,6 +100,7 @@
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
         let list = router.feed.list(self.topic).await?;
+        router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items.clone()));
         router.cluster.replace(router.clock.now(), list.items, self.topic);
         Ok(list.position)
     }
@@ -103,13 +133,18 @@
 pub async fn announce(router: Arc<Router>) {
     let entry = router.own_entry();
     let mut failures = 0;
-    while let Err(error) = router.feed.announce(&entry).await {
+    let position = loop {
+        let error = match router.feed.announce(&entry).await {
+            Ok(position) => break position,
+            Err(error) => error,
+        };
         if failures == 0 {
             tracing::warn!(event = "announce_failed", %error);
         }
         let pause = (FIRST_PAUSE * 2u32.pow(failures.min(6))).min(MAX_PAUSE);
         failures += 1;
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-    }
+    };
+    router.set_registered(position);
     tracing::info!(event = "announced", node = %entry.node, incarnation = %entry.incarnation);
 }
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -41,7 +41,7 @@
     let view = router.cluster.view();
     let newer = view.table.as_ref().filter(|table| table.version > request.version);
     let (servers, nodes) = match request.wants_entries {
-        true => router.cluster.entries(),
+        true => router.cluster.entries(router.clock.now()),
         false => (Vec::new(), Vec::new()),
     };
     KnowledgeReply { table: newer.map(|table| RouteTable::clone(table)), servers, nodes }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod peer_service;
 pub mod peers;
 pub mod ready;
+pub mod relay;
+pub mod relay_service;
 pub mod request;
 pub mod router;
 pub mod server;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -20,6 +20,8 @@
 use crate::delegate::ASKING_SHARE;
 use crate::knowledge::{self, KnowledgeRequest};
 use crate::peer_gather::PeerGather;
+use crate::relay::{PATH_RELAY, RelayRequest};
+use crate::relay_service;
 use crate::request::CallerRequest;
 use crate::router::{LiveCount, Router, RouterPhase};
 
@@ -43,6 +45,7 @@
         match path {
             PATH_BATCH => serve_batch(&self.0, body, respond).boxed(),
             PATH_KNOWLEDGE => serve_knowledge(&self.0, body, respond).boxed(),
+            PATH_RELAY => serve_relay(&self.0, body, respond).boxed(),
             _ => std::future::ready(Err(PeerError::BadStatus(404))).boxed(),
         }
     }
@@ -116,6 +119,11 @@
     reply(respond, &knowledge::tell(router, &request)).await
 }
 
+async fn serve_relay(router: &Router, body: RecvStream, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+    let request: RelayRequest = read_message(body, KNOWLEDGE_LIMIT).await?;
+    relay_service::serve(router, &request, respond).await
+}
+
 /// The batch as a request of its own, over just its shards.
 fn build_context(router: &Arc<Router>, batch: &ShardBatch) -> Result<AttemptContext, PeerError> {
     let malformed = |_| PeerError::BadStatus(400);
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,210 @@
+//! News of the store taken from another node of the failure domain, so that one node there
+//! follows the store for all of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+use streamfold_link::{FrameReader, PeerError, PeerLink};
+use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry};
+use streamfold_policy::feed_rule::choose_readers;
+
+use crate::border::{FeedChange, FeedItem, FeedTopic};
+use crate::router::Router;
+
+/// Path of a subscription to the news of the store.
+pub const PATH_RELAY: &str = "/relay";
+/// How often a reader without news says that it follows the store.
+pub const ALIVE_EVERY: Duration = Duration::from_millis(500);
+/// A reader that said nothing for so long is given up: three signs of life. A leaving server
+/// must be known within three seconds, so two are left for finding out from the store.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// How long a reader may take to begin: it may just be starting to follow the store itself.
+const BEGIN_WITHIN: Duration = Duration::from_millis(800);
+/// How long all readers together may take to begin before the store is followed directly.
+const SWITCH_WITHIN: Duration = Duration::from_millis(1_000);
+/// How often a node that follows the store looks for a reader.
+const LOOK_EVERY: Duration = Duration::from_secs(3);
+/// At the very first start of all nodes, the time for every node to register.
+const FIRST_START_WAIT: Duration = Duration::from_secs(1);
+
+/// Where a node has its news of the store from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FeedSource {
+    /// It does not know yet.
+    Undecided,
+    /// It follows the store.
+    Store,
+    /// It follows another node.
+    Relay,
+}
+
+/// Asks for the news of the store.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct RelayRequest {
+    /// The node that asks.
+    pub node: NodeId,
+}
+
+/// All that a reader knows.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct RelayListing {
+    /// The routes, if there are any.
+    pub table: Option<RouteTable>,
+    /// The servers.
+    pub servers: Vec<ServerEntry>,
+    /// The nodes.
+    pub nodes: Vec<NodeEntry>,
+}
+
+/// A message of a reader.
+#[derive(Debug, Clone, Encode, Decode)]
+pub enum RelayFrame {
+    /// All that it knows; the first message.
+    Begin(Box<RelayListing>),
+    /// All of one topic, read anew.
+    Listed(FeedTopic, Vec<FeedItem>),
+    /// Changes of a topic.
+    Changed(FeedTopic, Vec<FeedChange>),
+    /// Nothing new; the store is followed.
+    Alive,
+}
+
+/// Why a reader is not followed, or not any more.
+#[derive(Debug, thiserror::Error)]
+enum RelayError {
+    /// The connection or the stream failed.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
+    /// It said nothing for too long.
+    #[error("the reader is silent")]
+    Silent,
+    /// It does not follow the store any more, or is about to stop.
+    #[error("the reader has ended")]
+    Ended,
+    /// It began with something else than all that it knows.
+    #[error("the reader began without a listing")]
+    NoListing,
+}
+
+/// Follows another node of the failure domain wherever one can be followed, until the node
+/// ends. Where none can, the store is followed.
+pub async fn follow(router: Arc<Router>) {
+    look_around(&router).await;
+    let mut lost: Option<NodeId> = None;
+    loop {
+        match find_reader(&router, lost.as_ref()).await {
+            Some(mut subscription) => {
+                let error = subscription.run(&router).await;
+                tracing::warn!(event = "reader_lost", reader = %subscription.reader, %error);
+                lost = Some(subscription.reader);
+            }
+            None => {
+                router.set_source(FeedSource::Store);
+                lost = None;
+                tokio::time::sleep(LOOK_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
+            }
+        }
+    }
+}
+
+/// Learns the nodes from the store, as the first thing of all.
+async fn look_around(router: &Router) {
+    if router.settings.first_start {
+        tokio::time::sleep(FIRST_START_WAIT).await;
+    }
+    match router.feed.list(FeedTopic::Nodes).await {
+        Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes),
+        Err(error) => tracing::info!(event = "nodes_unknown", %error),
+    }
+}
+
+/// The first of the readers that begins; not the one that was just lost.
+async fn find_reader(router: &Router, lost: Option<&NodeId>) -> Option<RelaySubscription> {
+    let readers = list_readers(router);
+    let candidates = readers.into_iter().filter(|entry| Some(&entry.node) != lost);
+    let first_to_begin = async {
+        for entry in candidates {
+            match RelaySubscription::open(router, &entry).await {
+                Ok(subscription) => return Some(subscription),
+                Err(error) => tracing::debug!(event = "reader_refused", reader = %entry.node, %error),
+            }
+        }
+        None
+    };
+    tokio::time::timeout(SWITCH_WITHIN, first_to_begin).await.unwrap_or_default()
+}
+
+/// The nodes that this one may follow, the preferred first.
+fn list_readers(router: &Router) -> Vec<NodeEntry> {
+    let place = router.cluster.place();
+    let neighbours = router.cluster.neighbours();
+    let names: Vec<&str> = neighbours.iter().map(|entry| entry.node.as_str()).collect();
+    let chosen = choose_readers(place.node.as_str(), place.domain.as_str(), &names);
+    let find = |name: &str| neighbours.iter().find(|entry| entry.node.as_str() == name).cloned();
+    chosen.into_iter().filter_map(find).collect()
+}
+
+/// A reader that has begun.
+struct RelaySubscription {
+    reader: NodeId,
+    frames: FrameReader,
+    // Dropped, it closes the connection.
+    _link: Arc<PeerLink>,
+}
+
+impl RelaySubscription {
+    async fn open(router: &Router, entry: &NodeEntry) -> Result<Self, RelayError> {
+        let link = PeerLink::new(entry.peer_address);
+        let request = RelayRequest { node: router.settings.node.clone() };
+        let begin = async {
+            let mut frames = link.stream(PATH_RELAY, &request).await?;
+            let first = frames.next::<RelayFrame>().await?;
+            Ok((frames, first))
+        };
+        let begun: Result<_, PeerError> =
+            tokio::time::timeout(BEGIN_WITHIN, begin).await.map_err(|_| RelayError::Silent)?;
+        let (frames, first) = begun?;
+        let Some(RelayFrame::Begin(listing)) = first else { return Err(RelayError::NoListing) };
+        tracing::info!(event = "reader_followed", reader = %entry.node, servers = listing.servers.len());
+        take_listing(router, *listing);
+        router.set_source(FeedSource::Relay);
+        Ok(Self { reader: entry.node.clone(), frames, _link: link })
+    }
+
+    /// Takes news until the reader is lost.
+    async fn run(&mut self, router: &Router) -> RelayError {
+        loop {
+            match tokio::time::timeout(SILENCE, self.frames.next::<RelayFrame>()).await {
+                Ok(Ok(Some(frame))) => take_frame(router, frame),
+                Ok(Ok(None)) => return RelayError::Ended,
+                Ok(Err(error)) => return error.into(),
+                Err(_) => return RelayError::Silent,
+            }
+        }
+    }
+}
+
+/// Takes all that a reader knows. Servers come before routes that may name them.
+fn take_listing(router: &Router, listing: RelayListing) {
+    let servers = listing.servers.into_iter().map(FeedItem::Server).collect();
+    take_topic(router, FeedTopic::Servers, servers);
+    let nodes = listing.nodes.into_iter().map(FeedItem::Node).collect();
+    take_topic(router, FeedTopic::Nodes, nodes);
+    let table = listing.table.map(Box::new).map(FeedItem::Routes);
+    take_topic(router, FeedTopic::Routes, table.into_iter().collect());
+}
+
+fn take_topic(router: &Router, topic: FeedTopic, items: Vec<FeedItem>) {
+    router.cluster.replace(router.clock.now(), items, topic);
+    router.set_followed(topic, true);
+}
+
+fn take_frame(router: &Router, frame: RelayFrame) {
+    match frame {
+        RelayFrame::Begin(listing) => take_listing(router, *listing),
+        RelayFrame::Listed(topic, items) => take_topic(router, topic, items),
+        RelayFrame::Changed(topic, changes) => router.cluster.apply(router.clock.now(), changes, topic),
+        RelayFrame::Alive => {}
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay_service.rs
@@ -0,0 +1,118 @@
+//! News of the store passed on to other nodes of the failure domain.
+
+use bytes::Bytes;
+use h2::SendStream;
+use h2::server::SendResponse;
+use http::Response;
+use std::time::Duration;
+use streamfold_link::{PeerError, encode_frame, refuse, send_frame};
+use tokio::sync::broadcast;
+
+use crate::border::FeedTopic;
+use crate::relay::{ALIVE_EVERY, FeedSource, RelayFrame, RelayListing, RelayRequest};
+use crate::router::{Router, RouterPhase};
+
+/// How long a node may take to become a reader after it was asked: it may have lost its own
+/// reader at the same moment, and reads the store then.
+const BECOME_WITHIN: Duration = Duration::from_millis(600);
+/// Messages that a slow follower may lag behind before it has to begin anew.
+const MAX_LAG: usize = 256;
+
+/// Passes news to every node that follows this one.
+pub struct RelayOutlet(broadcast::Sender<Bytes>);
+
+impl Default for RelayOutlet {
+    fn default() -> Self {
+        Self(broadcast::Sender::new(MAX_LAG))
+    }
+}
+
+impl RelayOutlet {
+    /// Passes a message on; it is only made if anybody listens.
+    pub fn publish(&self, make: impl FnOnce() -> RelayFrame) {
+        if self.0.receiver_count() == 0 {
+            return;
+        }
+        match encode_frame(&make()) {
+            // Without a receiver left there is nobody to tell.
+            Ok(frame) => drop(self.0.send(frame)),
+            Err(error) => tracing::error!(event = "relay_frame_failed", %error),
+        }
+    }
+}
+
+/// Whether this node may be followed.
+fn is_reader(router: &Router) -> bool {
+    let topics = [FeedTopic::Routes, FeedTopic::Servers, FeedTopic::Nodes];
+    let is_serving = *router.phase.borrow() == RouterPhase::Serving;
+    let reads_store = *router.source.borrow() == FeedSource::Store;
+    is_serving && reads_store && topics.into_iter().all(|topic| router.is_followed(topic))
+}
+
+/// Passes the news of the store to another node, until this one does not follow the store any
+/// more, stops, or the other node goes.
+///
+/// # Errors
+/// The stream fails.
+pub async fn serve(
+    router: &Router,
+    request: &RelayRequest,
+    respond: &mut SendResponse<Bytes>,
+) -> Result<(), PeerError> {
+    if !becomes_reader(router).await {
+        return refuse(respond);
+    }
+    tracing::info!(event = "follower_begun", follower = %request.node);
+    // Subscribed before the listing is made, so that nothing is missed between them.
+    let mut news = router.outlet.0.subscribe();
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    let begin = RelayFrame::Begin(Box::new(list_all(router)));
+    send_frame(&mut stream, encode_frame(&begin)?, false).await?;
+    let result = pass_on(router, &mut news, &mut stream).await;
+    tracing::info!(event = "follower_ended", follower = %request.node);
+    result
+}
+
+async fn pass_on(
+    router: &Router,
+    news: &mut broadcast::Receiver<Bytes>,
+    stream: &mut SendStream<Bytes>,
+) -> Result<(), PeerError> {
+    let alive = encode_frame(&RelayFrame::Alive)?;
+    let mut changed = router.feed_changed.subscribe();
+    let mut phase = router.phase.subscribe();
+    while is_reader(router) {
+        let frame = tokio::select! {
+            frame = news.recv() => match frame {
+                Ok(frame) => frame,
+                // It lags too far behind and has to begin anew.
+                Err(_) => break,
+            },
+            () = tokio::time::sleep(ALIVE_EVERY) => alive.clone(),
+            _ = changed.changed() => continue,
+            _ = phase.changed() => continue,
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
+        };
+        send_frame(stream, frame, false).await?;
+    }
+    stream.send_data(Bytes::new(), true)?;
+    Ok(())
+}
+
+/// Waits shortly for this node to follow the store; whether it does.
+async fn becomes_reader(router: &Router) -> bool {
+    let mut changed = router.feed_changed.subscribe();
+    let becoming = async {
+        while !is_reader(router) {
+            // The sender lives as long as the router.
+            let _ = changed.changed().await;
+        }
+    };
+    tokio::time::timeout(BECOME_WITHIN, becoming).await.is_ok()
+}
+
+fn list_all(router: &Router) -> RelayListing {
+    let (servers, nodes) = router.cluster.entries(router.clock.now());
+    let table = router.cluster.view().table.as_ref().map(|table| (**table).clone());
+    RelayListing { table, servers, nodes }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,7 +1,7 @@
 //! One router: what its parts share, how it starts and how it stops.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -13,12 +13,14 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use crate::border::{CallFormat, ClusterFeed, FeedTopic};
+use crate::border::{CallFormat, ClusterFeed, FeedPosition, FeedTopic};
 use crate::clock::{NodeClock, wall_ms};
 use crate::cluster::{Cluster, ClusterPlace, ClusterView};
 use crate::error::RouterError;
+use crate::relay::FeedSource;
+use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
-use crate::{feed, front, knowledge, peer_service, peers, ready};
+use crate::{feed, front, knowledge, peer_service, peers, ready, relay};
 
 /// The share of the fixed allowance that the nodes divide; the rest is for moments in which
 /// they count themselves differently.
@@ -31,6 +33,8 @@
 /// A stopping node still takes requests for so long: the balancer asks each second and takes a
 /// node out after two answers that say no.
 const LAME_DUCK: Duration = Duration::from_millis(2_500);
+/// How long removing the node's entry may take: no longer than it serves on.
+const WITHDRAW_WITHIN: Duration = Duration::from_millis(2_000);
 /// Before the platform kills the process, requests in flight are given up.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// How often a stopping node looks whether it is done.
@@ -73,6 +77,16 @@
     pub seed_links: Vec<Arc<PeerLink>>,
     /// Told when another node has newer routes.
     pub newer_routes: Notify,
+    /// The newest version of the routes that another node was heard to have.
+    heard_version: AtomicU64,
+    /// Where the news of the store come from.
+    pub source: watch::Sender<FeedSource>,
+    /// Told when a topic begins or ceases to be followed, or the source changes.
+    pub feed_changed: watch::Sender<()>,
+    /// Passes news of the store to other nodes.
+    pub outlet: RelayOutlet,
+    /// The position at which this node registered, 0 before that.
+    registered: AtomicU64,
     feeds: [FeedState; 3],
     started: Moment,
 }
@@ -148,6 +162,8 @@
         tasks.spawn(feed::follow(router.clone(), topic));
     }
     tasks.spawn(feed::announce(router.clone()));
+    tasks.spawn(feed::catch_up(router.clone()));
+    tasks.spawn(relay::follow(router.clone()));
     tasks.spawn(peer_service::serve(router.clone(), peers_listener));
     tasks.spawn(peers::keep_connected(router.clone()));
     tasks.spawn(knowledge::ask_in_outages(router.clone()));
@@ -189,6 +205,11 @@
             live: ArcSwap::from_pointee(settings.clone()),
             seed_links: seed_links(&settings),
             newer_routes: Notify::new(),
+            heard_version: AtomicU64::new(0),
+            source: watch::Sender::new(FeedSource::Undecided),
+            feed_changed: watch::Sender::new(()),
+            outlet: RelayOutlet::default(),
+            registered: AtomicU64::new(0),
             feeds: Default::default(),
             settings,
         }
@@ -207,10 +228,13 @@
     /// Notes whether a topic is followed.
     pub fn set_followed(&self, topic: FeedTopic, is_followed: bool) {
         let state = &self.feeds[topic as usize];
-        state.is_followed.store(is_followed, Ordering::Relaxed);
+        let was_followed = state.is_followed.swap(is_followed, Ordering::Relaxed);
         if is_followed {
             self.set_listed(topic);
         }
+        if was_followed != is_followed {
+            self.feed_changed.send_replace(());
+        }
     }
 
     /// Whether anything of a topic is known.
@@ -245,10 +269,41 @@
     /// Notes the version of the routes at another node.
     pub fn note_version(&self, version: TableVersion) {
         if version > self.cluster.version() {
+            self.heard_version.fetch_max(version.0, Ordering::Relaxed);
             self.newer_routes.notify_one();
         }
     }
 
+    /// Whether another node was heard to have newer routes than are in force here.
+    pub fn is_behind(&self) -> bool {
+        self.heard_version.load(Ordering::Relaxed) > self.cluster.version().0
+    }
+
+    /// Notes at which position this node's entry was written.
+    pub fn set_registered(&self, position: FeedPosition) {
+        self.registered.store(position.0, Ordering::Relaxed);
+    }
+
+    /// Removes this node's entry, unless a later run of it has written its own.
+    async fn withdraw(&self) {
+        let position = FeedPosition(self.registered.load(Ordering::Relaxed));
+        let withdrawn = tokio::time::timeout(WITHDRAW_WITHIN, self.feed.withdraw(&self.settings.node, position)).await;
+        match withdrawn {
+            Ok(Ok(())) => tracing::info!(event = "withdrawn", node = %self.settings.node),
+            Ok(Err(error)) => tracing::warn!(event = "withdraw_failed", %error),
+            Err(_) => tracing::warn!(event = "withdraw_failed", error = "no answer in time"),
+        }
+    }
+
+    /// Notes where the news of the store come from.
+    pub fn set_source(&self, source: FeedSource) {
+        let before = self.source.send_replace(source);
+        if before != source {
+            tracing::info!(event = "feed_source", source = ?source, before = ?before);
+            self.feed_changed.send_replace(());
+        }
+    }
+
     /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
         let has_routes = self.cluster.view().table.is_some();
@@ -260,7 +315,7 @@
     pub fn extra_limits(&self, view: &ClusterView) -> ExtraLimits {
         let extra = self.live.load().extra_calls;
         let is_new = !self.settings.first_start && self.clock.now().since(self.started) < extra.window.0;
-        let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / view.node_count() };
+        let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / view.node_count() as f64 };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
     }
 
@@ -286,7 +341,7 @@
         let router = self.router.clone();
         let began = tokio::time::Instant::now();
         router.set_phase(RouterPhase::LameDuck);
-        tokio::time::sleep(LAME_DUCK).await;
+        tokio::join!(tokio::time::sleep(LAME_DUCK), router.withdraw());
         router.set_phase(RouterPhase::Closing);
         let end = began + router.live.load().grace.0.saturating_sub(KILL_MARGIN);
         while router.is_busy() && tokio::time::Instant::now() < end {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -108,8 +108,8 @@
         })
     }
 
-    /// Its entry as another node needs it; the rest of its warm-up is not passed on.
-    pub fn entry(&self) -> ServerEntry {
+    /// Its entry as another node needs it.
+    pub fn entry(&self, now: Moment) -> ServerEntry {
         ServerEntry {
             id: self.id.clone(),
             service: self.service.clone(),
@@ -117,7 +117,7 @@
             domain: self.domain.clone(),
             slots: self.slots,
             is_draining: self.is_leaving(),
-            warmup: Duration::ZERO,
+            warmup: self.state().warmup_left(now),
         }
     }
 
