--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod extra_budget;
+pub mod feed_rule;
 pub mod finish;
 pub mod fold_rule;
 pub mod hedge;
@@ -20,6 +21,7 @@
 pub mod retry;
 pub mod rules;
 pub mod server;
+pub mod split_rule;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
 pub use budget::TokenBudget;
