The soak plays nodes that share the news of the store, and longer silences

A reader that is silent is given up after 1.5 s; no link fault lasted longer than 2.5 s, so a node that waited for it would have kept its promises all the same. Three in ten faults of links now last up to 9 s.

Faults of the store that strike several nodes are played while another is, so that the times in which nodes must know all stay long.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -59,6 +59,8 @@
     pub links: u64,
     /// Requests that a node handed in part to another.
     pub delegated: usize,
+    /// How often a node began to take the news of the store from another.
+    pub relays: usize,
     /// The longest that the lab itself woke up late, as a measure of the machine's load.
     pub lab_late: Duration,
     /// What was broken.
@@ -73,7 +75,7 @@
         let outcomes: Vec<String> = self.outcomes.iter().map(|(name, count)| format!("{name}={count}")).collect();
         write!(
             f,
-            "soak seed={} seconds={} nodes={} requests={requests} {} faults={} routed={} spared={} links={} delegated={} lab_late_ms={} violations={} logs={}",
+            "soak seed={} seconds={} nodes={} requests={requests} {} faults={} routed={} spared={} links={} delegated={} relays={} lab_late_ms={} violations={} logs={}",
             self.plan.seed,
             self.plan.time.as_secs(),
             2 * self.plan.nodes,
@@ -83,6 +85,7 @@
             self.spared,
             self.links,
             self.delegated,
+            self.relays,
             self.lab_late.as_millis(),
             self.violations.len(),
             self.folder.display()
@@ -123,7 +126,8 @@
         routed,
         spared,
         links: fleet.nodes.iter().map(|node| node.links.faults.carried.load(Ordering::Relaxed)).sum(),
-        delegated: fleet.count_delegated(),
+        delegated: fleet.count_logged(&[" event=request ", " peers="]),
+        relays: fleet.count_logged(&[" event=reader_followed "]),
         faults: fleet.faults.load(Ordering::Relaxed),
         lab_late: Duration::from_micros(late.load(Ordering::Relaxed)),
         violations: fleet.violations(),
--- a/crates/lab/src/soak_audit.rs
+++ b/crates/lab/src/soak_audit.rs
@@ -126,6 +126,12 @@
         spans.iter().any(|span| span.concerns(Some(node)) && kinds.contains(&span.kind) && span.overlaps(from, until))
     }
 
+    /// Whether anything is disturbed in a way just now.
+    pub fn is_on(&self, kind: SpanKind) -> bool {
+        let now = Instant::now();
+        lock(&self.0).iter().any(|span| span.kind == kind && span.overlaps(now, now))
+    }
+
     /// Whether a node's process was asked to end, or did.
     pub fn is_leaving(&self, node: usize) -> bool {
         let now = Instant::now();
--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -360,12 +360,12 @@
         None
     }
 
-    /// Requests that nodes handed in part to another, as they logged.
-    pub fn count_delegated(&self) -> usize {
+    /// Lines in the logs of all nodes that hold all of some texts.
+    pub fn count_logged(&self, texts: &[&str]) -> usize {
         // A log that cannot be read counts for nothing, which the report then shows.
         let read = |node: &SoakNode| std::fs::read_to_string(&node.log).unwrap_or_default();
-        let is_delegated = |line: &&str| line.contains(" event=request ") && line.contains(" peers=");
-        self.nodes.iter().map(|node| read(node).lines().filter(is_delegated).count()).sum()
+        let holds = |line: &&str| texts.iter().all(|text| line.contains(text));
+        self.nodes.iter().map(|node| read(node).lines().filter(holds).count()).sum()
     }
 
     /// How a node's process ended, if it did since it was last asked.
--- a/crates/lab/src/soak_ways.rs
+++ b/crates/lab/src/soak_ways.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use rand::Rng;
 
@@ -16,6 +17,12 @@
 pub const OLDEST_FAULTS: usize = 6;
 /// Those between nodes; only a store turns a caller away.
 const LINK_FAULTS: usize = 7;
+/// How long a fault lasts at most, in milliseconds.
+pub const LONGEST_FAULT: u64 = 2_500;
+/// The same where other ways must take its place: longer than news may take.
+const LONGEST_LINK_FAULT: u64 = 9_000;
+/// How often a lane looks whether a fault of the store is played.
+const STORE_LOOK: Duration = Duration::from_millis(20);
 /// Of a thousand chunks back, after so many the connection breaks off.
 const RESETS: u64 = 200;
 
@@ -40,8 +47,8 @@
 }
 
 impl FaultLane {
-    /// Plays one of the first so many faults on some ways at once.
-    pub(crate) async fn play_ways(&mut self, ways: &[Arc<ProxyFaults>], place: &str, faults: usize) {
+    /// Plays one of the first so many faults on some ways at once, for some milliseconds at most.
+    pub(crate) async fn play_ways(&mut self, ways: &[Arc<ProxyFaults>], place: &str, faults: usize, longest: u64) {
         let fault = WAY_FAULTS[self.dice.random_range(0..faults)];
         self.fleet.note_fault(&format!("proxy {place}: {fault}"));
         let delay_us = self.dice.random_range(5_000..400_000);
@@ -54,7 +61,7 @@
         if breaks {
             ways.iter().for_each(|way| way.break_all());
         }
-        self.rest(100, 2_500).await;
+        self.rest(100, longest).await;
         ways.iter().for_each(|way| way.set(fault, false, 0));
     }
 
@@ -63,20 +70,25 @@
         while !self.is_over() {
             self.rest(0, 900).await;
             let nodes = self.choose_nodes();
+            let longest = if self.dice.random_bool(0.3) { LONGEST_LINK_FAULT } else { LONGEST_FAULT };
             let ways: Vec<_> = nodes.iter().map(|node| self.fleet.nodes[*node].links.faults.clone()).collect();
-            self.play_ways(&ways, &format!("before the links to nodes {nodes:?}"), LINK_FAULTS).await;
+            self.play_ways(&ways, &format!("before the links to nodes {nodes:?}"), LINK_FAULTS, longest).await;
         }
     }
 
-    /// Some nodes, or all, lose the store at the same time, whatever else befalls it.
+    /// Some nodes, or all, lose the store at the same time while another fault of it is played,
+    /// so that the times in which nodes must know all stay long.
     pub async fn play_store_ways(mut self) {
         while !self.is_over() {
-            // Rests are long: nodes must have time to know all.
-            self.rest(2_000, 12_000).await;
+            self.rest(100, 4_000).await;
+            while !self.is_over() && !self.fleet.spans.is_on(SpanKind::Store) {
+                tokio::time::sleep(STORE_LOOK).await;
+            }
             let nodes = self.choose_nodes();
             let ways: Vec<_> = nodes.iter().map(|node| self.fleet.nodes[*node].store.faults.clone()).collect();
             let spans: Vec<_> = nodes.iter().map(|node| self.fleet.disturb(SpanKind::Store, Some(*node))).collect();
-            self.play_ways(&ways, &format!("between nodes {nodes:?} and the store"), WAY_FAULTS.len()).await;
+            self.play_ways(&ways, &format!("between nodes {nodes:?} and the store"), WAY_FAULTS.len(), LONGEST_FAULT)
+                .await;
             spans.into_iter().for_each(|span| self.fleet.spans.end(span));
         }
     }
