Links between nodes fall silent for up to 10 s in a lane of their own

A switch of its own holds them, so that no other lane ends a silence early; half of the silences befall all nodes of a failure domain, among them whichever of them the others take their news from.

By reading: routes are told by other nodes' replies too, and a server that leaves must have a request from that very node 4 s to 10 s after. So the soak is no guard of that limit; relay.rs has a test with a paused reader.

--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -34,6 +34,8 @@
     pub pause_out: AtomicBool,
     /// Bytes towards the client are held.
     pub pause_back: AtomicBool,
+    /// Bytes both ways are held.
+    pub silent: AtomicBool,
     /// Of a thousand chunks towards the client, after so many the connection breaks off midway.
     pub resets: AtomicU64,
     /// Connections carried so far.
@@ -139,7 +141,7 @@
     let write = async move {
         while let Some((due, chunk)) = queue.recv().await {
             tokio::time::sleep_until(due).await;
-            while pause.load(Ordering::Relaxed) {
+            while pause.load(Ordering::Relaxed) || faults.silent.load(Ordering::Relaxed) {
                 tokio::time::sleep(PAUSE_LOOK).await;
             }
             let breaks = resets.is_some_and(|resets| dice::chance(resets.load(Ordering::Relaxed)));
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -167,6 +167,7 @@
     lanes.spawn(lane(10).play_links());
     lanes.spawn(lane(11).play_store_ways());
     lanes.spawn(lane(12).play_settings());
+    lanes.spawn(lane(13).play_silent_links());
     while lanes.join_next().await.is_some() {}
 }
 
--- a/crates/lab/src/soak_faults.rs
+++ b/crates/lab/src/soak_faults.rs
@@ -12,7 +12,7 @@
 
 use crate::soak_audit::{BrokenPromise, SpanKind};
 use crate::soak_fleet::{SoakFleet, color_of};
-use crate::soak_ways::{LONGEST_FAULT, OLDEST_FAULTS};
+use crate::soak_ways::COMMON_FAULTS;
 
 /// How long a node may take to stop as planned: the grace of its settings.
 const GRACE: Duration = Duration::from_secs(6);
@@ -179,7 +179,7 @@
             let position = self.dice.random_range(0..self.fleet.servers.len());
             if self.dice.random_range(0..3) == 0 {
                 let faults = self.fleet.servers[position].proxy.faults.clone();
-                self.play_ways(&[faults], &format!("before server {position}"), OLDEST_FAULTS, LONGEST_FAULT).await;
+                self.play_ways(&[faults], &format!("before server {position}"), COMMON_FAULTS).await;
             } else {
                 self.play_switch(position).await;
             }
@@ -228,8 +228,7 @@
             if self.dice.random_bool(0.5) {
                 let span = self.fleet.disturb(SpanKind::Store, Some(node));
                 let faults = self.fleet.nodes[node].store.faults.clone();
-                self.play_ways(&[faults], &format!("between node {node} and the store"), OLDEST_FAULTS, LONGEST_FAULT)
-                    .await;
+                self.play_ways(&[faults], &format!("between node {node} and the store"), COMMON_FAULTS).await;
                 self.fleet.spans.end(span);
             } else {
                 let span = self.fleet.disturb(SpanKind::Store, None);
--- a/crates/lab/src/soak_ways.rs
+++ b/crates/lab/src/soak_ways.rs
@@ -1,5 +1,6 @@
 //! Faults of the ways that a soak's proxies stand in: to servers, between nodes, to the store.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,15 +13,15 @@
 
 /// Faults of a way as the log of faults names them. A lane draws from the first few: a new one
 /// goes to the end, so that the plans of kept seeds stay as they are.
-const WAY_FAULTS: [&str; 8] = ["delay", "break", "hold_out", "hold_back", "cut", "resets", "silence", "turned away"];
-/// Those of the lanes that the oldest kept seeds have.
-pub const OLDEST_FAULTS: usize = 6;
-/// Those between nodes; only a store turns a caller away.
-const LINK_FAULTS: usize = 7;
-/// How long a fault lasts at most, in milliseconds.
-pub const LONGEST_FAULT: u64 = 2_500;
-/// The same where other ways must take its place: longer than news may take.
-const LONGEST_LINK_FAULT: u64 = 9_000;
+const WAY_FAULTS: [&str; 8] = ["delay", "break", "hold_out", "hold_back", "cut", "resets", SILENCE, "turned away"];
+/// Those of any way.
+pub const COMMON_FAULTS: usize = 6;
+/// The fault that may last; among the faults of links it has a lane of its own.
+const SILENCE: &str = "silence";
+/// How long a fault lasts, in milliseconds.
+const USUAL_SPAN: Range<u64> = 100..2_500;
+/// How long links are silent, in milliseconds: also longer than news may take, which is 5 s.
+const SILENT_SPAN: Range<u64> = 1_000..10_000;
 /// How often a lane looks whether a fault of the store is played.
 const STORE_LOOK: Duration = Duration::from_millis(20);
 /// Of a thousand chunks back, after so many the connection breaks off.
@@ -29,27 +30,27 @@
 impl ProxyFaults {
     /// Sets a fault, or ends it.
     fn set(&self, fault: &str, is_on: bool, delay_us: u64) {
-        let is_silent = fault == "silence";
         match fault {
             "delay" => self.delay_us.store(u64::from(is_on) * delay_us, Ordering::Relaxed),
             "cut" => self.cut.store(is_on, Ordering::Relaxed),
             "resets" => self.resets.store(u64::from(is_on) * RESETS, Ordering::Relaxed),
+            "hold_out" => self.pause_out.store(is_on, Ordering::Relaxed),
+            "hold_back" => self.pause_back.store(is_on, Ordering::Relaxed),
+            SILENCE => self.silent.store(is_on, Ordering::Relaxed),
             "turned away" => self.turn_away.store(is_on, Ordering::Relaxed),
             _ => {}
         }
-        if is_silent || fault == "hold_out" {
-            self.pause_out.store(is_on, Ordering::Relaxed);
-        }
-        if is_silent || fault == "hold_back" {
-            self.pause_back.store(is_on, Ordering::Relaxed);
-        }
     }
 }
 
 impl FaultLane {
-    /// Plays one of the first so many faults on some ways at once, for some milliseconds at most.
-    pub(crate) async fn play_ways(&mut self, ways: &[Arc<ProxyFaults>], place: &str, faults: usize, longest: u64) {
+    /// Plays one of the first so many faults on some ways at once.
+    pub(crate) async fn play_ways(&mut self, ways: &[Arc<ProxyFaults>], place: &str, faults: usize) {
         let fault = WAY_FAULTS[self.dice.random_range(0..faults)];
+        self.play_way_fault(ways, place, fault, USUAL_SPAN).await;
+    }
+
+    async fn play_way_fault(&mut self, ways: &[Arc<ProxyFaults>], place: &str, fault: &str, span: Range<u64>) {
         self.fleet.note_fault(&format!("proxy {place}: {fault}"));
         let delay_us = self.dice.random_range(5_000..400_000);
         ways.iter().for_each(|way| way.set(fault, true, delay_us));
@@ -61,7 +62,7 @@
         if breaks {
             ways.iter().for_each(|way| way.break_all());
         }
-        self.rest(100, longest).await;
+        self.rest(span.start, span.end).await;
         ways.iter().for_each(|way| way.set(fault, false, 0));
     }
 
@@ -70,9 +71,23 @@
         while !self.is_over() {
             self.rest(0, 900).await;
             let nodes = self.choose_nodes();
-            let longest = if self.dice.random_bool(0.3) { LONGEST_LINK_FAULT } else { LONGEST_FAULT };
             let ways: Vec<_> = nodes.iter().map(|node| self.fleet.nodes[*node].links.faults.clone()).collect();
-            self.play_ways(&ways, &format!("before the links to nodes {nodes:?}"), LINK_FAULTS, longest).await;
+            self.play_ways(&ways, &format!("before the links to nodes {nodes:?}"), COMMON_FAULTS).await;
+        }
+    }
+
+    /// Links that fall silent for so long that nodes must not wait for them, often those to all
+    /// nodes of a failure domain: whichever of them others take their news from is among them.
+    pub async fn play_silent_links(mut self) {
+        while !self.is_over() {
+            self.rest(0, 2_500).await;
+            let nodes = match self.dice.random_bool(0.5) {
+                true => self.choose_domain(),
+                false => self.choose_nodes(),
+            };
+            let ways: Vec<_> = nodes.iter().map(|node| self.fleet.nodes[*node].links.faults.clone()).collect();
+            let place = format!("before the links to nodes {nodes:?}");
+            self.play_way_fault(&ways, &place, SILENCE, SILENT_SPAN).await;
         }
     }
 
@@ -87,12 +102,18 @@
             let nodes = self.choose_nodes();
             let ways: Vec<_> = nodes.iter().map(|node| self.fleet.nodes[*node].store.faults.clone()).collect();
             let spans: Vec<_> = nodes.iter().map(|node| self.fleet.disturb(SpanKind::Store, Some(*node))).collect();
-            self.play_ways(&ways, &format!("between nodes {nodes:?} and the store"), WAY_FAULTS.len(), LONGEST_FAULT)
-                .await;
+            self.play_ways(&ways, &format!("between nodes {nodes:?} and the store"), WAY_FAULTS.len()).await;
             spans.into_iter().for_each(|span| self.fleet.spans.end(span));
         }
     }
 
+    /// All nodes of a failure domain.
+    fn choose_domain(&mut self) -> Vec<usize> {
+        let half = self.fleet.nodes.len() / 2;
+        let first = half * self.dice.random_range(0..2);
+        (first..first + half).collect()
+    }
+
     /// One node in half of the cases, else each with even chances and at least one.
     fn choose_nodes(&mut self) -> Vec<usize> {
         let count = self.fleet.nodes.len();
