--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -1,5 +1,7 @@
 //! A soak: real nodes under faults played from outside, and the promises checked meanwhile.
-//! Its seed names the plan of faults and the callers; the moments are the machine's.
+//! Its seed names the plan of faults and the callers; the moments are the machine's. Clocks have
+//! no fault of their own: a pause makes the monotonic one jump, and nothing is decided by the
+//! time of day.
 
 use std::collections::BTreeMap;
 use std::fmt;
