--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -2,6 +2,7 @@
 //! is replaced whole (read-copy-update).
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -34,6 +35,27 @@
 /// Nodes counted on while none is known.
 const ASSUMED_NODES: usize = 8;
 
+/// Who told this node something of the cluster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NewsOrigin {
+    /// The platform's store.
+    Store,
+    /// The node of its failure domain that follows the store for it.
+    Reader,
+    /// Another node, while the store is away.
+    Peer,
+}
+
+impl fmt::Display for NewsOrigin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Store => "store",
+            Self::Reader => "reader",
+            Self::Peer => "peer",
+        })
+    }
+}
+
 /// A service with the servers that may get work.
 pub struct Service {
     /// The servers.
@@ -157,13 +179,13 @@
     }
 
     /// Puts routes in force if they are newer than those in force; whether they were.
-    pub fn offer_table(&self, table: RouteTable, source: &'static str) -> bool {
+    pub fn offer_table(&self, table: RouteTable, origin: NewsOrigin) -> bool {
         let mut parts = self.parts();
         let own = parts.table.as_ref().map_or(TableVersion(0), |table| table.version);
         if table.version <= own {
             return false;
         }
-        tracing::info!(event = "routes_in_force", version = %table.version, before = %own, source);
+        tracing::info!(event = "routes_in_force", version = %table.version, before = %own, source = %origin);
         metrics::gauge!("streamfold_routes_version").set(table.version.0 as f64);
         parts.keep_times(&table);
         parts.keep_turns(&table);
@@ -173,12 +195,12 @@
     }
 
     /// Takes changes of a topic.
-    pub fn apply(&self, now: Moment, changes: Vec<FeedChange>, topic: FeedTopic) {
+    pub fn apply(&self, now: Moment, changes: Vec<FeedChange>, topic: FeedTopic, origin: NewsOrigin) {
         let mut is_changed = false;
         for change in changes {
             match change {
                 FeedChange::Put(FeedItem::Routes(table)) => {
-                    self.offer_table(*table, "store");
+                    self.offer_table(*table, origin);
                 }
                 FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry),
                 FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry),
@@ -191,7 +213,7 @@
     }
 
     /// Takes all of a topic: what is not in it any more is gone.
-    pub fn replace(&self, now: Moment, items: Vec<FeedItem>, topic: FeedTopic) {
+    pub fn replace(&self, now: Moment, items: Vec<FeedItem>, topic: FeedTopic, origin: NewsOrigin) {
         let listed: Vec<String> = items.iter().map(item_name).collect();
         let known: Vec<String> = match topic {
             FeedTopic::Routes => Vec::new(),
@@ -200,7 +222,7 @@
         };
         let gone = known.into_iter().filter(|name| !listed.contains(name)).map(FeedChange::Removed);
         let changes = items.into_iter().map(FeedChange::Put).chain(gone).collect();
-        self.apply(now, changes, topic);
+        self.apply(now, changes, topic, origin);
     }
 
     fn put_server(&self, now: Moment, entry: &ServerEntry) -> bool {
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -6,6 +6,7 @@
 use streamfold_store::StoreError;
 
 use crate::border::{FeedPosition, FeedTopic};
+use crate::cluster::NewsOrigin;
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
 
@@ -54,7 +55,7 @@
         }
         tracing::info!(event = "routes_behind", version = %router.cluster.version());
         match router.feed.list(FeedTopic::Routes).await {
-            Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Routes),
+            Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Routes, NewsOrigin::Store),
             Err(error) => tracing::warn!(event = "routes_not_read", %error),
         }
     }
@@ -82,7 +83,7 @@
         if has_changed {
             router.outlet.publish(|| RelayFrame::Changed(self.topic, news.changes.clone()));
         }
-        router.cluster.apply(router.clock.now(), news.changes, self.topic);
+        router.cluster.apply(router.clock.now(), news.changes, self.topic, NewsOrigin::Store);
         if has_changed {
             tokio::time::sleep(self.pause()).await;
         }
@@ -101,7 +102,7 @@
         let router = &self.router;
         let list = router.feed.list(self.topic).await?;
         router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items.clone()));
-        router.cluster.replace(router.clock.now(), list.items, self.topic);
+        router.cluster.replace(router.clock.now(), list.items, self.topic, NewsOrigin::Store);
         Ok(list.position)
     }
 
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -9,6 +9,7 @@
 
 use crate::batch::PATH_KNOWLEDGE;
 use crate::border::{FeedChange, FeedItem, FeedTopic};
+use crate::cluster::NewsOrigin;
 use crate::router::Router;
 
 /// How often another node is asked while the store is away.
@@ -79,7 +80,7 @@
     // Servers first, since newer routes may name services that only the newer entries have.
     take_entries(router, link, reply.servers, reply.nodes);
     if let Some(table) = reply.table {
-        router.cluster.offer_table(table, "peer");
+        router.cluster.offer_table(table, NewsOrigin::Peer);
     }
     Ok(())
 }
@@ -96,7 +97,7 @@
     }
     let now = router.clock.now();
     let servers = servers.into_iter().map(FeedItem::Server).map(FeedChange::Put).collect();
-    router.cluster.apply(now, servers, FeedTopic::Servers);
+    router.cluster.apply(now, servers, FeedTopic::Servers, NewsOrigin::Peer);
     let nodes = nodes.into_iter().map(FeedItem::Node).map(FeedChange::Put).collect();
-    router.cluster.apply(now, nodes, FeedTopic::Nodes);
+    router.cluster.apply(now, nodes, FeedTopic::Nodes, NewsOrigin::Peer);
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -10,6 +10,7 @@
 use streamfold_policy::feed_rule::choose_readers;
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
+use crate::cluster::NewsOrigin;
 use crate::router::Router;
 
 /// Path of a subscription to the news of the store.
@@ -23,6 +24,9 @@
 const BEGIN_WITHIN: Duration = Duration::from_millis(800);
 /// How long all readers together may take to begin before the store is followed directly.
 const SWITCH_WITHIN: Duration = Duration::from_millis(1_000);
+/// The same for a node that has just been started again and knows nothing yet: where all nodes
+/// of the failure domain were killed together there is no reader to wait for.
+const RESTART_WITHIN: Duration = Duration::from_millis(200);
 /// How often a node that follows the store looks for a reader.
 const LOOK_EVERY: Duration = Duration::from_secs(3);
 /// At the very first start of all nodes, the time for every node to register.
@@ -92,8 +96,11 @@
 pub async fn follow(router: Arc<Router>) {
     look_around(&router).await;
     let mut lost: Option<NodeId> = None;
+    let mut patience = if router.settings.first_start { SWITCH_WITHIN } else { RESTART_WITHIN };
     loop {
-        match find_reader(&router, lost.as_ref()).await {
+        let reader = find_reader(&router, lost.as_ref(), patience).await;
+        patience = SWITCH_WITHIN;
+        match reader {
             Some(mut subscription) => {
                 let error = subscription.run(&router).await;
                 tracing::warn!(event = "reader_lost", reader = %subscription.reader, %error);
@@ -114,13 +121,13 @@
         tokio::time::sleep(FIRST_START_WAIT).await;
     }
     match router.feed.list(FeedTopic::Nodes).await {
-        Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes),
+        Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes, NewsOrigin::Store),
         Err(error) => tracing::info!(event = "nodes_unknown", %error),
     }
 }
 
-/// The first of the readers that begins; not the one that was just lost.
-async fn find_reader(router: &Router, lost: Option<&NodeId>) -> Option<RelaySubscription> {
+/// The first of the readers that begins in time; not the one that was just lost.
+async fn find_reader(router: &Router, lost: Option<&NodeId>, within: Duration) -> Option<RelaySubscription> {
     let readers = list_readers(router);
     let candidates = readers.into_iter().filter(|entry| Some(&entry.node) != lost);
     let first_to_begin = async {
@@ -132,7 +139,7 @@
         }
         None
     };
-    tokio::time::timeout(SWITCH_WITHIN, first_to_begin).await.unwrap_or_default()
+    tokio::time::timeout(within, first_to_begin).await.unwrap_or_default()
 }
 
 /// The nodes that this one may follow, the preferred first.
@@ -196,7 +203,7 @@
 }
 
 fn take_topic(router: &Router, topic: FeedTopic, items: Vec<FeedItem>) {
-    router.cluster.replace(router.clock.now(), items, topic);
+    router.cluster.replace(router.clock.now(), items, topic, NewsOrigin::Reader);
     router.set_followed(topic, true);
 }
 
@@ -204,7 +211,9 @@
     match frame {
         RelayFrame::Begin(listing) => take_listing(router, *listing),
         RelayFrame::Listed(topic, items) => take_topic(router, topic, items),
-        RelayFrame::Changed(topic, changes) => router.cluster.apply(router.clock.now(), changes, topic),
+        RelayFrame::Changed(topic, changes) => {
+            router.cluster.apply(router.clock.now(), changes, topic, NewsOrigin::Reader);
+        }
         RelayFrame::Alive => {}
     }
 }
