Shards without a server near go to a node of the own region before one of another

Cause: batches went to the failure domain with most of the shards, however far: on the grown file, where a region has two failure domains, half of them left the region without need.

--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -1,5 +1,6 @@
 //! Which shards of a request go to other nodes, and to which.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +40,11 @@
 /// The batches of one request at other nodes.
 pub type PendingBatches = FuturesUnordered<PendingBatchNews>;
 
+/// A failure domain with its distance.
+type DomainPlace = (Distance, FailureDomain);
+/// Positions of shards that have a usable server in a failure domain.
+type PositionsByDomain = BTreeMap<DomainPlace, BTreeSet<usize>>;
+
 /// A batch as the asking node sees it.
 pub struct BatchSlot {
     /// The node asked.
@@ -78,7 +84,7 @@
     /// Shards with a server near are not among them, nor domains that would get very few.
     pub fn plan_batches(&self, slots: &[ShardSlot]) -> Vec<(FailureDomain, Vec<usize>)> {
         let now = self.now();
-        let mut by_domain: BTreeMap<FailureDomain, BTreeSet<usize>> = BTreeMap::new();
+        let mut by_domain = PositionsByDomain::new();
         for (position, slot) in slots.iter().enumerate() {
             let Some(best) = self.best_server(&slot.attempts) else { continue };
             if best.distance == Distance::Domain {
@@ -87,11 +93,12 @@
             let Some(service) = self.view.services.get(&slot.attempts.service) else { continue };
             let usable = service.servers.iter().filter(|server| !server.state().is_avoided(now));
             for server in usable.filter(|server| server.distance != Distance::Domain) {
-                by_domain.entry(server.domain.clone()).or_default().insert(position);
+                let domain = (server.distance, server.domain.clone());
+                by_domain.entry(domain).or_default().insert(position);
             }
         }
-        by_domain.retain(|domain, _| self.usable_peers(domain).next().is_some());
-        take_largest(by_domain)
+        by_domain.retain(|(_, domain), _| self.usable_peers(domain).next().is_some());
+        share_out(by_domain)
     }
 
     fn usable_peers<'a>(&'a self, domain: &'a FailureDomain) -> impl Iterator<Item = &'a Arc<PeerNode>> {
@@ -158,19 +165,21 @@
     }
 }
 
-/// Gives each position to one domain, the domains with most positions first.
-fn take_largest(mut by_domain: BTreeMap<FailureDomain, BTreeSet<usize>>) -> Vec<(FailureDomain, Vec<usize>)> {
+/// Gives each position to one domain: those of this node's region come first, since far ones
+/// cost more time and more for each byte, and among equally near ones those with most positions.
+fn share_out(mut by_domain: PositionsByDomain) -> Vec<(FailureDomain, Vec<usize>)> {
     let mut batches = Vec::new();
     loop {
-        let largest = by_domain.iter().max_by_key(|(_, positions)| (positions.len(), rand::random::<u32>()));
-        let Some((domain, positions)) = largest.filter(|(_, positions)| positions.len() >= MIN_BATCH) else {
-            return batches;
+        by_domain.retain(|_, positions| positions.len() >= MIN_BATCH);
+        let rank = |(distance, _): &DomainPlace, positions: &BTreeSet<usize>| {
+            (Reverse(*distance), positions.len(), rand::random::<u32>())
         };
-        let (domain, positions) = (domain.clone(), positions.clone());
-        by_domain.remove(&domain);
+        let next = by_domain.iter().max_by_key(|(place, positions)| rank(place, positions));
+        let Some(place) = next.map(|(place, _)| place.clone()) else { return batches };
+        let positions = by_domain.remove(&place).unwrap_or_default();
         for others in by_domain.values_mut() {
             others.retain(|position| !positions.contains(position));
         }
-        batches.push((domain, positions.into_iter().collect()));
+        batches.push((place.1, positions.into_iter().collect()));
     }
 }
