Hedges to far servers go through a node near them, which leaves out records that cannot be wanted

Cause: a hedge to a server of another region opened a connection (two ways and the server's 6 ms) and fetched all its records, though the wanted ones are nearly known when a call is overdue. Change: the overdue shards of a request go, one message a failure domain, to a node near their servers, with the last record wanted so far as a floor; each shard's answer comes back by itself as soon as it is there. The node asks one near server for each shard and nobody else; the asking node alone counts the extra call. A part whose left-out records might be wanted after all (another part was replaced meanwhile) is left out.

--- a/crates/lab/tests/routes.rs
+++ b/crates/lab/tests/routes.rs
@@ -303,6 +303,28 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hedge_to_a_far_server_goes_through_the_node_near_it() {
+    let fleet = start_shards().await;
+    // The near server of a shard that has a far one too.
+    fleet.servers[1].state.switches.pause_ms.store(30_000, Ordering::Relaxed);
+    let via = format!("via={}", fleet.nodes[1].name);
+    let mut number = 0;
+    let mut hedged = Vec::new();
+    wait_for("a hedge through the other node", async || {
+        number += 1;
+        let id = format!("r-{number}");
+        check_whole_fold(&fleet, &get(&fleet, "/all/x", &id).await, &id);
+        hedged = fleet.nodes[0].logged(&["event=call_overdue", "hedge=i-2", &via]);
+        !hedged.is_empty()
+    })
+    .await;
+    let id = hedged[0].split(' ').find_map(|field| field.strip_prefix("request=")).expect("a request");
+    let count = |server: &RouteServer| server.state.calls().iter().filter(|call| call.id() == id).count();
+    let calls: Vec<usize> = fleet.servers[1..3].iter().map(count).collect();
+    assert_eq!(calls, [1, 1], "one call at each server of the shard");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_paused_server_is_gone_round() {
     let fleet = start_pair().await;
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -14,6 +14,7 @@
 
 use crate::call::{self, CallFailure, CallTerms, EndedCall};
 use crate::cluster::{ClusterView, RouteTimes, Service};
+use crate::peers::PeerNode;
 use crate::request::CallerRequest;
 use crate::router::Router;
 use crate::server::Server;
@@ -37,6 +38,28 @@
 /// The least that a call is taken to need, in seconds, where latencies are divided by it.
 pub(crate) const MIN_TYPICAL_SECONDS: f64 = 1e-4;
 
+/// A hedge to a far server that goes through a node near it. The link to that node is open,
+/// where the server would have to be connected to first, and the node leaves out records that
+/// cannot be wanted.
+pub struct FarHedge {
+    /// The position of the shard in the request.
+    pub position: usize,
+    /// The node.
+    pub peer: Arc<PeerNode>,
+}
+
+/// Who asks for what a request is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestAsker {
+    /// A caller.
+    Caller,
+    /// Another node, for its shards. It may take over with the server near this node, so one of
+    /// the servers that a shard may be sent to is kept for that one.
+    Node,
+    /// Another node, for hedges at servers near this node and at no others.
+    Hedger,
+}
+
 /// What all attempts of one request share.
 pub struct AttemptContext {
     /// This node.
@@ -53,9 +76,8 @@
     pub retry_until: Moment,
     /// The part of each request that this node counts for its budget of extra calls.
     pub request_share: f64,
-    /// Whether another node asked for the shards. It may take over with the server near this
-    /// node, so one of the servers that a shard may be sent to is kept for that one.
-    pub is_for_peer: bool,
+    /// Who asks.
+    pub asker: RequestAsker,
 }
 
 /// A call in flight; it resolves to the position of its service among the request's.
@@ -87,6 +109,8 @@
     pub hedge_at: Option<Moment>,
     /// Whether the newest call is known to be overdue.
     is_overdue: bool,
+    /// Whether the newest call is one that another node makes.
+    is_handed: bool,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
     /// How the last call that failed did so, for the log.
@@ -111,6 +135,7 @@
             started: Moment::default(),
             hedge_at: None,
             is_overdue: false,
+            is_handed: false,
             may_have_run: false,
             failure: "none",
             sent_in: None,
@@ -134,6 +159,11 @@
         self.sent_in = Some(domain.clone());
     }
 
+    /// Notes that another node, asked for a hedge, made no call.
+    pub fn note_hedge_not_made(&mut self) {
+        self.sent = self.sent.saturating_sub(1);
+    }
+
     /// Notes how a call ended that gave no usable answer.
     pub fn note_failure(&mut self, server: Arc<Server>, failure: Option<CallFailure>) {
         self.pending = self.pending.saturating_sub(1);
@@ -203,13 +233,16 @@
         costed.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, server)| server.clone())
     }
 
-    /// Whether only the server near this node may be tried: for another node, which may ask it
-    /// too, all but one of the servers allowed may be others.
+    /// Whether only a server near this node may be tried: for a node that may take over, all but
+    /// one of the servers allowed may be others.
     fn needs_near(&self, attempts: &ServiceAttempts, service: &Service) -> bool {
+        if self.asker != RequestAsker::Node {
+            return self.asker == RequestAsker::Hedger;
+        }
         let is_near = |server: &&Arc<Server>| server.distance == Distance::Domain;
         let others = attempts.tried.iter().filter(|server| !is_near(server)).count();
         let is_kept = others + 1 >= self.route.max_attempts as usize;
-        self.is_for_peer && is_kept && service.servers.iter().any(|server| is_near(&server))
+        is_kept && service.servers.iter().any(|server| is_near(&server))
     }
 
     /// Starts the next attempt, if there is a server and the bounds allow one.
@@ -228,6 +261,7 @@
         attempts.tried.push(server.clone());
         attempts.started = self.now();
         attempts.is_overdue = false;
+        attempts.is_handed = false;
         let patience = self.times.patience(server.distance, self.route.target_latency);
         attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
         calls.push(self.call(position, server));
@@ -266,17 +300,33 @@
 
     /// Tries another server because the newest call is overdue, if one has a free slot: a hedge
     /// that would only wait in another queue makes both longer.
-    fn hedge(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
+    fn hedge(
+        &self,
+        position: usize,
+        attempts: &mut ServiceAttempts,
+        calls: &PendingCalls,
+        far: Option<&mut Vec<FarHedge>>,
+    ) {
         attempts.hedge_at = None;
         let now = self.now();
         let Some(late) = attempts.tried.last().cloned() else { return };
         let is_news = !std::mem::replace(&mut attempts.is_overdue, true);
         let waited = now.since(attempts.started);
-        if is_news {
+        if is_news && !attempts.is_handed {
             self.note_overdue(&late, attempts.started);
         }
         let next = self.best_server(attempts).filter(|server| !server.state().is_busy(now));
-        let has_started = next.is_some() && self.start(position, attempts, calls);
+        let via = next.as_ref().filter(|_| far.is_some()).and_then(|server| self.find_node_near(server));
+        let has_started = match (&next, &via) {
+            (None, _) => false,
+            (Some(server), Some(_)) => self.hand_over(attempts, server),
+            (Some(_), None) => self.start(position, attempts, calls),
+        };
+        let via = via.filter(|_| has_started);
+        let via_name = via.as_ref().map(|peer| peer.entry.node.to_string());
+        if let (Some(peer), Some(far)) = (via, far) {
+            far.push(FarHedge { position, peer });
+        }
         let again = now.plus(HEDGE_PAUSE);
         if !has_started && !self.is_spent(attempts) && again < self.retry_until {
             attempts.hedge_at = Some(again);
@@ -290,10 +340,33 @@
             service = %attempts.service,
             server = %late.id,
             waited_ms = waited.as_millis() as u64,
-            hedge = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str())
+            hedge = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str()),
+            via = via_name
         );
     }
 
+    /// A node near a far server, if one can be asked.
+    fn find_node_near(&self, server: &Server) -> Option<Arc<PeerNode>> {
+        let is_far = server.distance == Distance::Far;
+        is_far.then(|| self.choose_peer(&server.domain)).flatten()
+    }
+
+    /// Counts a call to a server that another node makes; false if it is not allowed.
+    fn hand_over(&self, attempts: &mut ServiceAttempts, server: &Arc<Server>) -> bool {
+        let Some(service) = self.view.services.get(&attempts.service) else { return false };
+        if self.is_spent(attempts) || !self.charge(attempts, service) {
+            return false;
+        }
+        attempts.sent += 1;
+        attempts.tried.push(server.clone());
+        attempts.started = self.now();
+        attempts.is_overdue = false;
+        attempts.is_handed = true;
+        let patience = self.times.patience(server.distance, self.route.target_latency);
+        attempts.hedge_at = Some(attempts.started.plus(patience));
+        true
+    }
+
     /// Tells the server's state, once a call, that the call is overdue.
     fn note_overdue(&self, server: &Server, started: Moment) {
         let now = self.now();
@@ -339,15 +412,22 @@
         attempts.retry_at = Some(again);
     }
 
-    /// Does what is due: tries again after a pause, or goes round a call that is overdue.
-    pub fn note_alarm(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
+    /// Does what is due: tries again after a pause, or goes round a call that is overdue. Hedges
+    /// to far servers are handed to the caller where `far` takes them.
+    pub fn note_alarm(
+        &self,
+        position: usize,
+        attempts: &mut ServiceAttempts,
+        calls: &PendingCalls,
+        far: Option<&mut Vec<FarHedge>>,
+    ) {
         let now = self.now();
         if attempts.retry_at.is_some_and(|at| at <= now) {
             attempts.retry_at = None;
             self.retry(position, attempts, calls);
         }
         if attempts.hedge_at.is_some_and(|at| at <= now) {
-            self.hedge(position, attempts, calls);
+            self.hedge(position, attempts, calls, far);
         }
     }
 
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -48,6 +48,19 @@
     }
 }
 
+/// How the other node answers a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum BatchMode {
+    /// The records of its shards folded together, at the wanted time.
+    Folded,
+    /// Each shard by itself as soon as it is in, without records under a floor: a second try
+    /// for a few shards, while the asking node has most of the answer.
+    Each {
+        /// The least record that may still be wanted, as a number; none if any may.
+        floor: Option<u128>,
+    },
+}
+
 /// Shards that another node is to query.
 #[derive(Debug, Clone, Encode, Decode)]
 pub struct ShardBatch {
@@ -59,6 +72,8 @@
     pub version: TableVersion,
     /// The shards.
     pub shards: Vec<ServiceName>,
+    /// How they are answered.
+    pub mode: BatchMode,
     /// Records wanted, the greatest first.
     pub top: usize,
     /// The most servers of each shard.
@@ -80,6 +95,8 @@
     pub position: u32,
     /// The server's proof.
     pub proof: Vec<u8>,
+    /// Its own records; empty where those of all shards are folded together.
+    pub records: Vec<u8>,
 }
 
 /// A shard that a reply lacks.
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -15,7 +15,7 @@
 use streamfold_policy::replica::Distance;
 
 use crate::attempts::AttemptContext;
-use crate::batch::ShardBatch;
+use crate::batch::{BatchMode, ShardBatch};
 use crate::gather::ShardSlot;
 use crate::peers::{BatchNews, PeerNode, PendingBatch};
 
@@ -61,6 +61,20 @@
     pub is_open: bool,
     /// The folded records of its shards, once they are here.
     pub records: Bytes,
+    /// How the other node answers it.
+    pub mode: BatchMode,
+}
+
+/// What another node is asked for.
+pub struct BatchOrder {
+    /// The node.
+    pub peer: Arc<PeerNode>,
+    /// The shards' positions in the request.
+    pub positions: Vec<usize>,
+    /// The shards.
+    pub shards: Vec<ServiceName>,
+    /// How they are answered.
+    pub mode: BatchMode,
 }
 
 /// Waits for the next frame of a batch.
@@ -124,24 +138,30 @@
     pub fn send_batch(
         &self,
         number: usize,
-        peer: Arc<PeerNode>,
-        positions: Vec<usize>,
-        shards: Vec<ServiceName>,
+        order: BatchOrder,
         rule: &FoldRule,
         top: usize,
     ) -> (BatchSlot, PendingBatchNews) {
         let now = self.now();
+        let BatchOrder { peer, positions, shards, mode } = order;
         let way = way(peer.distance);
         let alive_within = self.times.patience(Distance::Domain, self.route.target_latency);
         let target = self.request.started.plus(rule.target.min(rule.limit));
-        let reply_within = target.since(now).saturating_sub(way).max(MIN_REPLY);
+        let reply_within = match mode {
+            BatchMode::Folded => target.since(now).saturating_sub(way).max(MIN_REPLY),
+            BatchMode::Each { .. } => Duration::ZERO,
+        };
+        // A second try goes to one server and is not taken over.
+        let max_attempts = if mode == BatchMode::Folded { self.route.max_attempts } else { 1 };
+        let takeover_at = now.plus(alive_within.min(reply_within) + way + ALIVE_SLACK);
         let batch = ShardBatch {
             request: self.request.copy(),
             route: self.route.name.clone(),
             version: self.router.cluster.version(),
             shards,
+            mode,
             top,
-            max_attempts: self.route.max_attempts,
+            max_attempts,
             target_us: self.route.target_latency.as_micros() as u64,
             left_us: self.request.deadline.since(now).as_micros() as u64,
             reply_within_us: reply_within.as_micros() as u64,
@@ -151,10 +171,11 @@
             peer: peer.clone(),
             positions,
             started: now,
-            takeover_at: Some(now.plus(alive_within.min(reply_within) + way + ALIVE_SLACK)),
+            takeover_at: (mode == BatchMode::Folded).then_some(takeover_at),
             reply_by: now.plus(reply_within + way + ALIVE_SLACK),
             is_open: true,
             records: Bytes::new(),
+            mode,
         };
         let sending = PendingBatch::new(self.router.clone(), peer).send(batch);
         let pending = async move {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
-use crate::attempts::AttemptContext;
+use crate::attempts::{AttemptContext, RequestAsker};
 use crate::border::FeedTopic;
 use crate::cluster::ClusterView;
 use crate::request::CallerRequest;
@@ -152,7 +152,7 @@
         request: Arc::new(request),
         times,
         request_share: 1.0,
-        is_for_peer: false,
+        asker: RequestAsker::Caller,
     })
 }
 
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -14,7 +14,7 @@
 use tokio::time::Sleep;
 
 use crate::answer::{CallerAnswer, RefusalKind};
-use crate::attempts::{AttemptContext, PendingCalls, ServiceAttempts};
+use crate::attempts::{AttemptContext, PendingCalls, RequestAsker, ServiceAttempts};
 use crate::call::EndedCall;
 use crate::delegate::{BatchSlot, PendingBatches};
 use crate::fold::{ShardPart, fold_records};
@@ -33,6 +33,8 @@
     pub attempts: ServiceAttempts,
     /// The batch it is in, if another node was asked.
     pub batch: Option<usize>,
+    /// The newest batch in which another node makes a hedge for it.
+    pub hedge: Option<usize>,
     /// Its answer. One that came in a batch has its records there.
     pub part: Option<ShardPart>,
 }
@@ -82,15 +84,14 @@
     round.start_rest();
     let step = round.wait().await;
     round.release();
-    let answered = round.answered();
     let delegated = round.slots.iter().filter(|slot| slot.batch.is_some()).count();
     let result = match step {
-        FoldStep::Answer => Ok(round.answer()),
+        FoldStep::Answer => round.answer(),
         _ => Err(round.refusal()),
     };
     GatherEnd {
         result,
-        answered,
+        answered: round.answered(),
         shards: round.slots.len(),
         delegated,
         peers: round.name_peers(),
@@ -103,6 +104,7 @@
         let slot = |service: &ServiceName| ShardSlot {
             attempts: ServiceAttempts::new(service.clone()),
             batch: None,
+            hedge: None,
             part: None,
         };
         Self {
@@ -127,7 +129,8 @@
     }
 
     fn is_pending(&self, slot: &ShardSlot) -> bool {
-        let in_batch = slot.batch.is_some_and(|number| self.batches[number].is_open);
+        let mut batches = slot.batch.into_iter().chain(slot.hedge);
+        let in_batch = batches.any(|number| self.batches[number].is_open);
         slot.part.is_none() && (slot.attempts.is_open() || in_batch)
     }
 
@@ -179,9 +182,13 @@
 
     fn note_alarms(&mut self) {
         let now = self.context.now();
+        let mut far = Vec::new();
         for (position, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.part.is_none()) {
-            self.context.note_alarm(position, &mut slot.attempts, &self.calls);
+            // For another node, its own servers of these shards are the near ones.
+            let far = (self.context.asker == RequestAsker::Caller).then_some(&mut far);
+            self.context.note_alarm(position, &mut slot.attempts, &self.calls, far);
         }
+        self.send_hedges(far);
         for number in 0..self.batches.len() {
             let batch = &self.batches[number];
             if batch.is_open && batch.takeover_at.is_some_and(|at| at <= now) {
@@ -198,7 +205,7 @@
                 slot.attempts.pending = slot.attempts.pending.saturating_sub(1);
                 slot.attempts.may_have_run = true;
                 if slot.part.is_none() {
-                    slot.part = reply.proof.map(|proof| ShardPart { proof, records: reply.body });
+                    slot.part = reply.proof.map(|proof| ShardPart { proof, records: reply.body, floor: None });
                 }
                 return;
             }
@@ -223,13 +230,17 @@
         fold_records(direct.chain(folded), self.top)
     }
 
-    fn answer(&self) -> CallerAnswer {
+    fn answer(&mut self) -> Result<CallerAnswer, RefusalKind> {
+        let records = self.fold_proven();
+        if !self.rule.is_enough(self.answered()) {
+            return Err(self.refusal());
+        }
         let parts = self.slots.iter().filter_map(|slot| slot.part.as_ref());
         let proofs: Vec<HeaderValue> = parts.map(|part| part.proof.clone()).collect();
         let missing = self.slots.len() - proofs.len();
-        let mut answer: Response<Full<Bytes>> = Response::new(Full::new(self.fold()));
+        let mut answer: Response<Full<Bytes>> = Response::new(Full::new(records));
         self.context.router.format.write_folded(answer.headers_mut(), &proofs, missing);
-        answer
+        Ok(answer)
     }
 
     fn name_peers(&self) -> String {
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use http::HeaderValue;
 
-use crate::batch::{BatchFrame, FoldedShard, MissingShard, ShardReply};
-use crate::delegate::read_on;
+use crate::batch::{BatchFrame, BatchMode, FoldedShard, MissingShard, ShardReply};
+use crate::delegate::{BatchOrder, read_on};
 use crate::fold::ShardPart;
 use crate::gather::GatherRound;
 use crate::peers::{BatchNews, PendingBatch};
@@ -20,12 +20,19 @@
                 self.context.note_delegated(&self.slots[*position].attempts.service);
             }
             let services = positions.iter().map(|position| self.slots[*position].attempts.service.clone()).collect();
-            let (slot, pending) = self.context.send_batch(number, peer, positions, services, &self.rule, self.top);
-            self.batches.push(slot);
-            self.pending_batches.push(pending);
+            self.send(BatchOrder { peer, positions, shards: services, mode: BatchMode::Folded });
         }
     }
 
+    /// Sends a batch; its number.
+    pub(crate) fn send(&mut self, order: BatchOrder) -> usize {
+        let number = self.batches.len();
+        let (slot, pending) = self.context.send_batch(number, order, &self.rule, self.top);
+        self.batches.push(slot);
+        self.pending_batches.push(pending);
+        number
+    }
+
     /// Asks for the shards of a batch itself, since the other node gives no sign of life.
     pub(crate) fn take_over(&mut self, number: usize) {
         let batch = &mut self.batches[number];
@@ -63,6 +70,13 @@
     }
 
     pub(crate) fn note_batch(&mut self, number: usize, news: BatchNews) {
+        match self.batches[number].mode {
+            BatchMode::Folded => self.note_folded(number, news),
+            BatchMode::Each { floor } => self.note_hedges(number, floor, news),
+        }
+    }
+
+    fn note_folded(&mut self, number: usize, news: BatchNews) {
         match news {
             BatchNews::Frame(BatchFrame::Working) => {
                 let batch = &mut self.batches[number];
@@ -118,7 +132,7 @@
         for (index, proof) in proofs {
             let slot = &mut self.slots[positions[index]];
             slot.attempts.may_have_run = true;
-            slot.part = Some(ShardPart { proof, records: Bytes::new() });
+            slot.part = Some(ShardPart { proof, records: Bytes::new(), floor: None });
         }
     }
 
@@ -135,7 +149,7 @@
 
 /// The proofs of a reply by their positions in the batch; `None` where one is out of range,
 /// there twice or no header value.
-fn read_proofs(shards: &[FoldedShard], count: usize) -> Option<Vec<(usize, HeaderValue)>> {
+pub(crate) fn read_proofs(shards: &[FoldedShard], count: usize) -> Option<Vec<(usize, HeaderValue)>> {
     let mut seen = vec![false; count];
     let read = |shard: &FoldedShard| {
         let index = shard.position as usize;
--- /dev/null
+++ b/crates/router/src/gather_hedge.rs
@@ -0,0 +1,119 @@
+//! Hedges of a gather that go through nodes near the servers: those leave out the records that
+//! cannot be among the wanted ones any more, by the answers that are already here.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use crate::attempts::FarHedge;
+use crate::batch::{BatchFrame, BatchMode, ShardReply};
+use crate::delegate::BatchOrder;
+use crate::fold::{Record, ShardPart, find_last};
+use crate::gather::GatherRound;
+use crate::gather_batch::read_proofs;
+use crate::peers::BatchNews;
+
+impl GatherRound<'_> {
+    /// Sends hedges to the nodes that make them, one message for each failure domain.
+    pub(crate) fn send_hedges(&mut self, hedges: Vec<FarHedge>) {
+        if hedges.is_empty() {
+            return;
+        }
+        let floor = find_last(&self.fold(), self.top);
+        let mut orders = BTreeMap::new();
+        for FarHedge { position, peer } in hedges {
+            let order = orders.entry(peer.entry.domain.clone()).or_insert_with(|| BatchOrder {
+                peer,
+                positions: Vec::new(),
+                shards: Vec::new(),
+                mode: BatchMode::Each { floor },
+            });
+            order.positions.push(position);
+            order.shards.push(self.slots[position].attempts.service.clone());
+        }
+        for order in orders.into_values() {
+            let positions = order.positions.clone();
+            let number = self.send(order);
+            positions.iter().for_each(|position| self.slots[*position].hedge = Some(number));
+        }
+    }
+
+    /// Notes what happened to hedges that another node makes.
+    pub(crate) fn note_hedges(&mut self, number: usize, floor: Option<Record>, news: BatchNews) {
+        match news {
+            BatchNews::Frame(BatchFrame::Working) => {}
+            BatchNews::Frame(BatchFrame::Partial(reply)) => self.take_each(number, floor, &reply),
+            BatchNews::Frame(BatchFrame::Done(reply)) => {
+                self.batches[number].is_open = false;
+                self.take_each(number, floor, &reply);
+                let positions = &self.batches[number].positions;
+                let not_made = reply.missing.iter().filter(|shard| shard.sent == 0);
+                let not_made: Vec<usize> =
+                    not_made.filter_map(|shard| positions.get(shard.position as usize).copied()).collect();
+                self.end_hedges(number, &not_made);
+            }
+            BatchNews::Failed(error) => {
+                self.batches[number].is_open = false;
+                tracing::info!(
+                    event = "hedges_failed",
+                    request = self.context.request.id_text(),
+                    peer = %self.batches[number].peer.entry.node,
+                    %error
+                );
+                let not_made = if error.is_not_sent() { self.batches[number].positions.clone() } else { Vec::new() };
+                self.end_hedges(number, &not_made);
+            }
+        }
+    }
+
+    /// Takes the shards of a reply that are not in yet.
+    fn take_each(&mut self, number: usize, floor: Option<Record>, reply: &ShardReply) {
+        let batch = &mut self.batches[number];
+        self.context.router.note_version(reply.version);
+        if reply.is_stopping {
+            batch.peer.mark_stopping();
+        }
+        let Some(proofs) = read_proofs(&reply.shards, batch.positions.len()) else {
+            tracing::warn!(event = "batch_malformed", peer = %batch.peer.entry.node);
+            return;
+        };
+        for ((index, proof), shard) in proofs.into_iter().zip(&reply.shards) {
+            let slot = &mut self.slots[batch.positions[index]];
+            slot.attempts.may_have_run = true;
+            let records = Bytes::copy_from_slice(&shard.records);
+            slot.part.get_or_insert(ShardPart { proof, records, floor });
+        }
+    }
+
+    /// Notes that no more comes of some hedges, and tries on where nothing else is under way.
+    fn end_hedges(&mut self, number: usize, not_made: &[usize]) {
+        for position in self.batches[number].positions.clone() {
+            let slot = &mut self.slots[position];
+            if not_made.contains(&position) {
+                slot.attempts.note_hedge_not_made();
+            }
+            if slot.part.is_none() && !slot.attempts.is_open() {
+                self.context.retry(position, &mut slot.attempts, &self.calls);
+            }
+        }
+    }
+
+    /// The wanted records of the parts that are in. A part that came without its records under
+    /// a floor is left out if one of those might be wanted after all, which takes that another
+    /// part was replaced meanwhile.
+    pub(crate) fn fold_proven(&mut self) -> Bytes {
+        loop {
+            let records = self.fold();
+            let last = find_last(&records, self.top);
+            let is_unproven = |part: &ShardPart| part.floor.is_some_and(|floor| last.is_none_or(|last| last < floor));
+            let unproven = self.slots.iter().position(|slot| slot.part.as_ref().is_some_and(is_unproven));
+            let Some(position) = unproven else { return records };
+            tracing::warn!(
+                event = "part_unproven",
+                request = self.context.request.id_text(),
+                service = %self.slots[position].attempts.service
+            );
+            self.slots[position].part = None;
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod front;
 pub mod gather;
 pub mod gather_batch;
+pub mod gather_hedge;
 pub mod knowledge;
 pub mod peer_gather;
 pub mod peer_service;
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -6,23 +6,25 @@
 use streamfold_policy::fold_rule::FoldRule;
 
 use crate::attempts::AttemptContext;
-use crate::batch::{FoldedShard, MissingShard, ShardReply};
+use crate::batch::{BatchMode, FoldedShard, MissingShard, ShardReply};
+use crate::fold::cut_records;
 use crate::gather::GatherRound;
 
 /// The shards of a batch, asked for another node.
 pub struct PeerGather<'a> {
     round: GatherRound<'a>,
+    mode: BatchMode,
     told: usize,
 }
 
 impl<'a> PeerGather<'a> {
     /// Starts to ask the shards.
-    pub fn start(context: &'a AttemptContext, fold: &ShardFold, reply_within: Duration) -> Self {
+    pub fn start(context: &'a AttemptContext, fold: &ShardFold, mode: BatchMode, reply_within: Duration) -> Self {
         let limit = context.request.deadline.since(context.request.started);
         let rule = FoldRule { target: reply_within.min(limit), limit, min_coverage: 0.0, shards: fold.shards.len() };
         let mut round = GatherRound::new(context, fold, rule);
         round.start_rest();
-        Self { round, told: 0 }
+        Self { round, mode, told: 0 }
     }
 
     /// The next reply: one with what is there once the wanted time is over, one with each
@@ -36,7 +38,7 @@
             let is_last = self.round.pending() == 0 || elapsed >= self.round.rule.limit;
             if is_last || answered > self.told {
                 self.told = answered;
-                return (self.round.reply(), is_last);
+                return (self.round.reply(self.mode), is_last);
             }
             self.round.wait_for_more().await;
         }
@@ -49,12 +51,18 @@
 }
 
 impl GatherRound<'_> {
-    pub(crate) fn reply(&self) -> ShardReply {
+    pub(crate) fn reply(&self, mode: BatchMode) -> ShardReply {
         let mut shards = Vec::new();
         let mut missing = Vec::new();
         for (slot, position) in self.slots.iter().zip(0..) {
             match &slot.part {
-                Some(part) => shards.push(FoldedShard { position, proof: part.proof.as_bytes().to_vec() }),
+                Some(part) => {
+                    let records = match mode {
+                        BatchMode::Folded => Vec::new(),
+                        BatchMode::Each { floor } => cut_records(&part.records, floor),
+                    };
+                    shards.push(FoldedShard { position, proof: part.proof.as_bytes().to_vec(), records });
+                }
                 None => {
                     let (sent, has_arrived) = slot.attempts.tally();
                     missing.push(MissingShard { position, sent, has_arrived });
@@ -62,6 +70,10 @@
             }
         }
         let version = self.context.router.cluster.version();
-        ShardReply { version, is_stopping: false, shards, missing, records: self.fold().to_vec() }
+        let records = match mode {
+            BatchMode::Folded => self.fold().to_vec(),
+            BatchMode::Each { .. } => Vec::new(),
+        };
+        ShardReply { version, is_stopping: false, shards, missing, records }
     }
 }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -14,8 +14,8 @@
 use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold};
 use tokio::net::TcpListener;
 
-use crate::attempts::AttemptContext;
-use crate::batch::{BatchFrame, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
+use crate::attempts::{AttemptContext, RequestAsker};
+use crate::batch::{BatchFrame, BatchMode, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
 use crate::border::CallerHead;
 use crate::delegate::ASKING_SHARE;
 use crate::knowledge::{self, KnowledgeRequest};
@@ -80,7 +80,7 @@
     let reply_within = Duration::from_micros(batch.reply_within_us);
     let mut stream = respond.send_response(Response::new(()), false)?;
     let RouteTarget::All(fold) = &context.route.target else { return Err(PeerError::BadStatus(400)) };
-    let mut gather = PeerGather::start(&context, fold, reply_within);
+    let mut gather = PeerGather::start(&context, fold, batch.mode, reply_within);
     let alive = tokio::time::sleep(alive_within);
     tokio::pin!(alive);
     let mut is_told = false;
@@ -152,6 +152,11 @@
         priority: 0,
         target: RouteTarget::All(fold),
     };
+    let (asker, request_share) = match batch.mode {
+        BatchMode::Folded => (RequestAsker::Node, 1.0 - ASKING_SHARE),
+        // The asking node has counted it as an extra call.
+        BatchMode::Each { .. } => (RequestAsker::Hedger, 0.0),
+    };
     let retry_until = now.plus(Duration::from_micros(batch.reply_within_us));
     Ok(AttemptContext {
         retry_until,
@@ -160,7 +165,7 @@
         route: Arc::new(route),
         request: Arc::new(request),
         times,
-        request_share: 1.0 - ASKING_SHARE,
-        is_for_peer: true,
+        request_share,
+        asker,
     })
 }
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -71,7 +71,7 @@
                 }
                 () = &mut timer => {
                     if clock.now() < deadline {
-                        self.context.note_alarm(0, &mut self.attempts, &self.calls);
+                        self.context.note_alarm(0, &mut self.attempts, &self.calls, None);
                     }
                 }
             }
