Entries of nodes that are gone are removed; a living node whose entry is missing writes it anew

Cause: nothing ever removed the entry of a node that lost power for good. Change: every node that follows the store looks at the other nodes of its failure domain, six times in gone_after (60 s), and removes the entry of a run that no look has reached for so long. A look that reaches nobody at all tells nothing. A node that finds its own entry missing registers again. Ruled out: entries that run out by themselves (the store has none) and heartbeats in the store (writes would grow with nodes). Not covered: a failure domain of which no node is left.

--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -68,6 +68,8 @@
     pub servers: Vec<RouteServerPlan>,
     /// Its routes; without any the operator has written nothing yet.
     pub routes: Vec<Value>,
+    /// Lines added to the settings of each node.
+    pub settings: &'static str,
 }
 
 /// The ports of a node.
@@ -115,6 +117,7 @@
     pub nodes: Vec<RouteNode>,
     /// A client to call it with.
     pub client: LabClient,
+    settings: &'static str,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -133,7 +136,13 @@
     pub async fn start(plan: RouteFleetPlan) -> Result<Self, RouteFleetError> {
         let has_routes = !plan.routes.is_empty();
         let platform = platform::start(any_port()).await.map_err(io("the platform"))?;
-        let mut fleet = Self { platform, servers: Vec::new(), nodes: Vec::new(), client: LabClient::default() };
+        let mut fleet = Self {
+            platform,
+            servers: Vec::new(),
+            nodes: Vec::new(),
+            client: LabClient::default(),
+            settings: plan.settings,
+        };
         for server in plan.servers {
             fleet.servers.push(route_server::start(any_port(), server).await.map_err(io("a server"))?);
         }
@@ -174,7 +183,7 @@
     pub async fn add_node(&mut self, domain: usize, name: &str) -> Result<(), RouteFleetError> {
         let addresses = find_ports().map_err(io("finding ports"))?;
         let seeds: Vec<String> = self.nodes.iter().map(|node| node.addresses.peers.to_string()).collect();
-        let text = write_settings(name, domain, &addresses, self.platform.address, &seeds)?;
+        let text = write_settings(name, domain, &addresses, self.platform.address, &seeds)? + self.settings;
         let (process, log) = start_process(name, &text).await?;
         self.nodes.push(RouteNode { name: name.to_owned(), addresses, process, log });
         Ok(())
--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -34,7 +34,12 @@
 }
 
 async fn start_fleet() -> RouteFleet {
-    let plan = RouteFleetPlan { nodes: [NODES, 0], servers: vec![server("i-0"), server("i-1")], routes: routes() };
+    let plan = RouteFleetPlan {
+        nodes: [NODES, 0],
+        servers: vec![server("i-0"), server("i-1")],
+        routes: routes(),
+        ..RouteFleetPlan::default()
+    };
     let fleet = RouteFleet::start(plan).await.expect("a fleet");
     wait_for("one reader", async || find_readers(&fleet).len() == 1).await;
     fleet
@@ -139,3 +144,21 @@
     let left = names(&fleet);
     assert_eq!(all.difference(&left).collect::<Vec<_>>(), ["nodes/zone-a-0"]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_entry_of_a_node_that_is_gone_is_removed_and_that_of_a_living_one_written_anew() {
+    let plan =
+        RouteFleetPlan { nodes: [3, 0], servers: vec![server("i-0")], routes: routes(), settings: "gone_after: 2s\n" };
+    let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
+    let names = async |fleet: &RouteFleet| -> Vec<String> {
+        fleet.platform.state.dump("nodes/").into_iter().map(|(key, _)| key).collect()
+    };
+    wait_for("all entries", async || names(&fleet).await.len() == 3).await;
+    fleet.nodes[1].process.kill().await.expect("a killed node");
+    wait_for("the entry's end", async || names(&fleet).await == ["nodes/zone-a-0", "nodes/zone-a-2"]).await;
+    // As a node would do that cannot reach this one any more.
+    fleet.platform.state.remove_object("streamfold-nodes", "zone-a-2");
+    wait_for("the entry written anew", async || names(&fleet).await == ["nodes/zone-a-0", "nodes/zone-a-2"]).await;
+    let told = async || !fleet.nodes[2].logged(&["event=own_entry_missing"]).is_empty();
+    wait_for("the line about the missing entry", told).await;
+}
--- a/crates/lab/tests/routes.rs
+++ b/crates/lab/tests/routes.rs
@@ -51,16 +51,23 @@
     let servers = vec![near("i-0", "cart"), far("i-1", "cart")];
     let routes =
         vec![write_route("any", "/any/", &to_service("cart")), write_route("once", "/once/", &once_to("cart"))];
-    RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes }).await.expect("a fleet")
+    RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet")
 }
 
 /// One server behind `/any/` and `/once/`, and one node.
 async fn start_single() -> RouteFleet {
     let routes =
         vec![write_route("any", "/any/", &to_service("cart")), write_route("once", "/once/", &once_to("cart"))];
-    RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers: vec![near("i-0", "cart")], routes })
-        .await
-        .expect("a fleet")
+    RouteFleet::start(RouteFleetPlan {
+        nodes: [1, 0],
+        servers: vec![near("i-0", "cart")],
+        routes,
+        ..RouteFleetPlan::default()
+    })
+    .await
+    .expect("a fleet")
 }
 
 async fn get(fleet: &RouteFleet, path: &str, id: &str) -> CallAnswer {
@@ -103,7 +110,9 @@
     let servers = vec![near("i-0", "wide"), near("i-1", "deep")];
     let routes =
         vec![write_route("wide", "/a/", &to_service("wide")), write_route("deep", "/a/b/", &to_service("deep"))];
-    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes }).await.expect("a fleet");
+    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet");
     let mut seen = Vec::new();
     for (number, path) in ["/a/x", "/a/b/x", "/a/b", "/a/bc/x", "/a/b/", "/c/x", "/", "/a"].into_iter().enumerate() {
         let id = format!("r-{number}");
@@ -120,7 +129,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn before_the_first_configuration_requests_do_not_run() {
-    let plan = RouteFleetPlan { nodes: [1, 0], servers: vec![near("i-0", "cart")], routes: Vec::new() };
+    let plan = RouteFleetPlan {
+        nodes: [1, 0],
+        servers: vec![near("i-0", "cart")],
+        routes: Vec::new(),
+        ..RouteFleetPlan::default()
+    };
     let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
     let refused = get(&fleet, "/any/x", "r-0").await;
     insta::assert_snapshot!(tell_refusal(&refused));
@@ -186,7 +200,9 @@
         { "service": "old", "weight": 3 }, { "service": "new", "weight": 1.0 }, { "service": "none", "weight": 0 }
     ] });
     let routes = vec![write_route("split", "/any/", &split)];
-    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes }).await.expect("a fleet");
+    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet");
     for number in 0..400 {
         let id = format!("r-{number}");
         check_own(&fleet, &get(&fleet, "/any/x", &id).await, &id);
@@ -202,7 +218,9 @@
     let servers = vec![near("i-0", "old"), near("i-1", "new")];
     let split = json!({ "split": [{ "service": "old", "weight": 1 }, { "service": "new", "weight": 1 }] });
     let routes = vec![write_route("split", "/any/", &split)];
-    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes }).await.expect("a fleet");
+    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet");
     fleet.servers[1].state.switches.refuse.store(true, Ordering::Relaxed);
     let mut refused = 0;
     for number in 0..40 {
@@ -235,7 +253,9 @@
         write_route("gap", "/gap/", &with_gap),
         write_route("few", "/few/", &too_few),
     ];
-    RouteFleet::start(RouteFleetPlan { nodes: [1, 1], servers, routes }).await.expect("a fleet")
+    RouteFleet::start(RouteFleetPlan { nodes: [1, 1], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet")
 }
 
 /// The greatest records of some seeds, greatest first.
@@ -439,7 +459,9 @@
     }
     let gather = json!({ "gather": ["s-0", "s-1"], "topK": 7, "minCoverage": 0.5, "maxAttempts": 2 });
     let routes = vec![write_route("any", "/any/", &to_service("cart")), write_route("all", "/all/", &gather)];
-    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 1], servers, routes }).await.expect("a fleet");
+    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 1], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet");
     // First whole, until the other node is asked for shards.
     let mut number = 0;
     wait_for("a batch at the other node", async || {
@@ -608,7 +630,7 @@
 async fn newer_routes_are_taken_and_older_ones_never() {
     let servers = vec![near("i-0", "old"), near("i-1", "new")];
     let route = |service: &str| vec![write_route("any", "/any/", &to_service(service))];
-    let plan = RouteFleetPlan { nodes: [2, 0], servers, routes: route("old") };
+    let plan = RouteFleetPlan { nodes: [2, 0], servers, routes: route("old"), ..RouteFleetPlan::default() };
     let fleet = RouteFleet::start(plan).await.expect("a fleet");
     fleet.put_document(12, &route("new"));
     let mut number = 0;
@@ -817,7 +839,8 @@
     let long = |kind: &str| json!({ "service": "cart", "routeType": kind, "timeoutMs": 120_000 });
     let routes =
         vec![write_route("any", "/any/", &long("safe")), write_route("once", "/once/", &long("non_idempotent"))];
-    let plan = RouteFleetPlan { nodes: [1, 0], servers: vec![near("i-0", "cart")], routes };
+    let plan =
+        RouteFleetPlan { nodes: [1, 0], servers: vec![near("i-0", "cart")], routes, ..RouteFleetPlan::default() };
     let fleet = RouteFleet::start(plan).await.expect("a fleet");
     let state = &fleet.servers[0].state;
     state.switches.pause_ms.store(120_000, Ordering::Relaxed);
@@ -841,7 +864,9 @@
     let gather = json!({ "gather": ["s-0", "s-1", "s-2"], "topK": 7, "minCoverage": 0.5, "timeoutMs": 700_000,
         "targetLatencyMs": 600_000, "maxAttempts": 1 });
     let routes = vec![write_route("all", "/all/", &gather)];
-    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 1], servers, routes }).await.expect("a fleet");
+    let fleet = RouteFleet::start(RouteFleetPlan { nodes: [1, 1], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet");
     let mut number = 0;
     wait_for("a batch at the other node", async || {
         number += 1;
--- a/crates/lab/tests/routes_alone.rs
+++ b/crates/lab/tests/routes_alone.rs
@@ -49,7 +49,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_without_the_store_learns_newer_routes_and_their_servers_from_another() {
     let servers = vec![server("i-0", "cart"), server("i-1", "late")];
-    let plan = RouteFleetPlan { nodes: [1, 0], servers, routes: vec![route("cart")] };
+    let plan = RouteFleetPlan { nodes: [1, 0], servers, routes: vec![route("cart")], ..RouteFleetPlan::default() };
     let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
     fleet.unregister(1);
     wait_for("the second server's end", async || {
@@ -73,7 +73,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_that_closes_takes_no_new_connection_and_finishes_what_it_has() {
-    let plan = RouteFleetPlan { nodes: [1, 0], servers: vec![server("i-0", "cart")], routes: vec![route("cart")] };
+    let plan = RouteFleetPlan {
+        nodes: [1, 0],
+        servers: vec![server("i-0", "cart")],
+        routes: vec![route("cart")],
+        ..RouteFleetPlan::default()
+    };
     let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
     // Longer than the node serves on after the signal, shorter than its time to stop.
     fleet.servers[0].state.switches.pause_ms.store(4_000, Ordering::Relaxed);
@@ -95,7 +100,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hangup_with_settings_that_cannot_be_read_changes_and_ends_nothing() {
-    let plan = RouteFleetPlan { nodes: [1, 0], servers: vec![server("i-0", "cart")], routes: vec![route("cart")] };
+    let plan = RouteFleetPlan {
+        nodes: [1, 0],
+        servers: vec![server("i-0", "cart")],
+        routes: vec![route("cart")],
+        ..RouteFleetPlan::default()
+    };
     let fleet = RouteFleet::start(plan).await.expect("a fleet");
     for round in 1..=3 {
         send_signal(&fleet.nodes[0].process, "HUP").await;
@@ -112,7 +122,9 @@
     let mut route = route("cart");
     route["maxAttempts"] = json!(2);
     let fleet =
-        RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes: vec![route] }).await.expect("a fleet");
+        RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes: vec![route], ..RouteFleetPlan::default() })
+            .await
+            .expect("a fleet");
     for server in &fleet.servers {
         server.state.switches.lose_answer.store(true, Ordering::Relaxed);
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock; the moment and the dice are passed in. That
 //! makes every rule a function that tests can drive to any state.
 
+pub mod absence;
 pub mod admission;
 pub mod budget;
 pub mod extra_budget;
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -7,7 +7,7 @@
 
 use bincode::{Decode, Encode};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry, ServerId};
+use streamfold_model::{NodeEntry, RouteTable, ServerEntry, ServerId};
 use streamfold_store::StoreError;
 
 /// A future that a trait object returns.
@@ -161,9 +161,9 @@
     /// Waits for changes after a position, at most `wait`.
     fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges>;
 
-    /// Registers this node for the others; the position at which its entry was written.
-    fn announce<'a>(&'a self, entry: &'a NodeEntry) -> FeedFuture<'a, FeedPosition>;
+    /// Registers this node for the others.
+    fn announce<'a>(&'a self, entry: &'a NodeEntry) -> FeedFuture<'a, ()>;
 
-    /// Removes a node's entry if it is the one written at a position.
-    fn withdraw<'a>(&'a self, node: &'a NodeId, position: FeedPosition) -> FeedFuture<'a, ()>;
+    /// Removes a node's entry, unless another run of the node has written its own.
+    fn withdraw<'a>(&'a self, entry: &'a NodeEntry) -> FeedFuture<'a, ()>;
 }
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -292,6 +292,11 @@
         }
     }
 
+    /// Whether a node is registered.
+    pub fn has_node(&self, node: &NodeId) -> bool {
+        self.parts().nodes.contains_key(node)
+    }
+
     /// The nodes of this one's failure domain, itself included.
     pub fn neighbours(&self) -> Vec<NodeEntry> {
         let parts = self.parts();
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -130,22 +130,17 @@
     }
 }
 
-/// Registers this node for the others.
-pub async fn announce(router: Arc<Router>) {
+/// Registers this node for the others, however often it takes.
+pub async fn announce(router: &Router) {
     let entry = router.own_entry();
     let mut failures = 0;
-    let position = loop {
-        let error = match router.feed.announce(&entry).await {
-            Ok(position) => break position,
-            Err(error) => error,
-        };
+    while let Err(error) = router.feed.announce(&entry).await {
         if failures == 0 {
             tracing::warn!(event = "announce_failed", %error);
         }
         let pause = (FIRST_PAUSE * 2u32.pow(failures.min(6))).min(MAX_PAUSE);
         failures += 1;
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-    };
-    router.set_registered(position);
+    }
     tracing::info!(event = "announced", node = %entry.node, incarnation = %entry.incarnation);
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod gather_batch;
 pub mod gather_hedge;
 pub mod knowledge;
+pub mod node_sweep;
 pub mod peer_gather;
 pub mod peer_service;
 pub mod peers;
--- /dev/null
+++ b/crates/router/src/node_sweep.rs
@@ -0,0 +1,71 @@
+//! Removes the entries of nodes that ended without removing them themselves, and registers this
+//! node again should its own entry have been removed while it was cut off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use streamfold_model::{NodeEntry, NodeId};
+use streamfold_policy::absence::AbsenceBook;
+use tokio::net::TcpStream;
+
+use crate::border::FeedTopic;
+use crate::feed;
+use crate::relay::FeedSource;
+use crate::router::{Router, RouterPhase};
+
+/// Looks at the other nodes of the failure domain in the time until one counts as gone.
+const LOOKS: u32 = 6;
+/// How long a connection may take: a node nearby that lives answers in a millisecond.
+const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+
+/// Looks after the entries of this failure domain until the node ends.
+pub async fn run(router: Arc<Router>) {
+    let mut book = AbsenceBook::default();
+    loop {
+        let limit = router.settings.gone_after.0;
+        tokio::time::sleep((limit / LOOKS).mul_f64(rand::random_range(0.8..1.2))).await;
+        if !router.is_followed(FeedTopic::Nodes) || *router.phase.borrow() != RouterPhase::Serving {
+            continue;
+        }
+        if !router.cluster.has_node(&router.settings.node) {
+            tracing::warn!(event = "own_entry_missing", node = %router.settings.node);
+            feed::announce(&router).await;
+        }
+        if *router.source.borrow() == FeedSource::Store {
+            sweep(&router, &mut book, limit).await;
+        }
+    }
+}
+
+/// One look at the other nodes of the failure domain.
+async fn sweep(router: &Router, book: &mut AbsenceBook<(NodeId, u64)>, limit: Duration) {
+    let neighbours = router.cluster.neighbours();
+    let mut looks = Vec::new();
+    for entry in neighbours.iter().filter(|entry| entry.node != router.settings.node) {
+        let is_reached = is_reached(entry).await;
+        looks.push(((entry.node.clone(), entry.incarnation.0), is_reached));
+    }
+    let reaches_others = router.cluster.view().peers.iter().any(|peer| peer.link.is_open());
+    let gone = book.note_look(router.clock.now(), &looks, reaches_others, limit);
+    let is_gone = |entry: &&NodeEntry| gone.contains(&(entry.node.clone(), entry.incarnation.0));
+    for entry in neighbours.iter().filter(is_gone) {
+        remove(router, entry, limit).await;
+    }
+}
+
+async fn is_reached(entry: &NodeEntry) -> bool {
+    let connecting = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(entry.peer_address));
+    matches!(connecting.await, Ok(Ok(_)))
+}
+
+async fn remove(router: &Router, entry: &NodeEntry, absent: Duration) {
+    match router.feed.withdraw(entry).await {
+        Ok(()) => tracing::warn!(
+            event = "node_entry_removed",
+            node = %entry.node,
+            incarnation = %entry.incarnation,
+            absent_s = absent.as_secs()
+        ),
+        Err(error) => tracing::warn!(event = "node_entry_not_removed", node = %entry.node, %error),
+    }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,14 +13,14 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use crate::border::{CallFormat, ClusterFeed, FeedPosition, FeedTopic};
+use crate::border::{CallFormat, ClusterFeed, FeedTopic};
 use crate::clock::{NodeClock, wall_ms};
 use crate::cluster::{Cluster, ClusterPlace, ClusterView};
 use crate::error::RouterError;
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
-use crate::{feed, front, knowledge, peer_service, peers, ready, relay};
+use crate::{feed, front, knowledge, node_sweep, peer_service, peers, ready, relay};
 
 /// The share of the fixed allowance that the nodes divide; the rest is for moments in which
 /// they count themselves differently.
@@ -85,8 +85,6 @@
     pub feed_changed: watch::Sender<()>,
     /// Passes news of the store to other nodes.
     pub outlet: RelayOutlet,
-    /// The position at which this node registered, 0 before that.
-    registered: AtomicU64,
     feeds: [FeedState; 3],
     started: Moment,
 }
@@ -161,7 +159,7 @@
     for topic in [FeedTopic::Routes, FeedTopic::Servers, FeedTopic::Nodes] {
         tasks.spawn(feed::follow(router.clone(), topic));
     }
-    tasks.spawn(feed::announce(router.clone()));
+    tasks.spawn(announce(router.clone()));
     tasks.spawn(feed::catch_up(router.clone()));
     tasks.spawn(relay::follow(router.clone()));
     tasks.spawn(peer_service::serve(router.clone(), peers_listener));
@@ -171,6 +169,12 @@
     Ok(RunningRouter { router, tasks })
 }
 
+/// Registers this node, and looks after its entry and those of nodes near it from then on.
+async fn announce(router: Arc<Router>) {
+    feed::announce(&router).await;
+    node_sweep::run(router).await;
+}
+
 async fn sweep(router: Arc<Router>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
@@ -209,7 +213,6 @@
             source: watch::Sender::new(FeedSource::Undecided),
             feed_changed: watch::Sender::new(()),
             outlet: RelayOutlet::default(),
-            registered: AtomicU64::new(0),
             feeds: Default::default(),
             settings,
         }
@@ -279,15 +282,10 @@
         self.heard_version.load(Ordering::Relaxed) > self.cluster.version().0
     }
 
-    /// Notes at which position this node's entry was written.
-    pub fn set_registered(&self, position: FeedPosition) {
-        self.registered.store(position.0, Ordering::Relaxed);
-    }
-
     /// Removes this node's entry, unless a later run of it has written its own.
     async fn withdraw(&self) {
-        let position = FeedPosition(self.registered.load(Ordering::Relaxed));
-        let withdrawn = tokio::time::timeout(WITHDRAW_WITHIN, self.feed.withdraw(&self.settings.node, position)).await;
+        let entry = self.own_entry();
+        let withdrawn = tokio::time::timeout(WITHDRAW_WITHIN, self.feed.withdraw(&entry)).await;
         match withdrawn {
             Ok(Ok(())) => tracing::info!(event = "withdrawn", node = %self.settings.node),
             Ok(Err(error)) => tracing::warn!(event = "withdraw_failed", %error),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -39,6 +39,9 @@
     /// How long the platform waits between asking a process to stop and killing it.
     #[serde(default = "default_grace")]
     pub grace: TimeSpan,
+    /// How long a node of the failure domain must be out of reach until its entry is removed.
+    #[serde(default = "default_gone_after")]
+    pub gone_after: TimeSpan,
     /// Log filter.
     #[serde(default = "default_log")]
     pub log: String,
@@ -69,6 +72,12 @@
     TimeSpan(Duration::from_secs(6))
 }
 
+/// Well beyond what a restart or a freeze takes; until then the node's part of what all nodes
+/// share lies idle, which does no harm.
+fn default_gone_after() -> TimeSpan {
+    TimeSpan(Duration::from_secs(60))
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
