--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -1,5 +1,6 @@
 //! Which shards of a request go to other nodes, and to which.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use streamfold_policy::replica::Distance;
 
 use crate::attempts::AttemptContext;
-use crate::batch::ShardBatch;
+use crate::batch::{BatchMode, ShardBatch};
 use crate::gather::ShardSlot;
 use crate::peers::{BatchNews, PeerNode, PendingBatch};
 
@@ -39,6 +40,11 @@
 /// The batches of one request at other nodes.
 pub type PendingBatches = FuturesUnordered<PendingBatchNews>;
 
+/// A failure domain with its distance.
+type DomainPlace = (Distance, FailureDomain);
+/// Positions of shards that have a usable server in a failure domain.
+type PositionsByDomain = BTreeMap<DomainPlace, BTreeSet<usize>>;
+
 /// A batch as the asking node sees it.
 pub struct BatchSlot {
     /// The node asked.
@@ -55,6 +61,20 @@
     pub is_open: bool,
     /// The folded records of its shards, once they are here.
     pub records: Bytes,
+    /// How the other node answers it.
+    pub mode: BatchMode,
+}
+
+/// What another node is asked for.
+pub struct BatchOrder {
+    /// The node.
+    pub peer: Arc<PeerNode>,
+    /// The shards' positions in the request.
+    pub positions: Vec<usize>,
+    /// The shards.
+    pub shards: Vec<ServiceName>,
+    /// How they are answered.
+    pub mode: BatchMode,
 }
 
 /// Waits for the next frame of a batch.
@@ -78,7 +98,7 @@
     /// Shards with a server near are not among them, nor domains that would get very few.
     pub fn plan_batches(&self, slots: &[ShardSlot]) -> Vec<(FailureDomain, Vec<usize>)> {
         let now = self.now();
-        let mut by_domain: BTreeMap<FailureDomain, BTreeSet<usize>> = BTreeMap::new();
+        let mut by_domain = PositionsByDomain::new();
         for (position, slot) in slots.iter().enumerate() {
             let Some(best) = self.best_server(&slot.attempts) else { continue };
             if best.distance == Distance::Domain {
@@ -87,11 +107,12 @@
             let Some(service) = self.view.services.get(&slot.attempts.service) else { continue };
             let usable = service.servers.iter().filter(|server| !server.state().is_avoided(now));
             for server in usable.filter(|server| server.distance != Distance::Domain) {
-                by_domain.entry(server.domain.clone()).or_default().insert(position);
+                let domain = (server.distance, server.domain.clone());
+                by_domain.entry(domain).or_default().insert(position);
             }
         }
-        by_domain.retain(|domain, _| self.usable_peers(domain).next().is_some());
-        take_largest(by_domain)
+        by_domain.retain(|(_, domain), _| self.usable_peers(domain).next().is_some());
+        share_out(by_domain)
     }
 
     fn usable_peers<'a>(&'a self, domain: &'a FailureDomain) -> impl Iterator<Item = &'a Arc<PeerNode>> {
@@ -117,24 +138,30 @@
     pub fn send_batch(
         &self,
         number: usize,
-        peer: Arc<PeerNode>,
-        positions: Vec<usize>,
-        shards: Vec<ServiceName>,
+        order: BatchOrder,
         rule: &FoldRule,
         top: usize,
     ) -> (BatchSlot, PendingBatchNews) {
         let now = self.now();
+        let BatchOrder { peer, positions, shards, mode } = order;
         let way = way(peer.distance);
         let alive_within = self.times.patience(Distance::Domain, self.route.target_latency);
         let target = self.request.started.plus(rule.target.min(rule.limit));
-        let reply_within = target.since(now).saturating_sub(way).max(MIN_REPLY);
+        let reply_within = match mode {
+            BatchMode::Folded => target.since(now).saturating_sub(way).max(MIN_REPLY),
+            BatchMode::Each { .. } => Duration::ZERO,
+        };
+        // A second try goes to one server and is not taken over.
+        let max_attempts = if mode == BatchMode::Folded { self.route.max_attempts } else { 1 };
+        let takeover_at = now.plus(alive_within.min(reply_within) + way + ALIVE_SLACK);
         let batch = ShardBatch {
             request: self.request.copy(),
             route: self.route.name.clone(),
             version: self.router.cluster.version(),
             shards,
+            mode,
             top,
-            max_attempts: self.route.max_attempts,
+            max_attempts,
             target_us: self.route.target_latency.as_micros() as u64,
             left_us: self.request.deadline.since(now).as_micros() as u64,
             reply_within_us: reply_within.as_micros() as u64,
@@ -144,10 +171,11 @@
             peer: peer.clone(),
             positions,
             started: now,
-            takeover_at: Some(now.plus(alive_within.min(reply_within) + way + ALIVE_SLACK)),
+            takeover_at: (mode == BatchMode::Folded).then_some(takeover_at),
             reply_by: now.plus(reply_within + way + ALIVE_SLACK),
             is_open: true,
             records: Bytes::new(),
+            mode,
         };
         let sending = PendingBatch::new(self.router.clone(), peer).send(batch);
         let pending = async move {
@@ -158,19 +186,21 @@
     }
 }
 
-/// Gives each position to one domain, the domains with most positions first.
-fn take_largest(mut by_domain: BTreeMap<FailureDomain, BTreeSet<usize>>) -> Vec<(FailureDomain, Vec<usize>)> {
+/// Gives each position to one domain: those of this node's region come first, since far ones
+/// cost more time and more for each byte, and among equally near ones those with most positions.
+fn share_out(mut by_domain: PositionsByDomain) -> Vec<(FailureDomain, Vec<usize>)> {
     let mut batches = Vec::new();
     loop {
-        let largest = by_domain.iter().max_by_key(|(_, positions)| (positions.len(), rand::random::<u32>()));
-        let Some((domain, positions)) = largest.filter(|(_, positions)| positions.len() >= MIN_BATCH) else {
-            return batches;
+        by_domain.retain(|_, positions| positions.len() >= MIN_BATCH);
+        let rank = |(distance, _): &DomainPlace, positions: &BTreeSet<usize>| {
+            (Reverse(*distance), positions.len(), rand::random::<u32>())
         };
-        let (domain, positions) = (domain.clone(), positions.clone());
-        by_domain.remove(&domain);
+        let next = by_domain.iter().max_by_key(|(place, positions)| rank(place, positions));
+        let Some(place) = next.map(|(place, _)| place.clone()) else { return batches };
+        let positions = by_domain.remove(&place).unwrap_or_default();
         for others in by_domain.values_mut() {
             others.retain(|position| !positions.contains(position));
         }
-        batches.push((domain, positions.into_iter().collect()));
+        batches.push((place.1, positions.into_iter().collect()));
     }
 }
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -6,6 +6,7 @@
 use streamfold_store::StoreError;
 
 use crate::border::{FeedPosition, FeedTopic};
+use crate::cluster::NewsOrigin;
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
 
@@ -54,7 +55,7 @@
         }
         tracing::info!(event = "routes_behind", version = %router.cluster.version());
         match router.feed.list(FeedTopic::Routes).await {
-            Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Routes),
+            Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Routes, NewsOrigin::Store),
             Err(error) => tracing::warn!(event = "routes_not_read", %error),
         }
     }
@@ -82,7 +83,7 @@
         if has_changed {
             router.outlet.publish(|| RelayFrame::Changed(self.topic, news.changes.clone()));
         }
-        router.cluster.apply(router.clock.now(), news.changes, self.topic);
+        router.cluster.apply(router.clock.now(), news.changes, self.topic, NewsOrigin::Store);
         if has_changed {
             tokio::time::sleep(self.pause()).await;
         }
@@ -101,7 +102,7 @@
         let router = &self.router;
         let list = router.feed.list(self.topic).await?;
         router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items.clone()));
-        router.cluster.replace(router.clock.now(), list.items, self.topic);
+        router.cluster.replace(router.clock.now(), list.items, self.topic, NewsOrigin::Store);
         Ok(list.position)
     }
 
@@ -129,22 +130,17 @@
     }
 }
 
-/// Registers this node for the others.
-pub async fn announce(router: Arc<Router>) {
+/// Registers this node for the others, however often it takes.
+pub async fn announce(router: &Router) {
     let entry = router.own_entry();
     let mut failures = 0;
-    let position = loop {
-        let error = match router.feed.announce(&entry).await {
-            Ok(position) => break position,
-            Err(error) => error,
-        };
+    while let Err(error) = router.feed.announce(&entry).await {
         if failures == 0 {
             tracing::warn!(event = "announce_failed", %error);
         }
         let pause = (FIRST_PAUSE * 2u32.pow(failures.min(6))).min(MAX_PAUSE);
         failures += 1;
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-    };
-    router.set_registered(position);
+    }
     tracing::info!(event = "announced", node = %entry.node, incarnation = %entry.incarnation);
 }
