A process whose log nobody reads stops as planned; older news of a node is not taken from others

Now the log thread is asked to write and 0.3 s later the process ends without its last lines. (2) an older entry of a node, told by another node while the store is away, replaced a newer one. Now only a later incarnation does; from the store any does. (3) by reading: a node whose open links are all silent never asked the seeds; they are among those asked now.

--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -3,6 +3,7 @@
 
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -16,6 +17,10 @@
 /// How often the buffer is emptied.
 const FLUSH_EVERY: Duration = Duration::from_millis(200);
 
+/// How long the end of the process waits for its last lines to be written. Whoever reads them
+/// may have stopped, and a process that does not end is killed.
+const FLUSH_WITHIN: Duration = Duration::from_millis(300);
+
 /// Lines that wait to be written.
 #[derive(Default)]
 struct LogBuffer {
@@ -24,6 +29,8 @@
 }
 
 static BUFFER: OnceLock<LogBuffer> = OnceLock::new();
+/// Asks the thread of the logs to write what waits and to say when it has.
+static FLUSHER: OnceLock<Sender<Sender<()>>> = OnceLock::new();
 
 fn buffer() -> &'static LogBuffer {
     BUFFER.get_or_init(LogBuffer::default)
@@ -79,8 +86,17 @@
     }
 }
 
-/// Writes out what waits.
+/// Has what waits written out, within a bounded time.
 pub fn flush() {
+    let Some(flusher) = FLUSHER.get() else { return write_out() };
+    let (written, is_written) = channel();
+    // Without the thread, or without room in standard output, the lines stay unwritten.
+    let _ = flusher.send(written);
+    let _ = is_written.recv_timeout(FLUSH_WITHIN);
+}
+
+/// Writes out what waits, however long that takes.
+fn write_out() {
     let lines = buffer().take();
     if lines.is_empty() {
         return;
@@ -96,13 +112,27 @@
     let layer = tracing_logfmt::builder().with_target(false).layer().with_writer(BufferWriter);
     // A second start in one process keeps the first.
     let _ = tracing_subscriber::registry().with(filter).with(layer).try_init();
-    let flusher = std::thread::Builder::new().name("logs".to_owned()).spawn(|| {
-        loop {
-            std::thread::sleep(FLUSH_EVERY);
-            flush();
+    let (flusher, asked) = channel();
+    let thread = std::thread::Builder::new().name("logs".to_owned()).spawn(move || run(&asked));
+    match thread {
+        // A second start in one process keeps the first.
+        Ok(_) => drop(FLUSHER.set(flusher)),
+        Err(error) => eprintln!("streamfoldd: starting the log thread: {error}"),
+    }
+}
+
+/// Writes out what waits, time and again and when asked.
+fn run(asked: &Receiver<Sender<()>>) {
+    loop {
+        let written = match asked.recv_timeout(FLUSH_EVERY) {
+            Ok(written) => Some(written),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        write_out();
+        if let Some(written) = written {
+            // Whoever asked may have given up waiting.
+            let _ = written.send(());
         }
-    });
-    if let Err(error) = flusher {
-        eprintln!("streamfoldd: starting the log thread: {error}");
     }
 }
--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -3,6 +3,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -97,9 +98,15 @@
     /// Its process.
     pub process: Child,
     log: NodeLog,
+    is_log_read: Arc<AtomicBool>,
 }
 
 impl RouteNode {
+    /// Reads no more of its log, so that its standard output fills up.
+    pub fn stop_reading(&self) {
+        self.is_log_read.store(false, Ordering::Relaxed);
+    }
+
     /// Lines of its log that hold all of some texts.
     pub fn logged(&self, texts: &[&str]) -> Vec<String> {
         let lines = lock(&self.log);
@@ -184,8 +191,9 @@
         let addresses = find_ports().map_err(io("finding ports"))?;
         let seeds: Vec<String> = self.nodes.iter().map(|node| node.addresses.peers.to_string()).collect();
         let text = write_settings(name, domain, &addresses, self.platform.address, &seeds)? + self.settings;
-        let (process, log) = start_process(name, &text).await?;
-        self.nodes.push(RouteNode { name: name.to_owned(), addresses, process, log });
+        let is_log_read = Arc::new(AtomicBool::new(true));
+        let (process, log) = start_process(name, &text, is_log_read.clone()).await?;
+        self.nodes.push(RouteNode { name: name.to_owned(), addresses, process, log, is_log_read });
         Ok(())
     }
 
@@ -289,7 +297,7 @@
     gaps.fill(SETTINGS).map_err(RouteFleetError::Gap)
 }
 
-async fn start_process(name: &str, text: &str) -> Result<(Child, NodeLog), RouteFleetError> {
+async fn start_process(name: &str, text: &str, is_read: Arc<AtomicBool>) -> Result<(Child, NodeLog), RouteFleetError> {
     let unique: u64 = rand::random();
     let path = std::env::temp_dir().join(format!("streamfold-routes-{unique:016x}-{name}.yaml"));
     std::fs::write(&path, text).map_err(io("writing settings"))?;
@@ -299,7 +307,7 @@
     let stdout = process.stdout.take().ok_or_else(|| RouteFleetError::Ended(name.to_owned()))?;
     let log = NodeLog::default();
     let (started, has_started) = tokio::sync::oneshot::channel();
-    tokio::spawn(keep_log(stdout, log.clone(), started));
+    tokio::spawn(keep_log(stdout, log.clone(), started, is_read));
     let is_started = has_started.await.is_ok();
     // The settings were read before the node said so.
     let _ = std::fs::remove_file(&path);
@@ -307,7 +315,12 @@
 }
 
 /// Keeps a node's log and tells when it has started.
-async fn keep_log(stdout: ChildStdout, log: NodeLog, started: tokio::sync::oneshot::Sender<()>) {
+async fn keep_log(
+    stdout: ChildStdout,
+    log: NodeLog,
+    started: tokio::sync::oneshot::Sender<()>,
+    is_read: Arc<AtomicBool>,
+) {
     let mut lines = BufReader::new(stdout).lines();
     let mut started = Some(started);
     while let Ok(Some(line)) = lines.next_line().await {
@@ -318,5 +331,8 @@
             let _ = started.send(());
         }
         lock(&log).push(line);
+        while !is_read.load(Ordering::Relaxed) {
+            tokio::time::sleep(READY_LOOK).await;
+        }
     }
 }
--- a/crates/lab/tests/routes_alone.rs
+++ b/crates/lab/tests/routes_alone.rs
@@ -16,7 +16,7 @@
 /// How long a condition may take to hold; only a hung test waits so long.
 const WAIT_AT_MOST: Duration = Duration::from_secs(30);
 /// How often a condition is looked at.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 
 fn server(id: &str, service: &str) -> RouteServerPlan {
     RouteServerPlan::new(id, service, DOMAINS[0])
@@ -138,6 +138,32 @@
     insta::assert_snapshot!(told);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_whose_log_nobody_reads_answers_and_stops_as_planned() {
+    let plan = RouteFleetPlan {
+        nodes: [1, 0],
+        servers: vec![server("i-0", "cart")],
+        routes: vec![route("cart")],
+        ..RouteFleetPlan::default()
+    };
+    let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
+    fleet.nodes[0].stop_reading();
+    let long_path = format!("/none/{}", "x".repeat(4_000));
+    let metrics = fleet.nodes[0].addresses.metrics;
+    let client = fleet.client.clone();
+    wait_for("dropped lines of the log", async || {
+        fleet.call(0, Method::GET, &long_path, "r-long", Bytes::new()).await.expect("a refusal");
+        let counters = client.call(Method::GET, metrics, "/metrics", &[], Bytes::new(), WAIT_AT_MOST).await;
+        counters.is_ok_and(|told| String::from_utf8_lossy(&told.body).contains("streamfold_log_lines_dropped_total"))
+    })
+    .await;
+    assert!(answers(&fleet, 0, "/cart/x").await, "the log holds up requests");
+    send_signal(&fleet.nodes[0].process, "TERM").await;
+    let ended = tokio::time::timeout(WAIT_AT_MOST, fleet.nodes[0].process.wait()).await;
+    let status = ended.expect("the process ends though nobody reads its log").expect("an exit");
+    assert!(status.success(), "{status}");
+}
+
 /// The fields of a line that say what happened and why, without times and server ids.
 fn tell(line: &str) -> String {
     let kept = ["event", "request", "service", "failure", "sent", "route", "version", "outcome", "status"];
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -203,7 +203,7 @@
                     self.offer_table(*table, origin);
                 }
                 FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry),
-                FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry),
+                FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry, origin),
                 FeedChange::Removed(name) => is_changed |= self.remove(now, topic, &name),
             }
         }
@@ -250,9 +250,12 @@
         true
     }
 
-    fn put_node(&self, entry: NodeEntry) -> bool {
+    fn put_node(&self, entry: NodeEntry, origin: NewsOrigin) -> bool {
         let mut parts = self.parts();
-        if parts.nodes.get(&entry.node) == Some(&entry) {
+        let known = parts.nodes.get(&entry.node);
+        // What another node tells may be older than what the store has told.
+        let is_older = known.is_some_and(|known| entry.incarnation < known.incarnation);
+        if known == Some(&entry) || (is_older && origin == NewsOrigin::Peer) {
             return false;
         }
         tracing::info!(
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -63,12 +63,13 @@
     }
 }
 
-/// A node to ask: one that is connected, or one that the settings name.
+/// A node to ask: one that is connected or one that the settings name. Seeds are among them even
+/// while links are open, since all of those may be silent.
 fn choose_link(router: &Router) -> Option<Arc<PeerLink>> {
     let view = router.cluster.view();
     let open: Vec<Arc<PeerLink>> =
         view.peers.iter().filter(|peer| peer.link.is_open()).map(|peer| peer.link.clone()).collect();
-    let links = if open.is_empty() { &router.seed_links } else { &open };
+    let links: Vec<&Arc<PeerLink>> = open.iter().chain(&router.seed_links).collect();
     let count = links.len();
     (count > 0).then(|| links[rand::random_range(0..count)].clone())
 }
