News are passed on after they are taken here; the first message to followers is made once a change

Cause: (1) by reading: a node that began to follow between the passing on and the taking of a change missed it; now it may have it twice. Change: the first message is kept until something changes; nodes to link to are chosen once for each batch of changes; listings are compared by hash.

--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -1,8 +1,9 @@
 //! What a node knows of routes, servers and other nodes. Requests read one value of it that
 //! is replaced whole (read-copy-update).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -129,6 +130,7 @@
 /// What a node knows of the cluster.
 pub struct Cluster {
     place: ClusterPlace,
+    generation: AtomicU64,
     parts: Mutex<ClusterParts>,
     view: ArcSwap<ClusterView>,
 }
@@ -148,7 +150,7 @@
             peers: HashMap::new(),
         };
         let view = ArcSwap::from_pointee(parts.build_view());
-        Self { place, parts: Mutex::new(parts), view }
+        Self { place, generation: AtomicU64::new(0), parts: Mutex::new(parts), view }
     }
 
     /// The view that a request works with.
@@ -171,6 +173,7 @@
     }
 
     fn publish(&self, parts: &ClusterParts) {
+        self.generation.fetch_add(1, Ordering::Relaxed);
         let view = parts.build_view();
         for server in view.services.values().flat_map(|service| &service.servers) {
             server.set_share(view.connection_share(server));
@@ -207,14 +210,26 @@
                 FeedChange::Removed(name) => is_changed |= self.remove(now, topic, &name),
             }
         }
-        if is_changed {
-            self.publish(&self.parts());
+        // Also what is not in the view, such as doubt, is passed on to other nodes.
+        self.generation.fetch_add(1, Ordering::Relaxed);
+        if !is_changed {
+            return;
         }
+        let mut parts = self.parts();
+        if topic == FeedTopic::Nodes {
+            parts.choose_peers(&self.place);
+        }
+        self.publish(&parts);
+    }
+
+    /// Counts changes: while it stays the same, so do the entries and the routes.
+    pub fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Relaxed)
     }
 
     /// Takes all of a topic: what is not in it any more is gone.
     pub fn replace(&self, now: Moment, items: Vec<FeedItem>, topic: FeedTopic, origin: NewsOrigin) {
-        let listed: Vec<String> = items.iter().map(item_name).collect();
+        let listed: HashSet<String> = items.iter().map(item_name).collect();
         let known: Vec<String> = match topic {
             FeedTopic::Routes => Vec::new(),
             FeedTopic::Servers => self.parts().servers.keys().map(ToString::to_string).collect(),
@@ -265,7 +280,6 @@
             address = %entry.peer_address
         );
         parts.nodes.insert(entry.node.clone(), entry);
-        parts.choose_peers(&self.place);
         true
     }
 
@@ -278,7 +292,6 @@
                 let Some(gone) = gone else { return false };
                 tracing::info!(event = "node_gone", node = name);
                 parts.gone_nodes.push((gone.domain, now.plus(SPENT_FOR)));
-                parts.choose_peers(&self.place);
                 true
             }
             FeedTopic::Servers => {
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -79,14 +79,14 @@
         let Some(position) = self.position else { return self.list().await };
         let router = &self.router;
         let news = router.feed.watch(self.topic, position, WATCH_WAIT).await?;
-        let has_changed = !news.changes.is_empty();
-        if has_changed {
-            router.outlet.publish(|| RelayFrame::Changed(self.topic, news.changes.clone()));
-        }
-        router.cluster.apply(router.clock.now(), news.changes, self.topic, NewsOrigin::Store);
-        if has_changed {
-            tokio::time::sleep(self.pause()).await;
+        if news.changes.is_empty() {
+            return Ok(news.position);
         }
+        // Taken before it is passed on: a node that begins to follow in between has it twice, and
+        // the other way round it would miss it.
+        router.cluster.apply(router.clock.now(), news.changes.clone(), self.topic, NewsOrigin::Store);
+        router.outlet.publish(|| RelayFrame::Changed(self.topic, news.changes));
+        tokio::time::sleep(self.pause()).await;
         Ok(news.position)
     }
 
@@ -101,8 +101,8 @@
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
         let list = router.feed.list(self.topic).await?;
-        router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items.clone()));
-        router.cluster.replace(router.clock.now(), list.items, self.topic, NewsOrigin::Store);
+        router.cluster.replace(router.clock.now(), list.items.clone(), self.topic, NewsOrigin::Store);
+        router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items));
         Ok(list.position)
     }
 
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -1,10 +1,12 @@
 //! News of the store passed on to other nodes of the failure domain.
 
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
 use bytes::Bytes;
 use h2::SendStream;
 use h2::server::SendResponse;
 use http::Response;
-use std::time::Duration;
 use streamfold_link::{PeerError, encode_frame, refuse, send_frame};
 use tokio::sync::broadcast;
 
@@ -19,23 +21,28 @@
 const MAX_LAG: usize = 256;
 
 /// Passes news to every node that follows this one.
-pub struct RelayOutlet(broadcast::Sender<Bytes>);
+pub struct RelayOutlet {
+    news: broadcast::Sender<Bytes>,
+    /// The first message to a follower with the generation of what it tells: after a restart of
+    /// all nodes many ask for it at once.
+    begin: Mutex<Option<(u64, Bytes)>>,
+}
 
 impl Default for RelayOutlet {
     fn default() -> Self {
-        Self(broadcast::Sender::new(MAX_LAG))
+        Self { news: broadcast::Sender::new(MAX_LAG), begin: Mutex::default() }
     }
 }
 
 impl RelayOutlet {
     /// Passes a message on; it is only made if anybody listens.
     pub fn publish(&self, make: impl FnOnce() -> RelayFrame) {
-        if self.0.receiver_count() == 0 {
+        if self.news.receiver_count() == 0 {
             return;
         }
         match encode_frame(&make()) {
             // Without a receiver left there is nobody to tell.
-            Ok(frame) => drop(self.0.send(frame)),
+            Ok(frame) => drop(self.news.send(frame)),
             Err(error) => tracing::error!(event = "relay_frame_failed", %error),
         }
     }
@@ -64,10 +71,9 @@
     }
     tracing::info!(event = "follower_begun", follower = %request.node);
     // Subscribed before the listing is made, so that nothing is missed between them.
-    let mut news = router.outlet.0.subscribe();
+    let mut news = router.outlet.news.subscribe();
     let mut stream = respond.send_response(Response::new(()), false)?;
-    let begin = RelayFrame::Begin(Box::new(list_all(router)));
-    send_frame(&mut stream, encode_frame(&begin)?, false).await?;
+    send_frame(&mut stream, encode_begin(router)?, false).await?;
     let result = pass_on(router, &mut news, &mut stream).await;
     tracing::info!(event = "follower_ended", follower = %request.node);
     result
@@ -111,6 +117,18 @@
     tokio::time::timeout(BECOME_WITHIN, becoming).await.is_ok()
 }
 
+/// The first message to a follower.
+fn encode_begin(router: &Router) -> Result<Bytes, PeerError> {
+    let generation = router.cluster.generation();
+    let mut begin = router.outlet.begin.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some((_, frame)) = begin.as_ref().filter(|(made, _)| *made == generation) {
+        return Ok(frame.clone());
+    }
+    let frame = encode_frame(&RelayFrame::Begin(Box::new(list_all(router))))?;
+    *begin = Some((generation, frame.clone()));
+    Ok(frame)
+}
+
 fn list_all(router: &Router) -> RelayListing {
     let (servers, nodes) = router.cluster.entries(router.clock.now());
     let table = router.cluster.view().table.as_ref().map(|table| (**table).clone());
