--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -174,7 +174,7 @@
         let (frames, first) = begun?;
         let Some(RelayFrame::Begin(listing)) = first else { return Err(RelayError::NoListing) };
         tracing::info!(event = "reader_followed", reader = %entry.node, servers = listing.servers.len());
-        take_listing(router, *listing);
+        take_frame(router, RelayFrame::Begin(listing));
         router.set_source(FeedSource::Relay);
         Ok(Self { reader: entry.node.clone(), frames, _link: link })
     }
@@ -207,7 +207,10 @@
     router.set_followed(topic, true);
 }
 
+/// Takes a message of a reader and passes it on to the nodes that follow this one.
 fn take_frame(router: &Router, frame: RelayFrame) {
+    let is_news = !matches!(frame, RelayFrame::Alive);
+    let copy = is_news.then(|| frame.clone());
     match frame {
         RelayFrame::Begin(listing) => take_listing(router, *listing),
         RelayFrame::Listed(topic, items) => take_topic(router, topic, items),
@@ -216,4 +219,7 @@
         }
         RelayFrame::Alive => {}
     }
+    if let Some(copy) = copy {
+        router.outlet.publish(|| copy);
+    }
 }
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -52,12 +52,12 @@
 fn is_reader(router: &Router) -> bool {
     let topics = [FeedTopic::Routes, FeedTopic::Servers, FeedTopic::Nodes];
     let is_serving = *router.phase.borrow() == RouterPhase::Serving;
-    let reads_store = *router.source.borrow() == FeedSource::Store;
-    is_serving && reads_store && topics.into_iter().all(|topic| router.is_followed(topic))
+    let has_source = *router.source.borrow() != FeedSource::Undecided;
+    is_serving && has_source && topics.into_iter().all(|topic| router.is_followed(topic))
 }
 
-/// Passes the news of the store to another node, until this one does not follow the store any
-/// more, stops, or the other node goes.
+/// Passes the news of the store to another node, whether this one has them from the store or from
+/// another node in turn, until it has none any more, stops, or the other node goes.
 ///
 /// # Errors
 /// The stream fails.
