Links to other nodes are made as soon as a started node knows them

Cause: links were tried every 0.5 s, so that a node of a fleet that was killed together asked far shards directly for up to half a second, each over a new connection.

--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -16,6 +16,11 @@
 const PEER_SLOTS: u32 = 16;
 /// How often links that are down are tried again.
 const CONNECT_EVERY: Duration = Duration::from_millis(500);
+/// The same for a node that has just started: where all were killed together the others come up
+/// within half a second, and until then far shards are asked for directly.
+const START_CONNECT_EVERY: Duration = Duration::from_millis(100);
+/// How long a node counts as just started.
+const START_TIME: Duration = Duration::from_secs(2);
 
 /// Another node.
 pub struct PeerNode {
@@ -65,7 +70,11 @@
                 }
             });
         }
-        tokio::time::sleep(CONNECT_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
+        let pause = if router.uptime() < START_TIME { START_CONNECT_EVERY } else { CONNECT_EVERY };
+        tokio::select! {
+            () = tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))) => {}
+            () = router.nodes_learnt.notified() => {}
+        }
     }
 }
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -121,7 +121,10 @@
         tokio::time::sleep(FIRST_START_WAIT).await;
     }
     match router.feed.list(FeedTopic::Nodes).await {
-        Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes, NewsOrigin::Store),
+        Ok(list) => {
+            router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes, NewsOrigin::Store);
+            router.nodes_learnt.notify_one();
+        }
         Err(error) => tracing::info!(event = "nodes_unknown", %error),
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -77,6 +77,8 @@
     pub seed_links: Vec<Arc<PeerLink>>,
     /// Told when another node has newer routes.
     pub newer_routes: Notify,
+    /// Told when nodes were listed, so that links to them are made.
+    pub nodes_learnt: Notify,
     /// The newest version of the routes that another node was heard to have.
     heard_version: AtomicU64,
     /// Where the news of the store come from.
@@ -209,6 +211,7 @@
             live: ArcSwap::from_pointee(settings.clone()),
             seed_links: seed_links(&settings),
             newer_routes: Notify::new(),
+            nodes_learnt: Notify::new(),
             heard_version: AtomicU64::new(0),
             source: watch::Sender::new(FeedSource::Undecided),
             feed_changed: watch::Sender::new(()),
@@ -269,6 +272,11 @@
         self.live.store(Arc::new(settings));
     }
 
+    /// How long it has run.
+    pub fn uptime(&self) -> Duration {
+        self.clock.now().since(self.started)
+    }
+
     /// Notes the version of the routes at another node.
     pub fn note_version(&self, version: TableVersion) {
         if version > self.cluster.version() {
@@ -312,7 +320,7 @@
     /// not know what it spent before, so it waits a window for its part of the allowance.
     pub fn extra_limits(&self, view: &ClusterView) -> ExtraLimits {
         let extra = self.live.load().extra_calls;
-        let is_new = !self.settings.first_start && self.clock.now().since(self.started) < extra.window.0;
+        let is_new = !self.settings.first_start && self.uptime() < extra.window.0;
         let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / view.node_count() as f64 };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
     }
