Attempts and the cluster in three files each; what a hedge made elsewhere may have done is told

Two mends found while reading it: (1) a hedge that another node may have made and whose answer is lost now counts as one that may have run, so that no 503 denies it, and as one that has arrived, so that a further call is extra; (2) how long a node that went counts in a shared budget follows the setting of the window, 10 s so far.

--- /dev/null
+++ b/crates/router/src/attempt_context.rs
@@ -0,0 +1,241 @@
+//! What all attempts of one request share: which server comes first, when another one is tried,
+//! and whether that is allowed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
+use futures_util::stream::StreamExt;
+use streamfold_model::{RouteKind, RouteSpec};
+use streamfold_policy::Moment;
+use streamfold_policy::replica::Distance;
+
+use crate::attempts::ServiceAttempts;
+use crate::call::{self, CallTerms, EndedCall};
+use crate::cluster_view::{ClusterView, RouteTimes, Service};
+use crate::hedge::FarHedge;
+use crate::request::CallerRequest;
+use crate::router::Router;
+use crate::server::Server;
+
+/// Calls that were outrun, or whose caller left another node, go on for so long: their answers
+/// tell when a server that fell silent is back, and their connections stay usable. A caller
+/// that left may keep servers at work for half a second.
+const OUTRUN_LIFE: Duration = Duration::from_millis(300);
+
+/// Added to the cost of a server whose entry is gone: any other that answers goes first.
+const DOUBT_COST_US: f64 = 1e9;
+
+/// The pause before servers that did not take a request are tried again: the first, doubled
+/// with each further one, and the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const MAX_PAUSE: Duration = Duration::from_millis(200);
+
+/// The least that a call is taken to need, in seconds, where latencies are divided by it.
+pub(crate) const MIN_TYPICAL_SECONDS: f64 = 1e-4;
+
+/// Who asks for what a request is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestAsker {
+    /// A caller.
+    Caller,
+    /// Another node, for its shards. It may take over with the server near this node, so one of
+    /// the servers that a shard may be sent to is kept for that one.
+    Node,
+    /// Another node, for hedges at servers near this node and at no others.
+    Hedger,
+}
+
+/// What all attempts of one request share.
+pub struct AttemptContext {
+    /// This node.
+    pub router: Arc<Router>,
+    /// What the request works with.
+    pub view: Arc<ClusterView>,
+    /// Its route.
+    pub route: Arc<RouteSpec>,
+    /// The request.
+    pub request: Arc<CallerRequest>,
+    /// Latencies of the route.
+    pub times: RouteTimes,
+    /// How long servers that did not take the request are tried again.
+    pub retry_until: Moment,
+    /// The part of each request that this node counts for its budget of extra calls.
+    pub request_share: f64,
+    /// Who asks.
+    pub asker: RequestAsker,
+}
+
+/// A call in flight; it resolves to the position of its service among the request's.
+pub type PendingCall = BoxFuture<'static, (usize, Duration, EndedCall)>;
+
+/// The calls in flight of one request.
+pub type PendingCalls = FuturesUnordered<PendingCall>;
+
+impl AttemptContext {
+    /// The present moment.
+    pub fn now(&self) -> Moment {
+        self.router.clock.now()
+    }
+
+    fn is_once(&self) -> bool {
+        self.route.kind == RouteKind::AtMostOnce
+    }
+
+    /// The server that a first attempt at a service would go to.
+    pub fn best_server(&self, attempts: &ServiceAttempts) -> Option<Arc<Server>> {
+        let service = self.view.services.get(&attempts.service)?;
+        self.choose(attempts, service)
+    }
+
+    /// The server to try next: the one believed to answer soonest that was not tried yet.
+    fn choose(&self, attempts: &ServiceAttempts, service: &Service) -> Option<Arc<Server>> {
+        let now = self.now();
+        let untried = |server: &&Arc<Server>| !attempts.tried.iter().any(|tried| Arc::ptr_eq(tried, server));
+        let is_asked = |server: &&Arc<Server>| attempts.sent_in.as_ref() == Some(&server.domain);
+        let has_asked = service.servers.iter().any(|server| is_asked(&server));
+        let candidates = service.servers.iter().filter(untried).filter(|server| !server.is_leaving());
+        let candidates = candidates.filter(|server| !has_asked || is_asked(server));
+        let needs_near = self.needs_near(attempts, service);
+        let candidates = candidates.filter(|server| !needs_near || server.distance == Distance::Domain);
+        let cost = |server: &Arc<Server>| {
+            let typical = self.times.typical(server.distance, self.route.target_latency);
+            let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
+            let cost = server.state().cost(now, server.distance, typical) + doubt;
+            // Equal servers share the load.
+            cost * rand::random_range(0.95..1.05)
+        };
+        let costed = candidates.map(|server| (cost(server), server));
+        costed.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, server)| server.clone())
+    }
+
+    /// Whether only a server near this node may be tried: for a node that may take over, all but
+    /// one of the servers allowed may be others.
+    fn needs_near(&self, attempts: &ServiceAttempts, service: &Service) -> bool {
+        if self.asker != RequestAsker::Node {
+            return self.asker == RequestAsker::Hedger;
+        }
+        let is_near = |server: &&Arc<Server>| server.distance == Distance::Domain;
+        let others = attempts.tried.iter().filter(|server| !is_near(server)).count();
+        let is_kept = others + 1 >= self.route.max_attempts as usize;
+        is_kept && service.servers.iter().any(|server| is_near(&server))
+    }
+
+    /// Starts the next attempt, if there is a server and the bounds allow one.
+    pub fn start(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) -> bool {
+        let Some(service) = self.view.services.get(&attempts.service) else { return false };
+        if self.is_spent(attempts) {
+            return false;
+        }
+        let Some(server) = self.choose(attempts, service) else { return false };
+        if !self.charge(attempts, service) {
+            metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
+            return false;
+        }
+        attempts.sent += 1;
+        attempts.pending += 1;
+        attempts.tried.push(server.clone());
+        attempts.started = self.now();
+        attempts.is_overdue = false;
+        attempts.is_handed = false;
+        let patience = self.times.patience(server.distance, self.route.target_latency);
+        attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
+        calls.push(self.call(position, server));
+        true
+    }
+
+    /// Whether the request may run on no further server.
+    pub(crate) fn is_spent(&self, attempts: &ServiceAttempts) -> bool {
+        attempts.sent >= self.route.max_attempts || (self.is_once() && attempts.may_have_run)
+    }
+
+    /// Counts a call in the budget of the service; false if it is extra and the budget is spent.
+    pub(crate) fn charge(&self, attempts: &ServiceAttempts, service: &Service) -> bool {
+        let now = self.now();
+        let limits = self.router.extra_limits(&self.view);
+        let mut budget = service.budget();
+        if attempts.tried.is_empty() && attempts.pauses == 0 && !attempts.has_arrived {
+            budget.note_request(now, &limits, self.request_share);
+        }
+        let is_extra = attempts.has_arrived || attempts.pending > 0;
+        !is_extra || budget.spend(now, &limits)
+    }
+
+    fn call(&self, position: usize, server: Arc<Server>) -> PendingCall {
+        let typical = self.times.typical(server.distance, self.route.target_latency);
+        let terms = CallTerms { is_once: self.is_once(), typical };
+        let running = call::run(self.router.clone(), server, self.request.clone(), terms);
+        let clock = self.router.clock;
+        let started = self.now();
+        let timed = async move {
+            let ended = running.await;
+            (position, clock.now().since(started), ended)
+        };
+        timed.boxed()
+    }
+
+    /// Tries another server after one failed. Where none is left, those that did not take the
+    /// request are tried again after a pause.
+    pub fn retry(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
+        let failed = attempts.tried.last().map(|server| server.id.to_string());
+        let waited = self.now().since(attempts.started);
+        let has_started = self.start(position, attempts, calls);
+        if !has_started {
+            self.pause(attempts);
+        }
+        tracing::info!(
+            event = "call_failed",
+            request = self.request.id_text(),
+            service = %attempts.service,
+            server = failed,
+            failure = attempts.failure,
+            waited_ms = waited.as_millis() as u64,
+            sent = attempts.sent,
+            retry = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str()),
+            pauses = attempts.pauses
+        );
+    }
+
+    /// Plans to try servers again that did not take the request, if there are any, there is
+    /// time and the request may run on one more.
+    fn pause(&self, attempts: &mut ServiceAttempts) {
+        let pause = (FIRST_PAUSE * 2u32.pow(attempts.pauses.min(4))).min(MAX_PAUSE);
+        let again = self.now().plus(pause.mul_f64(rand::random_range(0.8..1.2)));
+        if self.is_spent(attempts) || attempts.passed.is_empty() || again > self.retry_until {
+            return;
+        }
+        attempts.pauses += 1;
+        let passed = std::mem::take(&mut attempts.passed);
+        attempts.tried.retain(|tried| !passed.iter().any(|server| Arc::ptr_eq(server, tried)));
+        attempts.retry_at = Some(again);
+    }
+
+    /// Does what is due: tries again after a pause, or goes round a call that is overdue. Hedges
+    /// to far servers are handed to the caller where `far` takes them.
+    pub fn note_alarm(
+        &self,
+        position: usize,
+        attempts: &mut ServiceAttempts,
+        calls: &PendingCalls,
+        far: Option<&mut Vec<FarHedge>>,
+    ) {
+        let now = self.now();
+        if attempts.retry_at.is_some_and(|at| at <= now) {
+            attempts.retry_at = None;
+            self.retry(position, attempts, calls);
+        }
+        if attempts.hedge_at.is_some_and(|at| at <= now) {
+            self.hedge(position, attempts, calls, far);
+        }
+    }
+
+    /// Lets calls that were outrun go on for a moment.
+    pub fn release(&self, calls: PendingCalls) {
+        if calls.is_empty() {
+            return;
+        }
+        tokio::spawn(tokio::time::timeout(OUTRUN_LIFE, calls.for_each(|_| std::future::ready(()))));
+    }
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -8,7 +8,7 @@
 use streamfold_policy::Moment;
 use streamfold_policy::replica::CallSample;
 
-use crate::attempts::MIN_TYPICAL_SECONDS;
+use crate::attempt_context::MIN_TYPICAL_SECONDS;
 use crate::border::ReplyHead;
 use crate::error::ExchangeError;
 use crate::request::CallerRequest;
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -8,34 +8,20 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use streamfold_model::{
-    FailureDomain, NodeEntry, NodeId, RouteName, RouteSpec, RouteTable, RouteTarget, ServerEntry, ServerId,
-    ServiceName, TableVersion,
-};
+use streamfold_model::{FailureDomain, NodeEntry, NodeId, RouteTable, ServerEntry, ServerId, TableVersion};
 use streamfold_policy::Moment;
-use streamfold_policy::extra_budget::ExtraBudget;
-use streamfold_policy::owner::{CallingNodes, choose_owners, divide_connections};
 use streamfold_policy::replica::Distance;
-use streamfold_policy::split_rule::SplitTurns;
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
-use crate::peers::PeerNode;
+use crate::cluster_parts::ClusterParts;
+use crate::cluster_view::ClusterView;
 use crate::server::Server;
-use crate::times::CallTimes;
 
 /// How long a server whose entry is gone may still be used where no other answers. Entries
 /// also lapse while the store is away, which a node whose watch stayed open does not notice;
 /// those of servers that live are back within about two seconds. A server that left gets no
 /// request later than three seconds after.
 const DOUBT: Duration = Duration::from_millis(2_200);
-/// A node that is gone may have spent of what all nodes share for so long: the window in which
-/// extra calls are counted.
-const SPENT_FOR: Duration = Duration::from_secs(10);
-/// Nodes of each other failure domain that a node keeps links to.
-const PEERS_PER_DOMAIN: usize = 4;
-/// Nodes counted on while none is known.
-const ASSUMED_NODES: usize = 8;
-
 /// Who told this node something of the cluster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NewsOrigin {
@@ -57,53 +43,6 @@
     }
 }
 
-/// A service with the servers that may get work.
-pub struct Service {
-    /// The servers.
-    pub servers: Vec<Arc<Server>>,
-    budget: Arc<Mutex<ExtraBudget>>,
-}
-
-impl Service {
-    /// Extra calls spent on it by this node.
-    pub fn budget(&self) -> MutexGuard<'_, ExtraBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Latencies of one route's calls to servers.
-pub type RouteTimes = Arc<CallTimes>;
-
-/// What one request works with.
-pub struct ClusterView {
-    /// The routes in force, once there are any.
-    pub table: Option<Arc<RouteTable>>,
-    /// Services by name.
-    pub services: HashMap<ServiceName, Service>,
-    /// Latencies by route.
-    pub times: HashMap<RouteName, RouteTimes>,
-    /// Turns of the services of a route, by route.
-    turns: HashMap<RouteName, Arc<SplitTurns>>,
-    /// Nodes by failure domain, this one included; also those that were there until lately.
-    pub nodes: HashMap<FailureDomain, usize>,
-    /// Nodes of other failure domains that this one keeps links to.
-    pub peers: Vec<Arc<PeerNode>>,
-}
-
-/// The parts of the view, changed under a lock.
-struct ClusterParts {
-    table: Option<Arc<RouteTable>>,
-    servers: HashMap<ServerId, Arc<Server>>,
-    doubtful: HashMap<ServerId, Moment>,
-    budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
-    times: HashMap<RouteName, RouteTimes>,
-    turns: HashMap<RouteName, Arc<SplitTurns>>,
-    nodes: HashMap<NodeId, NodeEntry>,
-    /// Nodes that went, with the moment until which they count.
-    gone_nodes: Vec<(FailureDomain, Moment)>,
-    peers: HashMap<NodeId, Arc<PeerNode>>,
-}
-
 /// Where a node stands among failure domains.
 pub struct ClusterPlace {
     /// This node.
@@ -112,6 +51,9 @@
     pub domain: FailureDomain,
     /// The region of each failure domain.
     pub regions: HashMap<FailureDomain, String>,
+    /// How long a node that is gone may have spent of what all nodes share: the window in which
+    /// extra calls are counted.
+    pub spent_for: Duration,
 }
 
 impl ClusterPlace {
@@ -138,17 +80,7 @@
 impl Cluster {
     /// A cluster of which nothing is known yet.
     pub fn new(place: ClusterPlace) -> Self {
-        let parts = ClusterParts {
-            table: None,
-            servers: HashMap::new(),
-            doubtful: HashMap::new(),
-            budgets: HashMap::new(),
-            times: HashMap::new(),
-            turns: HashMap::new(),
-            nodes: HashMap::new(),
-            gone_nodes: Vec::new(),
-            peers: HashMap::new(),
-        };
+        let parts = ClusterParts::default();
         let view = ArcSwap::from_pointee(parts.build_view());
         Self { place, generation: AtomicU64::new(0), parts: Mutex::new(parts), view }
     }
@@ -291,7 +223,7 @@
                 let gone = name.parse::<NodeId>().ok().and_then(|node| parts.nodes.remove(&node));
                 let Some(gone) = gone else { return false };
                 tracing::info!(event = "node_gone", node = name);
-                parts.gone_nodes.push((gone.domain, now.plus(SPENT_FOR)));
+                parts.gone_nodes.push((gone.domain, now.plus(self.place.spent_for)));
                 true
             }
             FeedTopic::Servers => {
@@ -351,103 +283,3 @@
         FeedItem::Node(entry) => entry.node.to_string(),
     }
 }
-
-impl ClusterParts {
-    fn drop_server(&mut self, id: &ServerId) -> bool {
-        let Some(server) = self.servers.remove(id) else { return false };
-        server.mark_leaving();
-        tracing::info!(event = "server_gone", server = %id, service = %server.service);
-        true
-    }
-
-    /// Chooses the nodes of other failure domains to keep links to, a few of each, so that
-    /// links grow with domains and not with nodes.
-    fn choose_peers(&mut self, place: &ClusterPlace) {
-        let mut by_domain: HashMap<&FailureDomain, Vec<&NodeEntry>> = HashMap::new();
-        for entry in self.nodes.values().filter(|entry| entry.domain != place.domain) {
-            by_domain.entry(&entry.domain).or_default().push(entry);
-        }
-        let mut peers = HashMap::new();
-        for (domain, entries) in by_domain {
-            let names = entries.iter().map(|entry| entry.node.as_str());
-            let chosen = choose_owners(names, place.node.as_str(), PEERS_PER_DOMAIN);
-            for entry in entries.into_iter().filter(|entry| chosen.contains(&entry.node.as_str())) {
-                let known = self.peers.get(&entry.node).filter(|peer| peer.entry == *entry);
-                let peer = known.cloned().unwrap_or_else(|| PeerNode::new(entry.clone(), place.distance(domain)));
-                peers.insert(entry.node.clone(), peer);
-            }
-        }
-        self.peers = peers;
-    }
-
-    /// Keeps the latencies of routes that are in the new version too.
-    fn keep_times(&mut self, table: &RouteTable) {
-        let mut old = std::mem::take(&mut self.times);
-        let mut keep = |name: &RouteName| old.remove(name).unwrap_or_default();
-        self.times = table.routes().iter().map(|route| (route.name.clone(), keep(&route.name))).collect();
-    }
-
-    /// Goes on with the turns of splits that are in the new version too.
-    fn keep_turns(&mut self, table: &RouteTable) {
-        let mut old = std::mem::take(&mut self.turns);
-        let mut keep = |name: &RouteName| {
-            let known = old.remove(name);
-            known.unwrap_or_else(|| Arc::new(SplitTurns::new(rand::random())))
-        };
-        let is_split = |route: &&Arc<RouteSpec>| matches!(&route.target, RouteTarget::One(parts) if parts.len() > 1);
-        let splits = table.routes().iter().filter(is_split);
-        self.turns = splits.map(|route| (route.name.clone(), keep(&route.name))).collect();
-    }
-
-    fn count_nodes(&self) -> HashMap<FailureDomain, usize> {
-        let gone = self.gone_nodes.iter().map(|(domain, _)| domain);
-        let mut counts = HashMap::new();
-        for domain in self.nodes.values().map(|entry| &entry.domain).chain(gone) {
-            *counts.entry(domain.clone()).or_default() += 1;
-        }
-        counts
-    }
-
-    fn build_view(&self) -> ClusterView {
-        let mut services: HashMap<ServiceName, Service> = HashMap::new();
-        for server in self.servers.values().filter(|server| !server.is_leaving()) {
-            let service = services.entry(server.service.clone()).or_insert_with(|| Service {
-                servers: Vec::new(),
-                budget: self.budgets.get(&server.service).cloned().unwrap_or_default(),
-            });
-            service.servers.push(server.clone());
-        }
-        ClusterView {
-            table: self.table.clone(),
-            services,
-            times: self.times.clone(),
-            turns: self.turns.clone(),
-            nodes: self.count_nodes(),
-            peers: self.peers.values().cloned().collect(),
-        }
-    }
-}
-
-impl ClusterView {
-    /// The turns of a route's services, if there are several.
-    pub fn turns(&self, route: &RouteName) -> Option<&SplitTurns> {
-        self.turns.get(route).map(|turns| &**turns)
-    }
-
-    /// Nodes that share what is divided among all of them.
-    pub fn node_count(&self) -> usize {
-        match self.nodes.values().sum() {
-            0 => ASSUMED_NODES,
-            count => count,
-        }
-    }
-
-    /// Connections that this node may have to a server.
-    fn connection_share(&self, server: &Server) -> u32 {
-        let spec = self.table.as_ref().and_then(|table| table.service(&server.service));
-        let Some(spec) = spec else { return 1 };
-        let near = self.nodes.get(&server.domain).copied().unwrap_or(0);
-        let nodes = CallingNodes { near, far: self.node_count() - near };
-        divide_connections(spec.max_connections, nodes, server.distance == Distance::Domain)
-    }
-}
--- /dev/null
+++ b/crates/router/src/cluster_parts.rs
@@ -0,0 +1,117 @@
+//! What a node knows of the cluster, as it is changed; requests see it as a view.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use streamfold_model::{
+    FailureDomain, NodeEntry, NodeId, RouteName, RouteSpec, RouteTable, RouteTarget, ServerId, ServiceName,
+};
+use streamfold_policy::Moment;
+use streamfold_policy::extra_budget::ExtraBudget;
+use streamfold_policy::owner::choose_owners;
+use streamfold_policy::split_rule::SplitTurns;
+
+use crate::cluster::ClusterPlace;
+use crate::cluster_view::{ClusterView, RouteTimes, Service};
+use crate::peers::PeerNode;
+use crate::server::Server;
+
+/// Nodes of each other failure domain that a node keeps links to.
+const PEERS_PER_DOMAIN: usize = 4;
+/// The parts of the view, changed under a lock.
+#[derive(Default)]
+pub(crate) struct ClusterParts {
+    /// The routes in force.
+    pub(crate) table: Option<Arc<RouteTable>>,
+    /// Servers, leaving ones too.
+    pub(crate) servers: HashMap<ServerId, Arc<Server>>,
+    /// Servers whose entry is gone, with the moment from which they are gone too.
+    pub(crate) doubtful: HashMap<ServerId, Moment>,
+    /// Extra calls spent, by service.
+    pub(crate) budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
+    times: HashMap<RouteName, RouteTimes>,
+    turns: HashMap<RouteName, Arc<SplitTurns>>,
+    /// Nodes, this one included.
+    pub(crate) nodes: HashMap<NodeId, NodeEntry>,
+    /// Nodes that went, with the moment until which they count.
+    pub(crate) gone_nodes: Vec<(FailureDomain, Moment)>,
+    peers: HashMap<NodeId, Arc<PeerNode>>,
+}
+
+impl ClusterParts {
+    /// Drops a server; whether it was known.
+    pub(crate) fn drop_server(&mut self, id: &ServerId) -> bool {
+        let Some(server) = self.servers.remove(id) else { return false };
+        server.mark_leaving();
+        tracing::info!(event = "server_gone", server = %id, service = %server.service);
+        true
+    }
+
+    /// Chooses the nodes of other failure domains to keep links to, a few of each, so that
+    /// links grow with domains and not with nodes.
+    pub(crate) fn choose_peers(&mut self, place: &ClusterPlace) {
+        let mut by_domain: HashMap<&FailureDomain, Vec<&NodeEntry>> = HashMap::new();
+        for entry in self.nodes.values().filter(|entry| entry.domain != place.domain) {
+            by_domain.entry(&entry.domain).or_default().push(entry);
+        }
+        let mut peers = HashMap::new();
+        for (domain, entries) in by_domain {
+            let names = entries.iter().map(|entry| entry.node.as_str());
+            let chosen = choose_owners(names, place.node.as_str(), PEERS_PER_DOMAIN);
+            for entry in entries.into_iter().filter(|entry| chosen.contains(&entry.node.as_str())) {
+                let known = self.peers.get(&entry.node).filter(|peer| peer.entry == *entry);
+                let peer = known.cloned().unwrap_or_else(|| PeerNode::new(entry.clone(), place.distance(domain)));
+                peers.insert(entry.node.clone(), peer);
+            }
+        }
+        self.peers = peers;
+    }
+
+    /// Keeps the latencies of routes that are in the new version too.
+    pub(crate) fn keep_times(&mut self, table: &RouteTable) {
+        let mut old = std::mem::take(&mut self.times);
+        let mut keep = |name: &RouteName| old.remove(name).unwrap_or_default();
+        self.times = table.routes().iter().map(|route| (route.name.clone(), keep(&route.name))).collect();
+    }
+
+    /// Goes on with the turns of splits that are in the new version too.
+    pub(crate) fn keep_turns(&mut self, table: &RouteTable) {
+        let mut old = std::mem::take(&mut self.turns);
+        let mut keep = |name: &RouteName| {
+            let known = old.remove(name);
+            known.unwrap_or_else(|| Arc::new(SplitTurns::new(rand::random())))
+        };
+        let is_split = |route: &&Arc<RouteSpec>| matches!(&route.target, RouteTarget::One(parts) if parts.len() > 1);
+        let splits = table.routes().iter().filter(is_split);
+        self.turns = splits.map(|route| (route.name.clone(), keep(&route.name))).collect();
+    }
+
+    fn count_nodes(&self) -> HashMap<FailureDomain, usize> {
+        let gone = self.gone_nodes.iter().map(|(domain, _)| domain);
+        let mut counts = HashMap::new();
+        for domain in self.nodes.values().map(|entry| &entry.domain).chain(gone) {
+            *counts.entry(domain.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// The view of all this.
+    pub(crate) fn build_view(&self) -> ClusterView {
+        let mut services: HashMap<ServiceName, Service> = HashMap::new();
+        for server in self.servers.values().filter(|server| !server.is_leaving()) {
+            let service = services.entry(server.service.clone()).or_insert_with(|| Service {
+                servers: Vec::new(),
+                budget: self.budgets.get(&server.service).cloned().unwrap_or_default(),
+            });
+            service.servers.push(server.clone());
+        }
+        ClusterView {
+            table: self.table.clone(),
+            services,
+            times: self.times.clone(),
+            turns: self.turns.clone(),
+            nodes: self.count_nodes(),
+            peers: self.peers.values().cloned().collect(),
+        }
+    }
+}
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -14,7 +14,7 @@
 use streamfold_policy::fold_rule::FoldRule;
 use streamfold_policy::replica::Distance;
 
-use crate::attempts::AttemptContext;
+use crate::attempt_context::AttemptContext;
 use crate::batch::{BatchMode, ShardBatch};
 use crate::gather::ShardSlot;
 use crate::peers::{BatchNews, PeerNode, PendingBatch};
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -20,9 +20,9 @@
 use tokio::sync::watch;
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
-use crate::attempts::{AttemptContext, RequestAsker};
+use crate::attempt_context::{AttemptContext, RequestAsker};
 use crate::border::FeedTopic;
-use crate::cluster::ClusterView;
+use crate::cluster_view::ClusterView;
 use crate::request::CallerRequest;
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::{gather, single};
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -14,7 +14,8 @@
 use tokio::time::Sleep;
 
 use crate::answer::{CallerAnswer, RefusalKind};
-use crate::attempts::{AttemptContext, PendingCalls, RequestAsker, ServiceAttempts};
+use crate::attempt_context::{AttemptContext, PendingCalls, RequestAsker};
+use crate::attempts::ServiceAttempts;
 use crate::call::EndedCall;
 use crate::delegate::{BatchSlot, PendingBatches};
 use crate::fold::{ShardPart, fold_records};
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -118,15 +118,8 @@
     /// Takes over the shards of a reply. Their records lie folded together, so they replace
     /// what this node may have fetched of the same shards meanwhile.
     fn take_reply(&mut self, number: usize, reply: ShardReply) {
+        let Some(proofs) = self.read_reply(number, &reply) else { return };
         let batch = &mut self.batches[number];
-        self.context.router.note_version(reply.version);
-        if reply.is_stopping {
-            batch.peer.mark_stopping();
-        }
-        let Some(proofs) = read_proofs(&reply.shards, batch.positions.len()) else {
-            tracing::warn!(event = "batch_malformed", peer = %batch.peer.entry.node);
-            return;
-        };
         batch.records = Bytes::from(reply.records);
         let positions = batch.positions.clone();
         for (index, proof) in proofs {
@@ -136,6 +129,21 @@
         }
     }
 
+    /// What any reply tells of the other node, and the proofs of its shards by their positions in
+    /// the batch; `None` for one that is malformed.
+    pub(crate) fn read_reply(&self, number: usize, reply: &ShardReply) -> Option<Vec<(usize, HeaderValue)>> {
+        let batch = &self.batches[number];
+        self.context.router.note_version(reply.version);
+        if reply.is_stopping {
+            batch.peer.mark_stopping();
+        }
+        let proofs = read_proofs(&reply.shards, batch.positions.len());
+        if proofs.is_none() {
+            tracing::warn!(event = "batch_malformed", peer = %batch.peer.entry.node);
+        }
+        proofs
+    }
+
     /// Asks itself for the shards that the other node could not get.
     fn start_missing(&mut self, number: usize, missing: &[MissingShard]) {
         let positions = self.batches[number].positions.clone();
@@ -149,7 +157,7 @@
 
 /// The proofs of a reply by their positions in the batch; `None` where one is out of range,
 /// there twice or no header value.
-pub(crate) fn read_proofs(shards: &[FoldedShard], count: usize) -> Option<Vec<(usize, HeaderValue)>> {
+fn read_proofs(shards: &[FoldedShard], count: usize) -> Option<Vec<(usize, HeaderValue)>> {
     let mut seen = vec![false; count];
     let read = |shard: &FoldedShard| {
         let index = shard.position as usize;
--- a/crates/router/src/gather_hedge.rs
+++ b/crates/router/src/gather_hedge.rs
@@ -5,12 +5,11 @@
 
 use bytes::Bytes;
 
-use crate::attempts::FarHedge;
 use crate::batch::{BatchFrame, BatchMode, ShardReply};
 use crate::delegate::BatchOrder;
 use crate::fold::{Record, ShardPart, find_last};
 use crate::gather::GatherRound;
-use crate::gather_batch::read_proofs;
+use crate::hedge::FarHedge;
 use crate::peers::BatchNews;
 
 impl GatherRound<'_> {
@@ -68,17 +67,10 @@
 
     /// Takes the shards of a reply that are not in yet.
     fn take_each(&mut self, number: usize, floor: Option<Record>, reply: &ShardReply) {
-        let batch = &mut self.batches[number];
-        self.context.router.note_version(reply.version);
-        if reply.is_stopping {
-            batch.peer.mark_stopping();
-        }
-        let Some(proofs) = read_proofs(&reply.shards, batch.positions.len()) else {
-            tracing::warn!(event = "batch_malformed", peer = %batch.peer.entry.node);
-            return;
-        };
+        let Some(proofs) = self.read_reply(number, reply) else { return };
         for ((index, proof), shard) in proofs.into_iter().zip(&reply.shards) {
-            let slot = &mut self.slots[batch.positions[index]];
+            let position = self.batches[number].positions[index];
+            let slot = &mut self.slots[position];
             slot.attempts.may_have_run = true;
             let records = Bytes::copy_from_slice(&shard.records);
             slot.part.get_or_insert(ShardPart { proof, records, floor });
@@ -89,10 +81,11 @@
     fn end_hedges(&mut self, number: usize, not_made: &[usize]) {
         for position in self.batches[number].positions.clone() {
             let slot = &mut self.slots[position];
-            if not_made.contains(&position) {
-                slot.attempts.note_hedge_not_made();
+            if slot.part.is_some() {
+                continue;
             }
-            if slot.part.is_none() && !slot.attempts.is_open() {
+            slot.attempts.note_handed_end(!not_made.contains(&position));
+            if !slot.attempts.is_open() {
                 self.context.retry(position, &mut slot.attempts, &self.calls);
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,12 +5,15 @@
 //! from are traits in [`border`].
 
 pub mod answer;
+pub mod attempt_context;
 pub mod attempts;
 pub mod batch;
 pub mod border;
 pub mod call;
 pub mod clock;
 pub mod cluster;
+mod cluster_parts;
+pub mod cluster_view;
 pub mod connection;
 pub mod delegate;
 pub mod error;
@@ -20,6 +23,7 @@
 pub mod gather;
 pub mod gather_batch;
 pub mod gather_hedge;
+pub mod hedge;
 pub mod knowledge;
 pub mod node_sweep;
 pub mod peer_gather;
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -5,7 +5,7 @@
 use streamfold_model::ShardFold;
 use streamfold_policy::fold_rule::FoldRule;
 
-use crate::attempts::AttemptContext;
+use crate::attempt_context::AttemptContext;
 use crate::batch::{BatchMode, FoldedShard, MissingShard, ShardReply};
 use crate::fold::cut_records;
 use crate::gather::GatherRound;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -14,7 +14,7 @@
 use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold};
 use tokio::net::TcpListener;
 
-use crate::attempts::{AttemptContext, RequestAsker};
+use crate::attempt_context::{AttemptContext, RequestAsker};
 use crate::batch::{BatchFrame, BatchMode, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
 use crate::border::CallerHead;
 use crate::delegate::ASKING_SHARE;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -17,8 +17,8 @@
 pub const PATH_RELAY: &str = "/relay";
 /// How often a reader without news says that it follows the store.
 pub const ALIVE_EVERY: Duration = Duration::from_millis(500);
-/// A reader that said nothing for so long is given up: three signs of life. A leaving server
-/// must be known within three seconds, so two are left for finding out from the store.
+/// A reader that said nothing for so long is given up: three signs of life are missing. A leaving
+/// server must be known within three seconds, so as much is left for asking the store.
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// How long a reader may take to begin: it may just be starting to follow the store itself.
 const BEGIN_WITHIN: Duration = Duration::from_millis(800);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,7 +15,8 @@
 
 use crate::border::{CallFormat, ClusterFeed, FeedTopic};
 use crate::clock::{NodeClock, wall_ms};
-use crate::cluster::{Cluster, ClusterPlace, ClusterView};
+use crate::cluster::{Cluster, ClusterPlace};
+use crate::cluster_view::ClusterView;
 use crate::error::RouterError;
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
@@ -197,6 +198,7 @@
             node: settings.node.clone(),
             domain: settings.failure_domain.clone(),
             regions: settings.regions.clone(),
+            spent_for: settings.extra_calls.window.0,
         };
         Self {
             started: clock.now(),
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -10,7 +10,8 @@
 use streamfold_policy::split_rule::SplitTurns;
 
 use crate::answer::{CallerAnswer, RefusalKind};
-use crate::attempts::{AttemptContext, PendingCalls, ServiceAttempts};
+use crate::attempt_context::{AttemptContext, PendingCalls};
+use crate::attempts::ServiceAttempts;
 use crate::call::{EndedCall, ServerReply};
 use crate::request::drop_hop_headers;
 
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -1,6 +1,7 @@
 //! What a node believes of others, by who told it.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use streamfold_model::{Incarnation, NodeEntry};
 use streamfold_policy::Moment;
@@ -21,6 +22,7 @@
         node: "own".parse().expect("a name"),
         domain: "zone-a".parse().expect("a failure domain"),
         regions: HashMap::new(),
+        spent_for: Duration::from_secs(10),
     })
 }
 
