--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod relay_service;
 pub mod request;
 pub mod router;
+mod router_stop;
 pub mod server;
 pub mod settings;
 pub mod single;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -31,16 +31,6 @@
 const USED_RATIO: f64 = 0.9;
 /// How often doubtful servers and resting connections are looked at.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
-/// A stopping node still takes requests for so long: the balancer asks each second and takes a
-/// node out after two answers that say no.
-const LAME_DUCK: Duration = Duration::from_millis(2_500);
-/// How long removing the node's entry may take: no longer than it serves on.
-const WITHDRAW_WITHIN: Duration = Duration::from_millis(2_000);
-/// Before the platform kills the process, requests in flight are given up.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// How often a stopping node looks whether it is done.
-const STOP_LOOK: Duration = Duration::from_millis(20);
-
 /// How far a stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouterPhase {
@@ -57,7 +47,7 @@
     /// Its settings as it started.
     pub settings: RouterSettings,
     /// Its settings as last read; only what may change while it runs is taken from here.
-    live: ArcSwap<RouterSettings>,
+    pub(crate) live: ArcSwap<RouterSettings>,
     /// Its clock.
     pub clock: NodeClock,
     /// Its run.
@@ -103,7 +93,7 @@
 pub struct RunningRouter {
     /// The router.
     pub router: Arc<Router>,
-    tasks: JoinSet<()>,
+    pub(crate) tasks: JoinSet<()>,
 }
 
 /// Counts one thing for as long as it lives.
@@ -292,17 +282,6 @@
         self.heard_version.load(Ordering::Relaxed) > self.cluster.version().0
     }
 
-    /// Removes this node's entry, unless a later run of it has written its own.
-    async fn withdraw(&self) {
-        let entry = self.own_entry();
-        let withdrawn = tokio::time::timeout(WITHDRAW_WITHIN, self.feed.withdraw(&entry)).await;
-        match withdrawn {
-            Ok(Ok(())) => tracing::info!(event = "withdrawn", node = %self.settings.node),
-            Ok(Err(error)) => tracing::warn!(event = "withdraw_failed", %error),
-            Err(_) => tracing::warn!(event = "withdraw_failed", error = "no answer in time"),
-        }
-    }
-
     /// Notes where the news of the store come from.
     pub fn set_source(&self, source: FeedSource) {
         let before = self.source.send_replace(source);
@@ -326,41 +305,4 @@
         let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / view.node_count() as f64 };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
     }
-
-    fn is_busy(&self) -> bool {
-        self.connections.load(Ordering::SeqCst) > 0 || self.requests.load(Ordering::SeqCst) > 0
-    }
-
-    fn set_phase(&self, phase: RouterPhase) {
-        tracing::info!(
-            event = "stop_phase",
-            phase = ?phase,
-            requests = self.requests.load(Ordering::SeqCst),
-            connections = self.connections.load(Ordering::SeqCst)
-        );
-        self.phase.send_replace(phase);
-    }
-}
-
-impl RunningRouter {
-    /// Stops as planned: no longer ready at once, serving on until the balancer has noticed,
-    /// then closing connections as their requests end.
-    pub async fn stop(mut self) {
-        let router = self.router.clone();
-        let began = tokio::time::Instant::now();
-        router.set_phase(RouterPhase::LameDuck);
-        tokio::join!(tokio::time::sleep(LAME_DUCK), router.withdraw());
-        router.set_phase(RouterPhase::Closing);
-        let end = began + router.live.load().grace.0.saturating_sub(KILL_MARGIN);
-        while router.is_busy() && tokio::time::Instant::now() < end {
-            tokio::time::sleep(STOP_LOOK).await;
-        }
-        tracing::info!(
-            event = "stopped",
-            node = %router.settings.node,
-            given_up = router.requests.load(Ordering::SeqCst),
-            took_ms = began.elapsed().as_millis() as u64
-        );
-        self.tasks.shutdown().await;
-    }
 }
