Routes that other nodes have are not read from a store that is away

Cause, by reading: a node turned away by the store that heard of newer routes would have asked it up to six times a second; the other nodes are asked for them already.

--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -45,12 +45,13 @@
     }
 }
 
-/// Reads the routes from the store when another node has newer ones that do not arrive.
+/// Reads the routes from the store when another node has newer ones that do not arrive. While the
+/// store is away the other nodes are asked for them instead.
 pub async fn catch_up(router: Arc<Router>) {
     loop {
         router.newer_routes.notified().await;
         tokio::time::sleep(NEWER_WITHIN).await;
-        if !router.is_behind() {
+        if !router.is_behind() || !router.is_followed(FeedTopic::Routes) {
             continue;
         }
         tracing::info!(event = "routes_behind", version = %router.cluster.version());
