--- a/crates/policy/src/feed_rule.rs
+++ b/crates/policy/src/feed_rule.rs
@@ -3,9 +3,8 @@
 
 use crate::owner::choose_owners;
 
-/// With fewer nodes than this in a failure domain each follows the store by itself: sharing
-/// would save a call or two and adds one more node that can fail.
-const MIN_SHARING: usize = 4;
+/// With fewer nodes than this in a failure domain there is nobody to share with.
+const MIN_SHARING: usize = 2;
 /// Nodes that prefer the same reader: with a hundred a reader of an eighth of a core was busy with
 /// them alone and held 58 MB (sweep of 300 nodes).
 const FAN_OUT: usize = 16;
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -10,8 +10,9 @@
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
 
-/// How long a watch waits in the store: the longest it allows.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// How long a watch of nodes waits in the store, since nodes matter little from one second to the
+/// next: about the longest that it allows. The other watches wait as long as the settings say.
+const NODES_WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Pauses after changes, in which more of them may come that one call then brings. A server
 /// that leaves must get no request 3 s after; nodes matter little from one second to the next.
 const SERVERS_PAUSE: Duration = Duration::from_millis(200);
@@ -79,7 +80,7 @@
     async fn step(&self) -> Result<FeedPosition, StoreError> {
         let Some(position) = self.position else { return self.list().await };
         let router = &self.router;
-        let news = router.feed.watch(self.topic, position, WATCH_WAIT).await?;
+        let news = router.feed.watch(self.topic, position, self.watch_wait()).await?;
         if news.changes.is_empty() {
             return Ok(news.position);
         }
@@ -91,6 +92,13 @@
         Ok(news.position)
     }
 
+    fn watch_wait(&self) -> Duration {
+        match self.topic {
+            FeedTopic::Routes | FeedTopic::Servers => self.router.settings.silence_within.0,
+            FeedTopic::Nodes => NODES_WATCH_WAIT,
+        }
+    }
+
     fn pause(&self) -> Duration {
         match self.topic {
             FeedTopic::Routes => Duration::ZERO,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -25,8 +25,9 @@
 /// How long all readers together may take to begin before the store is followed directly.
 const SWITCH_WITHIN: Duration = Duration::from_millis(1_000);
 /// The same for a node that has just been started again and knows nothing yet: where all nodes
-/// of the failure domain were killed together there is no reader to wait for.
-const RESTART_WITHIN: Duration = Duration::from_millis(200);
+/// of the failure domain were killed together there is no reader to wait for. One that is there
+/// answers within a millisecond or two.
+const RESTART_WITHIN: Duration = Duration::from_millis(40);
 /// How often a node that follows the store looks for a reader.
 const LOOK_EVERY: Duration = Duration::from_secs(3);
 /// At the very first start of all nodes, the time for every node to register.
@@ -48,6 +49,8 @@
 pub struct RelayRequest {
     /// The node that asks.
     pub node: NodeId,
+    /// Whether it waits for one that is about to follow the store itself.
+    pub can_wait: bool,
 }
 
 /// All that a reader knows.
@@ -96,10 +99,10 @@
 pub async fn follow(router: Arc<Router>) {
     look_around(&router).await;
     let mut lost: Option<NodeId> = None;
-    let mut patience = if router.settings.first_start { SWITCH_WITHIN } else { RESTART_WITHIN };
+    let mut can_wait = router.settings.first_start;
     loop {
-        let reader = find_reader(&router, lost.as_ref(), patience).await;
-        patience = SWITCH_WITHIN;
+        let reader = find_reader(&router, lost.as_ref(), can_wait).await;
+        can_wait = true;
         match reader {
             Some(mut subscription) => {
                 let error = subscription.run(&router).await;
@@ -130,18 +133,19 @@
 }
 
 /// The first of the readers that begins in time; not the one that was just lost.
-async fn find_reader(router: &Router, lost: Option<&NodeId>, within: Duration) -> Option<RelaySubscription> {
+async fn find_reader(router: &Router, lost: Option<&NodeId>, can_wait: bool) -> Option<RelaySubscription> {
     let readers = list_readers(router);
     let candidates = readers.into_iter().filter(|entry| Some(&entry.node) != lost);
     let first_to_begin = async {
         for entry in candidates {
-            match RelaySubscription::open(router, &entry).await {
+            match RelaySubscription::open(router, &entry, can_wait).await {
                 Ok(subscription) => return Some(subscription),
                 Err(error) => tracing::debug!(event = "reader_refused", reader = %entry.node, %error),
             }
         }
         None
     };
+    let within = if can_wait { SWITCH_WITHIN } else { RESTART_WITHIN };
     tokio::time::timeout(within, first_to_begin).await.unwrap_or_default()
 }
 
@@ -164,9 +168,9 @@
 }
 
 impl RelaySubscription {
-    async fn open(router: &Router, entry: &NodeEntry) -> Result<Self, RelayError> {
+    async fn open(router: &Router, entry: &NodeEntry, can_wait: bool) -> Result<Self, RelayError> {
         let link = PeerLink::new(entry.peer_address);
-        let request = RelayRequest { node: router.settings.node.clone() };
+        let request = RelayRequest { node: router.settings.node.clone(), can_wait };
         let begin = async {
             let mut frames = link.stream(PATH_RELAY, &request).await?;
             let first = frames.next::<RelayFrame>().await?;
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -66,7 +66,8 @@
     request: &RelayRequest,
     respond: &mut SendResponse<Bytes>,
 ) -> Result<(), PeerError> {
-    if !becomes_reader(router).await {
+    let is_source = if request.can_wait { becomes_reader(router).await } else { is_reader(router) };
+    if !is_source {
         return refuse(respond);
     }
     tracing::info!(event = "follower_begun", follower = %request.node);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -42,6 +42,11 @@
     /// How long a node of the failure domain must be out of reach until its entry is removed.
     #[serde(default = "default_gone_after")]
     pub gone_after: TimeSpan,
+    /// How long a watch of servers or routes waits in the store. A connection to it may fall silent
+    /// for good without a reset, also while probes of it are answered, and only a wait that does not
+    /// end shows that.
+    #[serde(default = "default_silence_within")]
+    pub silence_within: TimeSpan,
     /// Log filter.
     #[serde(default = "default_log")]
     pub log: String,
@@ -78,6 +83,11 @@
     TimeSpan(Duration::from_secs(60))
 }
 
+/// Used where the file has none; the least that the platform forgives after connections were reset.
+fn default_silence_within() -> TimeSpan {
+    TimeSpan(Duration::from_secs(4))
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
