Calls that nobody needs any more end at once

Cause: calls that were outrun by a hedge, or whose request was answered without them, went on for 300 ms and kept a slot of a server with two; late queries waited behind work of no use. Change: a request's calls are dropped with it: the connection is reset, on which servers drop the work.

--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -7,7 +7,6 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use futures_util::stream::StreamExt;
 use streamfold_model::{RouteKind, RouteSpec};
 use streamfold_policy::Moment;
 use streamfold_policy::replica::Distance;
@@ -20,11 +19,6 @@
 use crate::router::Router;
 use crate::server::Server;
 
-/// Calls that were outrun, or whose caller left another node, go on for so long: their answers
-/// tell when a server that fell silent is back, and their connections stay usable. A caller
-/// that left may keep servers at work for half a second.
-const OUTRUN_LIFE: Duration = Duration::from_millis(300);
-
 /// Added to the cost of a server whose entry is gone: any other that answers goes first.
 const DOUBT_COST_US: f64 = 1e9;
 
@@ -230,12 +224,4 @@
             self.hedge(position, attempts, calls, far);
         }
     }
-
-    /// Lets calls that were outrun go on for a moment.
-    pub fn release(&self, calls: PendingCalls) {
-        if calls.is_empty() {
-            return;
-        }
-        tokio::spawn(tokio::time::timeout(OUTRUN_LIFE, calls.for_each(|_| std::future::ready(()))));
-    }
 }
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -84,7 +84,6 @@
     round.delegate();
     round.start_rest();
     let step = round.wait().await;
-    round.release();
     let delegated = round.slots.iter().filter(|slot| slot.batch.is_some()).count();
     let result = match step {
         FoldStep::Answer => round.answer(),
@@ -218,13 +217,6 @@
         }
     }
 
-    /// Lets calls that were outrun go on for a moment.
-    pub(crate) fn release(&mut self) {
-        self.context.release(std::mem::take(&mut self.calls));
-        // Dropped, they tell the other nodes that no more is wanted.
-        self.pending_batches.clear();
-    }
-
     pub(crate) fn fold(&self) -> Bytes {
         let direct = self.slots.iter().filter_map(|slot| slot.part.as_ref()).map(|part| &part.records);
         let folded = self.batches.iter().map(|batch| &batch.records);
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -43,11 +43,6 @@
             self.round.wait_for_more().await;
         }
     }
-
-    /// Lets what was outrun go on for a moment.
-    pub fn release(mut self) {
-        self.round.release();
-    }
 }
 
 impl GatherRound<'_> {
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -93,7 +93,6 @@
                 let frame = if is_last { BatchFrame::Done(reply) } else { BatchFrame::Partial(reply) };
                 send_frame(&mut stream, encode_frame(&frame)?, is_last).await?;
                 if is_last {
-                    gather.release();
                     return Ok(());
                 }
             }
@@ -102,10 +101,7 @@
                 send_frame(&mut stream, encode_frame(&BatchFrame::Working)?, false).await?;
             }
             // The asking node is done with it or its caller has left: no call starts any more.
-            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => {
-                gather.release();
-                return Ok(());
-            }
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
         }
     }
 }
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -44,8 +44,6 @@
     let mut round = SingleRound { context, attempts, calls: PendingCalls::new(), failure: None };
     round.context.start(0, &mut round.attempts, &round.calls);
     let answer = round.wait().await;
-    let calls = std::mem::take(&mut round.calls);
-    context.release(calls);
     match answer.or(round.failure.take()) {
         Some(reply) => Ok(pass_on(reply)),
         None => Err(round.refusal()),
