Mechanisms of decision can be switched off in a node's settings

Cause: what a mechanism is worth was believed, not measured. Change: without: [names] in the settings of routing mode; unknown names are refused with the known ones; logged at start.

--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -46,8 +46,14 @@
     };
     check_range("extra_calls.ratio", extra.ratio, (0.0..=10.0).contains(&extra.ratio), "0 to 10");
     check_range("extra_calls.allowance", extra.allowance, extra.allowance >= 0.0, "0 or more");
-    let window = extra.window.0.as_secs_f64();
-    check_range("extra_calls.window", window, window > 0.0, "longer than 0s");
+    let spans = [
+        ("extra_calls.window", extra.window),
+        ("gone_after", settings.gone_after),
+        ("silence_within", settings.silence_within),
+    ];
+    for (name, span) in spans {
+        check_range(name, span.0.as_secs_f64(), !span.0.is_zero(), "longer than 0s");
+    }
     let ports = [
         ("callers", settings.callers),
         ("ready", settings.ready),
--- a/crates/daemon/tests/route_settings.rs
+++ b/crates/daemon/tests/route_settings.rs
@@ -45,3 +45,16 @@
     let wrong = GOOD.replace("ratio: 0.2", "ratio: -1").replace("allowance: 54", "allowance: -2");
     assert_snapshot!(problems(&wrong.replace("127.0.0.1:7103", "127.0.0.1:7100").replace("10s", "0s")));
 }
+
+#[test]
+fn mechanisms_to_do_without_are_read_by_name_and_unknown_ones_refused() {
+    let settings = parse("node.yaml", &format!("{GOOD}without: [near_hedges, told_load]\n")).expect("settings");
+    let names: Vec<String> = settings.without.iter().map(ToString::to_string).collect();
+    assert_eq!(names, ["near_hedges", "told_load"]);
+    assert_snapshot!(problems(&format!("{GOOD}without: [near_hedges, tea]\n")));
+}
+
+#[test]
+fn spans_that_would_leave_no_pause_are_refused() {
+    assert_snapshot!(problems(&format!("{GOOD}gone_after: 0s\nsilence_within: 0s\n")));
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fold_rule;
 pub mod hedge;
 pub mod latency;
+pub mod mechanism;
 pub mod members;
 pub mod moment;
 pub mod owner;
@@ -28,6 +29,7 @@
 pub use budget::TokenBudget;
 pub use finish::FinishRule;
 pub use latency::LatencyTrack;
+pub use mechanism::{Mechanism, MechanismSet};
 pub use members::{HandoverRecord, MemberEntry, MemberState, MemberTable, MemberTimes, TicketHolder};
 pub use moment::Moment;
 pub use pin::HeldVersions;
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::mechanism::{Mechanism, MechanismSet};
 use crate::moment::Moment;
 
 /// Share of a new sample in a server's relative slowness.
@@ -82,6 +83,7 @@
     answered: Moment,
     resting_until: Moment,
     load: Option<(f64, Moment)>,
+    mechanisms: MechanismSet,
 }
 
 impl ReplicaState {
@@ -100,9 +102,15 @@
             answered: Moment::default(),
             resting_until: Moment::default(),
             load: None,
+            mechanisms: MechanismSet::default(),
         }
     }
 
+    /// The same, judged by some mechanisms only.
+    pub fn with(self, mechanisms: MechanismSet) -> Self {
+        Self { mechanisms, ..self }
+    }
+
     /// Calls of this node that run on it.
     pub fn running(&self) -> u32 {
         self.running
@@ -111,7 +119,8 @@
     /// Relative slowness: 1 for a typical server.
     pub fn slowness(&self, now: Moment) -> f64 {
         let learnt = 1.0 + (self.slowness - 1.0) * self.fading(now);
-        if now < self.warm_at { learnt.max(WARMUP_SLOWNESS) } else { learnt }
+        let is_cold = now < self.warm_at && self.mechanisms.has(Mechanism::WarmUp);
+        if is_cold { learnt.max(WARMUP_SLOWNESS) } else { learnt }
     }
 
     /// How much longer it is slow from its start.
@@ -144,7 +153,9 @@
     /// Whether it is believed not to answer now.
     pub fn is_avoided(&self, now: Moment) -> bool {
         let is_silent = self.silent_until.is_some_and(|until| now < until);
-        is_silent || now < self.resting_until
+        let is_resting = now < self.resting_until;
+        (is_silent && self.mechanisms.has(Mechanism::SilenceRouting))
+            || (is_resting && self.mechanisms.has(Mechanism::FailureRest))
     }
 
     /// What a call would cost here, in microseconds, where `typical` is the time such a call
@@ -184,6 +195,7 @@
 
     fn learn_slowness(&mut self, now: Moment, ratio: f64) {
         let known = self.slowness(now);
+        let ratio = if self.mechanisms.has(Mechanism::Slowness) { ratio } else { known };
         // Both beliefs fade from the same moment on.
         self.refusals *= self.fading(now);
         self.slowness = known + SLOWNESS_GAIN * (ratio.min(MAX_SLOWNESS) - known);
@@ -220,11 +232,15 @@
 
     fn note_refusal(&mut self, now: Moment) {
         self.learn_slowness(now, self.slowness(now));
-        self.refusals += REFUSAL_GAIN * (1.0 - self.refusals);
+        if self.mechanisms.has(Mechanism::RefusalMemory) {
+            self.refusals += REFUSAL_GAIN * (1.0 - self.refusals);
+        }
     }
 
     /// Notes the load it told: requests it runs and holds waiting, from everybody.
     pub fn learn_load(&mut self, now: Moment, running: u32, waiting: u32) {
-        self.load = Some((f64::from(running + waiting), now));
+        if self.mechanisms.has(Mechanism::ToldLoad) {
+            self.load = Some((f64::from(running + waiting), now));
+        }
     }
 }
--- /dev/null
+++ b/crates/policy/tests/mechanism.rs
@@ -0,0 +1,41 @@
+//! Mechanisms that a node may be told to do without.
+
+use std::time::Duration;
+
+use streamfold_policy::replica::{CallSample, Distance, ReplicaState};
+use streamfold_policy::{Mechanism, MechanismSet, Moment};
+
+const TYPICAL: Duration = Duration::from_millis(10);
+
+/// What a server costs that has answered slowly, refused a call and told a load.
+fn cost_without(mechanisms: &[Mechanism]) -> f64 {
+    let now = Moment(1_000_000);
+    let warm_at = now.plus(Duration::from_secs(1));
+    let mut state = ReplicaState::new(2, warm_at).with(MechanismSet::without(mechanisms));
+    state.start();
+    state.finish(now, CallSample::Answered(5.0));
+    state.start();
+    state.finish(now, CallSample::Full);
+    state.learn_load(now, 2, 3);
+    state.cost(now, Distance::Domain, TYPICAL)
+}
+
+#[test]
+fn each_belief_can_be_left_out_of_the_cost() {
+    use Mechanism::{FailureRest, RefusalMemory, Slowness, ToldLoad, WarmUp};
+    let lines = [vec![], vec![FailureRest], vec![FailureRest, RefusalMemory], vec![FailureRest, ToldLoad]];
+    let more = [vec![FailureRest, Slowness], vec![FailureRest, Slowness, WarmUp, ToldLoad, RefusalMemory]];
+    let told = lines.iter().chain(&more).map(|without| format!("{without:?}: {:.0}", cost_without(without)));
+    insta::assert_snapshot!(told.collect::<Vec<_>>().join("\n"));
+}
+
+#[test]
+fn names_are_read_back_and_others_refused_with_the_known_ones() {
+    let error = "hedges".parse::<Mechanism>().expect_err("no mechanism of this name");
+    insta::assert_snapshot!(error);
+    let listed = error.to_string();
+    let (_, names) = listed.split_once("; there are ").expect("the known names");
+    for name in names.split(", ") {
+        assert_eq!(name.parse::<Mechanism>().expect("a mechanism").to_string(), name);
+    }
+}
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -8,8 +8,8 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use streamfold_model::{RouteKind, RouteSpec};
-use streamfold_policy::Moment;
 use streamfold_policy::replica::Distance;
+use streamfold_policy::{Mechanism, Moment};
 
 use crate::attempts::ServiceAttempts;
 use crate::call::{self, CallTerms, EndedCall};
@@ -94,6 +94,8 @@
         let candidates = candidates.filter(|server| !has_asked || is_asked(server));
         let needs_near = self.needs_near(attempts, service);
         let candidates = candidates.filter(|server| !needs_near || server.distance == Distance::Domain);
+        let tries_doubtful = self.router.has(Mechanism::DoubtfulServers);
+        let candidates = candidates.filter(|server| tries_doubtful || !server.is_doubtful());
         let cost = |server: &Arc<Server>| {
             let typical = self.times.typical(server.distance, self.route.target_latency);
             let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
@@ -197,7 +199,8 @@
     fn pause(&self, attempts: &mut ServiceAttempts) {
         let pause = (FIRST_PAUSE * 2u32.pow(attempts.pauses.min(4))).min(MAX_PAUSE);
         let again = self.now().plus(pause.mul_f64(rand::random_range(0.8..1.2)));
-        if self.is_spent(attempts) || attempts.passed.is_empty() || again > self.retry_until {
+        let is_possible = self.router.has(Mechanism::RetryPauses) && !attempts.passed.is_empty();
+        if !is_possible || self.is_spent(attempts) || again > self.retry_until {
             return;
         }
         attempts.pauses += 1;
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -9,8 +9,8 @@
 
 use arc_swap::ArcSwap;
 use streamfold_model::{FailureDomain, NodeEntry, NodeId, RouteTable, ServerEntry, ServerId, TableVersion};
-use streamfold_policy::Moment;
 use streamfold_policy::replica::Distance;
+use streamfold_policy::{MechanismSet, Moment};
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
 use crate::cluster_parts::ClusterParts;
@@ -54,6 +54,8 @@
     /// How long a node that is gone may have spent of what all nodes share: the window in which
     /// extra calls are counted.
     pub spent_for: Duration,
+    /// The mechanisms by which servers are judged.
+    pub mechanisms: MechanismSet,
 }
 
 impl ClusterPlace {
@@ -192,7 +194,7 @@
             draining = entry.is_draining
         );
         let distance = self.place.distance(&entry.domain);
-        parts.servers.insert(entry.id.clone(), Server::new(entry, distance, now));
+        parts.servers.insert(entry.id.clone(), Server::new(entry, distance, now, self.place.mechanisms));
         parts.budgets.entry(entry.service.clone()).or_default();
         true
     }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -15,7 +15,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use streamfold_link::socket::watch_peer;
 use streamfold_model::{RouteSpec, RouteTable, RouteTarget};
-use streamfold_policy::Moment;
+use streamfold_policy::split_rule::SplitTurns;
+use streamfold_policy::{Mechanism, Moment};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -197,7 +198,7 @@
             });
             end.result
         }
-        RouteTarget::One(parts) => match single::choose_service(parts, context.view.turns(&context.route.name)) {
+        RouteTarget::One(parts) => match single::choose_service(parts, find_turns(&context)) {
             Some(service) => single::run(&context, service).await,
             None => Err(RefusalKind::NoRoute),
         },
@@ -208,6 +209,11 @@
     result.unwrap_or_else(|kind| refuse(&*router.format, kind))
 }
 
+/// The turns of a request's route, if it is split and goes by turns.
+fn find_turns(context: &AttemptContext) -> Option<&SplitTurns> {
+    context.view.turns(&context.route.name).filter(|_| context.router.has(Mechanism::SplitTurns))
+}
+
 /// What an answer over all shards covers.
 struct RequestCoverage {
     answered: usize,
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http::HeaderValue;
+use streamfold_policy::Mechanism;
 
 use crate::batch::{BatchFrame, BatchMode, FoldedShard, MissingShard, ShardReply};
 use crate::delegate::{BatchOrder, read_on};
@@ -12,6 +13,9 @@
 impl GatherRound<'_> {
     /// Hands shards without a server near to nodes near their servers.
     pub(crate) fn delegate(&mut self) {
+        if !self.context.router.has(Mechanism::FarFolding) {
+            return;
+        }
         for (domain, positions) in self.context.plan_batches(&self.slots) {
             let Some(peer) = self.context.choose_peer(&domain) else { continue };
             let number = self.batches.len();
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use streamfold_policy::Moment;
 use streamfold_policy::replica::Distance;
+use streamfold_policy::{Mechanism, Moment};
 
 use crate::attempt_context::{AttemptContext, MIN_TYPICAL_SECONDS, PendingCalls};
 use crate::attempts::ServiceAttempts;
@@ -42,7 +42,7 @@
         if is_news && !attempts.is_handed {
             self.note_overdue(&late, attempts.started);
         }
-        let next = self.best_server(attempts).filter(|server| !server.state().is_busy(self.now()));
+        let next = self.best_server(attempts).filter(|server| self.may_hedge(server));
         let via = next.as_ref().filter(|_| far.is_some()).and_then(|server| self.find_node_near(server));
         let has_started = match (&next, &via) {
             (None, _) => false,
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Whether a server takes hedges: one with a queue would make both calls longer.
+    fn may_hedge(&self, server: &Server) -> bool {
+        let mechanism = match server.distance {
+            Distance::Domain | Distance::Region => Mechanism::NearHedges,
+            Distance::Far => Mechanism::FarHedges,
+        };
+        self.router.has(mechanism) && !server.state().is_busy(self.now())
+    }
+
     /// Looks for a free server again after a pause, while there is time and one may be asked.
     fn look_again(&self, attempts: &mut ServiceAttempts) {
         let again = self.now().plus(HEDGE_PAUSE);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -7,6 +7,7 @@
 use bincode::{Decode, Encode};
 use streamfold_link::{FrameReader, PeerError, PeerLink};
 use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry};
+use streamfold_policy::Mechanism;
 use streamfold_policy::feed_rule::choose_readers;
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
@@ -151,6 +152,9 @@
 
 /// The nodes that this one may follow, the preferred first.
 fn list_readers(router: &Router) -> Vec<NodeEntry> {
+    if !router.has(Mechanism::DomainReaders) {
+        return Vec::new();
+    }
     let place = router.cluster.place();
     let neighbours = router.cluster.neighbours();
     let names: Vec<&str> = neighbours.iter().map(|entry| entry.node.as_str()).collect();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,8 +7,8 @@
 use arc_swap::ArcSwap;
 use streamfold_link::PeerLink;
 use streamfold_model::{Incarnation, NodeEntry, TableVersion};
-use streamfold_policy::Moment;
 use streamfold_policy::extra_budget::ExtraLimits;
+use streamfold_policy::{Mechanism, Moment};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
@@ -143,7 +143,8 @@
         incarnation = %router.incarnation,
         failure_domain = %router.settings.failure_domain,
         callers = %router.settings.callers,
-        platform = %router.settings.platform
+        platform = %router.settings.platform,
+        without = join_names(&router.settings.without)
     );
     let mut tasks = JoinSet::new();
     tasks.spawn(front::serve(router.clone(), callers));
@@ -162,6 +163,11 @@
     Ok(RunningRouter { router, tasks })
 }
 
+fn join_names(mechanisms: &[Mechanism]) -> Option<String> {
+    let names: Vec<String> = mechanisms.iter().map(ToString::to_string).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
+
 /// Registers this node, and looks after its entry and those of nodes near it from then on.
 async fn announce(router: Arc<Router>) {
     feed::announce(&router).await;
@@ -189,6 +195,7 @@
             domain: settings.failure_domain.clone(),
             regions: settings.regions.clone(),
             spent_for: settings.extra_calls.window.0,
+            mechanisms: settings.mechanisms(),
         };
         Self {
             started: clock.now(),
@@ -213,6 +220,11 @@
         }
     }
 
+    /// Whether a mechanism of decision is in use.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        self.cluster.place().mechanisms.has(mechanism)
+    }
+
     /// This node's entry for the others.
     pub fn own_entry(&self) -> NodeEntry {
         NodeEntry {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use streamfold_model::{FailureDomain, ServerEntry, ServerId, ServiceName};
-use streamfold_policy::Moment;
 use streamfold_policy::replica::{Distance, ReplicaState};
+use streamfold_policy::{MechanismSet, Moment};
 use tokio::sync::Notify;
 
 use crate::connection::ServerConnection;
@@ -92,7 +92,7 @@
 
 impl Server {
     /// A server that is not connected to yet.
-    pub fn new(entry: &ServerEntry, distance: Distance, now: Moment) -> Arc<Self> {
+    pub fn new(entry: &ServerEntry, distance: Distance, now: Moment, mechanisms: MechanismSet) -> Arc<Self> {
         Arc::new(Self {
             id: entry.id.clone(),
             service: entry.service.clone(),
@@ -102,7 +102,7 @@
             slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
             doubtful: AtomicBool::new(false),
-            state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup))),
+            state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(mechanisms)),
             resting: Mutex::default(),
             count: Arc::default(),
         })
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use streamfold_model::{FailureDomain, NodeId, TimeSpan};
+use streamfold_policy::{Mechanism, MechanismSet};
 
 /// Settings of one node, as the file has them. What it does not know is ignored, since the
 /// platform may add more.
@@ -47,12 +48,25 @@
     /// end shows that.
     #[serde(default = "default_silence_within")]
     pub silence_within: TimeSpan,
+    /// Mechanisms of decision that are not used, so that what each is worth can be measured.
+    #[serde(default, deserialize_with = "read_mechanisms")]
+    pub without: Vec<Mechanism>,
     /// Log filter.
     #[serde(default = "default_log")]
     pub log: String,
 }
 
+fn read_mechanisms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Mechanism>, D::Error> {
+    let names = Vec::<String>::deserialize(deserializer)?;
+    names.iter().map(|name| name.parse().map_err(serde::de::Error::custom)).collect()
+}
+
 impl RouterSettings {
+    /// The mechanisms of decision in use.
+    pub fn mechanisms(&self) -> MechanismSet {
+        MechanismSet::without(&self.without)
+    }
+
     /// Whether a node with these settings would have the same name, place and ports.
     pub fn has_same_place(&self, other: &Self) -> bool {
         let place = |settings: &Self| (settings.node.clone(), settings.failure_domain.clone());
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Response};
 use http_body_util::Full;
 use streamfold_model::{ServiceName, WeightedService};
-use streamfold_policy::split_rule::SplitTurns;
+use streamfold_policy::split_rule::{SplitTurns, draw_part};
 
 use crate::answer::{CallerAnswer, RefusalKind};
 use crate::attempt_context::{AttemptContext, PendingCalls};
@@ -21,9 +21,12 @@
 /// The service whose turn it is by the weights. A request stays with it: one that it has no room
 /// for is refused and not moved, or the others would get more than their share.
 pub fn choose_service<'a>(parts: &'a [WeightedService], turns: Option<&SplitTurns>) -> Option<&'a ServiceName> {
-    let (Some(turns), true) = (turns, parts.len() > 1) else { return parts.first().map(|part| &part.service) };
+    if parts.len() < 2 {
+        return parts.first().map(|part| &part.service);
+    }
     let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
-    turns.take(&weights).map(|position| &parts[position].service)
+    let chosen = turns.map_or_else(|| draw_part(&weights), |turns| turns.take(&weights));
+    chosen.map(|position| &parts[position].service)
 }
 
 /// A request to one service under way.
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use streamfold_model::{Incarnation, NodeEntry};
-use streamfold_policy::Moment;
+use streamfold_policy::{MechanismSet, Moment};
 use streamfold_router::border::{FeedChange, FeedItem, FeedTopic};
 use streamfold_router::cluster::{Cluster, ClusterPlace, NewsOrigin};
 
@@ -23,6 +23,7 @@
         domain: "zone-a".parse().expect("a failure domain"),
         regions: HashMap::new(),
         spent_for: Duration::from_secs(10),
+        mechanisms: MechanismSet::default(),
     })
 }
 
