--- a/crates/policy/src/mechanism.rs
+++ b/crates/policy/src/mechanism.rs
@@ -17,6 +17,8 @@
     SilenceRouting,
     /// Servers that took long are asked less.
     Slowness,
+    /// Servers are judged by their open calls too.
+    OpenCalls,
     /// The load that servers tell counts.
     ToldLoad,
     /// Servers that refused or failed calls are asked less.
@@ -36,12 +38,13 @@
 }
 
 /// Every mechanism with its name in settings, by the order of the type.
-const NAMES: [(Mechanism, &str); 13] = [
+const NAMES: [(Mechanism, &str); 14] = [
     (Mechanism::NearHedges, "near_hedges"),
     (Mechanism::FarHedges, "far_hedges"),
     (Mechanism::FarFolding, "far_folding"),
     (Mechanism::SilenceRouting, "silence_routing"),
     (Mechanism::Slowness, "slowness"),
+    (Mechanism::OpenCalls, "open_calls"),
     (Mechanism::ToldLoad, "told_load"),
     (Mechanism::RefusalMemory, "refusal_memory"),
     (Mechanism::FailureRest, "failure_rest"),
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -72,7 +72,8 @@
 #[derive(Debug, Clone)]
 pub struct ReplicaState {
     slots: u32,
-    running: u32,
+    /// When the calls of this node that run on it started.
+    started: Vec<Moment>,
     slowness: f64,
     sampled: Moment,
     warm_at: Moment,
@@ -91,7 +92,7 @@
     pub fn new(slots: u32, warm_at: Moment) -> Self {
         Self {
             slots: slots.max(1),
-            running: 0,
+            started: Vec::new(),
             slowness: 1.0,
             sampled: Moment::default(),
             warm_at,
@@ -113,7 +114,7 @@
 
     /// Calls of this node that run on it.
     pub fn running(&self) -> u32 {
-        self.running
+        self.started.len() as u32
     }
 
     /// Relative slowness: 1 for a typical server.
@@ -142,7 +143,7 @@
     /// Work that it runs or holds waiting.
     fn ahead(&self, now: Moment) -> f64 {
         let told = self.load.filter(|(_, told)| now.since(*told) < LOAD_LIFE).map_or(0.0, |(load, _)| load);
-        told.max(f64::from(self.running))
+        told.max(self.started.len() as f64)
     }
 
     /// Whether it has answered anything since a moment.
@@ -161,7 +162,8 @@
     /// What a call would cost here, in microseconds, where `typical` is the time such a call
     /// usually takes.
     pub fn cost(&self, now: Moment, distance: Distance, typical: Duration) -> f64 {
-        let typical = typical.as_micros() as f64 * self.slowness(now);
+        let typical = typical.as_micros() as f64;
+        let typical = (typical * self.slowness(now)).max(self.open_for(now));
         let ahead = self.ahead(now);
         let slots = f64::from(self.slots);
         let queued = (ahead + 1.0 - slots).max(0.0) / slots;
@@ -172,9 +174,16 @@
         avoided + typical * (1.0 + queued + busy + refused) + distance.cost_us()
     }
 
+    /// How long the oldest call that runs on it has been open, in microseconds: an answer takes at
+    /// least as long.
+    fn open_for(&self, now: Moment) -> f64 {
+        let oldest = self.started.first().filter(|_| self.mechanisms.has(Mechanism::OpenCalls));
+        oldest.map_or(0.0, |started| now.since(*started).as_micros() as f64)
+    }
+
     /// Notes that a call starts.
-    pub fn start(&mut self) {
-        self.running += 1;
+    pub fn start(&mut self, now: Moment) {
+        self.started.push(now);
     }
 
     /// Notes that a call that started at a moment has waited longer than usual, `ratio` times
@@ -202,9 +211,11 @@
         self.sampled = now;
     }
 
-    /// Notes how a call ended.
-    pub fn finish(&mut self, now: Moment, sample: CallSample) {
-        self.running = self.running.saturating_sub(1);
+    /// Notes how a call ended that started at a moment.
+    pub fn finish(&mut self, now: Moment, started: Moment, sample: CallSample) {
+        if let Some(position) = self.started.iter().position(|open| *open == started) {
+            self.started.remove(position);
+        }
         match sample {
             CallSample::Answered(ratio) => {
                 self.silences = 0;
--- a/crates/policy/tests/routing_rules.rs
+++ b/crates/policy/tests/routing_rules.rs
@@ -123,7 +123,7 @@
     let mut now = ms(1);
     let mut spans = Vec::new();
     for _ in 0..8 {
-        server.start();
+        server.start(ms(0));
         server.note_overdue(now, now, 3.0);
         let span = avoided_for(&server, now);
         spans.push(span);
@@ -135,7 +135,7 @@
     insta::assert_debug_snapshot!(spans);
     server.note_overdue(now, now, 3.0);
     assert!(server.is_avoided(now));
-    server.finish(now, CallSample::Answered(1.0));
+    server.finish(now, ms(0), CallSample::Answered(1.0));
     assert!(!server.is_avoided(now), "an answer ends the silence");
     server.note_overdue(now, now, 3.0);
     assert_eq!(avoided_for(&server, now), spans[0], "and the next one is a first again");
@@ -145,8 +145,8 @@
 fn a_slow_server_that_answers_others_is_not_taken_for_silent() {
     let started = ms(100);
     let mut server = server();
-    (0..2).for_each(|_| server.start());
-    server.finish(ms(150), CallSample::Answered(1.0));
+    (0..2).for_each(|_| server.start(ms(0)));
+    server.finish(ms(150), ms(0), CallSample::Answered(1.0));
     assert!(server.has_answered_since(started));
     server.note_overdue(ms(200), started, 5.0);
     assert!(!server.is_avoided(ms(200)));
@@ -160,11 +160,11 @@
 fn a_server_is_busy_only_where_work_waits() {
     let now = ms(100);
     let mut server = server();
-    (0..4).for_each(|_| server.start());
+    (0..4).for_each(|_| server.start(ms(0)));
     assert!(!server.is_busy(now), "all slots are taken and nothing waits");
-    server.start();
+    server.start(ms(0));
     assert!(server.is_busy(now));
-    server.finish(now, CallSample::Abandoned);
+    server.finish(now, ms(0), CallSample::Abandoned);
     server.learn_load(now, 4, 1);
     assert!(server.is_busy(now), "by its own word");
     assert!(!server.is_busy(now.plus(Duration::from_secs(2))), "which is soon forgotten");
@@ -177,8 +177,8 @@
         let mut refusing = server();
         for _ in 0..20 {
             now = now.plus(Duration::from_secs(5));
-            refusing.start();
-            refusing.finish(now, sample);
+            refusing.start(ms(0));
+            refusing.finish(now, ms(0), sample);
         }
         // Long enough that it is not gone round any more, and soon enough to remember.
         let soon = now.plus(Duration::from_millis(2_100));
@@ -188,8 +188,8 @@
         assert!((cost(&refusing, late) / cost(&server(), late) - 1.0).abs() < 1e-3, "{sample:?}");
         let mut healed = refusing.clone();
         for _ in 0..40 {
-            healed.start();
-            healed.finish(soon, CallSample::Answered(1.0));
+            healed.start(ms(0));
+            healed.finish(soon, ms(0), CallSample::Answered(1.0));
         }
         assert!((cost(&healed, soon) / cost(&server(), soon) - 1.0).abs() < 0.05, "{sample:?}");
     }
@@ -201,17 +201,17 @@
     let mut now = ms(1);
     let mut spans = Vec::new();
     for _ in 0..8 {
-        server.start();
-        server.finish(now, CallSample::Failed);
+        server.start(ms(0));
+        server.finish(now, ms(0), CallSample::Failed);
         spans.push(avoided_for(&server, now));
         now = now.plus(Duration::from_secs(10));
     }
     insta::assert_debug_snapshot!(spans);
-    server.start();
-    server.finish(now, CallSample::Answered(1.0));
+    server.start(ms(0));
+    server.finish(now, ms(0), CallSample::Answered(1.0));
     assert!(!server.is_avoided(now));
-    server.start();
-    server.finish(now, CallSample::Failed);
+    server.start(ms(0));
+    server.finish(now, ms(0), CallSample::Failed);
     assert_eq!(avoided_for(&server, now), spans[0]);
 }
 
@@ -219,14 +219,14 @@
 fn a_full_server_rests_shortly_and_an_abandoned_call_says_nothing() {
     let now = ms(1);
     let mut full = server();
-    full.start();
-    full.finish(now, CallSample::Full);
+    full.start(ms(0));
+    full.finish(now, ms(0), CallSample::Full);
     let mut failed = server();
-    failed.start();
-    failed.finish(now, CallSample::Failed);
+    failed.start(ms(0));
+    failed.finish(now, ms(0), CallSample::Failed);
     let mut abandoned = server();
-    abandoned.start();
-    abandoned.finish(now, CallSample::Abandoned);
+    abandoned.start(ms(0));
+    abandoned.finish(now, ms(0), CallSample::Abandoned);
     assert!(avoided_for(&full, now) > 0 && avoided_for(&full, now) < avoided_for(&failed, now));
     assert_eq!((avoided_for(&abandoned, now), abandoned.running()), (0, 0));
     assert_eq!(cost(&abandoned, now).to_bits(), cost(&server(), now).to_bits());
@@ -238,8 +238,8 @@
     let mut now = ms(1);
     for _ in 0..30 {
         now = now.plus(Duration::from_millis(10));
-        slow.start();
-        slow.finish(now, CallSample::Answered(4.0));
+        slow.start(ms(0));
+        slow.finish(now, ms(0), CallSample::Answered(4.0));
     }
     let mut seen = vec![format!("learnt: {:.2}", slow.slowness(now))];
     for seconds in [1, 2, 4, 10] {
@@ -249,8 +249,8 @@
     insta::assert_snapshot!(seen.join("\n"));
     assert!(cost(&slow, now) > 2.0 * cost(&server(), now));
     let mut outlier = server();
-    outlier.start();
-    outlier.finish(now, CallSample::Answered(1e9));
+    outlier.start(ms(0));
+    outlier.finish(now, ms(0), CallSample::Answered(1e9));
     assert!(outlier.slowness(now) < 10.0, "one answer says only so much");
 }
 
@@ -267,7 +267,7 @@
     let mut avoided = server();
     avoided.note_overdue(now, now, 1.0);
     let mut busy = server();
-    (0..12).for_each(|_| busy.start());
+    (0..12).for_each(|_| busy.start(now));
     let mut told = server();
     told.learn_load(now, 4, 8);
     let typical = |server: &ReplicaState, distance| server.cost(now, distance, TYPICAL);
@@ -296,7 +296,7 @@
             now = now.plus(Duration::from_millis(u64::from(pause)));
             match kind % 6 {
                 0 | 1 => {
-                    server.start();
+                    server.start(ms(0));
                     running += 1;
                 }
                 2 => {
@@ -313,7 +313,7 @@
                         2 => CallSample::Failed,
                         _ => CallSample::Abandoned,
                     };
-                    server.finish(now, sample);
+                    server.finish(now, ms(0), sample);
                 }
             }
             if server.running() != running || !cost(&server, now).is_finite() || cost(&server, now) < 0.0 {
@@ -381,3 +381,13 @@
         }
     }
 }
+
+#[test]
+fn a_server_with_a_call_long_open_costs_as_much_as_that_call_has_taken() {
+    let mut stuck = server();
+    stuck.start(ms(0));
+    let told: Vec<u64> = [1, 10, 50, 400].map(|millis| cost(&stuck, ms(millis)) as u64).to_vec();
+    insta::assert_debug_snapshot!(told);
+    stuck.finish(ms(400), ms(0), CallSample::Abandoned);
+    assert!(cost(&stuck, ms(400)) < 1.2 * cost(&server(), ms(400)), "it is forgotten with the call");
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -73,21 +73,22 @@
 /// Tells the server's state how a call ended, also when the call is dropped.
 struct CallRecord<'a> {
     server: &'a Server,
+    started: Moment,
     sample: CallSample,
     router: &'a Router,
 }
 
 impl<'a> CallRecord<'a> {
-    fn start(router: &'a Router, server: &'a Server) -> Self {
-        server.state().start();
-        Self { server, sample: CallSample::Abandoned, router }
+    fn start(router: &'a Router, server: &'a Server, started: Moment) -> Self {
+        server.state().start(started);
+        Self { server, started, sample: CallSample::Abandoned, router }
     }
 }
 
 impl Drop for CallRecord<'_> {
     fn drop(&mut self) {
         let now = self.router.clock.now();
-        self.server.state().finish(now, self.sample);
+        self.server.state().finish(now, self.started, self.sample);
     }
 }
 
@@ -102,8 +103,8 @@
 
 /// Sends a request to a server and reads its answer.
 pub async fn run(router: Arc<Router>, server: Arc<Server>, request: Arc<CallerRequest>, terms: CallTerms) -> EndedCall {
-    let mut record = CallRecord::start(&router, &server);
     let started = router.clock.now();
+    let mut record = CallRecord::start(&router, &server, started);
     let left = request.deadline.since(started);
     let result = match tokio::time::timeout(left, exchange(&router, &server, &request, terms)).await {
         Ok(result) => result,
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -90,13 +90,14 @@
 struct PeerRecord {
     peer: Arc<PeerNode>,
     router: Arc<Router>,
+    started: Moment,
     sample: CallSample,
 }
 
 impl Drop for PeerRecord {
     fn drop(&mut self) {
         let now = self.router.clock.now();
-        self.peer.state().finish(now, self.sample);
+        self.peer.state().finish(now, self.started, self.sample);
     }
 }
 
@@ -111,8 +112,9 @@
 impl PendingBatch {
     /// A batch about to be sent.
     pub fn new(router: Arc<Router>, peer: Arc<PeerNode>) -> Self {
-        peer.state().start();
-        let record = PeerRecord { peer: peer.clone(), router, sample: CallSample::Abandoned };
+        let started = router.clock.now();
+        peer.state().start(started);
+        let record = PeerRecord { peer: peer.clone(), router, started, sample: CallSample::Abandoned };
         Self { peer, reader: None, record }
     }
 
