--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -20,11 +20,15 @@
 const MAX_REST: Duration = Duration::from_secs(2);
 /// How long a server that was full is gone round.
 const FULL_REST: Duration = Duration::from_millis(50);
-/// Share of a new sample in the share of calls that a server refuses or fails.
-const REFUSAL_GAIN: f64 = 0.15;
+/// Share of a new sample in the share of calls that a server refuses or fails: a refusal costs
+/// little time but an extra call, and comes in series; a failure is mostly one of its own; an answer
+/// says little of a server that refuses a part.
+const FULL_GAIN: f64 = 0.3;
+const FAILURE_GAIN: f64 = 0.075;
+const ANSWER_GAIN: f64 = 0.15;
 /// What a server that refuses or fails every call costs, relative to one that answers: a call
 /// to it is lost time and then one more call.
-const REFUSAL_COST: f64 = 8.0;
+const REFUSAL_COST: f64 = 16.0;
 /// A reported load counts for this long.
 const LOAD_LIFE: Duration = Duration::from_millis(500);
 /// Added to a server that is believed not to answer now; any that answers goes first.
@@ -224,15 +228,15 @@
                 self.resting_until = Moment::default();
                 self.answered = now;
                 self.learn_slowness(now, ratio);
-                self.refusals -= REFUSAL_GAIN * self.refusals;
+                self.refusals -= ANSWER_GAIN * self.refusals;
             }
             CallSample::Full => {
                 self.answered = now;
-                self.note_refusal(now);
+                self.note_refusal(now, FULL_GAIN);
                 self.resting_until = now.plus(FULL_REST);
             }
             CallSample::Failed => {
-                self.note_refusal(now);
+                self.note_refusal(now, FAILURE_GAIN);
                 let span = FIRST_REST * 2u32.pow(self.failures.min(5));
                 self.failures += 1;
                 self.resting_until = now.plus(span.min(MAX_REST));
@@ -241,10 +245,10 @@
         }
     }
 
-    fn note_refusal(&mut self, now: Moment) {
+    fn note_refusal(&mut self, now: Moment, gain: f64) {
         self.learn_slowness(now, self.slowness(now));
         if self.mechanisms.has(Mechanism::RefusalMemory) {
-            self.refusals += REFUSAL_GAIN * (1.0 - self.refusals);
+            self.refusals += gain * (1.0 - self.refusals);
         }
     }
 
--- a/crates/policy/tests/routing_rules.rs
+++ b/crates/policy/tests/routing_rules.rs
@@ -391,3 +391,17 @@
     stuck.finish(ms(400), ms(0), CallSample::Abandoned);
     assert!(cost(&stuck, ms(400)) < 1.2 * cost(&server(), ms(400)), "it is forgotten with the call");
 }
+
+#[test]
+fn a_server_that_refuses_is_remembered_sooner_than_one_that_failed_once() {
+    let after_one = |sample| {
+        let mut server = server();
+        server.start(ms(1));
+        server.finish(ms(1), ms(1), sample);
+        // Once it rests no more.
+        cost(&server, ms(150))
+    };
+    let fresh = cost(&server(), ms(150));
+    let relative = |sample| format!("{sample:?}: {:.1}", after_one(sample) / fresh);
+    insta::assert_snapshot!([CallSample::Full, CallSample::Failed].map(relative).join("\n"));
+}
