A failed call's line says why no other server was tried

Change: call_failed has retry or stop (at_most_once, server_bound, none_left, budget); a first call for which there is no server has a line of its own, call_not_made. Conclusion: no decision changes.

--- a/crates/lab/tests/routes_alone.rs
+++ b/crates/lab/tests/routes_alone.rs
@@ -166,7 +166,7 @@
 
 /// The fields of a line that say what happened and why, without times and server ids.
 fn tell(line: &str) -> String {
-    let kept = ["event", "request", "service", "failure", "sent", "route", "version", "outcome", "status"];
+    let kept = ["event", "request", "service", "failure", "sent", "stop", "route", "version", "outcome", "status"];
     let is_kept = |field: &&str| field.split_once('=').is_some_and(|(name, _)| kept.contains(&name));
     line.split(' ').filter(is_kept).collect::<Vec<_>>().join(" ")
 }
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -11,7 +11,7 @@
 use streamfold_policy::replica::Distance;
 use streamfold_policy::{Mechanism, Moment};
 
-use crate::attempts::ServiceAttempts;
+use crate::attempts::{AttemptStop, ServiceAttempts};
 use crate::call::{self, CallTerms, EndedCall};
 use crate::cluster_view::{ClusterView, RouteTimes, Service};
 use crate::hedge::FarHedge;
@@ -119,16 +119,24 @@
         is_kept && service.servers.iter().any(|server| is_near(&server))
     }
 
-    /// Starts the next attempt, if there is a server and the bounds allow one.
-    pub fn start(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) -> bool {
-        let Some(service) = self.view.services.get(&attempts.service) else { return false };
-        if self.is_spent(attempts) {
-            return false;
+    /// Starts the next attempt.
+    ///
+    /// # Errors
+    /// There is no server, or a bound allows none.
+    pub fn start(
+        &self,
+        position: usize,
+        attempts: &mut ServiceAttempts,
+        calls: &PendingCalls,
+    ) -> Result<(), AttemptStop> {
+        let service = self.view.services.get(&attempts.service).ok_or(AttemptStop::NoneLeft)?;
+        if let Some(stop) = self.find_bound(attempts) {
+            return Err(stop);
         }
-        let Some(server) = self.choose(attempts, service) else { return false };
+        let server = self.choose(attempts, service).ok_or(AttemptStop::NoneLeft)?;
         if !self.charge(attempts, service) {
             metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
-            return false;
+            return Err(AttemptStop::Budget);
         }
         attempts.sent += 1;
         attempts.pending += 1;
@@ -139,12 +147,32 @@
         let patience = self.times.patience(server.distance, self.route.target_latency);
         attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
         calls.push(self.call(position, server));
-        true
+        Ok(())
+    }
+
+    /// Starts the first attempt of this node, or tells in the log why there is none.
+    pub fn start_first(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
+        if let Err(stop) = self.start(position, attempts, calls) {
+            tracing::info!(
+                event = "call_not_made",
+                request = self.request.id_text(),
+                service = %attempts.service,
+                %stop
+            );
+        }
+    }
+
+    /// The bound by which the request may run on no further server.
+    fn find_bound(&self, attempts: &ServiceAttempts) -> Option<AttemptStop> {
+        if self.is_once() && attempts.may_have_run {
+            return Some(AttemptStop::AtMostOnce);
+        }
+        (attempts.sent >= self.route.max_attempts).then_some(AttemptStop::ServerBound)
     }
 
     /// Whether the request may run on no further server.
     pub(crate) fn is_spent(&self, attempts: &ServiceAttempts) -> bool {
-        attempts.sent >= self.route.max_attempts || (self.is_once() && attempts.may_have_run)
+        self.find_bound(attempts).is_some()
     }
 
     /// Counts a call in the budget of the service; false if it is extra and the budget is spent.
@@ -177,8 +205,8 @@
     pub fn retry(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
         let failed = attempts.tried.last().map(|server| server.id.to_string());
         let waited = self.now().since(attempts.started);
-        let has_started = self.start(position, attempts, calls);
-        if !has_started {
+        let stop = self.start(position, attempts, calls).err();
+        if stop.is_some() {
             self.pause(attempts);
         }
         tracing::info!(
@@ -189,7 +217,8 @@
             failure = attempts.failure,
             waited_ms = waited.as_millis() as u64,
             sent = attempts.sent,
-            retry = attempts.tried.last().filter(|_| has_started).map(|server| server.id.as_str()),
+            retry = attempts.tried.last().filter(|_| stop.is_none()).map(|server| server.id.as_str()),
+            stop = stop.map(tracing::field::display),
             pauses = attempts.pauses
         );
     }
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request at one service: which servers were asked, and what may be said of
 //! whether it ran.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,30 @@
 use crate::call::CallFailure;
 use crate::server::Server;
 
+/// Why no further server is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptStop {
+    /// The request may run once at most, and may have.
+    AtMostOnce,
+    /// It may be sent to no more servers.
+    ServerBound,
+    /// Every server that may be asked was.
+    NoneLeft,
+    /// The budget of extra calls is spent.
+    Budget,
+}
+
+impl fmt::Display for AttemptStop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::AtMostOnce => "at_most_once",
+            Self::ServerBound => "server_bound",
+            Self::NoneLeft => "none_left",
+            Self::Budget => "budget",
+        })
+    }
+}
+
 /// The attempts of one request at one service.
 pub struct ServiceAttempts {
     /// The service.
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -120,7 +120,7 @@
 
     pub(crate) fn start_rest(&mut self) {
         for (position, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.batch.is_none()) {
-            self.context.start(position, &mut slot.attempts, &self.calls);
+            self.context.start_first(position, &mut slot.attempts, &self.calls);
         }
     }
 
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -68,7 +68,7 @@
             if slot.part.is_none() && !slot.attempts.is_open() {
                 let (sent, has_arrived) = tally(position);
                 slot.attempts.note_elsewhere(sent, has_arrived);
-                self.context.start(position, &mut slot.attempts, &self.calls);
+                self.context.start_first(position, &mut slot.attempts, &self.calls);
             }
         }
     }
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -47,7 +47,7 @@
         let has_started = match (&next, &via) {
             (None, _) => false,
             (Some(server), Some(_)) => self.hand_over(attempts, server),
-            (Some(_), None) => self.start(position, attempts, calls),
+            (Some(_), None) => self.start(position, attempts, calls).is_ok(),
         };
         if !has_started {
             self.look_again(attempts);
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -45,7 +45,7 @@
 pub async fn run(context: &AttemptContext, service: &ServiceName) -> Result<CallerAnswer, RefusalKind> {
     let attempts = ServiceAttempts::new(service.clone());
     let mut round = SingleRound { context, attempts, calls: PendingCalls::new(), failure: None };
-    round.context.start(0, &mut round.attempts, &round.calls);
+    round.context.start_first(0, &mut round.attempts, &round.calls);
     let answer = round.wait().await;
     match answer.or(round.failure.take()) {
         Some(reply) => Ok(pass_on(reply)),
