Slowness learnt from calls that ended is removed

A call needs no typical latency any more. The switched-off turns of a split draw in the router, since policy has no dice.

--- a/crates/policy/src/mechanism.rs
+++ b/crates/policy/src/mechanism.rs
@@ -15,8 +15,6 @@
     FarFolding,
     /// Servers that fell silent are gone round.
     SilenceRouting,
-    /// Servers that took long are asked less.
-    Slowness,
     /// Servers are judged by their open calls too.
     OpenCalls,
     /// The load that servers tell counts.
@@ -38,12 +36,11 @@
 }
 
 /// Every mechanism with its name in settings, by the order of the type.
-const NAMES: [(Mechanism, &str); 14] = [
+const NAMES: [(Mechanism, &str); 13] = [
     (Mechanism::NearHedges, "near_hedges"),
     (Mechanism::FarHedges, "far_hedges"),
     (Mechanism::FarFolding, "far_folding"),
     (Mechanism::SilenceRouting, "silence_routing"),
-    (Mechanism::Slowness, "slowness"),
     (Mechanism::OpenCalls, "open_calls"),
     (Mechanism::ToldLoad, "told_load"),
     (Mechanism::RefusalMemory, "refusal_memory"),
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -5,12 +5,8 @@
 use crate::mechanism::{Mechanism, MechanismSet};
 use crate::moment::Moment;
 
-/// Share of a new sample in a server's relative slowness.
-const SLOWNESS_GAIN: f64 = 0.2;
-/// Samples are cut here, so that one very late answer does not mark a server for long.
-const MAX_SLOWNESS: f64 = 20.0;
-/// A server that got no calls is believed half as far from typical after this long.
-const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(2);
+/// What is remembered of refusals and failures fades by half in this time without a new call.
+const REFUSAL_HALF_LIFE: Duration = Duration::from_secs(2);
 /// How long a server that fell silent is gone round before one call tries it again. Servers
 /// pause for 150 to 250 ms; each further silence doubles the span.
 const FIRST_SILENCE: Duration = Duration::from_millis(300);
@@ -62,8 +58,8 @@
 /// How a call ended, as far as the server's state cares.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CallSample {
-    /// It answered, after so many times what is typical for the kind of request.
-    Answered(f64),
+    /// It answered.
+    Answered,
     /// It was full.
     Full,
     /// It failed, or could not be reached.
@@ -78,7 +74,6 @@
     slots: u32,
     /// When the calls of this node that run on it started.
     started: Vec<Moment>,
-    slowness: f64,
     sampled: Moment,
     warm_at: Moment,
     silences: u32,
@@ -97,7 +92,6 @@
         Self {
             slots: slots.max(1),
             started: Vec::new(),
-            slowness: 1.0,
             sampled: Moment::default(),
             warm_at,
             silences: 0,
@@ -121,11 +115,10 @@
         self.started.len() as u32
     }
 
-    /// Relative slowness: 1 for a typical server.
-    pub fn slowness(&self, now: Moment) -> f64 {
-        let learnt = 1.0 + (self.slowness - 1.0) * self.fading(now);
+    /// How much slower it is than a typical server, which is 1, by its own word.
+    fn slowness(&self, now: Moment) -> f64 {
         let is_cold = now < self.warm_at && self.mechanisms.has(Mechanism::WarmUp);
-        if is_cold { learnt.max(WARMUP_SLOWNESS) } else { learnt }
+        if is_cold { WARMUP_SLOWNESS } else { 1.0 }
     }
 
     /// How much longer it is slow from its start.
@@ -135,7 +128,7 @@
 
     /// What is left of a belief since the last call told something, 0 to 1.
     fn fading(&self, now: Moment) -> f64 {
-        let age = now.since(self.sampled).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        let age = now.since(self.sampled).as_secs_f64() / REFUSAL_HALF_LIFE.as_secs_f64();
         0.5f64.powf(age)
     }
 
@@ -190,28 +183,21 @@
         self.started.push(now);
     }
 
-    /// Notes that a call that started at a moment has waited longer than usual, `ratio` times
-    /// what is typical. If nothing was answered since, others go round the server until it
-    /// answers something or a span has passed; else it is only slow or has a queue.
-    pub fn note_overdue(&mut self, now: Moment, started: Moment, ratio: f64) {
-        if self.is_avoided(now) {
+    /// Notes that a call that started at a moment has waited longer than usual. If nothing was
+    /// answered since, others go round the server until it answers something or a span has passed;
+    /// else it is only slow or has a queue.
+    pub fn note_overdue(&mut self, now: Moment, started: Moment) {
+        if self.is_avoided(now) || self.has_answered_since(started) {
             return;
         }
-        if self.has_answered_since(started) {
-            return self.learn_slowness(now, ratio);
-        }
         let span = FIRST_SILENCE * 2u32.pow(self.silences.min(5));
         self.silences += 1;
         self.silent_until = Some(now.plus(span.min(MAX_SILENCE)));
-        self.learn_slowness(now, ratio);
     }
 
-    fn learn_slowness(&mut self, now: Moment, ratio: f64) {
-        let known = self.slowness(now);
-        let ratio = if self.mechanisms.has(Mechanism::Slowness) { ratio } else { known };
-        // Both beliefs fade from the same moment on.
+    /// Lets what is remembered of refusals fade up to a moment.
+    fn fade(&mut self, now: Moment) {
         self.refusals *= self.fading(now);
-        self.slowness = known + SLOWNESS_GAIN * (ratio.min(MAX_SLOWNESS) - known);
         self.sampled = now;
     }
 
@@ -221,13 +207,13 @@
             self.started.remove(position);
         }
         match sample {
-            CallSample::Answered(ratio) => {
+            CallSample::Answered => {
                 self.silences = 0;
                 self.silent_until = None;
                 self.failures = 0;
                 self.resting_until = Moment::default();
                 self.answered = now;
-                self.learn_slowness(now, ratio);
+                self.fade(now);
                 self.refusals -= ANSWER_GAIN * self.refusals;
             }
             CallSample::Full => {
@@ -246,7 +232,7 @@
     }
 
     fn note_refusal(&mut self, now: Moment, gain: f64) {
-        self.learn_slowness(now, self.slowness(now));
+        self.fade(now);
         if self.mechanisms.has(Mechanism::RefusalMemory) {
             self.refusals += gain * (1.0 - self.refusals);
         }
--- a/crates/policy/src/split_rule.rs
+++ b/crates/policy/src/split_rule.rs
@@ -28,11 +28,6 @@
     }
 }
 
-/// The position of a weight, by chance.
-pub fn draw_part(weights: &[f64]) -> Option<usize> {
-    choose_part(weights, rand::random())
-}
-
 /// The position of the weight in whose stretch a point from 0 to under 1 lies.
 pub fn choose_part(weights: &[f64], point: f64) -> Option<usize> {
     let mut left = point * weights.iter().sum::<f64>();
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -12,7 +12,7 @@
 use streamfold_policy::{Mechanism, Moment};
 
 use crate::attempts::{AttemptStop, ServiceAttempts};
-use crate::call::{self, CallTerms, EndedCall};
+use crate::call::{self, EndedCall};
 use crate::cluster_view::{ClusterView, RouteTimes, Service};
 use crate::hedge::FarHedge;
 use crate::request::CallerRequest;
@@ -27,9 +27,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const MAX_PAUSE: Duration = Duration::from_millis(200);
 
-/// The least that a call is taken to need, in seconds, where latencies are divided by it.
-pub(crate) const MIN_TYPICAL_SECONDS: f64 = 1e-4;
-
 /// Who asks for what a request is sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestAsker {
@@ -188,9 +185,7 @@
     }
 
     fn call(&self, position: usize, server: Arc<Server>) -> PendingCall {
-        let typical = self.times.typical(server.distance, self.route.target_latency);
-        let terms = CallTerms { is_once: self.is_once(), typical };
-        let running = call::run(self.router.clone(), server, self.request.clone(), terms);
+        let running = call::run(self.router.clone(), server, self.request.clone(), self.is_once());
         let clock = self.router.clock;
         let started = self.now();
         let timed = async move {
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -8,7 +8,6 @@
 use streamfold_policy::Moment;
 use streamfold_policy::replica::CallSample;
 
-use crate::attempt_context::MIN_TYPICAL_SECONDS;
 use crate::border::ReplyHead;
 use crate::error::ExchangeError;
 use crate::request::CallerRequest;
@@ -92,29 +91,17 @@
     }
 }
 
-/// What one call needs to know besides its request.
-#[derive(Debug, Clone, Copy)]
-pub struct CallTerms {
-    /// Whether the request must not run twice.
-    pub is_once: bool,
-    /// The time that such a call usually takes, for the server's relative slowness.
-    pub typical: Duration,
-}
-
-/// Sends a request to a server and reads its answer.
-pub async fn run(router: Arc<Router>, server: Arc<Server>, request: Arc<CallerRequest>, terms: CallTerms) -> EndedCall {
+/// Sends a request to a server and reads its answer; `is_once` tells that it must not run twice.
+pub async fn run(router: Arc<Router>, server: Arc<Server>, request: Arc<CallerRequest>, is_once: bool) -> EndedCall {
     let started = router.clock.now();
     let mut record = CallRecord::start(&router, &server, started);
     let left = request.deadline.since(started);
-    let result = match tokio::time::timeout(left, exchange(&router, &server, &request, terms)).await {
+    let result = match tokio::time::timeout(left, exchange(&router, &server, &request, is_once)).await {
         Ok(result) => result,
         Err(_) => Err(CallFailure::Unknown),
     };
-    let now = router.clock.now();
     record.sample = match &result {
-        Ok(_) => CallSample::Answered(
-            now.since(started).as_secs_f64() / terms.typical.as_secs_f64().max(MIN_TYPICAL_SECONDS),
-        ),
+        Ok(_) => CallSample::Answered,
         Err(CallFailure::NotRun) => CallSample::Full,
         Err(_) => CallSample::Failed,
     };
@@ -126,10 +113,10 @@
     router: &Router,
     server: &Arc<Server>,
     request: &CallerRequest,
-    terms: CallTerms,
+    is_once: bool,
 ) -> Result<ServerReply, CallFailure> {
     let now = router.clock.now();
-    let leased = server.lease(now, terms.is_once, CONNECT_TIMEOUT).await;
+    let leased = server.lease(now, is_once, CONNECT_TIMEOUT).await;
     let mut leased = leased.map_err(|error| {
         tracing::debug!(event = "server_unreachable", server = %server.id, %error);
         CallFailure::NotSent
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -41,7 +41,7 @@
     pub(crate) fn take_over(&mut self, number: usize) {
         let batch = &mut self.batches[number];
         batch.takeover_at = None;
-        batch.peer.state().note_overdue(self.context.now(), batch.started, 1.0);
+        batch.peer.state().note_overdue(self.context.now(), batch.started);
         tracing::info!(
             event = "batch_overdue",
             request = self.context.request.id_text(),
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -6,7 +6,7 @@
 use streamfold_policy::replica::Distance;
 use streamfold_policy::{Mechanism, Moment};
 
-use crate::attempt_context::{AttemptContext, MIN_TYPICAL_SECONDS, PendingCalls};
+use crate::attempt_context::{AttemptContext, PendingCalls};
 use crate::attempts::ServiceAttempts;
 use crate::peers::PeerNode;
 use crate::server::Server;
@@ -116,10 +116,7 @@
 
     /// Tells the server's state, once a call, that the call is overdue.
     fn note_overdue(&self, server: &Server, started: Moment) {
-        let now = self.now();
-        let typical = self.times.typical(server.distance, self.route.target_latency);
-        let ratio = now.since(started).as_secs_f64() / typical.as_secs_f64().max(MIN_TYPICAL_SECONDS);
-        server.state().note_overdue(now, started, ratio);
+        server.state().note_overdue(self.now(), started);
         metrics::counter!("streamfold_overdue_calls_total").increment(1);
     }
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -135,7 +135,7 @@
         match reader.next::<BatchFrame>().await {
             Ok(Some(frame)) => {
                 if let BatchFrame::Done(_) = frame {
-                    self.record.sample = CallSample::Answered(1.0);
+                    self.record.sample = CallSample::Answered;
                 }
                 (self, BatchNews::Frame(frame))
             }
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Response};
 use http_body_util::Full;
 use streamfold_model::{ServiceName, WeightedService};
-use streamfold_policy::split_rule::{SplitTurns, draw_part};
+use streamfold_policy::split_rule::{SplitTurns, choose_part};
 
 use crate::answer::{CallerAnswer, RefusalKind};
 use crate::attempt_context::{AttemptContext, PendingCalls};
@@ -25,7 +25,7 @@
         return parts.first().map(|part| &part.service);
     }
     let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
-    let chosen = turns.map_or_else(|| draw_part(&weights), |turns| turns.take(&weights));
+    let chosen = turns.map_or_else(|| choose_part(&weights, rand::random()), |turns| turns.take(&weights));
     chosen.map(|position| &parts[position].service)
 }
 
