The test of older routes reads the store in two failure domains

Cause: it waited until both nodes of one failure domain had read an unreadable document in the store; since small domains share a reader too, only one of them does. Change: three nodes in two domains: one in each must have read it, and all three, one behind a reader among them, must take nothing by the older routes. As strict, and one more way covered.

--- a/crates/lab/tests/routes.rs
+++ b/crates/lab/tests/routes.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use streamfold_lab::client::CallAnswer;
 use streamfold_lab::fleet::send_signal;
-use streamfold_lab::route_fleet::{DOMAINS, HOST, RouteFleet, RouteFleetPlan, write_route};
+use streamfold_lab::route_fleet::{DOMAINS, HOST, RouteFleet, RouteFleetPlan, RouteNode, write_route};
 use streamfold_standin::server::{RouteServer, RouteServerPlan, RouteSwitches, make_records};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -630,11 +630,11 @@
 async fn newer_routes_are_taken_and_older_ones_never() {
     let servers = vec![near("i-0", "old"), near("i-1", "new")];
     let route = |service: &str| vec![write_route("any", "/any/", &to_service(service))];
-    let plan = RouteFleetPlan { nodes: [2, 0], servers, routes: route("old"), ..RouteFleetPlan::default() };
+    let plan = RouteFleetPlan { nodes: [2, 1], servers, routes: route("old"), ..RouteFleetPlan::default() };
     let fleet = RouteFleet::start(plan).await.expect("a fleet");
     fleet.put_document(12, &route("new"));
     let mut number = 0;
-    for node in 0..2 {
+    for node in 0..fleet.nodes.len() {
         wait_for("the newer routes", async || {
             number += 1;
             let id = format!("r-{number}");
@@ -647,13 +647,14 @@
     // The older version, and behind it an entry that shows that both were seen.
     fleet.put_document(7, &route("old"));
     fleet.platform.state.put_object("config", "main", json!({ "version": "not a number" }));
-    for node in &fleet.nodes {
-        wait_for("the unreadable document", async || !node.logged(&["event=entry_unreadable"]).is_empty()).await;
-    }
+    // One node of each failure domain reads the store itself.
+    let has_seen = |node: &&RouteNode| !node.logged(&["event=entry_unreadable"]).is_empty();
+    wait_for("the unreadable document", async || fleet.nodes.iter().filter(has_seen).count() == DOMAINS.len()).await;
     let before = fleet.servers[0].state.calls().len();
     for number in 0..20 {
         let id = format!("later-{number}");
-        let answer = fleet.call(number % 2, Method::GET, "/any/x", &id, Bytes::new()).await.expect("an answer");
+        let answer =
+            fleet.call(number % fleet.nodes.len(), Method::GET, "/any/x", &id, Bytes::new()).await.expect("an answer");
         check_own(&fleet, &answer, &id);
     }
     assert_eq!(fleet.servers[0].state.calls().len(), before, "nothing goes by the older routes");
