Domains of two and three nodes follow the store by themselves again

Server i-095eb00774 took its entry away at 11.185 s without a word; front-twb-hall-1, reader of a domain of two, was cut off from the store just then and found out at 12.405; its follower front-twb-hall-2 read the store 29 ms later and held the server in doubt for 2.2 s more, used it at 14.292 and dropped it at 14.635. Ruled out: silent watches (given up in time), the doubt alone (four nodes with own watches dropped it at 13.76 at the latest). Conclusion: kept: a promise goes before worth.

--- a/crates/lab/tests/routes.rs
+++ b/crates/lab/tests/routes.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use streamfold_lab::client::CallAnswer;
 use streamfold_lab::fleet::send_signal;
-use streamfold_lab::route_fleet::{DOMAINS, HOST, RouteFleet, RouteFleetPlan, RouteNode, write_route};
+use streamfold_lab::route_fleet::{DOMAINS, HOST, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_standin::server::{RouteServer, RouteServerPlan, RouteSwitches, make_records};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -647,9 +647,9 @@
     // The older version, and behind it an entry that shows that both were seen.
     fleet.put_document(7, &route("old"));
     fleet.platform.state.put_object("config", "main", json!({ "version": "not a number" }));
-    // One node of each failure domain reads the store itself.
-    let has_seen = |node: &&RouteNode| !node.logged(&["event=entry_unreadable"]).is_empty();
-    wait_for("the unreadable document", async || fleet.nodes.iter().filter(has_seen).count() == DOMAINS.len()).await;
+    for node in &fleet.nodes {
+        wait_for("the unreadable document", async || !node.logged(&["event=entry_unreadable"]).is_empty()).await;
+    }
     let before = fleet.servers[0].state.calls().len();
     for number in 0..20 {
         let id = format!("later-{number}");
--- a/crates/policy/src/feed_rule.rs
+++ b/crates/policy/src/feed_rule.rs
@@ -3,8 +3,10 @@
 
 use crate::owner::choose_owners;
 
-/// With fewer nodes than this in a failure domain there is nobody to share with.
-const MIN_SHARING: usize = 2;
+/// With fewer nodes than this in a failure domain each follows the store by itself: sharing saves a
+/// call or two, and a follower whose reader is cut off learns up to two seconds late that a server's
+/// entry went, which with the doubt that follows is too late where servers leave within three.
+const MIN_SHARING: usize = 4;
 /// Nodes that prefer the same reader: with a hundred a reader of an eighth of a core was busy with
 /// them alone and held 58 MB (sweep of 300 nodes).
 const FAN_OUT: usize = 16;
--- a/crates/policy/tests/feed_rule.rs
+++ b/crates/policy/tests/feed_rule.rs
@@ -17,13 +17,13 @@
 }
 
 #[test]
-fn one_node_of_a_failure_domain_follows_the_store() {
+fn one_node_follows_the_store_where_there_are_many_and_each_where_there_are_few() {
     let readers: Vec<String> =
         [1, 2, 3, 4, 10, 76].map(|count| format!("{count} nodes: {}", count_readers(&nodes(count)))).to_vec();
     insta::assert_snapshot!(readers.join("\n"), @r"
     1 nodes: 1
-    2 nodes: 1
-    3 nodes: 1
+    2 nodes: 2
+    3 nodes: 3
     4 nodes: 1
     10 nodes: 1
     76 nodes: 1
