Tests of routing are files by promise, with one fixture and one wait

Change: the lab has wait.rs and route_checks.rs; routes.rs is now routes, routes_servers, routes_shards, routes_news and routes_stop. No test changed; a test that hangs waits 30 s in place of 20.

--- /dev/null
+++ b/crates/lab/src/route_checks.rs
@@ -0,0 +1,80 @@
+//! Small fleets of routers, calls to them and checks of their answers, as tests use them.
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::{Value, json};
+use streamfold_standin::server::RouteServerPlan;
+
+use crate::client::CallAnswer;
+use crate::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, write_route};
+
+/// A server of a service in the first failure domain.
+pub fn near(id: &str, service: &str) -> RouteServerPlan {
+    RouteServerPlan::new(id, service, DOMAINS[0])
+}
+
+/// A server of a service in the other failure domain.
+pub fn far(id: &str, service: &str) -> RouteServerPlan {
+    RouteServerPlan::new(id, service, DOMAINS[1])
+}
+
+/// The target of a route to one service.
+pub fn to_service(service: &str) -> Value {
+    json!({ "service": service })
+}
+
+/// A service whose requests must not run twice.
+pub fn once_to(service: &str) -> Value {
+    json!({ "service": service, "routeType": "non_idempotent" })
+}
+
+/// Two servers of one service behind `/any/` (repeatable) and `/once/`, and one node: `i-0` in
+/// its failure domain, which is asked first, and `i-1` in the other one.
+pub async fn start_pair() -> RouteFleet {
+    let servers = vec![near("i-0", "cart"), far("i-1", "cart")];
+    let routes =
+        vec![write_route("any", "/any/", &to_service("cart")), write_route("once", "/once/", &once_to("cart"))];
+    RouteFleet::start(RouteFleetPlan { nodes: [1, 0], servers, routes, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet")
+}
+
+/// One server behind `/any/` and `/once/`, and one node.
+pub async fn start_single() -> RouteFleet {
+    let routes =
+        vec![write_route("any", "/any/", &to_service("cart")), write_route("once", "/once/", &once_to("cart"))];
+    RouteFleet::start(RouteFleetPlan {
+        nodes: [1, 0],
+        servers: vec![near("i-0", "cart")],
+        routes,
+        ..RouteFleetPlan::default()
+    })
+    .await
+    .expect("a fleet")
+}
+
+/// Calls the first node.
+pub async fn get(fleet: &RouteFleet, path: &str, id: &str) -> CallAnswer {
+    fleet.call(0, Method::GET, path, id, Bytes::new()).await.expect("an answer")
+}
+
+/// A header of an answer as text.
+pub fn header<'a>(answer: &'a CallAnswer, name: &str) -> Option<&'a str> {
+    answer.headers.get(name).map(|value| value.to_str().expect("a text"))
+}
+
+/// Checks that a success is whole and the own answer of a server that ran this request.
+pub fn check_own(fleet: &RouteFleet, answer: &CallAnswer, id: &str) {
+    assert!(answer.status.is_success(), "{id}: {answer:?}");
+    assert_eq!(header(answer, "x-request-id"), Some(id));
+    let proof = header(answer, "x-server-stamp").expect("a proof");
+    let service = fleet.find_proof(id, proof).expect("the proof of a server that ran it");
+    let server = fleet.servers.iter().find(|server| server.state.plan.service == service).expect("a server");
+    assert_eq!(answer.body, server.state.body(), "{id}");
+}
+
+/// A refusal as snapshots show it.
+pub fn tell_refusal(answer: &CallAnswer) -> String {
+    let retry = header(answer, "retry-after").map(|wait| wait.parse::<f64>().expect("seconds") > 0.0);
+    format!("{} {} retry-after: {retry:?}", answer.status.as_u16(), String::from_utf8_lossy(&answer.body))
+}
--- /dev/null
+++ b/crates/lab/tests/routes_news.rs
@@ -0,0 +1,179 @@
+//! News of the store: newer routes, servers that come, leave and go, also behind a cut watch. With real processes.
+
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::json;
+use streamfold_lab::route_checks::{check_own, get, header, near, start_pair, start_single, to_service};
+use streamfold_lab::route_fleet::{HOST, RouteFleet, RouteFleetPlan, write_route};
+use streamfold_lab::wait::{WAIT_AT_MOST, wait_for};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn newer_routes_are_taken_and_older_ones_never() {
+    let servers = vec![near("i-0", "old"), near("i-1", "new")];
+    let route = |service: &str| vec![write_route("any", "/any/", &to_service(service))];
+    let plan = RouteFleetPlan { nodes: [2, 1], servers, routes: route("old"), ..RouteFleetPlan::default() };
+    let fleet = RouteFleet::start(plan).await.expect("a fleet");
+    fleet.put_document(12, &route("new"));
+    let mut number = 0;
+    for node in 0..fleet.nodes.len() {
+        wait_for("the newer routes", async || {
+            number += 1;
+            let id = format!("r-{number}");
+            let answer = fleet.call(node, Method::GET, "/any/x", &id, Bytes::new()).await.expect("an answer");
+            check_own(&fleet, &answer, &id);
+            fleet.find_proof(&id, header(&answer, "x-server-stamp").expect("a proof")) == Some("new")
+        })
+        .await;
+    }
+    // The older version, and behind it an entry that shows that both were seen.
+    fleet.put_document(7, &route("old"));
+    fleet.platform.state.put_object("config", "main", json!({ "version": "not a number" }));
+    for node in &fleet.nodes {
+        wait_for("the unreadable document", async || !node.logged(&["event=entry_unreadable"]).is_empty()).await;
+    }
+    let before = fleet.servers[0].state.calls().len();
+    for number in 0..20 {
+        let id = format!("later-{number}");
+        let answer =
+            fleet.call(number % fleet.nodes.len(), Method::GET, "/any/x", &id, Bytes::new()).await.expect("an answer");
+        check_own(&fleet, &answer, &id);
+    }
+    assert_eq!(fleet.servers[0].state.calls().len(), before, "nothing goes by the older routes");
+}
+
+/// Waits until a path behind a new route answers.
+async fn wait_for_route(fleet: &RouteFleet, path: &str) {
+    let mut number = 0;
+    wait_for("the new route", async || {
+        number += 1;
+        let id = format!("{path}-{number}");
+        let answer = get(fleet, path, &id).await;
+        match answer.status.as_u16() {
+            200 => true,
+            // Not yet known, or not sure that there is none.
+            404 | 503 => false,
+            _ => panic!("{path}: {answer:?}"),
+        }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_history_and_a_cut_watch_hide_no_change() {
+    let fleet = start_single().await;
+    let mut routes = vec![write_route("any", "/any/", &to_service("cart"))];
+    for round in 0..3 {
+        // The change lies in the forgotten part, or in the time of the outage.
+        routes.push(write_route(&format!("more-{round}"), &format!("/more-{round}/"), &to_service("cart")));
+        fleet.put_document(10 + round, &routes);
+        fleet.platform.state.forget_history();
+        wait_for_route(&fleet, &format!("/more-{round}/x")).await;
+    }
+    let outage = &fleet.platform.state.faults.outage;
+    for round in 3..6 {
+        outage.store(true, Ordering::Relaxed);
+        // Wakes the waiting watches, which are cut then.
+        routes.push(write_route(&format!("more-{round}"), &format!("/more-{round}/"), &to_service("cart")));
+        fleet.put_document(10 + round, &routes);
+        if round % 2 == 0 {
+            fleet.platform.state.forget_history();
+        }
+        check_own(&fleet, &get(&fleet, "/any/x", &format!("out-{round}")).await, &format!("out-{round}"));
+        outage.store(false, Ordering::Relaxed);
+        wait_for_route(&fleet, &format!("/more-{round}/x")).await;
+    }
+    check_own(&fleet, &get(&fleet, "/any/x", "r-end").await, "r-end");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_came_and_went_behind_a_cut_watch_are_known_after() {
+    let fleet = start_pair().await;
+    let outage = &fleet.platform.state.faults.outage;
+    let reads = &fleet.platform.state.calls.reads;
+    let listed = reads.load(Ordering::Relaxed);
+    outage.store(true, Ordering::Relaxed);
+    fleet.register(0, "draining");
+    wait_for("the cut watch", async || !fleet.nodes[0].logged(&["event=feed_lost", "topic=servers"]).is_empty()).await;
+    // A watch that was cut may hide changes, so everything is listed.
+    wait_for("a listing", async || reads.load(Ordering::Relaxed) > listed).await;
+    outage.store(false, Ordering::Relaxed);
+    wait_for("the leaving server", async || !fleet.nodes[0].logged(&["event=server_leaving"]).is_empty()).await;
+    let before = fleet.servers[0].state.calls().len();
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        check_own(&fleet, &get(&fleet, "/any/x", &id).await, &id);
+    }
+    assert_eq!(fleet.servers[0].state.calls().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_finishes_what_it_has_and_gets_nothing_new() {
+    let fleet = start_pair().await;
+    fleet.servers[0].state.switches.work_ms.store(3_000, Ordering::Relaxed);
+    fleet.servers[1].state.switches.refuse.store(true, Ordering::Relaxed);
+    let callers = fleet.nodes[0].addresses.callers;
+    let client = fleet.client.clone();
+    let in_flight = tokio::spawn(async move {
+        let headers = [("host", HOST), ("x-request-id", "r-long"), ("x-deadline-ms", "8000")];
+        client.call(Method::POST, callers, "/once/x", &headers, Bytes::new(), WAIT_AT_MOST).await
+    });
+    wait_for("the request in flight", async || fleet.count_runs("r-long") == 1).await;
+    fleet.register(0, "draining");
+    wait_for("the leaving server", async || !fleet.nodes[0].logged(&["event=server_leaving"]).is_empty()).await;
+    fleet.servers[1].state.switches.refuse.store(false, Ordering::Relaxed);
+    for number in 0..30 {
+        let id = format!("r-{number}");
+        let path = if number % 2 == 0 { "/any/x" } else { "/once/x" };
+        check_own(&fleet, &get(&fleet, path, &id).await, &id);
+    }
+    assert_eq!(fleet.servers[0].state.calls().len(), 1, "only the request in flight");
+    check_own(&fleet, &in_flight.await.expect("a caller").expect("an answer"), "r-long");
+    fleet.unregister(0);
+    fleet.unregister(1);
+    wait_for("no server", async || {
+        let refused = get(&fleet, "/once/x", "r-none").await;
+        refused.status == 503
+    })
+    .await;
+    assert_eq!(fleet.servers[0].state.calls().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_without_an_entry_is_used_only_where_there_is_no_other() {
+    let fleet = start_pair().await;
+    fleet.unregister(0);
+    wait_for("the entry gone", async || !fleet.nodes[0].logged(&["event=server_doubtful"]).is_empty()).await;
+    let before = fleet.servers[0].state.calls().len();
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        check_own(&fleet, &get(&fleet, "/any/x", &id).await, &id);
+    }
+    assert_eq!(fleet.servers[0].state.calls().len(), before);
+    let fleet = start_single().await;
+    fleet.unregister(0);
+    wait_for("the entry gone", async || {
+        let is_gone = !fleet.nodes[0].logged(&["event=server_doubtful"]).is_empty();
+        if !is_gone {
+            check_own(&fleet, &get(&fleet, "/any/x", "r-alone").await, "r-alone");
+        }
+        is_gone
+    })
+    .await;
+    wait_for("an end of the doubt", async || {
+        let answer = get(&fleet, "/any/x", "r-after").await;
+        match answer.status.as_u16() {
+            200 => false,
+            503 => true,
+            _ => panic!("{answer:?}"),
+        }
+    })
+    .await;
+    let calls = fleet.servers[0].state.calls().len();
+    assert_eq!(get(&fleet, "/any/x", "r-late").await.status, 503);
+    assert_eq!(fleet.servers[0].state.calls().len(), calls);
+    // Its entry comes back, and so does it.
+    fleet.register(0, "ready");
+    wait_for("the server again", async || get(&fleet, "/any/x", "r-again").await.status == 200).await;
+}
