A node that takes over from a silent one asks no further server

The node that was asked for the shards used two servers, then fell silent; the asking node, told nothing, assumed that one server of that failure domain had been used and asked whichever of them it saw. With several servers of a shard there, as while one replaces another, or with views that differ, that is a third one. Ruled out: hedges through other nodes (each is counted where it is decided and may use one server), batches refused unread, retries of the asked node.

The test of ServiceAttempts that let a hedge which was not made take back another node's count is replaced by one that does not.

--- a/crates/lab/tests/routes_servers.rs
+++ b/crates/lab/tests/routes_servers.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use serde_json::json;
+use streamfold_lab::fleet::send_signal;
 use streamfold_lab::route_checks::{
     check_own, far, get, header, near, start_pair, start_single, tell_refusal, to_service,
 };
@@ -149,6 +150,47 @@
     }
 }
 
+/// The servers of a shard that read a request.
+fn count_asked(fleet: &RouteFleet, shard: &str, id: &str) -> usize {
+    let asked = |server: &&RouteServer| server.state.calls().iter().any(|call| call.id() == id);
+    fleet.servers.iter().filter(|server| server.state.plan.service == shard).filter(asked).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn taking_over_from_a_silent_node_asks_no_further_servers() {
+    const SHARDS: [&str; 4] = ["s-0", "s-1", "s-2", "s-3"];
+    // Several servers of each shard stand near the other node, as while one replaces another.
+    let servers = SHARDS.iter().flat_map(|shard| (0..5).map(move |number| far(&format!("{shard}-{number}"), shard)));
+    let gather = json!({ "gather": SHARDS, "topK": 7, "minCoverage": 0.5, "maxAttempts": 2, "timeoutMs": 2_500,
+        "targetLatencyMs": 1_000 });
+    let routes = vec![write_route("all", "/all/", &gather)];
+    let plan = RouteFleetPlan { nodes: [1, 1], servers: servers.collect(), routes, ..RouteFleetPlan::default() };
+    let fleet = RouteFleet::start(plan).await.expect("a fleet");
+    let mut number = 0;
+    wait_for("a batch at the other node", async || {
+        number += 1;
+        let answer = get(&fleet, "/all/x", &format!("r-{number}")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        !fleet.nodes[0].logged(&["event=request ", "delegated=4"]).is_empty()
+    })
+    .await;
+    for server in &fleet.servers {
+        server.state.switches.pause_ms.store(30_000, Ordering::Relaxed);
+    }
+    let id = "r-silent";
+    let (answer, ()) = tokio::join!(get(&fleet, "/all/x", id), async {
+        // The other node has hedged every shard; then it falls silent for good.
+        wait_for("the hedges", async || SHARDS.iter().all(|shard| count_asked(&fleet, shard, id) == 2)).await;
+        send_signal(&fleet.nodes[1].process, "STOP").await;
+        let event = ["event=batch_overdue", "request=r-silent"];
+        wait_for("the takeover", async || !fleet.nodes[0].logged(&event).is_empty()).await;
+    });
+    send_signal(&fleet.nodes[1].process, "CONT").await;
+    assert_ne!(answer.status, 200, "{answer:?}");
+    let asked = SHARDS.map(|shard| count_asked(&fleet, shard, id));
+    assert_eq!(asked, [2; 4], "servers of each shard that read the request");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_without_a_reachable_server_does_not_run() {
     let mut fleet = start_pair().await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod retry;
 pub mod rules;
 pub mod server;
+pub mod server_bound;
 pub mod split_rule;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -7,7 +7,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use streamfold_model::{RouteKind, RouteSpec};
+use streamfold_model::{FailureDomain, RouteKind, RouteSpec, ServerId};
 use streamfold_policy::replica::Distance;
 use streamfold_policy::{Mechanism, Moment};
 
@@ -32,8 +32,7 @@
 pub enum RequestAsker {
     /// A caller.
     Caller,
-    /// Another node, for its shards. It may take over with the server near this node, so one of
-    /// the servers that a shard may be sent to is kept for that one.
+    /// Another node, for its shards.
     Node,
     /// Another node, for hedges at servers near this node and at no others.
     Hedger,
@@ -81,18 +80,27 @@
         self.choose(attempts, service)
     }
 
+    /// The server of a failure domain that this node keeps a place for while another one is asked.
+    pub fn choose_kept(&self, attempts: &ServiceAttempts, domain: &FailureDomain) -> Option<ServerId> {
+        let service = self.view.services.get(&attempts.service)?;
+        let here = service.servers.iter().filter(|server| server.domain == *domain && !server.is_leaving());
+        self.find_cheapest(here).map(|server| server.id.clone())
+    }
+
     /// The server to try next: the one believed to answer soonest that was not tried yet.
     fn choose(&self, attempts: &ServiceAttempts, service: &Service) -> Option<Arc<Server>> {
-        let now = self.now();
         let untried = |server: &&Arc<Server>| !attempts.tried.iter().any(|tried| Arc::ptr_eq(tried, server));
-        let is_asked = |server: &&Arc<Server>| attempts.sent_in.as_ref() == Some(&server.domain);
-        let has_asked = service.servers.iter().any(|server| is_asked(&server));
         let candidates = service.servers.iter().filter(untried).filter(|server| !server.is_leaving());
-        let candidates = candidates.filter(|server| !has_asked || is_asked(server));
-        let needs_near = self.needs_near(attempts, service);
-        let candidates = candidates.filter(|server| !needs_near || server.distance == Distance::Domain);
+        let candidates = candidates.filter(|server| attempts.allow(server, self.route.max_attempts));
+        let is_near = |server: &&Arc<Server>| server.distance == Distance::Domain;
+        let candidates = candidates.filter(|server| self.asker != RequestAsker::Hedger || is_near(server));
         let tries_doubtful = self.router.has(Mechanism::DoubtfulServers);
-        let candidates = candidates.filter(|server| tries_doubtful || !server.is_doubtful());
+        self.find_cheapest(candidates.filter(|server| tries_doubtful || !server.is_doubtful()))
+    }
+
+    /// The server that is believed to answer soonest.
+    fn find_cheapest<'a>(&self, candidates: impl Iterator<Item = &'a Arc<Server>>) -> Option<Arc<Server>> {
+        let now = self.now();
         let cost = |server: &Arc<Server>| {
             let typical = self.times.typical(server.distance, self.route.target_latency);
             let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
@@ -104,18 +112,6 @@
         costed.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, server)| server.clone())
     }
 
-    /// Whether only a server near this node may be tried: for a node that may take over, all but
-    /// one of the servers allowed may be others.
-    fn needs_near(&self, attempts: &ServiceAttempts, service: &Service) -> bool {
-        if self.asker != RequestAsker::Node {
-            return self.asker == RequestAsker::Hedger;
-        }
-        let is_near = |server: &&Arc<Server>| server.distance == Distance::Domain;
-        let others = attempts.tried.iter().filter(|server| !is_near(server)).count();
-        let is_kept = others + 1 >= self.route.max_attempts as usize;
-        is_kept && service.servers.iter().any(|server| is_near(&server))
-    }
-
     /// Starts the next attempt.
     ///
     /// # Errors
@@ -164,7 +160,7 @@
         if self.is_once() && attempts.may_have_run {
             return Some(AttemptStop::AtMostOnce);
         }
-        (attempts.sent >= self.route.max_attempts).then_some(AttemptStop::ServerBound)
+        (attempts.sent + attempts.sent_elsewhere >= self.route.max_attempts).then_some(AttemptStop::ServerBound)
     }
 
     /// Whether the request may run on no further server.
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use streamfold_model::{FailureDomain, ServiceName};
+use streamfold_model::{ServerId, ServiceName};
 use streamfold_policy::Moment;
+use streamfold_policy::server_bound::ServerRights;
 
 use crate::call::CallFailure;
 use crate::server::Server;
@@ -41,8 +42,10 @@
     pub service: ServiceName,
     /// Calls in flight.
     pub pending: u32,
-    /// Servers that may have run the request.
+    /// Servers that may have run the request by calls of this node, or by hedges it handed on.
     pub(crate) sent: u32,
+    /// Servers that may have run it by calls of a node that was asked for it and has told so.
+    pub(crate) sent_elsewhere: u32,
     /// Whether a call has reached a server, so that each further one is extra.
     pub(crate) has_arrived: bool,
     /// Servers asked so far.
@@ -65,9 +68,10 @@
     pub may_have_run: bool,
     /// How the last call that failed did so, for the log.
     pub(crate) failure: &'static str,
-    /// Where another node may have sent the request: its server there is asked again before
-    /// one that certainly was not, so that the bound on servers holds.
-    pub(crate) sent_in: Option<FailureDomain>,
+    /// The servers that this node may use.
+    pub(crate) rights: ServerRights<ServerId>,
+    /// The server that both this node and one asked for the shard may use.
+    pub(crate) kept: Option<ServerId>,
 }
 
 impl ServiceAttempts {
@@ -77,6 +81,7 @@
             service,
             pending: 0,
             sent: 0,
+            sent_elsewhere: 0,
             has_arrived: false,
             tried: Vec::new(),
             passed: Vec::new(),
@@ -88,25 +93,37 @@
             is_handed: false,
             may_have_run: false,
             failure: "none",
-            sent_in: None,
+            rights: ServerRights::Any,
+            kept: None,
         }
     }
 
     /// Servers that may have run the request, and whether a call reached any.
     pub fn tally(&self) -> (u32, bool) {
-        (self.sent, self.has_arrived || self.pending > 0)
+        (self.sent + self.sent_elsewhere, self.has_arrived || self.pending > 0)
     }
 
-    /// Notes what another node did for the request.
+    /// Notes what another node did for the request, which sends it no more.
     pub fn note_elsewhere(&mut self, sent: u32, has_arrived: bool) {
-        self.sent = self.sent.max(sent);
+        self.rights = ServerRights::Any;
+        self.sent_elsewhere = sent;
         self.has_arrived |= has_arrived;
         self.may_have_run |= sent > 0;
     }
 
-    /// Notes that a node fell silent that may have sent the request to a server near it.
-    pub fn note_silent_node(&mut self, domain: &FailureDomain) {
-        self.sent_in = Some(domain.clone());
+    /// Notes that a node fell silent that was asked for the request and may have sent it, or may
+    /// still do so: this one has only the server kept.
+    pub fn note_silent_node(&mut self) {
+        self.rights = self.kept.clone().map_or(ServerRights::NoServer, ServerRights::Kept);
+        self.has_arrived = true;
+        self.may_have_run = true;
+    }
+
+    /// Whether the request may go to a server, where it may run on `most`.
+    pub(crate) fn allow(&self, server: &Server, most: u32) -> bool {
+        let is_passed = |tried: &Arc<Server>| self.passed.iter().any(|passed| Arc::ptr_eq(passed, tried));
+        let used = self.tried.iter().filter(|tried| !is_passed(tried)).map(|server| &server.id);
+        self.rights.allow(&server.id, used, most as usize)
     }
 
     /// Notes that another node makes a call to a server; after the patience it is overdue.
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -3,7 +3,7 @@
 use bincode::{Decode, Encode};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
-use streamfold_model::{RouteName, ServiceName, TableVersion};
+use streamfold_model::{RouteName, ServerId, ServiceName, TableVersion};
 
 /// Path of a batch of shards.
 pub const PATH_BATCH: &str = "/shards";
@@ -61,6 +61,15 @@
     },
 }
 
+/// One shard of a batch.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct BatchShard {
+    /// The shard.
+    pub service: ServiceName,
+    /// The server that the asking node may use itself if it hears nothing.
+    pub kept: Option<ServerId>,
+}
+
 /// Shards that another node is to query.
 #[derive(Debug, Clone, Encode, Decode)]
 pub struct ShardBatch {
@@ -71,7 +80,7 @@
     /// The version of the routes it was found in.
     pub version: TableVersion,
     /// The shards.
-    pub shards: Vec<ServiceName>,
+    pub shards: Vec<BatchShard>,
     /// How they are answered.
     pub mode: BatchMode,
     /// Records wanted, the greatest first.
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -15,7 +15,7 @@
 use streamfold_policy::replica::Distance;
 
 use crate::attempt_context::AttemptContext;
-use crate::batch::{BatchMode, ShardBatch};
+use crate::batch::{BatchMode, BatchShard, ShardBatch};
 use crate::gather::ShardSlot;
 use crate::peers::{BatchNews, PeerNode, PendingBatch};
 
@@ -72,7 +72,7 @@
     /// The shards' positions in the request.
     pub positions: Vec<usize>,
     /// The shards.
-    pub shards: Vec<ServiceName>,
+    pub shards: Vec<BatchShard>,
     /// How they are answered.
     pub mode: BatchMode,
 }
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -40,6 +40,12 @@
     pub part: Option<ShardPart>,
 }
 
+impl ShardSlot {
+    fn new(service: ServiceName) -> Self {
+        Self { attempts: ServiceAttempts::new(service), batch: None, hedge: None, part: None }
+    }
+}
+
 /// A request to every shard under way.
 pub struct GatherRound<'a> {
     /// The request.
@@ -101,15 +107,9 @@
 
 impl<'a> GatherRound<'a> {
     pub(crate) fn new(context: &'a AttemptContext, fold: &ShardFold, rule: FoldRule) -> Self {
-        let slot = |service: &ServiceName| ShardSlot {
-            attempts: ServiceAttempts::new(service.clone()),
-            batch: None,
-            hedge: None,
-            part: None,
-        };
         Self {
             context,
-            slots: fold.shards.iter().map(slot).collect(),
+            slots: fold.shards.iter().cloned().map(ShardSlot::new).collect(),
             batches: Vec::new(),
             rule,
             top: fold.top,
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -2,9 +2,11 @@
 
 use bytes::Bytes;
 use http::HeaderValue;
+use streamfold_model::FailureDomain;
 use streamfold_policy::Mechanism;
 
-use crate::batch::{BatchFrame, BatchMode, FoldedShard, MissingShard, ShardReply};
+use crate::attempts::ServiceAttempts;
+use crate::batch::{BatchFrame, BatchMode, BatchShard, FoldedShard, MissingShard, ShardReply};
 use crate::delegate::{BatchOrder, read_on};
 use crate::fold::ShardPart;
 use crate::gather::GatherRound;
@@ -19,15 +21,20 @@
         for (domain, positions) in self.context.plan_batches(&self.slots) {
             let Some(peer) = self.context.choose_peer(&domain) else { continue };
             let number = self.batches.len();
-            for position in &positions {
-                self.slots[*position].batch = Some(number);
-                self.context.note_delegated(&self.slots[*position].attempts.service);
-            }
-            let services = positions.iter().map(|position| self.slots[*position].attempts.service.clone()).collect();
-            self.send(BatchOrder { peer, positions, shards: services, mode: BatchMode::Folded });
+            let shards = positions.iter().map(|position| self.lend(*position, number, &domain)).collect();
+            self.send(BatchOrder { peer, positions, shards, mode: BatchMode::Folded });
         }
     }
 
+    /// Puts a shard into a batch; this node keeps a place for one server of the failure domain.
+    fn lend(&mut self, position: usize, number: usize, domain: &FailureDomain) -> BatchShard {
+        let slot = &mut self.slots[position];
+        slot.batch = Some(number);
+        slot.attempts.kept = self.context.choose_kept(&slot.attempts, domain);
+        self.context.note_delegated(&slot.attempts.service);
+        BatchShard { service: slot.attempts.service.clone(), kept: slot.attempts.kept.clone() }
+    }
+
     /// Sends a batch; its number.
     pub(crate) fn send(&mut self, order: BatchOrder) -> usize {
         let number = self.batches.len();
@@ -53,21 +60,19 @@
 
     /// Starts attempts for the shards of a node that fell silent with them.
     fn start_silent(&mut self, number: usize) {
-        let domain = self.batches[number].peer.entry.domain.clone();
-        for position in self.batches[number].positions.clone() {
-            self.slots[position].attempts.note_silent_node(&domain);
-        }
-        self.start_batch_shards(number, |_| (1, true));
+        self.start_batch_shards(number, |_, attempts| attempts.note_silent_node());
     }
 
-    /// Starts attempts of this node for the shards of a batch that are not in; `tally` tells
-    /// how many servers may have run each, and whether a call reached any.
-    fn start_batch_shards(&mut self, number: usize, tally: impl Fn(usize) -> (u32, bool)) {
+    /// Starts attempts of this node for the shards of a batch that are not in, after `note` has
+    /// noted what the other node may have done for each.
+    fn start_batch_shards(&mut self, number: usize, note: impl Fn(usize, &mut ServiceAttempts)) {
         for position in self.batches[number].positions.clone() {
             let slot = &mut self.slots[position];
-            if slot.part.is_none() && !slot.attempts.is_open() {
-                let (sent, has_arrived) = tally(position);
-                slot.attempts.note_elsewhere(sent, has_arrived);
+            if slot.part.is_some() {
+                continue;
+            }
+            note(position, &mut slot.attempts);
+            if !slot.attempts.is_open() {
                 self.context.start_first(position, &mut slot.attempts, &self.calls);
             }
         }
@@ -106,7 +111,7 @@
                     %error
                 );
                 match is_not_sent {
-                    true => self.start_batch_shards(number, |_| (0, false)),
+                    true => self.start_batch_shards(number, |_, attempts| attempts.note_elsewhere(0, false)),
                     false => self.start_silent(number),
                 }
             }
@@ -151,11 +156,15 @@
     /// Asks itself for the shards that the other node could not get.
     fn start_missing(&mut self, number: usize, missing: &[MissingShard]) {
         let positions = self.batches[number].positions.clone();
-        let tally = |position: usize| {
+        let note = |position: usize, attempts: &mut ServiceAttempts| {
             let told = missing.iter().find(|shard| positions.get(shard.position as usize) == Some(&position));
-            told.map_or((1, true), |shard| (shard.sent, shard.has_arrived))
+            match told {
+                Some(shard) => attempts.note_elsewhere(shard.sent, shard.has_arrived),
+                // It tells neither the answer nor what became of it.
+                None => attempts.note_silent_node(),
+            }
         };
-        self.start_batch_shards(number, tally);
+        self.start_batch_shards(number, note);
     }
 }
 
--- a/crates/router/src/gather_hedge.rs
+++ b/crates/router/src/gather_hedge.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::batch::{BatchFrame, BatchMode, ShardReply};
+use crate::batch::{BatchFrame, BatchMode, BatchShard, ShardReply};
 use crate::delegate::BatchOrder;
 use crate::fold::{Record, ShardPart, find_last};
 use crate::gather::GatherRound;
@@ -28,7 +28,8 @@
                 mode: BatchMode::Each { floor },
             });
             order.positions.push(position);
-            order.shards.push(self.slots[position].attempts.service.clone());
+            let service = self.slots[position].attempts.service.clone();
+            order.shards.push(BatchShard { service, kept: None });
         }
         for order in orders.into_values() {
             let positions = order.positions.clone();
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -4,9 +4,10 @@
 
 use streamfold_model::ShardFold;
 use streamfold_policy::fold_rule::FoldRule;
+use streamfold_policy::server_bound::ServerRights;
 
 use crate::attempt_context::AttemptContext;
-use crate::batch::{BatchMode, FoldedShard, MissingShard, ShardReply};
+use crate::batch::{BatchMode, FoldedShard, MissingShard, ShardBatch, ShardReply};
 use crate::fold::cut_records;
 use crate::gather::GatherRound;
 
@@ -19,12 +20,15 @@
 
 impl<'a> PeerGather<'a> {
     /// Starts to ask the shards.
-    pub fn start(context: &'a AttemptContext, fold: &ShardFold, mode: BatchMode, reply_within: Duration) -> Self {
+    pub fn start(context: &'a AttemptContext, fold: &ShardFold, batch: &ShardBatch, reply_within: Duration) -> Self {
         let limit = context.request.deadline.since(context.request.started);
         let rule = FoldRule { target: reply_within.min(limit), limit, min_coverage: 0.0, shards: fold.shards.len() };
         let mut round = GatherRound::new(context, fold, rule);
+        for (slot, shard) in round.slots.iter_mut().zip(&batch.shards) {
+            slot.attempts.rights = ServerRights::Lent { kept: shard.kept.clone() };
+        }
         round.start_rest();
-        Self { round, mode, told: 0 }
+        Self { round, mode: batch.mode, told: 0 }
     }
 
     /// The next reply: one with what is there once the wanted time is over, one with each
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -80,7 +80,7 @@
     let reply_within = Duration::from_micros(batch.reply_within_us);
     let mut stream = respond.send_response(Response::new(()), false)?;
     let RouteTarget::All(fold) = &context.route.target else { return Err(PeerError::BadStatus(400)) };
-    let mut gather = PeerGather::start(&context, fold, batch.mode, reply_within);
+    let mut gather = PeerGather::start(&context, fold, &batch, reply_within);
     let alive = tokio::time::sleep(alive_within);
     tokio::pin!(alive);
     let mut is_told = false;
@@ -136,7 +136,8 @@
     let request = CallerRequest::new(head, parts, body, now, left);
     let view = router.cluster.view();
     let times = view.times.get(&batch.route).cloned().unwrap_or_default();
-    let fold = ShardFold { shards: batch.shards.clone(), top: batch.top, min_coverage: 0.0 };
+    let shards = batch.shards.iter().map(|shard| shard.service.clone()).collect();
+    let fold = ShardFold { shards, top: batch.top, min_coverage: 0.0 };
     let route = RouteSpec {
         name: batch.route.clone(),
         host: String::new(),
--- a/crates/router/tests/attempts.rs
+++ b/crates/router/tests/attempts.rs
@@ -21,5 +21,5 @@
     attempts.note_elsewhere(2, true);
     assert_eq!((attempts.tally(), attempts.may_have_run), ((2, true), true));
     attempts.note_handed_end(false);
-    assert_eq!(attempts.tally(), (1, true));
+    assert_eq!(attempts.tally(), (2, true), "a hedge that was not made takes back nothing of another node's");
 }
