Strong nodes query the shards of their failure domain for the weak ones

Cause: at 295 nodes, nearly all of them with an eighth of a core, each sees a request every five seconds. It has no connections and no beliefs of servers, and 180 to 270 calls take its processor as long as an answer may take: cart-locate had its median at 96 ms of 100. Ruled out as the main cause: load (0.002 to 0.005 cores of 0.12 on average).

Change: a node tells its processor in its entry. The nodes of a failure domain with at least half of the strongest one's are its owners (policy/placement.rs). Shards go to owners of their failure domain, near ones too where that is sooner by the lab's costs of a call and of a batch; a batch takes at most 6% of the target at its owner, else it is split by rendezvous of the shard. Half of a server's connections and of the extra calls that all nodes share is the owners'. Where all nodes are equal everything is as before. The near part can be switched off (near_folding).

Test: a weak node hands near shards to a strong one and goes on alone without it, with real processes.

--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -1,6 +1,7 @@
 //! Routers as real processes on loopback: a platform's store, servers registered in it, the
 //! operator's document, and `streamfoldd` with the settings file of a deployment.
 
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -35,6 +36,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Extra calls allowed for each service and window: enough for any test.
 const ALLOWANCE: u32 = 1_000;
+/// The share of a core that a node has if a plan says nothing else.
+pub const WHOLE_CORE: f64 = 1.0;
 /// Seconds between asking a node to stop and killing it.
 const GRACE_SECONDS: u32 = 6;
 
@@ -71,6 +74,8 @@
     pub routes: Vec<Value>,
     /// Lines added to the settings of each node.
     pub settings: &'static str,
+    /// The shares of a core of nodes by their names; others have a whole one.
+    pub cpu_shares: HashMap<&'static str, f64>,
 }
 
 /// The ports of a node.
@@ -125,6 +130,7 @@
     /// A client to call it with.
     pub client: LabClient,
     settings: &'static str,
+    cpu_shares: HashMap<&'static str, f64>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -149,6 +155,7 @@
             nodes: Vec::new(),
             client: LabClient::default(),
             settings: plan.settings,
+            cpu_shares: plan.cpu_shares,
         };
         for server in plan.servers {
             fleet.servers.push(route_server::start(any_port(), server).await.map_err(io("a server"))?);
@@ -190,7 +197,9 @@
     pub async fn add_node(&mut self, domain: usize, name: &str) -> Result<(), RouteFleetError> {
         let addresses = find_ports().map_err(io("finding ports"))?;
         let seeds: Vec<String> = self.nodes.iter().map(|node| node.addresses.peers.to_string()).collect();
-        let text = write_settings(name, domain, &addresses, self.platform.address, &seeds)? + self.settings;
+        let cpu_share = self.cpu_shares.get(name).copied().unwrap_or(WHOLE_CORE);
+        let text = write_settings(name, domain, &addresses, self.platform.address, &seeds, cpu_share)?;
+        let text = text + self.settings;
         let is_log_read = Arc::new(AtomicBool::new(true));
         let (process, log) = start_process(name, &text, is_log_read.clone()).await?;
         self.nodes.push(RouteNode { name: name.to_owned(), addresses, process, log, is_log_read });
@@ -279,6 +288,7 @@
     addresses: &RouteAddresses,
     platform: SocketAddr,
     seeds: &[String],
+    cpu_share: f64,
 ) -> Result<String, RouteFleetError> {
     let gaps = SettingsGaps {
         name,
@@ -291,6 +301,7 @@
         platform,
         seeds,
         grace_seconds: GRACE_SECONDS,
+        cpu_share,
         extra_ratio: 0.1,
         extra_allowance: ALLOWANCE,
     };
--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -22,7 +22,7 @@
 use crate::client::LabClient;
 use crate::fleet::{find_binary, send_signal};
 use crate::proxy::{self, FaultProxy};
-use crate::route_fleet::{DOMAINS, RouteAddresses, RouteFleetError, any_port, find_ports, write_settings};
+use crate::route_fleet::{DOMAINS, RouteAddresses, RouteFleetError, WHOLE_CORE, any_port, find_ports, write_settings};
 use crate::soak_audit::{BrokenPromise, SpanKind, SpanLog, Violation, WrittenVersion};
 
 /// Services that versions of the document lead to, one after the other.
@@ -203,7 +203,7 @@
             let own = links.address.to_string();
             let seeds: Vec<String> = proxies.iter().filter(|proxy| **proxy != own).cloned().collect();
             let store = proxy::start(any_port(), self.platform.address).await.map_err(io("a proxy"))?;
-            let settings = write_settings(&name, domain, &addresses, store.address, &seeds)?;
+            let settings = write_settings(&name, domain, &addresses, store.address, &seeds, WHOLE_CORE)?;
             let settings_file = Mutex::default();
             let log = self.folder.join(format!("{name}.log"));
             let (run, process) = (AtomicU64::new(0), tokio::sync::Mutex::default());
--- a/crates/lab/tests/deploy.rs
+++ b/crates/lab/tests/deploy.rs
@@ -32,6 +32,7 @@
         platform: port(7000),
         seeds: &["127.0.0.1:7102".to_owned()],
         grace_seconds: 6,
+        cpu_share: 0.25,
         extra_ratio: 0.2,
         extra_allowance: 54,
     };
--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -135,8 +135,13 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_entry_of_a_node_that_is_gone_is_removed_and_that_of_a_living_one_written_anew() {
-    let plan =
-        RouteFleetPlan { nodes: [3, 0], servers: vec![server("i-0")], routes: routes(), settings: "gone_after: 2s\n" };
+    let plan = RouteFleetPlan {
+        nodes: [3, 0],
+        servers: vec![server("i-0")],
+        routes: routes(),
+        settings: "gone_after: 2s\n",
+        ..RouteFleetPlan::default()
+    };
     let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
     let names = async |fleet: &RouteFleet| -> Vec<String> {
         fleet.platform.state.dump("nodes/").into_iter().map(|(key, _)| key).collect()
--- /dev/null
+++ b/crates/lab/tests/routes_owners.rs
@@ -0,0 +1,57 @@
+//! Nodes of very different size: the strong ones query the shards for the weak ones, as long as they
+//! can be reached. With real processes.
+
+use std::collections::HashMap;
+
+use serde_json::json;
+use streamfold_lab::fleet::send_signal;
+use streamfold_lab::route_checks::{get, header, near};
+use streamfold_lab::route_fleet::{RouteFleet, RouteFleetPlan, write_route};
+use streamfold_lab::wait::wait_for;
+
+/// Shards, all with a server in the failure domain of the nodes.
+const SHARDS: usize = 24;
+/// The node that callers ask, and one ten times as strong.
+const WEAK: &str = "zone-a-0";
+const STRONG: &str = "zone-a-1";
+
+async fn start_unequal() -> RouteFleet {
+    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("s-{shard}")).collect();
+    let servers = shards.iter().map(|shard| near(&format!("i-{shard}"), shard)).collect();
+    let gather = json!({ "gather": shards, "topK": 7, "minCoverage": 0.5, "timeoutMs": 8_000 });
+    let routes = vec![write_route("all", "/all/", &gather)];
+    let cpu_shares = HashMap::from([(WEAK, 0.1)]);
+    RouteFleet::start(RouteFleetPlan { nodes: [2, 0], servers, routes, cpu_shares, ..RouteFleetPlan::default() })
+        .await
+        .expect("a fleet")
+}
+
+/// Asks a node's queries until one of them is logged with some texts.
+async fn ask_until(fleet: &RouteFleet, what: &str, texts: &[&str]) {
+    let mut number = 0;
+    wait_for(what, async || {
+        number += 1;
+        let answer = get(fleet, "/all/x", &format!("r-{what}-{number}").replace(' ', "-")).await;
+        assert_eq!((answer.status.as_u16(), header(&answer, "x-missing-parts").unwrap_or("0")), (200, "0"));
+        !fleet.nodes[0].logged(texts).is_empty()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_weak_node_hands_near_shards_to_a_strong_one_and_goes_on_without_it() {
+    let mut fleet = start_unequal().await;
+    assert_eq!((fleet.nodes[0].name.as_str(), fleet.nodes[1].name.as_str()), (WEAK, STRONG));
+    let handed = format!("delegated={SHARDS} peers={STRONG}");
+    ask_until(&fleet, "shards at the strong node", &["event=request ", &handed]).await;
+    let answer = fleet.call(1, http::Method::GET, "/all/x", "r-strong", bytes::Bytes::new()).await.expect("an answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    wait_for("the strong node's own request", async || {
+        let line = fleet.nodes[1].logged(&["event=request ", "request=r-strong"]);
+        line.iter().inspect(|line| assert!(line.contains("delegated=0"), "{line}")).count() == 1
+    })
+    .await;
+    send_signal(&fleet.nodes[1].process, "KILL").await;
+    fleet.nodes[1].process.wait().await.expect("an end");
+    ask_until(&fleet, "shards asked for alone", &["event=request ", "delegated=0", "answered=24"]).await;
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,4 +25,4 @@
     CallerLimits, NodeEntry, RouteKind, RouteSpec, RouteTable, RouteTarget, ServerEntry, ServiceSpec, ShardFold,
     TableError, WeightedService,
 };
-pub use units::{ByteSize, CallRate, ParseUnitError, TimeSpan};
+pub use units::{ByteSize, CallRate, CoreShare, ParseUnitError, TimeSpan};
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -8,6 +8,7 @@
 use bincode::{Decode, Encode};
 
 use crate::ids::{FailureDomain, Incarnation, NodeId, RouteName, ServerId, ServiceName, TableVersion};
+use crate::units::CoreShare;
 
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
@@ -220,4 +221,6 @@
     pub domain: FailureDomain,
     /// Where its peers' port listens.
     pub peer_address: SocketAddr,
+    /// The processor it has; a node of an older version does not tell.
+    pub power: Option<CoreShare>,
 }
--- a/crates/model/src/units.rs
+++ b/crates/model/src/units.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
 /// Why a text is not a size, a rate or a span of time.
@@ -138,3 +139,27 @@
         write!(f, "{}/s", self.0)
     }
 }
+
+/// A part of a processor core, in thousandths; read as `0.25`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Encode, Decode)]
+#[serde(try_from = "String", into = "String")]
+pub struct CoreShare(pub u32);
+
+unit_text!(CoreShare, "share of a core", "0.25", |value, unit| {
+    let thousandths = (value * 1e3).round();
+    let is_share = unit.is_empty() && (1.0..=f64::from(u32::MAX)).contains(&thousandths);
+    is_share.then_some(CoreShare(thousandths as u32))
+});
+
+impl CoreShare {
+    /// How long work takes that a whole core does in a time.
+    pub fn stretch(self, work: Duration) -> Duration {
+        work.mul_f64(1e3 / f64::from(self.0.max(1)))
+    }
+}
+
+impl fmt::Display for CoreShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", f64::from(self.0) / 1e3)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod moment;
 pub mod owner;
 pub mod pin;
+pub mod placement;
 pub mod queue;
 pub mod replica;
 pub mod retry;
--- a/crates/policy/src/mechanism.rs
+++ b/crates/policy/src/mechanism.rs
@@ -13,6 +13,8 @@
     FarHedges,
     /// Shards without a server near are handed in batches to nodes near their servers.
     FarFolding,
+    /// Shards with a server near are handed to stronger nodes of the failure domain.
+    NearFolding,
     /// Servers that fell silent are gone round.
     SilenceRouting,
     /// Servers are judged by their open calls too.
@@ -36,10 +38,11 @@
 }
 
 /// Every mechanism with its name in settings, by the order of the type.
-const NAMES: [(Mechanism, &str); 13] = [
+const NAMES: [(Mechanism, &str); 14] = [
     (Mechanism::NearHedges, "near_hedges"),
     (Mechanism::FarHedges, "far_hedges"),
     (Mechanism::FarFolding, "far_folding"),
+    (Mechanism::NearFolding, "near_folding"),
     (Mechanism::SilenceRouting, "silence_routing"),
     (Mechanism::OpenCalls, "open_calls"),
     (Mechanism::ToldLoad, "told_load"),
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -42,15 +42,33 @@
     pub far: usize,
 }
 
+impl CallingNodes {
+    /// The part of one of these nodes, near the server or not.
+    fn part_of_one(self, is_near: bool) -> f64 {
+        let (part, count) = match (self, is_near) {
+            (Self { near, far: 0 }, _) => (1.0, near),
+            (Self { near: 0, far }, _) => (1.0, far),
+            (Self { near, .. }, true) => (NEAR_PART, near),
+            (Self { far, .. }, false) => (1.0 - NEAR_PART, far),
+        };
+        part / count.max(1) as f64
+    }
+}
+
+/// How a node stands to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerKind {
+    /// Whether it is in the server's failure domain.
+    pub is_near: bool,
+    /// Whether it is an owner in its own.
+    pub is_owner: bool,
+}
+
 /// Connections that a node may have to a server that accepts `limit` from all nodes together;
-/// at least one, since without it the node could not call the server at all.
-pub fn divide_connections(limit: u32, nodes: CallingNodes, is_near: bool) -> u32 {
-    let (part, count) = match (nodes, is_near) {
-        (CallingNodes { near, far: 0 }, _) => (1.0, near),
-        (CallingNodes { near: 0, far }, _) => (1.0, far),
-        (CallingNodes { near, .. }, true) => (NEAR_PART, near),
-        (CallingNodes { far, .. }, false) => (1.0 - NEAR_PART, far),
-    };
-    let share = f64::from(limit) * DIVIDED_SHARE * part / count.max(1) as f64;
-    (share as u32).max(1)
+/// at least one, since without it the node could not call the server at all. One half is divided
+/// among the owners, which make nearly all calls, and one among all nodes.
+pub fn divide_connections(limit: u32, nodes: CallingNodes, owners: CallingNodes, kind: CallerKind) -> u32 {
+    let half = f64::from(limit) * DIVIDED_SHARE / 2.0;
+    let owned = if kind.is_owner { half * owners.part_of_one(kind.is_near) } else { 0.0 };
+    ((owned + half * nodes.part_of_one(kind.is_near)) as u32).max(1)
 }
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,50 @@
+//! Where shards are queried, by the sizes of nodes.
+
+use std::time::Duration;
+
+use streamfold_model::CoreShare;
+use streamfold_policy::placement::{OwnerGroup, is_owner};
+
+const TARGET: Duration = Duration::from_millis(100);
+
+fn group(count: usize, power: u32) -> OwnerGroup {
+    OwnerGroup { count, power: CoreShare(power) }
+}
+
+#[test]
+fn the_strong_nodes_of_a_failure_domain_own_its_servers() {
+    let strongest = Some(CoreShare(500));
+    let owners = [500, 250, 249, 120].map(|power| is_owner(Some(CoreShare(power)), strongest));
+    assert_eq!(owners, [true, true, false, false]);
+    assert!(!is_owner(None, strongest), "one that tells nothing is no owner beside strong ones");
+    assert!(is_owner(None, None), "where nobody tells anything all are");
+}
+
+#[test]
+fn shards_are_split_where_one_node_would_need_too_long() {
+    let batches: Vec<String> = [(8, 250), (30, 250), (60, 500), (90, 500), (135, 500), (135, 120)]
+        .map(|(shards, power)| {
+            let group = group(3, power);
+            let long = group.count_batches(shards, TARGET * 3);
+            format!("{shards} shards at {}: {} or {long}", group.power, group.count_batches(shards, TARGET))
+        })
+        .into();
+    insta::assert_snapshot!(batches.join("\n"), @r"
+    8 shards at 0.25: 1 or 1
+    30 shards at 0.25: 1 or 1
+    60 shards at 0.5: 1 or 1
+    90 shards at 0.5: 2 or 1
+    135 shards at 0.5: 3 or 1
+    135 shards at 0.12: 3 or 3
+    ");
+}
+
+#[test]
+fn weak_nodes_hand_even_near_shards_on_and_equal_ones_keep_them() {
+    let weak = CoreShare(120);
+    assert!(group(3, 500).is_worth_asking(90, TARGET, weak));
+    assert!(group(3, 500).is_worth_asking(18, TARGET, weak));
+    assert!(!group(3, 500).is_worth_asking(2, TARGET, weak), "the batch costs more than the calls");
+    assert!(!group(3, 250).is_worth_asking(20, TARGET, CoreShare(250)));
+    assert!(!group(0, 500).is_worth_asking(90, TARGET, weak), "there is nobody to ask");
+}
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -83,7 +83,7 @@
     /// A cluster of which nothing is known yet.
     pub fn new(place: ClusterPlace) -> Self {
         let parts = ClusterParts::default();
-        let view = ArcSwap::from_pointee(parts.build_view());
+        let view = ArcSwap::from_pointee(parts.build_view(&place.node));
         Self { place, generation: AtomicU64::new(0), parts: Mutex::new(parts), view }
     }
 
@@ -108,7 +108,7 @@
 
     fn publish(&self, parts: &ClusterParts) {
         self.generation.fetch_add(1, Ordering::Relaxed);
-        let view = parts.build_view();
+        let view = parts.build_view(&self.place.node);
         for server in view.services.values().flat_map(|service| &service.servers) {
             server.set_share(view.connection_share(server));
         }
@@ -225,7 +225,7 @@
                 let gone = name.parse::<NodeId>().ok().and_then(|node| parts.nodes.remove(&node));
                 let Some(gone) = gone else { return false };
                 tracing::info!(event = "node_gone", node = name);
-                parts.gone_nodes.push((gone.domain, now.plus(self.place.spent_for)));
+                parts.gone_nodes.push((gone, now.plus(self.place.spent_for)));
                 true
             }
             FeedTopic::Servers => {
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -4,15 +4,16 @@
 use std::sync::{Arc, Mutex};
 
 use streamfold_model::{
-    FailureDomain, NodeEntry, NodeId, RouteName, RouteSpec, RouteTable, RouteTarget, ServerId, ServiceName,
+    CoreShare, FailureDomain, NodeEntry, NodeId, RouteName, RouteSpec, RouteTable, RouteTarget, ServerId, ServiceName,
 };
 use streamfold_policy::Moment;
 use streamfold_policy::extra_budget::ExtraBudget;
 use streamfold_policy::owner::choose_owners;
+use streamfold_policy::placement;
 use streamfold_policy::split_rule::SplitTurns;
 
 use crate::cluster::ClusterPlace;
-use crate::cluster_view::{ClusterView, RouteTimes, Service};
+use crate::cluster_view::{ClusterView, NodeCount, RouteTimes, Service};
 use crate::peers::PeerNode;
 use crate::server::Server;
 
@@ -34,7 +35,7 @@
     /// Nodes, this one included.
     pub(crate) nodes: HashMap<NodeId, NodeEntry>,
     /// Nodes that went, with the moment until which they count.
-    pub(crate) gone_nodes: Vec<(FailureDomain, Moment)>,
+    pub(crate) gone_nodes: Vec<(NodeEntry, Moment)>,
     peers: HashMap<NodeId, Arc<PeerNode>>,
 }
 
@@ -47,26 +48,49 @@
         true
     }
 
-    /// Chooses the nodes of other failure domains to keep links to, a few of each, so that
-    /// links grow with domains and not with nodes.
+    /// Chooses the nodes to keep links to, a few owners of each failure domain, so that links grow
+    /// with domains and not with nodes. In its own domain a node keeps links only to stronger ones.
     pub(crate) fn choose_peers(&mut self, place: &ClusterPlace) {
+        let strongest = self.find_strongest();
+        let is_owner = |entry: &NodeEntry| {
+            let strongest = strongest.get(&entry.domain).copied().flatten();
+            placement::is_owner(entry.power, strongest)
+        };
+        let is_own_owner = self.nodes.get(&place.node).is_none_or(is_owner);
         let mut by_domain: HashMap<&FailureDomain, Vec<&NodeEntry>> = HashMap::new();
-        for entry in self.nodes.values().filter(|entry| entry.domain != place.domain) {
+        for entry in self.nodes.values().filter(|entry| entry.domain != place.domain || !is_own_owner) {
             by_domain.entry(&entry.domain).or_default().push(entry);
         }
         let mut peers = HashMap::new();
         for (domain, entries) in by_domain {
-            let names = entries.iter().map(|entry| entry.node.as_str());
-            let chosen = choose_owners(names, place.node.as_str(), PEERS_PER_DOMAIN);
+            let owners = entries.iter().filter(|entry| is_owner(entry)).map(|entry| entry.node.as_str());
+            let mut chosen = choose_owners(owners, place.node.as_str(), PEERS_PER_DOMAIN);
+            if *domain != place.domain {
+                // Others stand in where few owners are there and all of them are lost.
+                let others = entries.iter().filter(|entry| !is_owner(entry)).map(|entry| entry.node.as_str());
+                chosen.extend(choose_owners(others, place.node.as_str(), PEERS_PER_DOMAIN - chosen.len()));
+            }
             for entry in entries.into_iter().filter(|entry| chosen.contains(&entry.node.as_str())) {
-                let known = self.peers.get(&entry.node).filter(|peer| peer.entry == *entry);
-                let peer = known.cloned().unwrap_or_else(|| PeerNode::new(entry.clone(), place.distance(domain)));
-                peers.insert(entry.node.clone(), peer);
+                let known = self.peers.get(&entry.node);
+                let known = known.filter(|peer| peer.entry == *entry && peer.is_owner == is_owner(entry));
+                let make = || PeerNode::new(entry.clone(), place.distance(domain), is_owner(entry));
+                peers.insert(entry.node.clone(), known.cloned().unwrap_or_else(make));
             }
         }
         self.peers = peers;
     }
 
+    /// The processor of the strongest node of each failure domain, of those that went lately too.
+    fn find_strongest(&self) -> HashMap<FailureDomain, Option<CoreShare>> {
+        let gone = self.gone_nodes.iter().map(|(entry, _)| entry);
+        let mut strongest: HashMap<FailureDomain, Option<CoreShare>> = HashMap::new();
+        for entry in self.nodes.values().chain(gone) {
+            let known = strongest.entry(entry.domain.clone()).or_default();
+            *known = (*known).max(entry.power);
+        }
+        strongest
+    }
+
     /// Keeps the latencies of routes that are in the new version too.
     pub(crate) fn keep_times(&mut self, table: &RouteTable) {
         let mut old = std::mem::take(&mut self.times);
@@ -86,17 +110,27 @@
         self.turns = splits.map(|route| (route.name.clone(), keep(&route.name))).collect();
     }
 
-    fn count_nodes(&self) -> HashMap<FailureDomain, usize> {
-        let gone = self.gone_nodes.iter().map(|(domain, _)| domain);
-        let mut counts = HashMap::new();
-        for domain in self.nodes.values().map(|entry| &entry.domain).chain(gone) {
-            *counts.entry(domain.clone()).or_default() += 1;
+    fn count_nodes(&self) -> HashMap<FailureDomain, NodeCount> {
+        let strongest = self.find_strongest();
+        let gone = self.gone_nodes.iter().map(|(entry, _)| entry);
+        let mut counts: HashMap<FailureDomain, NodeCount> = HashMap::new();
+        for entry in self.nodes.values().chain(gone) {
+            let count = counts.entry(entry.domain.clone()).or_default();
+            count.all += 1;
+            count.owners += usize::from(placement::is_owner(entry.power, strongest[&entry.domain]));
         }
         counts
     }
 
+    /// Whether a node is an owner in its failure domain; one that is not known counts as none.
+    fn is_owner(&self, node: &NodeId) -> bool {
+        let strongest = self.find_strongest();
+        let entry = self.nodes.get(node);
+        entry.is_some_and(|entry| placement::is_owner(entry.power, strongest[&entry.domain]))
+    }
+
     /// The view of all this.
-    pub(crate) fn build_view(&self) -> ClusterView {
+    pub(crate) fn build_view(&self, own: &NodeId) -> ClusterView {
         let mut services: HashMap<ServiceName, Service> = HashMap::new();
         for server in self.servers.values().filter(|server| !server.is_leaving()) {
             let service = services.entry(server.service.clone()).or_insert_with(|| Service {
@@ -111,6 +145,7 @@
             times: self.times.clone(),
             turns: self.turns.clone(),
             nodes: self.count_nodes(),
+            is_owner: self.is_owner(own),
             peers: self.peers.values().cloned().collect(),
         }
     }
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -5,7 +5,7 @@
 
 use streamfold_model::{FailureDomain, RouteName, RouteTable, ServiceName};
 use streamfold_policy::extra_budget::ExtraBudget;
-use streamfold_policy::owner::{CallingNodes, divide_connections};
+use streamfold_policy::owner::{CallerKind, CallingNodes, divide_connections};
 use streamfold_policy::replica::Distance;
 use streamfold_policy::split_rule::SplitTurns;
 
@@ -33,6 +33,15 @@
 /// Latencies of one route's calls to servers.
 pub type RouteTimes = Arc<CallTimes>;
 
+/// Nodes of a failure domain.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct NodeCount {
+    /// All of them.
+    pub all: usize,
+    /// Its owners.
+    pub owners: usize,
+}
+
 /// What one request works with.
 pub struct ClusterView {
     /// The routes in force, once there are any.
@@ -44,8 +53,10 @@
     /// Turns of the services of a route, by route.
     pub(crate) turns: HashMap<RouteName, Arc<SplitTurns>>,
     /// Nodes by failure domain, this one included; also those that were there until lately.
-    pub nodes: HashMap<FailureDomain, usize>,
-    /// Nodes of other failure domains that this one keeps links to.
+    pub nodes: HashMap<FailureDomain, NodeCount>,
+    /// Whether this node is an owner in its failure domain.
+    pub is_owner: bool,
+    /// Nodes that this one keeps links to.
     pub peers: Vec<Arc<PeerNode>>,
 }
 
@@ -57,18 +68,36 @@
 
     /// Nodes that share what is divided among all of them.
     pub fn node_count(&self) -> usize {
-        match self.nodes.values().sum() {
+        match self.nodes.values().map(|count| count.all).sum() {
             0 => ASSUMED_NODES,
             count => count,
         }
     }
 
+    /// This node's part of what all nodes share. One half is divided among the owners, which make
+    /// nearly all calls, and one among all nodes.
+    pub fn shared_part(&self) -> f64 {
+        let among = |count: usize| 0.5 / count.max(1) as f64;
+        let owners = match self.nodes.values().map(|count| count.owners).sum() {
+            0 => self.node_count(),
+            count => count,
+        };
+        let owned = if self.is_owner { among(owners) } else { 0.0 };
+        owned + among(self.node_count())
+    }
+
     /// Connections that this node may have to a server.
     pub(crate) fn connection_share(&self, server: &Server) -> u32 {
         let spec = self.table.as_ref().and_then(|table| table.service(&server.service));
         let Some(spec) = spec else { return 1 };
-        let near = self.nodes.get(&server.domain).copied().unwrap_or(0);
-        let nodes = CallingNodes { near, far: self.node_count() - near };
-        divide_connections(spec.max_connections, nodes, server.distance == Distance::Domain)
+        let near = self.nodes.get(&server.domain).copied().unwrap_or_default();
+        let owners = self.nodes.values().map(|count| count.owners).sum::<usize>();
+        let nodes = CallingNodes { near: near.all, far: self.node_count() - near.all };
+        let owners = CallingNodes { near: near.owners, far: owners - near.owners };
+        divide_connections(spec.max_connections, nodes, owners, self.caller_kind(server))
+    }
+
+    fn caller_kind(&self, server: &Server) -> CallerKind {
+        CallerKind { is_near: server.distance == Distance::Domain, is_owner: self.is_owner }
     }
 }
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -9,10 +9,12 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use streamfold_model::{FailureDomain, ServiceName};
-use streamfold_policy::Moment;
+use streamfold_model::{CoreShare, FailureDomain, ServiceName};
 use streamfold_policy::fold_rule::FoldRule;
+use streamfold_policy::owner::choose_owners;
+use streamfold_policy::placement::OwnerGroup;
 use streamfold_policy::replica::Distance;
+use streamfold_policy::{Mechanism, Moment};
 
 use crate::attempt_context::AttemptContext;
 use crate::batch::{BatchMode, BatchShard, ShardBatch};
@@ -65,6 +67,20 @@
     pub mode: BatchMode,
 }
 
+/// Shards that one node is to be asked for.
+pub struct PlannedBatch {
+    /// The node.
+    pub peer: Arc<PeerNode>,
+    /// The shards' positions in the request.
+    pub positions: Vec<usize>,
+}
+
+impl PlannedBatch {
+    fn new(peer: Arc<PeerNode>) -> Self {
+        Self { peer, positions: Vec::new() }
+    }
+}
+
 /// What another node is asked for.
 pub struct BatchOrder {
     /// The node.
@@ -93,15 +109,25 @@
     }
 }
 
+/// Nodes of a failure domain as the rules of placement see them; `None` where there is none or
+/// one does not tell its size.
+fn find_group(peers: &[Arc<PeerNode>]) -> Option<OwnerGroup> {
+    let powers: Option<Vec<CoreShare>> = peers.iter().map(|peer| peer.entry.power).collect();
+    powers?.into_iter().min().map(|power| OwnerGroup { count: peers.len(), power })
+}
+
 impl AttemptContext {
-    /// The failure domains whose nodes are asked for shards, each with the shards' positions.
-    /// Shards with a server near are not among them, nor domains that would get very few.
-    pub fn plan_batches(&self, slots: &[ShardSlot]) -> Vec<(FailureDomain, Vec<usize>)> {
+    /// The batches that other nodes are asked for. Shards with a server near are among them only
+    /// where stronger nodes of this failure domain answer them sooner; domains that would get very
+    /// few are not.
+    pub fn plan_batches(&self, slots: &[ShardSlot]) -> Vec<PlannedBatch> {
         let now = self.now();
+        let mut near = Vec::new();
         let mut by_domain = PositionsByDomain::new();
         for (position, slot) in slots.iter().enumerate() {
             let Some(best) = self.best_server(&slot.attempts) else { continue };
             if best.distance == Distance::Domain {
+                near.push(position);
                 continue;
             }
             let Some(service) = self.view.services.get(&slot.attempts.service) else { continue };
@@ -111,20 +137,55 @@
                 by_domain.entry(domain).or_default().insert(position);
             }
         }
-        by_domain.retain(|(_, domain), _| self.usable_peers(domain).next().is_some());
-        share_out(by_domain)
+        by_domain.retain(|(_, domain), _| !self.usable_peers(domain).is_empty());
+        let mut placed = share_out(by_domain);
+        let own = self.router.cluster.place().domain.clone();
+        if self.hands_near(&own, near.len()) {
+            placed.push((own, near));
+        }
+        placed.into_iter().flat_map(|(domain, positions)| self.split(slots, &domain, positions)).collect()
+    }
+
+    /// Whether shards near this node are handed to stronger nodes near it.
+    fn hands_near(&self, own: &FailureDomain, shards: usize) -> bool {
+        let (Some(group), Some(power)) = (find_group(&self.usable_peers(own)), self.router.settings.power()) else {
+            return false;
+        };
+        self.router.has(Mechanism::NearFolding) && group.is_worth_asking(shards, self.route.target_latency, power)
+    }
+
+    /// The batches that the shards of a failure domain make. A shard goes to the same node from
+    /// everywhere as far as the choice allows, since that one has the connections.
+    fn split(&self, slots: &[ShardSlot], domain: &FailureDomain, positions: Vec<usize>) -> Vec<PlannedBatch> {
+        let mut peers = self.usable_peers(domain);
+        let group = find_group(&peers);
+        let count = group.map_or(1, |group| group.count_batches(positions.len(), self.route.target_latency));
+        peers.sort_by_cached_key(|peer| (peer.state().running(), rand::random::<u32>()));
+        peers.truncate(count);
+        let names: Vec<&str> = peers.iter().map(|peer| peer.entry.node.as_str()).collect();
+        let mut batches: Vec<PlannedBatch> = peers.iter().map(|peer| PlannedBatch::new(peer.clone())).collect();
+        for position in positions {
+            let owners = choose_owners(names.iter().copied(), slots[position].attempts.service.as_str(), 1);
+            let index = names.iter().position(|name| owners.first() == Some(name)).unwrap_or_default();
+            batches[index].positions.push(position);
+        }
+        batches.retain(|batch| !batch.positions.is_empty());
+        batches
     }
 
-    fn usable_peers<'a>(&'a self, domain: &'a FailureDomain) -> impl Iterator<Item = &'a Arc<PeerNode>> {
+    /// The nodes of a failure domain that may be given work: its owners, or others while none of
+    /// them can be reached.
+    fn usable_peers(&self, domain: &FailureDomain) -> Vec<Arc<PeerNode>> {
         let now = self.now();
-        self.view.peers.iter().filter(move |peer| peer.entry.domain == *domain && peer.is_usable(now))
+        let usable = self.view.peers.iter().filter(|peer| peer.entry.domain == *domain && peer.is_usable(now));
+        let (owners, others): (Vec<_>, Vec<_>) = usable.cloned().partition(|peer| peer.is_owner);
+        if owners.is_empty() { others } else { owners }
     }
 
     /// The node of a failure domain with the least work from here.
     pub fn choose_peer(&self, domain: &FailureDomain) -> Option<Arc<PeerNode>> {
-        let busy = |peer: &Arc<PeerNode>| f64::from(peer.state().running()) + rand::random_range(0.0..1.0);
-        let costed = self.usable_peers(domain).map(|peer| (busy(peer), peer));
-        costed.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, peer)| peer.clone())
+        let busy = |peer: &Arc<PeerNode>| (peer.state().running(), rand::random::<u32>());
+        self.usable_peers(domain).into_iter().min_by_key(busy)
     }
 
     /// Counts a request for a service whose first call another node makes.
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -7,19 +7,19 @@
 
 use crate::attempts::ServiceAttempts;
 use crate::batch::{BatchFrame, BatchMode, BatchShard, FoldedShard, MissingShard, ShardReply};
-use crate::delegate::{BatchOrder, read_on};
+use crate::delegate::{BatchOrder, PlannedBatch, read_on};
 use crate::fold::ShardPart;
 use crate::gather::GatherRound;
 use crate::peers::{BatchNews, PendingBatch};
 
 impl GatherRound<'_> {
-    /// Hands shards without a server near to nodes near their servers.
+    /// Hands shards to nodes near their servers.
     pub(crate) fn delegate(&mut self) {
         if !self.context.router.has(Mechanism::FarFolding) {
             return;
         }
-        for (domain, positions) in self.context.plan_batches(&self.slots) {
-            let Some(peer) = self.context.choose_peer(&domain) else { continue };
+        for PlannedBatch { peer, positions } in self.context.plan_batches(&self.slots) {
+            let domain = peer.entry.domain.clone();
             let number = self.batches.len();
             let shards = positions.iter().map(|position| self.lend(*position, number, &domain)).collect();
             self.send(BatchOrder { peer, positions, shards, mode: BatchMode::Folded });
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -28,6 +28,8 @@
     pub entry: NodeEntry,
     /// How far away it is.
     pub distance: Distance,
+    /// Whether it is an owner in its failure domain.
+    pub is_owner: bool,
     /// The link to it.
     pub link: Arc<PeerLink>,
     state: Mutex<ReplicaState>,
@@ -36,10 +38,10 @@
 
 impl PeerNode {
     /// A node that is not connected to yet.
-    pub fn new(entry: NodeEntry, distance: Distance) -> Arc<Self> {
+    pub fn new(entry: NodeEntry, distance: Distance, is_owner: bool) -> Arc<Self> {
         let link = PeerLink::new(entry.peer_address);
         let state = Mutex::new(ReplicaState::new(PEER_SLOTS, Moment::default()));
-        Arc::new(Self { entry, distance, link, state, is_stopping: AtomicBool::new(false) })
+        Arc::new(Self { entry, distance, is_owner, link, state, is_stopping: AtomicBool::new(false) })
     }
 
     /// What is believed of it.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -232,6 +232,7 @@
             incarnation: self.incarnation,
             domain: self.settings.failure_domain.clone(),
             peer_address: self.settings.peers,
+            power: self.settings.power(),
         }
     }
 
@@ -314,7 +315,7 @@
     pub fn extra_limits(&self, view: &ClusterView) -> ExtraLimits {
         let extra = self.live.load().extra_calls;
         let is_new = !self.settings.first_start && self.uptime() < extra.window.0;
-        let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE / view.node_count() as f64 };
+        let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE * view.shared_part() };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
     }
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Deserializer};
-use streamfold_model::{FailureDomain, NodeId, TimeSpan};
+use streamfold_model::{CoreShare, FailureDomain, NodeId, TimeSpan};
 use streamfold_policy::{Mechanism, MechanismSet};
 
 /// Settings of one node, as the file has them. What it does not know is ignored, since the
@@ -29,6 +29,12 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub platform: SocketAddr,
+    /// Processor cores of the machine.
+    #[serde(default)]
+    pub cores: Option<f64>,
+    /// The share of them that this process has.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
     /// Addresses of some nodes, for a start while the store is away.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -67,6 +73,12 @@
         MechanismSet::without(&self.without)
     }
 
+    /// The processor this node has, if the settings tell.
+    pub fn power(&self) -> Option<CoreShare> {
+        let cores = self.cores? * self.cpu_share?;
+        (cores.is_finite() && cores > 0.0).then_some(CoreShare((cores * 1e3) as u32))
+    }
+
     /// Whether a node with these settings would have the same name, place and ports.
     pub fn has_same_place(&self, other: &Self) -> bool {
         let place = |settings: &Self| (settings.node.clone(), settings.failure_domain.clone());
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -14,6 +14,7 @@
         incarnation: Incarnation(incarnation),
         domain: "zone-a".parse().expect("a failure domain"),
         peer_address: "127.0.0.1:7380".parse().expect("an address"),
+        power: None,
     }
 }
 
