First listings of servers and nodes have one line in the log

Cause: after a restart of all nodes each wrote 1,350 lines about servers and 290 about nodes within its first 0.3 s; the 256 KB buffer dropped most of what followed, so that the restart could not be followed in the log. Change: what comes while nothing of a topic is known is told in one line (event=listed). Later changes have a line each as before.

--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -133,14 +133,18 @@
 
     /// Takes changes of a topic.
     pub fn apply(&self, now: Moment, changes: Vec<FeedChange>, topic: FeedTopic, origin: NewsOrigin) {
+        let is_first = topic != FeedTopic::Routes && !self.knows_any(topic);
+        if is_first && !changes.is_empty() {
+            tracing::info!(event = "listed", topic = %topic, entries = changes.len(), source = %origin);
+        }
         let mut is_changed = false;
         for change in changes {
             match change {
                 FeedChange::Put(FeedItem::Routes(table)) => {
                     self.offer_table(*table, origin);
                 }
-                FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry),
-                FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry, origin),
+                FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry, is_first),
+                FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry, origin, is_first),
                 FeedChange::Removed(name) => is_changed |= self.remove(now, topic, &name),
             }
         }
@@ -174,7 +178,18 @@
         self.apply(now, changes, topic, origin);
     }
 
-    fn put_server(&self, now: Moment, entry: &ServerEntry) -> bool {
+    fn knows_any(&self, topic: FeedTopic) -> bool {
+        let parts = self.parts();
+        match topic {
+            FeedTopic::Routes => parts.table.is_some(),
+            FeedTopic::Servers => !parts.servers.is_empty(),
+            FeedTopic::Nodes => !parts.nodes.is_empty(),
+        }
+    }
+
+    /// Takes a server's entry; one of the first listing has no line of its own, since thousands of
+    /// them would push all others out of the log's buffer.
+    fn put_server(&self, now: Moment, entry: &ServerEntry, is_first: bool) -> bool {
         let mut parts = self.parts();
         parts.doubtful.remove(&entry.id);
         if let Some(server) = parts.servers.get(&entry.id) {
@@ -186,20 +201,22 @@
             server.mark_leaving();
             return true;
         }
-        tracing::info!(
-            event = "server_seen",
-            server = %entry.id,
-            service = %entry.service,
-            address = %entry.address,
-            draining = entry.is_draining
-        );
+        if !is_first {
+            tracing::info!(
+                event = "server_seen",
+                server = %entry.id,
+                service = %entry.service,
+                address = %entry.address,
+                draining = entry.is_draining
+            );
+        }
         let distance = self.place.distance(&entry.domain);
         parts.servers.insert(entry.id.clone(), Server::new(entry, distance, now, self.place.mechanisms));
         parts.budgets.entry(entry.service.clone()).or_default();
         true
     }
 
-    fn put_node(&self, entry: NodeEntry, origin: NewsOrigin) -> bool {
+    fn put_node(&self, entry: NodeEntry, origin: NewsOrigin, is_first: bool) -> bool {
         let mut parts = self.parts();
         let known = parts.nodes.get(&entry.node);
         // What another node tells may be older than what the store has told.
@@ -207,12 +224,14 @@
         if known == Some(&entry) || (is_older && origin == NewsOrigin::Peer) {
             return false;
         }
-        tracing::info!(
-            event = "node_seen",
-            node = %entry.node,
-            incarnation = %entry.incarnation,
-            address = %entry.peer_address
-        );
+        if !is_first {
+            tracing::info!(
+                event = "node_seen",
+                node = %entry.node,
+                incarnation = %entry.incarnation,
+                address = %entry.peer_address
+            );
+        }
         parts.nodes.insert(entry.node.clone(), entry);
         true
     }
