--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -273,6 +273,8 @@
         let mut violations = lock(&self.violations);
         if !violations.iter().any(|known| known.promise == promise && known.request == request) {
             let violation = Violation { promise, request: request.to_owned(), seen };
+            // Also into the log of the run, which outlasts what the test printed.
+            self.tell(&format!("broken {violation}"));
             if violations.iter().filter(|known| known.promise == promise).count() < TOLD {
                 eprintln!("violation at {:.3} s: {violation}", self.started.elapsed().as_secs_f64());
             }
