Nodes that start or lose their reader together hardly call the store

Each waited 40 ms for a reader, followed the store by itself and did so for three seconds. 900 more were entries written by three calls (made, read, replaced), 600 listings of nodes.

Change: a node that starts waits for a reader by its rank (125 ms each, at most 1.2 s) and asks again while readers come up; the strong nodes of a failure domain are its first readers; a node that follows the store looks for a reader after 0.5 s, then less often; at a start that is not the first the nodes are listed as they may have been seconds ago, and an entry that is there is replaced by one call; while the store refuses calls one at a time asks again for all topics (store_turn.rs).

--- a/crates/policy/tests/feed_rule.rs
+++ b/crates/policy/tests/feed_rule.rs
@@ -1,11 +1,24 @@
 //! Who follows the store for a failure domain.
 
-use streamfold_policy::feed_rule::choose_readers;
+use std::time::Duration;
+
+use streamfold_model::CoreShare;
+use streamfold_policy::feed_rule::{self, FeedNode, ReaderChoice};
 
 fn nodes(count: usize) -> Vec<String> {
     (0..count).map(|number| format!("node-{number}")).collect()
 }
 
+/// The choice among nodes that are equally strong.
+fn choose<'a>(own: &str, names: &[&'a str]) -> ReaderChoice<'a> {
+    let nodes: Vec<FeedNode> = names.iter().map(|name| FeedNode { name, power: None }).collect();
+    feed_rule::choose_readers(own, "zone-a", &nodes)
+}
+
+fn choose_readers<'a>(own: &str, names: &[&'a str]) -> Vec<&'a str> {
+    choose(own, names).readers
+}
+
 fn names(nodes: &[String]) -> Vec<&str> {
     nodes.iter().map(String::as_str).collect()
 }
@@ -13,7 +26,7 @@
 /// Nodes that follow the store by themselves.
 fn count_readers(nodes: &[String]) -> usize {
     let names = names(nodes);
-    names.iter().filter(|own| choose_readers(own, "zone-a", &names).is_empty()).count()
+    names.iter().filter(|own| choose_readers(own, &names).is_empty()).count()
 }
 
 #[test]
@@ -41,7 +54,7 @@
             .map(|(_, name)| name.as_str())
             .collect()
     };
-    let follows = |own: usize| choose_readers(&all[own], "zone-a", &known(own));
+    let follows = |own: usize| choose_readers(&all[own], &known(own));
     for own in 0..all.len() {
         for reader in follows(own) {
             let other = all.iter().position(|name| name == reader).expect("a known node");
@@ -55,7 +68,7 @@
     let names = names(nodes);
     let mut counts = std::collections::HashMap::new();
     for own in &names {
-        if let Some(reader) = choose_readers(own, "zone-a", &names).first().copied() {
+        if let Some(reader) = choose_readers(own, &names).first().copied() {
             *counts.entry(reader).or_insert(0) += 1;
         }
     }
@@ -76,11 +89,33 @@
     ");
     let all = nodes(76);
     let names = names(&all);
-    assert!(names.iter().all(|own| choose_readers(own, "zone-a", &names).len() <= 3));
+    assert!(names.iter().all(|own| choose_readers(own, &names).len() <= 3));
 }
 
 #[test]
 fn a_node_that_is_not_among_those_known_follows_nobody() {
     let all = nodes(10);
-    assert!(choose_readers("unknown", "zone-a", &names(&all)).is_empty());
+    assert!(choose_readers("unknown", &names(&all)).is_empty());
+}
+
+#[test]
+fn strong_nodes_are_followed_by_the_weak_ones() {
+    let all = nodes(48);
+    let names = names(&all);
+    let power = |position: usize| if position < 3 { CoreShare(500) } else { CoreShare(120) };
+    let nodes: Vec<FeedNode> =
+        names.iter().enumerate().map(|(position, name)| FeedNode { name, power: Some(power(position)) }).collect();
+    let preferred = |own: &str| feed_rule::choose_readers(own, "zone-a", &nodes).readers.first().copied();
+    let readers: std::collections::BTreeSet<&str> = names.iter().filter_map(|own| preferred(own)).collect();
+    assert_eq!(readers, std::collections::BTreeSet::from(["node-0", "node-1", "node-2"]));
+}
+
+#[test]
+fn of_nodes_that_start_together_only_the_first_ones_lose_patience_soon() {
+    let all = nodes(48);
+    let names = names(&all);
+    let mut waits: Vec<Duration> = names.iter().map(|own| choose(own, &names).patience).collect();
+    waits.sort_unstable();
+    let soon = waits.iter().filter(|wait| **wait < Duration::from_millis(400)).count();
+    assert_eq!((waits[0], soon, waits[47]), (Duration::ZERO, 4, Duration::from_millis(1_200)));
 }
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -152,17 +152,27 @@
     pub position: FeedPosition,
 }
 
+/// How old a listing may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListAge {
+    /// As the store is now.
+    Fresh,
+    /// As it may have been seconds ago, which costs the platform less.
+    MayBeStale,
+}
+
 /// Where routes, servers and nodes are learnt from. Entries that cannot be read are logged by
 /// the adapter and left out.
 pub trait ClusterFeed: Send + Sync {
     /// Reads all of a topic.
-    fn list(&self, topic: FeedTopic) -> FeedFuture<'_, FeedList>;
+    fn list(&self, topic: FeedTopic, age: ListAge) -> FeedFuture<'_, FeedList>;
 
     /// Waits for changes after a position, at most `wait`.
     fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges>;
 
-    /// Registers this node for the others.
-    fn announce<'a>(&'a self, entry: &'a NodeEntry) -> FeedFuture<'a, ()>;
+    /// Registers this node for the others; `is_listed` tells that an entry of it is believed to be
+    /// there, which saves calls if it is so.
+    fn announce<'a>(&'a self, entry: &'a NodeEntry, is_listed: bool) -> FeedFuture<'a, ()>;
 
     /// Removes a node's entry, unless another run of the node has written its own.
     fn withdraw<'a>(&'a self, entry: &'a NodeEntry) -> FeedFuture<'a, ()>;
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -5,10 +5,11 @@
 
 use streamfold_store::StoreError;
 
-use crate::border::{FeedPosition, FeedTopic};
+use crate::border::{FeedPosition, FeedTopic, ListAge};
 use crate::cluster::NewsOrigin;
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
+use crate::store_turn::choose_pause;
 
 /// How long a watch of nodes waits in the store, since nodes matter little from one second to the
 /// next: about the longest that it allows. The other watches wait as long as the settings say.
@@ -17,10 +18,6 @@
 /// that leaves must get no request 3 s after; nodes matter little from one second to the next.
 const SERVERS_PAUSE: Duration = Duration::from_millis(200);
 const NODES_PAUSE: Duration = Duration::from_millis(3_000);
-/// Pauses after a failed call: the first, doubled with each further one, and the longest. The
-/// store's rates bear all nodes asking at the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// How long newer routes that another node has may take to arrive here as well, before they are
 /// asked for.
 const NEWER_WITHIN: Duration = Duration::from_millis(150);
@@ -56,7 +53,7 @@
             continue;
         }
         tracing::info!(event = "routes_behind", version = %router.cluster.version());
-        match router.feed.list(FeedTopic::Routes).await {
+        match router.feed.list(FeedTopic::Routes, ListAge::Fresh).await {
             Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Routes, NewsOrigin::Store),
             Err(error) => tracing::warn!(event = "routes_not_read", %error),
         }
@@ -109,7 +106,7 @@
 
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
-        let list = router.feed.list(self.topic).await?;
+        let list = router.store_turn.call(router.feed.list(self.topic, ListAge::Fresh)).await?;
         router.cluster.replace(router.clock.now(), list.items.clone(), self.topic, NewsOrigin::Store);
         router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items));
         Ok(list.position)
@@ -133,9 +130,11 @@
         // What changed while a watch was cut may be hidden from the next one, so everything is
         // listed again.
         self.position = None;
-        let pause = (FIRST_PAUSE * 2u32.pow(self.failures.min(6))).min(MAX_PAUSE);
         self.failures += 1;
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        // A refused one waits for its turn.
+        if !matches!(error, StoreError::Unavailable(_) | StoreError::Unreachable) {
+            tokio::time::sleep(choose_pause(self.failures - 1)).await;
+        }
     }
 }
 
@@ -143,13 +142,13 @@
 pub async fn announce(router: &Router) {
     let entry = router.own_entry();
     let mut failures = 0;
-    while let Err(error) = router.feed.announce(&entry).await {
+    let is_listed = router.cluster.has_node(&entry.node);
+    while let Err(error) = router.store_turn.call(router.feed.announce(&entry, is_listed)).await {
         if failures == 0 {
             tracing::warn!(event = "announce_failed", %error);
         }
-        let pause = (FIRST_PAUSE * 2u32.pow(failures.min(6))).min(MAX_PAUSE);
+        tokio::time::sleep(choose_pause(failures)).await;
         failures += 1;
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
     }
     tracing::info!(event = "announced", node = %entry.node, incarnation = %entry.incarnation);
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -8,9 +8,9 @@
 use streamfold_link::{FrameReader, PeerError, PeerLink};
 use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry};
 use streamfold_policy::Mechanism;
-use streamfold_policy::feed_rule::choose_readers;
+use streamfold_policy::feed_rule::{FeedNode, choose_readers};
 
-use crate::border::{FeedChange, FeedItem, FeedTopic};
+use crate::border::{FeedChange, FeedItem, FeedTopic, ListAge};
 use crate::cluster::NewsOrigin;
 use crate::router::Router;
 
@@ -25,11 +25,11 @@
 const BEGIN_WITHIN: Duration = Duration::from_millis(800);
 /// How long all readers together may take to begin before the store is followed directly.
 const SWITCH_WITHIN: Duration = Duration::from_millis(1_000);
-/// The same for a node that has just been started again and knows nothing yet: where all nodes
-/// of the failure domain were killed together there is no reader to wait for. One that is there
-/// answers within a millisecond or two.
-const RESTART_WITHIN: Duration = Duration::from_millis(40);
-/// How often a node that follows the store looks for a reader.
+/// The pause before a node that has just been started asks readers again that were not up yet.
+const START_PAUSE: Duration = Duration::from_millis(50);
+/// How soon a node that follows the store looks for a reader, doubled with each look in vain, and
+/// how often at least: many nodes that lost their reader together follow the store for a moment.
+const FIRST_LOOK: Duration = Duration::from_millis(500);
 const LOOK_EVERY: Duration = Duration::from_secs(3);
 /// At the very first start of all nodes, the time for every node to register.
 const FIRST_START_WAIT: Duration = Duration::from_secs(1);
@@ -50,8 +50,6 @@
 pub struct RelayRequest {
     /// The node that asks.
     pub node: NodeId,
-    /// Whether it waits for one that is about to follow the store itself.
-    pub can_wait: bool,
 }
 
 /// All that a reader knows.
@@ -98,33 +96,53 @@
 /// Follows another node of the failure domain wherever one can be followed, until the node
 /// ends. Where none can, the store is followed.
 pub async fn follow(router: Arc<Router>) {
-    look_around(&router).await;
-    let mut lost: Option<NodeId> = None;
-    let mut can_wait = router.settings.first_start;
+    let mut lost: Option<NodeId>;
+    let mut looks = 0;
+    let mut reader = await_reader(&router).await;
     loop {
-        let reader = find_reader(&router, lost.as_ref(), can_wait).await;
-        can_wait = true;
         match reader {
             Some(mut subscription) => {
                 let error = subscription.run(&router).await;
                 tracing::warn!(event = "reader_lost", reader = %subscription.reader, %error);
                 lost = Some(subscription.reader);
+                looks = 0;
             }
             None => {
                 router.set_source(FeedSource::Store);
                 lost = None;
-                tokio::time::sleep(LOOK_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
+                let pause = (FIRST_LOOK * 2u32.pow(looks)).min(LOOK_EVERY);
+                looks = (looks + 1).min(8);
+                tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
             }
         }
+        reader = find_reader(&router, lost.as_ref(), SWITCH_WITHIN).await;
     }
 }
 
-/// Learns the nodes from the store, as the first thing of all.
-async fn look_around(router: &Router) {
-    if router.settings.first_start {
+/// The reader of a node that has just been started. Others may have been started with it, so those
+/// that are not up yet are asked again.
+async fn await_reader(router: &Router) -> Option<RelaySubscription> {
+    let patience = choose_own_readers(router).1;
+    let asking = async {
+        loop {
+            if let Some(subscription) = find_reader(router, None, SWITCH_WITHIN).await {
+                return subscription;
+            }
+            tokio::time::sleep(START_PAUSE).await;
+        }
+    };
+    tokio::time::timeout(patience, asking).await.ok()
+}
+
+/// Learns the nodes from the store, as the first thing of all. Where the system has run before,
+/// what the store told seconds ago will do: the entries of nodes outlast their runs.
+pub async fn look_around(router: &Router) {
+    let is_first = router.settings.first_start;
+    if is_first {
         tokio::time::sleep(FIRST_START_WAIT).await;
     }
-    match router.feed.list(FeedTopic::Nodes).await {
+    let age = if is_first { ListAge::Fresh } else { ListAge::MayBeStale };
+    match router.feed.list(FeedTopic::Nodes, age).await {
         Ok(list) => {
             router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes, NewsOrigin::Store);
             router.nodes_learnt.notify_one();
@@ -134,33 +152,38 @@
 }
 
 /// The first of the readers that begins in time; not the one that was just lost.
-async fn find_reader(router: &Router, lost: Option<&NodeId>, can_wait: bool) -> Option<RelaySubscription> {
-    let readers = list_readers(router);
+async fn find_reader(router: &Router, lost: Option<&NodeId>, within: Duration) -> Option<RelaySubscription> {
+    let (readers, _) = choose_own_readers(router);
     let candidates = readers.into_iter().filter(|entry| Some(&entry.node) != lost);
     let first_to_begin = async {
         for entry in candidates {
-            match RelaySubscription::open(router, &entry, can_wait).await {
+            match RelaySubscription::open(router, &entry).await {
                 Ok(subscription) => return Some(subscription),
                 Err(error) => tracing::debug!(event = "reader_refused", reader = %entry.node, %error),
             }
         }
         None
     };
-    let within = if can_wait { SWITCH_WITHIN } else { RESTART_WITHIN };
     tokio::time::timeout(within, first_to_begin).await.unwrap_or_default()
 }
 
-/// The nodes that this one may follow, the preferred first.
-fn list_readers(router: &Router) -> Vec<NodeEntry> {
+/// The nodes that this one may follow, the preferred first, and how long it waits for one when it
+/// has just been started.
+fn choose_own_readers(router: &Router) -> (Vec<NodeEntry>, Duration) {
     if !router.has(Mechanism::DomainReaders) {
-        return Vec::new();
+        return (Vec::new(), Duration::ZERO);
     }
     let place = router.cluster.place();
-    let neighbours = router.cluster.neighbours();
-    let names: Vec<&str> = neighbours.iter().map(|entry| entry.node.as_str()).collect();
-    let chosen = choose_readers(place.node.as_str(), place.domain.as_str(), &names);
+    let mut neighbours = router.cluster.neighbours();
+    // Its entry is not there while it is started again after a planned stop.
+    if !router.cluster.has_node(&place.node) {
+        neighbours.push(router.own_entry());
+    }
+    let nodes: Vec<FeedNode> =
+        neighbours.iter().map(|entry| FeedNode { name: entry.node.as_str(), power: entry.power }).collect();
+    let choice = choose_readers(place.node.as_str(), place.domain.as_str(), &nodes);
     let find = |name: &str| neighbours.iter().find(|entry| entry.node.as_str() == name).cloned();
-    chosen.into_iter().filter_map(find).collect()
+    (choice.readers.into_iter().filter_map(find).collect(), choice.patience)
 }
 
 /// A reader that has begun.
@@ -172,9 +195,9 @@
 }
 
 impl RelaySubscription {
-    async fn open(router: &Router, entry: &NodeEntry, can_wait: bool) -> Result<Self, RelayError> {
+    async fn open(router: &Router, entry: &NodeEntry) -> Result<Self, RelayError> {
         let link = PeerLink::new(entry.peer_address);
-        let request = RelayRequest { node: router.settings.node.clone(), can_wait };
+        let request = RelayRequest { node: router.settings.node.clone() };
         let begin = async {
             let mut frames = link.stream(PATH_RELAY, &request).await?;
             let first = frames.next::<RelayFrame>().await?;
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -66,8 +66,7 @@
     request: &RelayRequest,
     respond: &mut SendResponse<Bytes>,
 ) -> Result<(), PeerError> {
-    let is_source = if request.can_wait { becomes_reader(router).await } else { is_reader(router) };
-    if !is_source {
+    if !becomes_reader(router).await {
         return refuse(respond);
     }
     tracing::info!(event = "follower_begun", follower = %request.node);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -21,6 +21,7 @@
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
+use crate::store_turn::StoreTurn;
 use crate::{feed, front, knowledge, node_sweep, peer_service, peers, ready, relay};
 
 /// The share of the fixed allowance that the nodes divide; the rest is for moments in which
@@ -76,6 +77,8 @@
     pub source: watch::Sender<FeedSource>,
     /// Told when a topic begins or ceases to be followed, or the source changes.
     pub feed_changed: watch::Sender<()>,
+    /// The turn of calls to the store while it refuses them.
+    pub(crate) store_turn: StoreTurn,
     /// Passes news of the store to other nodes.
     pub outlet: RelayOutlet,
     feeds: [FeedState; 3],
@@ -153,9 +156,8 @@
     for topic in [FeedTopic::Routes, FeedTopic::Servers, FeedTopic::Nodes] {
         tasks.spawn(feed::follow(router.clone(), topic));
     }
-    tasks.spawn(announce(router.clone()));
+    tasks.spawn(join(router.clone()));
     tasks.spawn(feed::catch_up(router.clone()));
-    tasks.spawn(relay::follow(router.clone()));
     tasks.spawn(peer_service::serve(router.clone(), peers_listener));
     tasks.spawn(peers::keep_connected(router.clone()));
     tasks.spawn(knowledge::ask_in_outages(router.clone()));
@@ -168,10 +170,24 @@
     (!names.is_empty()).then(|| names.join(","))
 }
 
-/// Registers this node, and looks after its entry and those of nodes near it from then on.
-async fn announce(router: Arc<Router>) {
-    feed::announce(&router).await;
-    node_sweep::run(router).await;
+/// Learns the other nodes and registers this one, then takes the news of the store and looks after
+/// the entries near it. At the very first start all nodes register before they look around; later
+/// those that are listed replace their entries by one call.
+async fn join(router: Arc<Router>) {
+    let announced = async {
+        feed::announce(&router).await;
+        node_sweep::run(router.clone()).await;
+    };
+    if router.settings.first_start {
+        let joined = async {
+            relay::look_around(&router).await;
+            relay::follow(router.clone()).await;
+        };
+        tokio::join!(announced, joined);
+    } else {
+        relay::look_around(&router).await;
+        tokio::join!(announced, relay::follow(router.clone()));
+    }
 }
 
 async fn sweep(router: Arc<Router>) {
@@ -214,6 +230,7 @@
             heard_version: AtomicU64::new(0),
             source: watch::Sender::new(FeedSource::Undecided),
             feed_changed: watch::Sender::new(()),
+            store_turn: StoreTurn::default(),
             outlet: RelayOutlet::default(),
             feeds: Default::default(),
             settings,
