A node that is handed more than it can do in time says so at once

Cause: with owners a few strong nodes do the work of many; nothing kept a deployment with few strong nodes and much load, or one that lost some of them, from queueing batches at the rest until they are late.

Change: an owner counts the work taken as the time at which its processor has done it (policy/batch_gate.rs). A batch that would wait for over a fifth of the time until its reply is wanted is refused unread; the asking node turns to another owner that it has not asked, then begins itself. The same way is taken where a node stops or its link is gone.

--- a/crates/lab/tests/routes_owners.rs
+++ b/crates/lab/tests/routes_owners.rs
@@ -15,12 +15,13 @@
 const WEAK: &str = "zone-a-0";
 const STRONG: &str = "zone-a-1";
 
-async fn start_unequal() -> RouteFleet {
+async fn start_unequal<const N: usize>(cpu_shares: [(&'static str, f64); N], target_ms: u32) -> RouteFleet {
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("s-{shard}")).collect();
     let servers = shards.iter().map(|shard| near(&format!("i-{shard}"), shard)).collect();
-    let gather = json!({ "gather": shards, "topK": 7, "minCoverage": 0.5, "timeoutMs": 8_000 });
+    let gather = json!({ "gather": shards, "topK": 7, "minCoverage": 0.5, "timeoutMs": 8_000,
+        "targetLatencyMs": target_ms });
     let routes = vec![write_route("all", "/all/", &gather)];
-    let cpu_shares = HashMap::from([(WEAK, 0.1)]);
+    let cpu_shares = HashMap::from(cpu_shares);
     RouteFleet::start(RouteFleetPlan { nodes: [2, 0], servers, routes, cpu_shares, ..RouteFleetPlan::default() })
         .await
         .expect("a fleet")
@@ -40,7 +41,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_weak_node_hands_near_shards_to_a_strong_one_and_goes_on_without_it() {
-    let mut fleet = start_unequal().await;
+    let mut fleet = start_unequal([(WEAK, 0.1)], 1_000).await;
     assert_eq!((fleet.nodes[0].name.as_str(), fleet.nodes[1].name.as_str()), (WEAK, STRONG));
     let handed = format!("delegated={SHARDS} peers={STRONG}");
     ask_until(&fleet, "shards at the strong node", &["event=request ", &handed]).await;
@@ -55,3 +56,23 @@
     fleet.nodes[1].process.wait().await.expect("an end");
     ask_until(&fleet, "shards asked for alone", &["event=request ", "delegated=0", "answered=24"]).await;
 }
+
+/// Requests made at the same moment.
+const BURST: usize = 120;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_strong_node_with_too_much_to_do_says_so_and_every_request_is_answered() {
+    // A batch of 24 shards counts as 25 ms of work at so small a share, and may wait as long.
+    let fleet = start_unequal([(WEAK, 0.005), (STRONG, 0.05)], 150).await;
+    let handed = format!("delegated={SHARDS} peers={STRONG}");
+    ask_until(&fleet, "shards at the strong node", &["event=request ", &handed]).await;
+    let ids: Vec<String> = (0..BURST).map(|number| format!("r-burst-{number}")).collect();
+    let answers = futures_util::future::join_all(ids.iter().map(|id| get(&fleet, "/all/x", id))).await;
+    for (answer, id) in answers.iter().zip(&ids) {
+        assert_eq!(answer.status, 200, "{id}: {answer:?}");
+    }
+    wait_for("refused batches", async || !fleet.nodes[1].logged(&["event=batch_refused"]).is_empty()).await;
+    // A shard that a node did not take runs once all the same.
+    let twice = ids.iter().filter(|id| fleet.count_runs(id) > SHARDS * 2).count();
+    assert_eq!(twice, 0, "requests that ran on more than two servers of some shard");
+}
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -30,9 +30,14 @@
 }
 
 impl PeerError {
+    /// Whether the other node refused the message unread: it stops, or has too much to do.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::BadStatus(503))
+    }
+
     /// Whether the other node certainly did nothing with the message: it never left, or a
     /// stopping node refused it unread.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotConnected | Self::Encode(_) | Self::Request(_) | Self::BadStatus(503))
+        matches!(self, Self::NotConnected | Self::Encode(_) | Self::Request(_)) || self.is_refused()
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod absence;
 pub mod admission;
 pub mod answer_margin;
+pub mod batch_gate;
 pub mod budget;
 pub mod extra_budget;
 pub mod feed_rule;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -32,6 +32,11 @@
     share(power) >= share(strongest) * OWNER_SHARE
 }
 
+/// Processor time of a batch of so many shards at the node that has it, on a whole core.
+pub fn batch_work(shards: usize) -> Duration {
+    BATCH_WORK + CALL_WORK * shards as u32
+}
+
 /// Nodes that may be given shards of one failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OwnerGroup {
@@ -56,7 +61,7 @@
         let largest = (shards as u32).div_ceil(batches);
         let alone = own.stretch(CALL_WORK * shards as u32);
         let sending = own.stretch(BATCH_WORK * batches);
-        let handed = sending + self.power.stretch(BATCH_WORK + CALL_WORK * largest);
+        let handed = sending + self.power.stretch(batch_work(largest as usize));
         self.count > 0 && handed < alone.mul_f64(HANDING_SHARE)
     }
 }
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -9,7 +9,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use streamfold_model::{CoreShare, FailureDomain, ServiceName};
+use streamfold_model::{CoreShare, FailureDomain, NodeId, ServiceName};
 use streamfold_policy::fold_rule::FoldRule;
 use streamfold_policy::owner::choose_owners;
 use streamfold_policy::placement::OwnerGroup;
@@ -184,8 +184,14 @@
 
     /// The node of a failure domain with the least work from here.
     pub fn choose_peer(&self, domain: &FailureDomain) -> Option<Arc<PeerNode>> {
-        let busy = |peer: &Arc<PeerNode>| (peer.state().running(), rand::random::<u32>());
-        self.usable_peers(domain).into_iter().min_by_key(busy)
+        self.choose_other_peer(domain, &[])
+    }
+
+    /// The same, of those that a request has not asked yet.
+    pub fn choose_other_peer(&self, domain: &FailureDomain, asked: &[&NodeId]) -> Option<Arc<PeerNode>> {
+        let mut others = self.usable_peers(domain);
+        others.retain(|peer| !asked.contains(&&peer.entry.node));
+        others.into_iter().min_by_key(|peer| (peer.state().running(), rand::random::<u32>()))
     }
 
     /// Counts a request for a service whose first call another node makes.
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::HeaderValue;
-use streamfold_model::FailureDomain;
+use streamfold_model::{FailureDomain, NodeId};
 use streamfold_policy::Mechanism;
 
 use crate::attempts::ServiceAttempts;
@@ -18,11 +18,32 @@
         if !self.context.router.has(Mechanism::FarFolding) {
             return;
         }
-        for PlannedBatch { peer, positions } in self.context.plan_batches(&self.slots) {
-            let domain = peer.entry.domain.clone();
-            let number = self.batches.len();
-            let shards = positions.iter().map(|position| self.lend(*position, number, &domain)).collect();
-            self.send(BatchOrder { peer, positions, shards, mode: BatchMode::Folded });
+        for batch in self.context.plan_batches(&self.slots) {
+            let services = batch.positions.iter().map(|position| &self.slots[*position].attempts.service);
+            services.for_each(|service| self.context.note_delegated(service));
+            self.send_planned(batch);
+        }
+    }
+
+    fn send_planned(&mut self, batch: PlannedBatch) {
+        let PlannedBatch { peer, positions } = batch;
+        let domain = peer.entry.domain.clone();
+        let number = self.batches.len();
+        let shards = positions.iter().map(|position| self.lend(*position, number, &domain)).collect();
+        self.send(BatchOrder { peer, positions, shards, mode: BatchMode::Folded });
+    }
+
+    /// Hands shards that a node did not take to another one of its failure domain that was not asked
+    /// yet; without one this node asks for them itself.
+    fn hand_on(&mut self, number: usize) {
+        let refused = &self.batches[number];
+        let domain = refused.peer.entry.domain.clone();
+        let is_missing = |position: &usize| self.slots[*position].part.is_none();
+        let positions: Vec<usize> = refused.positions.iter().copied().filter(is_missing).collect();
+        let asked: Vec<&NodeId> = self.batches.iter().map(|batch| &batch.peer.entry.node).collect();
+        match self.context.choose_other_peer(&domain, &asked) {
+            Some(peer) if !positions.is_empty() => self.send_planned(PlannedBatch { peer, positions }),
+            _ => self.start_batch_shards(number, |_, attempts| attempts.note_elsewhere(0, false)),
         }
     }
 
@@ -31,7 +52,6 @@
         let slot = &mut self.slots[position];
         slot.batch = Some(number);
         slot.attempts.kept = self.context.choose_kept(&slot.attempts, domain);
-        self.context.note_delegated(&slot.attempts.service);
         BatchShard { service: slot.attempts.service.clone(), kept: slot.attempts.kept.clone() }
     }
 
@@ -111,7 +131,7 @@
                     %error
                 );
                 match is_not_sent {
-                    true => self.start_batch_shards(number, |_, attempts| attempts.note_elsewhere(0, false)),
+                    true => self.hand_on(number),
                     false => self.start_silent(number),
                 }
             }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -73,6 +73,16 @@
     if *router.phase.borrow() == RouterPhase::Closing {
         return refuse(respond);
     }
+    if let Err(wait) = router.admit_batch(batch.shards.len(), wait_bound(&batch)) {
+        metrics::counter!("streamfold_batches_refused_total").increment(1);
+        tracing::info!(
+            event = "batch_refused",
+            request = String::from_utf8_lossy(&batch.request.id).as_ref(),
+            shards = batch.shards.len(),
+            wait_ms = wait.as_millis() as u64
+        );
+        return refuse(respond);
+    }
     let _count = LiveCount::new(&router.requests);
     router.note_version(batch.version);
     let context = build_context(router, &batch)?;
@@ -106,6 +116,16 @@
     }
 }
 
+/// The time that bounds a batch's waiting: until its reply is wanted, or for hedges, whose answers are
+/// wanted as soon as they are there, the target latency.
+fn wait_bound(batch: &ShardBatch) -> Duration {
+    let within = match batch.mode {
+        BatchMode::Folded => batch.reply_within_us,
+        BatchMode::Each { .. } => batch.target_us,
+    };
+    Duration::from_micros(within)
+}
+
 async fn serve_knowledge(
     router: &Router,
     body: RecvStream,
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -147,7 +147,7 @@
     }
 
     fn fail(mut self, error: PeerError) -> (Self, BatchNews) {
-        self.record.sample = CallSample::Failed;
+        self.record.sample = if error.is_refused() { CallSample::Full } else { CallSample::Failed };
         (self, BatchNews::Failed(error))
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,12 +1,13 @@
 //! One router: what its parts share, how it starts and how it stops.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use streamfold_link::PeerLink;
 use streamfold_model::{Incarnation, NodeEntry, TableVersion};
+use streamfold_policy::batch_gate::BatchGate;
 use streamfold_policy::extra_budget::ExtraLimits;
 use streamfold_policy::{Mechanism, Moment};
 use tokio::net::TcpListener;
@@ -77,6 +78,8 @@
     pub source: watch::Sender<FeedSource>,
     /// Told when a topic begins or ceases to be followed, or the source changes.
     pub feed_changed: watch::Sender<()>,
+    /// Whether batches of other nodes are taken.
+    pub(crate) batch_gate: Mutex<BatchGate>,
     /// The turn of calls to the store while it refuses them.
     pub(crate) store_turn: StoreTurn,
     /// Passes news of the store to other nodes.
@@ -230,6 +233,7 @@
             heard_version: AtomicU64::new(0),
             source: watch::Sender::new(FeedSource::Undecided),
             feed_changed: watch::Sender::new(()),
+            batch_gate: Mutex::default(),
             store_turn: StoreTurn::default(),
             outlet: RelayOutlet::default(),
             feeds: Default::default(),
@@ -321,6 +325,16 @@
         }
     }
 
+    /// Takes a batch of another node whose reply is wanted within a time.
+    ///
+    /// # Errors
+    /// How long it would wait, where that is too long.
+    pub(crate) fn admit_batch(&self, shards: usize, within: Duration) -> Result<(), Duration> {
+        let Some(power) = self.settings.power() else { return Ok(()) };
+        let mut gate = self.batch_gate.lock().unwrap_or_else(PoisonError::into_inner);
+        gate.admit(self.clock.now(), shards, power, within)
+    }
+
     /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
         let has_routes = self.cluster.view().table.is_some();
