--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use streamfold_platform::{PlatformCalls, PlatformClient};
-use streamfold_router::{Router, RouterSettings, RunningRouter, router};
+use streamfold_router::{Router, RouterSettings, RunningRouter, router_start};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::error::{SettingError, SettingProblem, StartError};
@@ -73,7 +73,7 @@
 /// A port cannot be opened.
 pub async fn start(settings: RouterSettings) -> Result<RunningRouter, StartError> {
     let store = Arc::new(PlatformClient::new(settings.platform));
-    let running = router::start(settings, Arc::new(PlatformCalls), store, metrics_text::render).await;
+    let running = router_start::start(settings, Arc::new(PlatformCalls), store, metrics_text::render).await;
     running.map_err(StartError::Router)
 }
 
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -1,19 +1,19 @@
 //! What a node knows of routes, servers and other nodes. Requests read one value of it that
 //! is replaced whole (read-copy-update).
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use streamfold_model::{FailureDomain, NodeEntry, NodeId, RouteTable, ServerEntry, ServerId, TableVersion};
-use streamfold_policy::replica::Distance;
-use streamfold_policy::{MechanismSet, Moment};
+use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry, ServerId, TableVersion};
+use streamfold_policy::Moment;
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
 use crate::cluster_parts::ClusterParts;
+use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::ClusterView;
 use crate::server::Server;
 
@@ -43,34 +43,6 @@
     }
 }
 
-/// Where a node stands among failure domains.
-pub struct ClusterPlace {
-    /// This node.
-    pub node: NodeId,
-    /// Its failure domain.
-    pub domain: FailureDomain,
-    /// The region of each failure domain.
-    pub regions: HashMap<FailureDomain, String>,
-    /// How long a node that is gone may have spent of what all nodes share: the window in which
-    /// extra calls are counted.
-    pub spent_for: Duration,
-    /// The mechanisms by which servers are judged.
-    pub mechanisms: MechanismSet,
-}
-
-impl ClusterPlace {
-    /// How far away another failure domain is; one whose region is not known counts as far.
-    pub fn distance(&self, domain: &FailureDomain) -> Distance {
-        if *domain == self.domain {
-            return Distance::Domain;
-        }
-        match (self.regions.get(domain), self.regions.get(&self.domain)) {
-            (Some(other), Some(own)) if other == own => Distance::Region,
-            _ => Distance::Far,
-        }
-    }
-}
-
 /// What a node knows of the cluster.
 pub struct Cluster {
     place: ClusterPlace,
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -12,7 +12,7 @@
 use streamfold_policy::placement;
 use streamfold_policy::split_rule::SplitTurns;
 
-use crate::cluster::ClusterPlace;
+use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::{ClusterView, NodeCount, RouteTimes, Service};
 use crate::peers::PeerNode;
 use crate::server::Server;
--- /dev/null
+++ b/crates/router/src/cluster_place.rs
@@ -0,0 +1,36 @@
+//! Where a node stands among the failure domains, and by what it judges servers.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use streamfold_model::{FailureDomain, NodeId};
+use streamfold_policy::MechanismSet;
+use streamfold_policy::replica::Distance;
+
+/// Where a node stands among failure domains.
+pub struct ClusterPlace {
+    /// This node.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// The region of each failure domain.
+    pub regions: HashMap<FailureDomain, String>,
+    /// How long a node that is gone may have spent of what all nodes share: the window in which
+    /// extra calls are counted.
+    pub spent_for: Duration,
+    /// The mechanisms by which servers are judged.
+    pub mechanisms: MechanismSet,
+}
+
+impl ClusterPlace {
+    /// How far away another failure domain is; one whose region is not known counts as far.
+    pub fn distance(&self, domain: &FailureDomain) -> Distance {
+        if *domain == self.domain {
+            return Distance::Domain;
+        }
+        match (self.regions.get(domain), self.regions.get(&self.domain)) {
+            (Some(other), Some(own)) if other == own => Distance::Region,
+            _ => Distance::Far,
+        }
+    }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,4 +1,4 @@
-//! One router: what its parts share, how it starts and how it stops.
+//! One router: what its parts share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,20 +10,18 @@
 use streamfold_policy::batch_gate::BatchGate;
 use streamfold_policy::extra_budget::ExtraLimits;
 use streamfold_policy::{Mechanism, Moment};
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
 use crate::border::{CallFormat, ClusterFeed, FeedTopic};
 use crate::clock::{NodeClock, wall_ms};
-use crate::cluster::{Cluster, ClusterPlace};
+use crate::cluster::Cluster;
+use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::ClusterView;
-use crate::error::RouterError;
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
 use crate::store_turn::StoreTurn;
-use crate::{feed, front, knowledge, node_sweep, peer_service, peers, ready, relay};
 
 /// The share of the fixed allowance that the nodes divide; the rest is for moments in which
 /// they count themselves differently.
@@ -31,8 +29,6 @@
 /// The share of the ratio that is used: calls are counted when they leave, and some arrive
 /// in a later window.
 const USED_RATIO: f64 = 0.9;
-/// How often doubtful servers and resting connections are looked at.
-const SWEEP_EVERY: Duration = Duration::from_millis(250);
 /// How far a stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouterPhase {
@@ -124,82 +120,6 @@
     }
 }
 
-async fn listen(port: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, RouterError> {
-    TcpListener::bind(address).await.map_err(|source| RouterError::Listen { port, address, source })
-}
-
-/// Opens the ports and starts a router.
-///
-/// # Errors
-/// A port cannot be opened.
-pub async fn start(
-    settings: RouterSettings,
-    format: Arc<dyn CallFormat>,
-    feed: Arc<dyn ClusterFeed>,
-    metrics_text: fn() -> String,
-) -> Result<RunningRouter, RouterError> {
-    let callers = listen("callers", settings.callers).await?;
-    let readiness = listen("ready", settings.ready).await?;
-    let metrics = listen("metrics", settings.metrics).await?;
-    let peers_listener = listen("peers", settings.peers).await?;
-    let router = Arc::new(Router::new(settings, format, feed));
-    tracing::info!(
-        event = "started",
-        node = %router.settings.node,
-        incarnation = %router.incarnation,
-        failure_domain = %router.settings.failure_domain,
-        callers = %router.settings.callers,
-        platform = %router.settings.platform,
-        without = join_names(&router.settings.without)
-    );
-    let mut tasks = JoinSet::new();
-    tasks.spawn(front::serve(router.clone(), callers));
-    tasks.spawn(ready::serve(router.clone(), readiness, metrics_text));
-    tasks.spawn(ready::serve(router.clone(), metrics, metrics_text));
-    for topic in [FeedTopic::Routes, FeedTopic::Servers, FeedTopic::Nodes] {
-        tasks.spawn(feed::follow(router.clone(), topic));
-    }
-    tasks.spawn(join(router.clone()));
-    tasks.spawn(feed::catch_up(router.clone()));
-    tasks.spawn(peer_service::serve(router.clone(), peers_listener));
-    tasks.spawn(peers::keep_connected(router.clone()));
-    tasks.spawn(knowledge::ask_in_outages(router.clone()));
-    tasks.spawn(sweep(router.clone()));
-    Ok(RunningRouter { router, tasks })
-}
-
-fn join_names(mechanisms: &[Mechanism]) -> Option<String> {
-    let names: Vec<String> = mechanisms.iter().map(ToString::to_string).collect();
-    (!names.is_empty()).then(|| names.join(","))
-}
-
-/// Learns the other nodes and registers this one, then takes the news of the store and looks after
-/// the entries near it. At the very first start all nodes register before they look around; later
-/// those that are listed replace their entries by one call.
-async fn join(router: Arc<Router>) {
-    let announced = async {
-        feed::announce(&router).await;
-        node_sweep::run(router.clone()).await;
-    };
-    if router.settings.first_start {
-        let joined = async {
-            relay::look_around(&router).await;
-            relay::follow(router.clone()).await;
-        };
-        tokio::join!(announced, joined);
-    } else {
-        relay::look_around(&router).await;
-        tokio::join!(announced, relay::follow(router.clone()));
-    }
-}
-
-async fn sweep(router: Arc<Router>) {
-    loop {
-        tokio::time::sleep(SWEEP_EVERY).await;
-        router.cluster.sweep(router.clock.now());
-    }
-}
-
 /// Links to the nodes that the settings name, without this one.
 fn seed_links(settings: &RouterSettings) -> Vec<Arc<PeerLink>> {
     let others = settings.seeds.iter().filter(|seed| **seed != settings.peers);
@@ -207,7 +127,7 @@
 }
 
 impl Router {
-    fn new(settings: RouterSettings, format: Arc<dyn CallFormat>, feed: Arc<dyn ClusterFeed>) -> Self {
+    pub(crate) fn new(settings: RouterSettings, format: Arc<dyn CallFormat>, feed: Arc<dyn ClusterFeed>) -> Self {
         let clock = NodeClock::start();
         let place = ClusterPlace {
             node: settings.node.clone(),
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -6,7 +6,8 @@
 use streamfold_model::{Incarnation, NodeEntry};
 use streamfold_policy::{MechanismSet, Moment};
 use streamfold_router::border::{FeedChange, FeedItem, FeedTopic};
-use streamfold_router::cluster::{Cluster, ClusterPlace, NewsOrigin};
+use streamfold_router::cluster::{Cluster, NewsOrigin};
+use streamfold_router::cluster_place::ClusterPlace;
 
 fn entry(name: &str, incarnation: u64) -> NodeEntry {
     NodeEntry {
