More readers are tried, and the next one is asked before the one before has kept a node waiting long

Ruled out: the probes of the nodes that were turned away (one each 0.6 s).

Change: up to eight readers, each next one asked after 100 ms or as soon as one refuses; a node that the store turns away refuses followers at once in place of letting them wait 0.6 s.

Test with real processes: the first three of six nodes by rank are paused; the other three must share one reader. Fails before (each follows the store), passes now in 4 s.

--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -8,6 +8,8 @@
 use streamfold_lab::fleet::send_signal;
 use streamfold_lab::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, RouteNode, write_route};
 use streamfold_lab::wait::wait_for;
+use streamfold_model::CoreShare;
+use streamfold_policy::feed_rule::{FeedNode, choose_readers};
 use streamfold_standin::server::RouteServerPlan;
 
 /// Nodes of the failure domain.
@@ -45,6 +47,17 @@
     (0..fleet.nodes.len()).filter(reads).collect()
 }
 
+/// The positions of the nodes that come first in the tree of readers.
+fn find_first_ranks(fleet: &RouteFleet, count: usize) -> Vec<usize> {
+    let power = Some(CoreShare(1_000));
+    let nodes: Vec<FeedNode> = fleet.nodes.iter().map(|node| FeedNode { name: &node.name, power }).collect();
+    let rank = |position: &usize| choose_readers(nodes[*position].name, DOMAINS[0], &nodes).readers.len();
+    let mut positions: Vec<usize> = (0..nodes.len()).collect();
+    positions.sort_by_key(rank);
+    positions.truncate(count);
+    positions
+}
+
 fn has_version(node: &RouteNode, version: u64) -> bool {
     !node.logged(&["event=routes_in_force", &format!("version={version} ")]).is_empty()
 }
@@ -104,6 +117,33 @@
     wait_version(&fleet, 2, &[]).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn one_node_follows_the_store_also_where_the_first_three_readers_are_silent() {
+    let fleet = start_fleet().await;
+    let silent = find_first_ranks(&fleet, 3);
+    for position in &silent {
+        send_signal(&fleet.nodes[*position].process, "STOP").await;
+    }
+    fleet.put_document(2, &routes());
+    wait_version(&fleet, 2, &silent).await;
+    // Each of the rest follows another one of them but for the one that follows the store.
+    let follows_living = |position: &usize| {
+        let followed = fleet.nodes[*position].logged(&["event=reader_followed"]).pop();
+        let names = silent.iter().map(|silent| format!("reader={} ", fleet.nodes[*silent].name));
+        followed.is_some_and(|line| names.into_iter().all(|name| !line.contains(&name)))
+    };
+    let is_shared = async || {
+        let living: Vec<usize> = (0..NODES).filter(|position| !silent.contains(position)).collect();
+        let readers = find_readers(&fleet);
+        let others: Vec<usize> = living.into_iter().filter(|position| !readers.contains(position)).collect();
+        others.len() == NODES - silent.len() - 1 && others.iter().all(follows_living)
+    };
+    wait_for("one reader of the rest", is_shared).await;
+    for position in silent {
+        send_signal(&fleet.nodes[position].process, "CONT").await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn all_nodes_learn_what_came_while_the_store_was_away_and_one_follows_it_again() {
     let fleet = start_fleet().await;
--- a/crates/policy/src/feed_rule.rs
+++ b/crates/policy/src/feed_rule.rs
@@ -18,8 +18,10 @@
 /// Nodes that prefer the same reader: with a hundred a reader of an eighth of a core was busy with
 /// them alone and held 58 MB (sweep of 300 nodes).
 const FAN_OUT: usize = 16;
-/// Readers that a node tries before it follows the store by itself.
-const MAX_TRIED: usize = 3;
+/// Readers that a node tries before it follows the store by itself: the store may turn a third of all
+/// nodes away, and with three tries a failure domain whose first three nodes were among them made
+/// 400 calls in 9 s, each node for itself.
+const MAX_TRIED: usize = 8;
 /// How long a node that has just been started waits for a reader: so much for each rank, and the
 /// longest. Nodes that are started together come up within 300 ms of each other, and one of half a
 /// core has read the store 100 ms after; so few nodes of a failure domain read it, and where the first
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use streamfold_link::{FrameReader, PeerError, PeerLink};
 use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry};
 use streamfold_policy::Mechanism;
@@ -26,6 +27,9 @@
 const BEGIN_WITHIN: Duration = Duration::from_millis(800);
 /// How long all readers together may take to begin before the store is followed directly.
 const SWITCH_WITHIN: Duration = Duration::from_millis(1_000);
+/// How long a reader keeps a node waiting until the next one is asked as well: one that follows the
+/// store begins within a few milliseconds.
+const NEXT_AFTER: Duration = Duration::from_millis(100);
 /// The pause before a node that has just been started asks readers again that were not up yet.
 const START_PAUSE: Duration = Duration::from_millis(50);
 /// How soon a node that follows the store looks for a reader, doubled with each look in vain, and
@@ -166,16 +170,29 @@
 async fn find_reader(router: &Router, lost: Option<&NodeId>, within: Duration) -> Option<RelaySubscription> {
     let (readers, _) = choose_own_readers(router);
     let candidates = readers.into_iter().filter(|entry| Some(&entry.node) != lost);
-    let first_to_begin = async {
-        for entry in candidates {
-            match RelaySubscription::open(router, &entry).await {
+    tokio::time::timeout(within, open_first(router, candidates)).await.unwrap_or_default()
+}
+
+/// Asks readers, the preferred first and each next one when those before have refused or keep this
+/// node waiting; the first that begins.
+async fn open_first(router: &Router, candidates: impl Iterator<Item = NodeEntry>) -> Option<RelaySubscription> {
+    let mut candidates = candidates.peekable();
+    let mut asked = FuturesUnordered::new();
+    loop {
+        match candidates.next() {
+            Some(entry) => asked.push(async move { RelaySubscription::open(router, &entry).await }),
+            None if asked.is_empty() => return None,
+            None => {}
+        }
+        let has_more = candidates.peek().is_some();
+        tokio::select! {
+            Some(opened) = asked.next() => match opened {
                 Ok(subscription) => return Some(subscription),
-                Err(error) => tracing::debug!(event = "reader_refused", reader = %entry.node, %error),
-            }
+                Err(error) => tracing::debug!(event = "reader_refused", %error),
+            },
+            () = tokio::time::sleep(NEXT_AFTER), if has_more => {}
         }
-        None
-    };
-    tokio::time::timeout(within, first_to_begin).await.unwrap_or_default()
+    }
 }
 
 /// The nodes that this one may follow, the preferred first, and how long it waits for one when it
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -105,8 +105,12 @@
     Ok(())
 }
 
-/// Waits shortly for this node to follow the store; whether it does.
+/// Waits shortly for this node to follow the store; whether it does. One that the store turns away
+/// does not keep others waiting.
 async fn becomes_reader(router: &Router) -> bool {
+    if !is_reader(router) && router.store_turn.is_refused() {
+        return false;
+    }
     let mut changed = router.feed_changed.subscribe();
     let becoming = async {
         while !is_reader(router) {
--- a/crates/router/src/store_turn.rs
+++ b/crates/router/src/store_turn.rs
@@ -36,6 +36,11 @@
 }
 
 impl StoreTurn {
+    /// Whether the store refused the last call that was made in turn.
+    pub fn is_refused(&self) -> bool {
+        self.is_refused.load(Ordering::Relaxed)
+    }
+
     /// Makes a call, in its turn while calls are refused.
     ///
     /// # Errors
