Shards that a node has begun with are lent to no other node

Found by reading the diff: a batch that is refused or finds no link only after this node has taken its shards over was handed on with the right to all servers but a newly kept one, while this node had used the one kept first: three servers where two are allowed. Only shards that this node has done nothing for are handed on now; the rest it asks for itself. Test: attempts after a silent node or one that used a server are not to be lent.

--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -119,6 +119,12 @@
         self.may_have_run = true;
     }
 
+    /// Whether nothing was done for the shard yet, so that it may be lent to another node: this one
+    /// uses no server but the one then kept.
+    pub fn is_untouched(&self) -> bool {
+        self.tried.is_empty() && self.rights == ServerRights::Any && self.sent_elsewhere == 0
+    }
+
     /// Whether the request may go to a server, where it may run on `most`.
     pub(crate) fn allow(&self, server: &Server, most: u32) -> bool {
         let is_passed = |tried: &Arc<Server>| self.passed.iter().any(|passed| Arc::ptr_eq(passed, tried));
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -34,17 +34,23 @@
     }
 
     /// Hands shards that a node did not take to another one of its failure domain that was not asked
-    /// yet; without one this node asks for them itself.
+    /// yet. This node asks for the rest itself: without such a node all of them, else those that it
+    /// has begun with already, since the node refused late.
     fn hand_on(&mut self, number: usize) {
         let refused = &self.batches[number];
         let domain = refused.peer.entry.domain.clone();
-        let is_missing = |position: &usize| self.slots[*position].part.is_none();
-        let positions: Vec<usize> = refused.positions.iter().copied().filter(is_missing).collect();
         let asked: Vec<&NodeId> = self.batches.iter().map(|batch| &batch.peer.entry.node).collect();
-        match self.context.choose_other_peer(&domain, &asked) {
-            Some(peer) if !positions.is_empty() => self.send_planned(PlannedBatch { peer, positions }),
-            _ => self.start_batch_shards(number, |_, attempts| attempts.note_elsewhere(0, false)),
+        let other = self.context.choose_other_peer(&domain, &asked);
+        let can_lend = |position: &usize| {
+            let slot = &self.slots[*position];
+            slot.part.is_none() && slot.attempts.is_untouched()
+        };
+        let positions: Vec<usize> = refused.positions.iter().copied().filter(can_lend).collect();
+        if let (Some(peer), false) = (other, positions.is_empty()) {
+            self.batches[number].positions.retain(|position| !positions.contains(position));
+            self.send_planned(PlannedBatch { peer, positions });
         }
+        self.start_batch_shards(number, |_, attempts| attempts.note_elsewhere(0, false));
     }
 
     /// Puts a shard into a batch; this node keeps a place for one server of the failure domain.
--- a/crates/router/tests/attempts.rs
+++ b/crates/router/tests/attempts.rs
@@ -23,3 +23,14 @@
     attempts.note_handed_end(false);
     assert_eq!(attempts.tally(), (2, true), "a hedge that was not made takes back nothing of another node's");
 }
+
+#[test]
+fn a_shard_that_this_node_has_begun_with_is_lent_to_no_other() {
+    let mut attempts = make_attempts();
+    assert!(attempts.is_untouched());
+    attempts.note_silent_node();
+    assert!(!attempts.is_untouched(), "the kept server may have run it");
+    let mut attempts = make_attempts();
+    attempts.note_elsewhere(1, true);
+    assert!(!attempts.is_untouched(), "another node has used a server");
+}
