A batch that was held up on its way is taken back before it can begin too late

A batch tells how long its request may still run as of its sending; it reached a node 0.6 s later, just after most nodes had been killed together, and that node counted the time from there. Ruled out: clocks (none is compared), repeats of the asked node.

Change: a sign of life is wanted within 150 ms at most, and a batch of which nothing is heard 300 ms after that is cancelled: together under the half second that servers' times may exceed the caller's.

Test with real processes: the other node is paused before the batch and goes on after it was given up; no server may get a call from it.

--- a/crates/lab/tests/routes_servers.rs
+++ b/crates/lab/tests/routes_servers.rs
@@ -191,6 +191,39 @@
     assert_eq!(asked, [2; 4], "servers of each shard that read the request");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_that_was_held_up_on_its_way_is_not_begun_any_more() {
+    const SHARDS: [&str; 3] = ["s-0", "s-1", "s-2"];
+    let servers = SHARDS.iter().flat_map(|shard| (0..3).map(move |number| far(&format!("{shard}-{number}"), shard)));
+    let gather = json!({ "gather": SHARDS, "topK": 7, "minCoverage": 0.5, "maxAttempts": 2, "timeoutMs": 4_000,
+        "targetLatencyMs": 300 });
+    let routes = vec![write_route("all", "/all/", &gather)];
+    let plan = RouteFleetPlan { nodes: [1, 1], servers: servers.collect(), routes, ..RouteFleetPlan::default() };
+    let fleet = RouteFleet::start(plan).await.expect("a fleet");
+    let mut number = 0;
+    wait_for("a batch at the other node", async || {
+        number += 1;
+        let answer = get(&fleet, "/all/x", &format!("r-{number}")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        !fleet.nodes[0].logged(&["event=request ", "delegated=3"]).is_empty()
+    })
+    .await;
+    for server in &fleet.servers {
+        server.state.switches.pause_ms.store(30_000, Ordering::Relaxed);
+    }
+    let id = "r-held-up";
+    send_signal(&fleet.nodes[1].process, "STOP").await;
+    let (answer, ()) = tokio::join!(get(&fleet, "/all/x", id), async {
+        let event = ["event=batch_failed", "request=r-held-up"];
+        wait_for("the end of the batch", async || !fleet.nodes[0].logged(&event).is_empty()).await;
+        send_signal(&fleet.nodes[1].process, "CONT").await;
+        wait_for("the other node", async || fleet.ready_status(1).await == Some(http::StatusCode::OK)).await;
+    });
+    assert_ne!(answer.status, 200, "{answer:?}");
+    let asked = SHARDS.map(|shard| count_asked(&fleet, shard, id));
+    assert_eq!(asked, [1; 3], "servers of each shard that read the request: the asking node's own calls alone");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_without_a_reachable_server_does_not_run() {
     let mut fleet = start_pair().await;
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -30,6 +30,8 @@
 /// How much later than expected a sign of life may come: nodes have an eighth to a half of a
 /// core, and taking over from a node at work doubles the load.
 const ALIVE_SLACK: Duration = Duration::from_millis(40);
+/// A sign of life is wanted at least so soon, so that a batch held up on its way is known in time.
+const MAX_ALIVE: Duration = Duration::from_millis(150);
 /// A reply is wanted at least so late, however little time is left.
 const MIN_REPLY: Duration = Duration::from_millis(5);
 /// The part of a request for a service that the asking node counts for its own budget of
@@ -212,7 +214,8 @@
         let now = self.now();
         let BatchOrder { peer, positions, shards, mode } = order;
         let way = way(peer.distance);
-        let alive_within = self.times.patience(Distance::Domain, self.route.target_latency);
+        let patience = self.times.patience(Distance::Domain, self.route.target_latency);
+        let alive_within = patience.min(MAX_ALIVE);
         let target = self.request.started.plus(rule.target.min(rule.limit));
         let reply_within = match mode {
             BatchMode::Folded => target.since(now).saturating_sub(way).max(MIN_REPLY),
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -22,6 +22,10 @@
 /// How long a node counts as just started.
 const START_TIME: Duration = Duration::from_secs(2);
 
+/// How much later than its sign of life is due a batch is taken back. Together with the longest wait
+/// for that sign it is under the half second that servers' times may exceed the caller's.
+const MAX_TRANSIT: Duration = Duration::from_millis(300);
+
 /// Another node.
 pub struct PeerNode {
     /// Its entry.
@@ -120,14 +124,32 @@
         Self { peer, reader: None, record }
     }
 
-    /// Sends the batch and waits for its first frame.
+    /// Sends the batch and waits for its first frame. The batch tells how long its request may still
+    /// run as of now, so it is taken back when nothing is heard of it for too long: a node that only
+    /// then begins would hand servers more time than the caller has.
     pub async fn send(mut self, batch: ShardBatch) -> (Self, BatchNews) {
-        match self.peer.link.stream(PATH_BATCH, &batch).await {
-            Ok(reader) => {
+        let within = Duration::from_micros(batch.alive_within_us) + MAX_TRANSIT;
+        let link = self.peer.link.clone();
+        let begun = async move {
+            let mut reader = link.stream(PATH_BATCH, &batch).await?;
+            let first = reader.next::<BatchFrame>().await?.ok_or(PeerError::EndedEarly)?;
+            Ok::<_, PeerError>((reader, first))
+        };
+        match tokio::time::timeout(within, begun).await {
+            Ok(Ok((reader, first))) => {
                 self.reader = Some(reader);
-                self.next().await
+                self.note_frame(&first);
+                (self, BatchNews::Frame(first))
             }
-            Err(error) => self.fail(error),
+            Ok(Err(error)) => self.fail(error),
+            Err(_) => self.fail(PeerError::EndedEarly),
+        }
+    }
+
+    /// Notes what a frame tells of the node.
+    fn note_frame(&mut self, frame: &BatchFrame) {
+        if let BatchFrame::Done(_) = frame {
+            self.record.sample = CallSample::Answered;
         }
     }
 
@@ -136,9 +158,7 @@
         let Some(reader) = &mut self.reader else { return self.fail(PeerError::NotConnected) };
         match reader.next::<BatchFrame>().await {
             Ok(Some(frame)) => {
-                if let BatchFrame::Done(_) = frame {
-                    self.record.sample = CallSample::Answered;
-                }
+                self.note_frame(&frame);
                 (self, BatchNews::Frame(frame))
             }
             Ok(None) => self.fail(PeerError::EndedEarly),
