Test nodes take ports that are not tried first

Cause: the fixture took free ports by listening on them, closed them and started the node; in the moment between, a process that another test starts at the same time still holds the listening socket (it is closed only when that process runs its own program), and the port was one the system gives out. Ruled out: two nodes with one address (chosen among 16 million), the node's own four ports (tried together). That the other process held it is inferred, not shown by a run of its own.

Change: ports are drawn below those that the system gives out, on the node's own address, and nobody listens on them before the node. No test is changed.

--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -36,6 +36,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Extra calls allowed for each service and window: enough for any test.
 const ALLOWANCE: u32 = 1_000;
+/// The first of a node's four ports.
+const FIRST_PORTS: std::ops::Range<u16> = 10_000..30_000;
 /// The share of a core that a node has if a plan says nothing else.
 pub const WHOLE_CORE: f64 = 1.0;
 /// Seconds between asking a node to stop and killing it.
@@ -195,7 +197,7 @@
     /// # Errors
     /// Its process cannot be started.
     pub async fn add_node(&mut self, domain: usize, name: &str) -> Result<(), RouteFleetError> {
-        let addresses = find_ports().map_err(io("finding ports"))?;
+        let addresses = find_ports();
         let seeds: Vec<String> = self.nodes.iter().map(|node| node.addresses.peers.to_string()).collect();
         let cpu_share = self.cpu_shares.get(name).copied().unwrap_or(WHOLE_CORE);
         let text = write_settings(name, domain, &addresses, self.platform.address, &seeds, cpu_share)?;
@@ -272,13 +274,14 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-/// Free ports on a loopback address of the node's own: nobody else takes them before it does.
-pub(crate) fn find_ports() -> std::io::Result<RouteAddresses> {
+/// Ports on a loopback address of the node's own, below those that the system gives out. They are not
+/// tried first: a process that another test starts at that moment would hold the tried port until it
+/// runs its own program, and the node could not listen on it.
+pub(crate) fn find_ports() -> RouteAddresses {
     let address = Ipv4Addr::new(127, rand::random_range(1..=254), rand::random(), rand::random_range(1..=254));
-    let bind = || std::net::TcpListener::bind((address, 0));
-    let listeners = [bind()?, bind()?, bind()?, bind()?];
-    let port = |position: usize| listeners[position].local_addr();
-    Ok(RouteAddresses { callers: port(0)?, ready: port(1)?, peers: port(2)?, metrics: port(3)? })
+    let first: u16 = rand::random_range(FIRST_PORTS);
+    let port = |number: u16| SocketAddr::from((address, first + number));
+    RouteAddresses { callers: port(0), ready: port(1), peers: port(2), metrics: port(3) }
 }
 
 /// The settings of a deployment with their gaps filled.
--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -189,7 +189,7 @@
         let places: Vec<(usize, usize)> = (0..2).flat_map(|domain| (0..count).map(move |n| (domain, n))).collect();
         let mut ports = Vec::new();
         for _ in &places {
-            ports.push(find_ports().map_err(io("finding ports"))?);
+            ports.push(find_ports());
         }
         let mut links = Vec::new();
         for ports in &ports {
