A route's requests stay in the regions it is bound to

Cause: the operator's document may bind a route to regions, and nothing read that. Ruled out: a check at each way of choosing (first call, retry, second call, batch, takeover): a way added later would forget it. Change: the adapter decodes the regions into HomeRegions. policy/server_scope says what bars a server; a service's servers are private and reached through Service::usable alone, which asks it. Nodes outside the homes get no batch, since with it goes the body. Batches carry the homes; messages between nodes have a new form, named by their path: a batch that does not tell its homes is refused, and an unknown path is answered by 404 without closing the link. A request without a server in its homes is refused at once with a time to come back, and the log names the bar.

--- /dev/null
+++ b/crates/lab/tests/routes_homes.rs
@@ -0,0 +1,147 @@
+//! Routes bound to regions: whatever way a request takes, no server outside them sees it. With real processes.
+
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::{Value, json};
+use streamfold_lab::fleet::send_signal;
+use streamfold_lab::route_checks::{check_own, far, get, header, near, tell_refusal};
+use streamfold_lab::route_fleet::{DOMAINS, REGIONS, RouteFleet, RouteFleetPlan, write_route};
+use streamfold_lab::wait::wait_for;
+
+const SHARDS: [&str; 4] = ["s-0", "s-1", "s-2", "s-3"];
+/// The region of the first failure domain, and that of the other one.
+const NORTH: &str = REGIONS[0];
+const SOUTH: &str = REGIONS[1];
+
+/// A service and shards with servers in both failure domains, and a node in each. Every route is bound
+/// to one region.
+async fn start_bound(region: &str) -> RouteFleet {
+    let mut servers = vec![near("i-0", "cart"), far("i-1", "cart")];
+    for shard in SHARDS {
+        servers.extend([near(&format!("{shard}-n"), shard), far(&format!("{shard}-f"), shard)]);
+    }
+    let plan = RouteFleetPlan { nodes: [1, 1], servers, routes: write_routes(&[region]), ..RouteFleetPlan::default() };
+    RouteFleet::start(plan).await.expect("a fleet")
+}
+
+fn write_routes(regions: &[&str]) -> Vec<Value> {
+    let cart = json!({ "service": "cart", "allowedRegions": regions });
+    let all = json!({ "gather": SHARDS, "topK": 7, "minCoverage": 0.5, "maxAttempts": 2, "timeoutMs": 2_500,
+        "targetLatencyMs": 600, "allowedRegions": regions });
+    vec![write_route("any", "/any/", &cart), write_route("all", "/all/", &all)]
+}
+
+/// Requests that servers of a failure domain have read.
+fn count_in(fleet: &RouteFleet, domain: usize) -> usize {
+    let there = fleet.servers.iter().filter(|server| server.state.plan.domain == DOMAINS[domain]);
+    there.map(|server| server.state.calls().len()).sum()
+}
+
+async fn call(fleet: &RouteFleet, node: usize, path: &str, id: &str) -> streamfold_lab::client::CallAnswer {
+    fleet.call(node, Method::GET, path, id, Bytes::new()).await.expect("an answer")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_go_to_servers_in_their_homes_alone_from_inside_and_outside() {
+    for (region, outside) in [(NORTH, 1), (SOUTH, 0)] {
+        let fleet = start_bound(region).await;
+        for number in 0..20 {
+            for node in 0..2 {
+                let id = format!("any-{node}-{number}");
+                check_own(&fleet, &call(&fleet, node, "/any/x", &id).await, &id);
+                let answer = call(&fleet, node, "/all/x", &format!("all-{node}-{number}")).await;
+                assert_eq!(
+                    (answer.status.as_u16(), header(&answer, "x-missing-parts")),
+                    (200, Some("0")),
+                    "{answer:?}"
+                );
+            }
+        }
+        assert_eq!(count_in(&fleet, outside), 0, "bound to {region}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_and_second_calls_stay_in_the_homes() {
+    let fleet = start_bound(NORTH).await;
+    let there: Vec<_> = fleet.servers.iter().filter(|server| server.state.plan.domain == DOMAINS[0]).collect();
+    for server in &there {
+        server.state.switches.refuse.store(true, Ordering::Relaxed);
+    }
+    for node in 0..2 {
+        assert_eq!(call(&fleet, node, "/any/x", &format!("refused-{node}")).await.status, 503);
+        assert_ne!(call(&fleet, node, "/all/x", &format!("all-refused-{node}")).await.status, 200);
+    }
+    for server in &there {
+        server.state.switches.refuse.store(false, Ordering::Relaxed);
+        server.state.switches.lose_answer.store(true, Ordering::Relaxed);
+    }
+    for node in 0..2 {
+        assert_eq!(call(&fleet, node, "/any/x", &format!("lost-{node}")).await.status, 502);
+        assert_ne!(call(&fleet, node, "/all/x", &format!("all-lost-{node}")).await.status, 200);
+    }
+    for server in &there {
+        server.state.switches.lose_answer.store(false, Ordering::Relaxed);
+        server.state.switches.pause_ms.store(30_000, Ordering::Relaxed);
+    }
+    for node in 0..2 {
+        assert_ne!(call(&fleet, node, "/all/x", &format!("all-paused-{node}")).await.status, 200);
+    }
+    assert_eq!(count_in(&fleet, 1), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn taking_over_from_a_silent_node_stays_in_the_homes() {
+    let fleet = start_bound(SOUTH).await;
+    let mut number = 0;
+    wait_for("a batch at the other node", async || {
+        number += 1;
+        let answer = get(&fleet, "/all/x", &format!("r-{number}")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        !fleet.nodes[0].logged(&["event=request ", "delegated=4"]).is_empty()
+    })
+    .await;
+    send_signal(&fleet.nodes[1].process, "STOP").await;
+    let (_, ()) = tokio::join!(get(&fleet, "/all/x", "r-silent"), async {
+        let event = ["event=batch_overdue", "request=r-silent"];
+        wait_for("the takeover", async || !fleet.nodes[0].logged(&event).is_empty()).await;
+    });
+    send_signal(&fleet.nodes[1].process, "CONT").await;
+    assert_eq!(count_in(&fleet, 0), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_server_in_the_homes_a_request_is_refused_at_once_and_the_log_says_why() {
+    let fleet = start_bound("west").await;
+    let mut seen = Vec::new();
+    for path in ["/any/x", "/all/x"] {
+        seen.push(format!("{path}: {}", tell_refusal(&get(&fleet, path, "r-0").await)));
+    }
+    insta::assert_snapshot!(seen.join("\n"));
+    assert_eq!(count_in(&fleet, 0) + count_in(&fleet, 1), 0);
+    for event in ["event=call_not_made", "event=coverage_unreachable"] {
+        let line = [event, "request=r-0", "barred=outside_homes:2"];
+        wait_for("the line that says why", async || !fleet.nodes[0].logged(&line).is_empty()).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_of_homes_is_in_force_for_every_request_after_it() {
+    let fleet = start_bound(NORTH).await;
+    check_own(&fleet, &get(&fleet, "/any/x", "r-before").await, "r-before");
+    fleet.put_document(2, &write_routes(&[SOUTH]));
+    for node in &fleet.nodes {
+        wait_for("the newer routes", async || !node.logged(&["event=routes_in_force", "version=2"]).is_empty()).await;
+    }
+    let before = count_in(&fleet, 0);
+    for number in 0..20 {
+        for node in 0..2 {
+            let id = format!("any-{node}-{number}");
+            check_own(&fleet, &call(&fleet, node, "/any/x", &id).await, &id);
+            assert_eq!(call(&fleet, node, "/all/x", &format!("all-{node}-{number}")).await.status, 200);
+        }
+    }
+    assert_eq!(count_in(&fleet, 0), before, "the former homes get nothing more");
+}
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -35,9 +35,10 @@
         matches!(self, Self::BadStatus(503))
     }
 
-    /// Whether the other node certainly did nothing with the message: it never left, or a
-    /// stopping node refused it unread.
+    /// Whether the other node certainly did nothing with the message: it never left, a stopping
+    /// node refused it unread, or a node of another version does not know its path.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotConnected | Self::Encode(_) | Self::Request(_)) || self.is_refused()
+        matches!(self, Self::NotConnected | Self::Encode(_) | Self::Request(_) | Self::BadStatus(404))
+            || self.is_refused()
     }
 }
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -135,6 +135,10 @@
     /// Names a failure domain.
     FailureDomain, "failure domain"
 );
+name_id!(
+    /// Names a region: failure domains near each other.
+    RegionName, "region name", check_token
+);
 name_id!(
     /// Names a node: one VM's daemon, across its restarts.
     NodeId, "node id"
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -7,7 +7,7 @@
 
 use bincode::{Decode, Encode};
 
-use crate::ids::{FailureDomain, Incarnation, NodeId, RouteName, ServerId, ServiceName, TableVersion};
+use crate::ids::{FailureDomain, Incarnation, NodeId, RegionName, RouteName, ServerId, ServiceName, TableVersion};
 use crate::units::CoreShare;
 
 /// Whether a request may run more than once.
@@ -19,6 +19,31 @@
     AtMostOnce,
 }
 
+/// The regions in which requests may be served and their bodies may travel.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub enum HomeRegions {
+    /// All of them.
+    #[default]
+    Everywhere,
+    /// Only these.
+    Only(Vec<RegionName>),
+}
+
+impl HomeRegions {
+    /// The regions that an operator lists; an empty list binds nothing.
+    pub fn listed(regions: Vec<RegionName>) -> Self {
+        if regions.is_empty() { Self::Everywhere } else { Self::Only(regions) }
+    }
+
+    /// Whether a region is among them; one that is not known is not, unless all are.
+    pub fn allow(&self, region: Option<&RegionName>) -> bool {
+        match self {
+            Self::Everywhere => true,
+            Self::Only(regions) => region.is_some_and(|region| regions.contains(region)),
+        }
+    }
+}
+
 /// A service that takes a part of a route's requests.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct WeightedService {
@@ -67,6 +92,8 @@
     pub max_attempts: u32,
     /// Its rank; 0 is the most urgent.
     pub priority: u32,
+    /// Where its requests may be served.
+    pub homes: HomeRegions,
     /// Where its requests go.
     pub target: RouteTarget,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod rules;
 pub mod server;
 pub mod server_bound;
+pub mod server_scope;
 pub mod split_rule;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
--- /dev/null
+++ b/crates/policy/src/server_scope.rs
@@ -0,0 +1,44 @@
+//! Which servers a request may be sent to at all, whatever they would cost.
+//!
+//! The load pattern: the best servers of a shard lie where the request must not go, because its route
+//! is bound to other regions. The rule holds for first calls, retries, second calls and batches alike,
+//! so it stands in one place, and a shard whose servers are all barred is missing.
+
+use std::fmt;
+
+use streamfold_model::{HomeRegions, RegionName};
+
+/// Why a server gets no new request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerBar {
+    /// It is leaving.
+    Leaving,
+    /// It is in a region where the route's requests must not be served.
+    OutsideHomes,
+}
+
+impl fmt::Display for ServerBar {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Leaving => "leaving",
+            Self::OutsideHomes => "outside_homes",
+        })
+    }
+}
+
+/// How a server stands to new requests.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerStanding<'a> {
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// Its region, if that is known.
+    pub region: Option<&'a RegionName>,
+}
+
+/// What keeps requests with these homes from a server, if anything does.
+pub fn find_bar(homes: &HomeRegions, standing: ServerStanding<'_>) -> Option<ServerBar> {
+    if standing.is_leaving {
+        return Some(ServerBar::Leaving);
+    }
+    (!homes.allow(standing.region)).then_some(ServerBar::OutsideHomes)
+}
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -3,12 +3,13 @@
 use bincode::{Decode, Encode};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
-use streamfold_model::{RouteName, ServerId, ServiceName, TableVersion};
+use streamfold_model::{HomeRegions, RouteName, ServerId, ServiceName, TableVersion};
 
-/// Path of a batch of shards.
-pub const PATH_BATCH: &str = "/shards";
-/// Path of a request for what a node knows of the cluster.
-pub const PATH_KNOWLEDGE: &str = "/knowledge";
+/// Path of a batch of shards. It names the form of the messages: nodes of an earlier form refuse it,
+/// as this one refuses theirs, since a batch that does not tell its homes must not be served.
+pub const PATH_BATCH: &str = "/2/shards";
+/// Path of a request for what a node knows of the cluster, with the form of the messages.
+pub const PATH_KNOWLEDGE: &str = "/2/knowledge";
 
 /// A caller's request as it travels between nodes.
 #[derive(Debug, Clone, Encode, Decode)]
@@ -87,6 +88,8 @@
     pub top: usize,
     /// The most servers of each shard.
     pub max_attempts: u32,
+    /// Where its servers may be.
+    pub homes: HomeRegions,
     /// The route's target latency, in microseconds.
     pub target_us: u64,
     /// How long the request may still run, in microseconds.
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -81,9 +81,7 @@
     fn publish(&self, parts: &ClusterParts) {
         self.generation.fetch_add(1, Ordering::Relaxed);
         let view = parts.build_view(&self.place.node);
-        for server in view.services.values().flat_map(|service| &service.servers) {
-            server.set_share(view.connection_share(server));
-        }
+        view.share_connections();
         self.view.store(Arc::new(view));
     }
 
@@ -182,8 +180,7 @@
                 draining = entry.is_draining
             );
         }
-        let distance = self.place.distance(&entry.domain);
-        parts.servers.insert(entry.id.clone(), Server::new(entry, distance, now, self.place.mechanisms));
+        parts.servers.insert(entry.id.clone(), Server::new(entry, &self.place, now));
         parts.budgets.entry(entry.service.clone()).or_default();
         true
     }
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -133,11 +133,8 @@
     pub(crate) fn build_view(&self, own: &NodeId) -> ClusterView {
         let mut services: HashMap<ServiceName, Service> = HashMap::new();
         for server in self.servers.values().filter(|server| !server.is_leaving()) {
-            let service = services.entry(server.service.clone()).or_insert_with(|| Service {
-                servers: Vec::new(),
-                budget: self.budgets.get(&server.service).cloned().unwrap_or_default(),
-            });
-            service.servers.push(server.clone());
+            let make = || Service::new(self.budgets.get(&server.service).cloned().unwrap_or_default());
+            services.entry(server.service.clone()).or_insert_with(make).add(server.clone());
         }
         ClusterView {
             table: self.table.clone(),
--- a/crates/router/src/cluster_place.rs
+++ b/crates/router/src/cluster_place.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use streamfold_model::{FailureDomain, NodeId};
+use streamfold_model::{FailureDomain, NodeId, RegionName};
 use streamfold_policy::MechanismSet;
 use streamfold_policy::replica::Distance;
 
@@ -14,7 +14,7 @@
     /// Its failure domain.
     pub domain: FailureDomain,
     /// The region of each failure domain.
-    pub regions: HashMap<FailureDomain, String>,
+    pub regions: HashMap<FailureDomain, RegionName>,
     /// How long a node that is gone may have spent of what all nodes share: the window in which
     /// extra calls are counted.
     pub spent_for: Duration,
@@ -23,12 +23,17 @@
 }
 
 impl ClusterPlace {
+    /// The region of a failure domain, if the settings tell.
+    pub fn region(&self, domain: &FailureDomain) -> Option<&RegionName> {
+        self.regions.get(domain)
+    }
+
     /// How far away another failure domain is; one whose region is not known counts as far.
     pub fn distance(&self, domain: &FailureDomain) -> Distance {
         if *domain == self.domain {
             return Distance::Domain;
         }
-        match (self.regions.get(domain), self.regions.get(&self.domain)) {
+        match (self.region(domain), self.region(&self.domain)) {
             (Some(other), Some(own)) if other == own => Distance::Region,
             _ => Distance::Far,
         }
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -1,12 +1,13 @@
 //! What one request works with: the routes in force and the servers and nodes known then.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use streamfold_model::{FailureDomain, RouteName, RouteTable, ServiceName};
+use streamfold_model::{FailureDomain, HomeRegions, RouteName, RouteTable, ServiceName};
 use streamfold_policy::extra_budget::ExtraBudget;
 use streamfold_policy::owner::{CallerKind, CallingNodes, divide_connections};
 use streamfold_policy::replica::Distance;
+use streamfold_policy::server_scope::ServerBar;
 use streamfold_policy::split_rule::SplitTurns;
 
 use crate::peers::PeerNode;
@@ -16,14 +17,37 @@
 /// Nodes counted on while none is known.
 const ASSUMED_NODES: usize = 8;
 
-/// A service with the servers that may get work.
+/// A service with its servers. They are reached only through [`Service::usable`], so that no way of
+/// choosing one can pass over what bars it.
 pub struct Service {
-    /// The servers.
-    pub servers: Vec<Arc<Server>>,
-    pub(crate) budget: Arc<Mutex<ExtraBudget>>,
+    servers: Vec<Arc<Server>>,
+    budget: Arc<Mutex<ExtraBudget>>,
 }
 
 impl Service {
+    /// A service without servers, with what was spent on it.
+    pub(crate) fn new(budget: Arc<Mutex<ExtraBudget>>) -> Self {
+        Self { servers: Vec::new(), budget }
+    }
+
+    pub(crate) fn add(&mut self, server: Arc<Server>) {
+        self.servers.push(server);
+    }
+
+    /// The servers that a request with these homes may be sent to.
+    pub fn usable<'a>(&'a self, homes: &'a HomeRegions) -> impl Iterator<Item = &'a Arc<Server>> {
+        self.servers.iter().filter(|server| server.find_bar(homes).is_none())
+    }
+
+    /// How many of its servers each bar keeps requests with these homes from, for the log.
+    pub fn count_bars(&self, homes: &HomeRegions) -> BTreeMap<ServerBar, usize> {
+        let mut counts = BTreeMap::new();
+        for bar in self.servers.iter().filter_map(|server| server.find_bar(homes)) {
+            *counts.entry(bar).or_default() += 1;
+        }
+        counts
+    }
+
     /// Extra calls spent on it by this node.
     pub fn budget(&self) -> MutexGuard<'_, ExtraBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
@@ -86,8 +110,14 @@
         owned + among(self.node_count())
     }
 
-    /// Connections that this node may have to a server.
-    pub(crate) fn connection_share(&self, server: &Server) -> u32 {
+    /// Tells each server how many connections this node may have to it.
+    pub(crate) fn share_connections(&self) {
+        for server in self.services.values().flat_map(|service| &service.servers) {
+            server.set_share(self.connection_share(server));
+        }
+    }
+
+    fn connection_share(&self, server: &Server) -> u32 {
         let spec = self.table.as_ref().and_then(|table| table.service(&server.service));
         let Some(spec) = spec else { return 1 };
         let near = self.nodes.get(&server.domain).copied().unwrap_or_default();
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -130,7 +130,8 @@
                 event = "coverage_unreachable",
                 request = self.context.request.id_text(),
                 reachable,
-                shards = self.slots.len()
+                shards = self.slots.len(),
+                barred = self.name_barred()
             );
         }
         is_enough
@@ -258,6 +259,12 @@
         join(self.batches.iter().map(|batch| batch.peer.entry.node.as_str()))
     }
 
+    /// What bars servers of the first shard that no server may be asked for.
+    fn name_barred(&self) -> Option<String> {
+        let mut unreachable = self.slots.iter().filter(|slot| self.context.best_server(&slot.attempts).is_none());
+        unreachable.find_map(|slot| self.context.name_bars(&slot.attempts.service))
+    }
+
     fn name_missing(&self) -> String {
         let missing = self.slots.iter().filter(|slot| slot.part.is_none());
         join(missing.take(NAMED_SHARDS).map(|slot| slot.attempts.service.as_str()))
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -8,7 +8,7 @@
 use futures_util::future::BoxFuture;
 use h2::RecvStream;
 use h2::server::SendResponse;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use streamfold_link::server::{self, PeerService};
 use streamfold_link::{PeerError, encode_frame, read_message, refuse, reply, send_frame};
 use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold};
@@ -46,7 +46,7 @@
             PATH_BATCH => serve_batch(&self.0, body, respond).boxed(),
             PATH_KNOWLEDGE => serve_knowledge(&self.0, body, respond).boxed(),
             PATH_RELAY => serve_relay(&self.0, body, respond).boxed(),
-            _ => std::future::ready(Err(PeerError::BadStatus(404))).boxed(),
+            _ => std::future::ready(refuse_path(path, respond)).boxed(),
         }
     }
 
@@ -64,6 +64,15 @@
     server::serve(Arc::new(RouterService(router)), listener).await;
 }
 
+/// Tells a node of another version that its message is not known here; the link stays open.
+fn refuse_path(path: &str, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
+    tracing::info!(event = "peer_path_unknown", path);
+    let mut refusal = Response::new(());
+    *refusal.status_mut() = StatusCode::NOT_FOUND;
+    respond.send_response(refusal, true)?;
+    Ok(())
+}
+
 async fn serve_batch(
     router: &Arc<Router>,
     body: RecvStream,
@@ -167,6 +176,7 @@
         target_latency: Duration::from_micros(batch.target_us),
         max_attempts: batch.max_attempts,
         priority: 0,
+        homes: batch.homes.clone(),
         target: RouteTarget::All(fold),
     };
     let (asker, request_share) = match batch.mode {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -16,8 +16,8 @@
 use crate::knowledge;
 use crate::router::Router;
 
-/// Path of a subscription to the news of the store.
-pub const PATH_RELAY: &str = "/relay";
+/// Path of a subscription to the news of the store, with the form of the messages.
+pub const PATH_RELAY: &str = "/2/relay";
 /// How often a reader without news says that it follows the store.
 pub const ALIVE_EVERY: Duration = Duration::from_millis(500);
 /// A reader that said nothing for so long is given up: three signs of life are missing. A leaving
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -5,11 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{FailureDomain, ServerEntry, ServerId, ServiceName};
+use streamfold_model::{FailureDomain, HomeRegions, RegionName, ServerEntry, ServerId, ServiceName};
+use streamfold_policy::Moment;
 use streamfold_policy::replica::{Distance, ReplicaState};
-use streamfold_policy::{MechanismSet, Moment};
+use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
 use tokio::sync::Notify;
 
+use crate::cluster_place::ClusterPlace;
 use crate::connection::ServerConnection;
 
 /// How long a connection rests at most where the server tells no time.
@@ -42,6 +44,7 @@
     pub domain: FailureDomain,
     /// How far away it is.
     pub distance: Distance,
+    region: Option<RegionName>,
     slots: u32,
     leaving: AtomicBool,
     doubtful: AtomicBool,
@@ -92,17 +95,18 @@
 
 impl Server {
     /// A server that is not connected to yet.
-    pub fn new(entry: &ServerEntry, distance: Distance, now: Moment, mechanisms: MechanismSet) -> Arc<Self> {
+    pub fn new(entry: &ServerEntry, place: &ClusterPlace, now: Moment) -> Arc<Self> {
         Arc::new(Self {
             id: entry.id.clone(),
             service: entry.service.clone(),
             address: entry.address,
             domain: entry.domain.clone(),
-            distance,
+            distance: place.distance(&entry.domain),
+            region: place.region(&entry.domain).cloned(),
             slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
             doubtful: AtomicBool::new(false),
-            state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(mechanisms)),
+            state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(place.mechanisms)),
             resting: Mutex::default(),
             count: Arc::default(),
         })
@@ -131,6 +135,12 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// What keeps requests with these homes from it, if anything does.
+    pub fn find_bar(&self, homes: &HomeRegions) -> Option<ServerBar> {
+        let standing = ServerStanding { is_leaving: self.is_leaving(), region: self.region.as_ref() };
+        find_bar(homes, standing)
+    }
+
     /// Marks it as leaving and gives up the connections at rest. No server comes back from
     /// this: a restarted one has another id.
     pub fn mark_leaving(&self) {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Deserializer};
-use streamfold_model::{CoreShare, FailureDomain, NodeId, TimeSpan};
+use streamfold_model::{CoreShare, FailureDomain, NodeId, RegionName, TimeSpan};
 use streamfold_policy::{Mechanism, MechanismSet};
 
 /// Settings of one node, as the file has them. What it does not know is ignored, since the
@@ -18,7 +18,7 @@
     pub failure_domain: FailureDomain,
     /// The region of each failure domain.
     #[serde(default)]
-    pub regions: HashMap<FailureDomain, String>,
+    pub regions: HashMap<FailureDomain, RegionName>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the node is ready.
