The servers of an evacuated failure domain get nothing until it is given back

Cause: nothing read the operator's evacuations. Ruled out: entries told one by one, as servers' are: a node that could not look would have to guess whether one it does not hear of is gone. Health calls and resting connections need nothing: this node makes no health calls. Change: a fourth topic of the store. The list is known whole with its position in the store's history, and the newest holds, whoever told it: the store, a reader, or another node while the store is away. Servers carry a flag that every attempt asks, so retries, second calls, batches and takeovers of requests under way avoid them too; calls under way end as they are. Deployments whose settings have no bound for it do not ask for the topic, so it costs them no call. Tests: routes_evacuations.rs with real processes.

--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -51,7 +51,8 @@
         ("gone_after", settings.gone_after),
         ("silence_within", settings.silence_within),
     ];
-    for (name, span) in spans {
+    let evacuated_within = settings.evacuated_within.map(|span| ("evacuated_within", span));
+    for (name, span) in spans.into_iter().chain(evacuated_within) {
         check_range(name, span.0.as_secs_f64(), !span.0.is_zero(), "longer than 0s");
     }
     let ports = [
--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -192,6 +192,21 @@
         self.platform.state.put_object(documents::CONFIG, documents::CONFIG_NAME, write_document(version, routes));
     }
 
+    /// Evacuates a failure domain, or gives it back.
+    pub fn evacuate(&self, domain: usize, is_evacuated: bool) {
+        let state = &self.platform.state;
+        match is_evacuated {
+            true => state.put_object(documents::EVACUATIONS, DOMAINS[domain], serde_json::json!({})),
+            false => state.remove_object(documents::EVACUATIONS, DOMAINS[domain]),
+        }
+    }
+
+    /// Requests that servers of a failure domain have read.
+    pub fn count_calls_in(&self, domain: usize) -> usize {
+        let there = self.servers.iter().filter(|server| server.state.plan.domain == DOMAINS[domain]);
+        there.map(|server| server.state.calls().len()).sum()
+    }
+
     /// Starts one more node; it may not be ready yet.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/lab/tests/routes_evacuations.rs
@@ -0,0 +1,160 @@
+//! Evacuated failure domains: their servers get nothing, whoever asks and however it was learnt. With real processes.
+
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::json;
+use streamfold_lab::client::CallAnswer;
+use streamfold_lab::route_checks::{check_own, far, header, near, to_service};
+use streamfold_lab::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, write_route};
+use streamfold_lab::wait::wait_for;
+
+/// Shards with servers in both failure domains, and one more with a server in the second alone.
+const SHARDS: [&str; 4] = ["s-0", "s-1", "s-2", "lone"];
+
+async fn start(nodes: [usize; 2]) -> RouteFleet {
+    let mut servers = vec![near("i-0", "cart"), far("i-1", "cart"), far("lone-f", "lone")];
+    for shard in &SHARDS[..3] {
+        servers.extend([near(&format!("{shard}-n"), shard), far(&format!("{shard}-f"), shard)]);
+    }
+    let all = json!({ "gather": SHARDS, "topK": 7, "minCoverage": 0.5, "maxAttempts": 2, "timeoutMs": 2_500,
+        "targetLatencyMs": 600 });
+    let routes = vec![
+        write_route("any", "/any/", &to_service("cart")),
+        write_route("lone", "/lone/", &to_service("lone")),
+        write_route("all", "/all/", &all),
+    ];
+    let plan = RouteFleetPlan { nodes, servers, routes, ..RouteFleetPlan::default() };
+    RouteFleet::start(plan).await.expect("a fleet")
+}
+
+async fn call(fleet: &RouteFleet, node: usize, path: &str, id: &str) -> CallAnswer {
+    fleet.call(node, Method::GET, path, id, Bytes::new()).await.expect("an answer")
+}
+
+/// Waits until a node has an evacuated failure domain in force, or none.
+async fn wait_in_force(fleet: &RouteFleet, node: usize, domains: &str) {
+    let is_last = || {
+        let lines = fleet.nodes[node].logged(&["event=evacuations_in_force"]);
+        lines.last().is_some_and(|line| line.contains(&format!("failure_domains={domains} ")))
+    };
+    wait_for("the evacuation", async || is_last()).await;
+}
+
+/// Calls every route through some nodes while the second failure domain is evacuated: its servers read
+/// nothing, and the shard that has no other is told as missing.
+async fn check_evacuated(fleet: &RouteFleet, nodes: &[usize], name: &str) {
+    let before = fleet.count_calls_in(1);
+    for node in nodes {
+        for number in 0..10 {
+            let id = format!("{name}-{node}-{number}");
+            check_own(fleet, &call(fleet, *node, "/any/x", &format!("any-{id}")).await, &format!("any-{id}"));
+            let answer = call(fleet, *node, "/all/x", &format!("all-{id}")).await;
+            assert_eq!((answer.status.as_u16(), header(&answer, "x-missing-parts")), (200, Some("1")), "{answer:?}");
+        }
+        let refused = call(fleet, *node, "/lone/x", &format!("lone-{name}-{node}")).await;
+        assert_eq!(refused.status, 503, "{refused:?}");
+        assert!(header(&refused, "retry-after").is_some());
+    }
+    assert_eq!(fleet.count_calls_in(1), before, "{name}: the evacuated servers");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_failure_domain_gets_nothing_from_any_node_until_it_is_given_back() {
+    let fleet = start([3, 2]).await;
+    let nodes: Vec<usize> = (0..fleet.nodes.len()).collect();
+    for round in 0..2 {
+        fleet.evacuate(1, true);
+        for node in &nodes {
+            wait_in_force(&fleet, *node, DOMAINS[1]).await;
+        }
+        check_evacuated(&fleet, &nodes, &format!("round-{round}")).await;
+        let line = ["event=call_not_made", &format!("request=lone-round-{round}-0"), "barred=evacuated:1"];
+        wait_for("the line that says why", async || !fleet.nodes[0].logged(&line).is_empty()).await;
+        fleet.evacuate(1, false);
+        for node in &nodes {
+            wait_in_force(&fleet, *node, "none").await;
+            let id = format!("back-{round}-{node}");
+            check_own(&fleet, &call(&fleet, *node, "/lone/x", &id).await, &id);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_calls_and_retries_avoid_an_evacuated_failure_domain() {
+    let fleet = start([1, 0]).await;
+    fleet.evacuate(1, true);
+    wait_in_force(&fleet, 0, DOMAINS[1]).await;
+    for server in fleet.servers.iter().filter(|server| server.state.plan.domain == DOMAINS[0]) {
+        server.state.switches.pause_ms.store(1_500, Ordering::Relaxed);
+    }
+    check_own(&fleet, &call(&fleet, 0, "/any/x", "r-paused").await, "r-paused");
+    call(&fleet, 0, "/all/x", "r-all-paused").await;
+    for server in fleet.servers.iter().filter(|server| server.state.plan.domain == DOMAINS[0]) {
+        server.state.switches.pause_ms.store(0, Ordering::Relaxed);
+        server.state.switches.refuse.store(true, Ordering::Relaxed);
+    }
+    assert_eq!(call(&fleet, 0, "/any/x", "r-refused").await.status, 503);
+    assert_eq!(fleet.count_calls_in(1), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_under_way_in_an_evacuated_failure_domain_ends_as_it_is() {
+    let fleet = start([1, 0]).await;
+    let lone = fleet.servers.iter().find(|server| server.state.plan.service == "lone").expect("a server");
+    lone.state.switches.work_ms.store(1_200, Ordering::Relaxed);
+    let (answer, ()) = tokio::join!(call(&fleet, 0, "/lone/x", "r-long"), async {
+        wait_for("the call", async || fleet.count_runs("r-long") == 1).await;
+        fleet.evacuate(1, true);
+        wait_in_force(&fleet, 0, DOMAINS[1]).await;
+    });
+    check_own(&fleet, &answer, "r-long");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_during_an_evacuation_knows_it() {
+    let mut fleet = start([1, 1]).await;
+    fleet.evacuate(1, true);
+    for node in 0..2 {
+        wait_in_force(&fleet, node, DOMAINS[1]).await;
+    }
+    fleet.add_node(0, "zone-a-late").await.expect("a node");
+    fleet.wait_ready(StatusCode::OK).await.expect("ready");
+    check_evacuated(&fleet, &[2], "late").await;
+    // The next one has only the other nodes to ask.
+    fleet.platform.state.faults.outage.store(true, Ordering::Relaxed);
+    fleet.add_node(0, "zone-a-later").await.expect("a node");
+    fleet.wait_ready(StatusCode::OK).await.expect("ready");
+    check_evacuated(&fleet, &[3], "later").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_outlasts_an_outage_and_is_found_after_a_lost_history() {
+    let fleet = start([2, 0]).await;
+    fleet.evacuate(1, true);
+    for node in 0..2 {
+        wait_in_force(&fleet, node, DOMAINS[1]).await;
+    }
+    let outage = &fleet.platform.state.faults.outage;
+    outage.store(true, Ordering::Relaxed);
+    // Wakes the waiting watches, which are cut then.
+    fleet.register(0, "ready");
+    fleet.platform.state.put_object("other", "thing", json!({}));
+    for node in &fleet.nodes {
+        wait_for("the cut watch", async || !node.logged(&["event=feed_lost", "topic=evacuations"]).is_empty()).await;
+    }
+    check_evacuated(&fleet, &[0, 1], "outage").await;
+    fleet.evacuate(1, false);
+    fleet.platform.state.forget_history();
+    outage.store(false, Ordering::Relaxed);
+    for node in 0..2 {
+        wait_in_force(&fleet, node, "none").await;
+    }
+    fleet.evacuate(1, true);
+    fleet.platform.state.forget_history();
+    for node in 0..2 {
+        wait_in_force(&fleet, node, DOMAINS[1]).await;
+    }
+    check_evacuated(&fleet, &[0, 1], "history").await;
+}
--- a/crates/lab/tests/routes_homes.rs
+++ b/crates/lab/tests/routes_homes.rs
@@ -33,12 +33,6 @@
     vec![write_route("any", "/any/", &cart), write_route("all", "/all/", &all)]
 }
 
-/// Requests that servers of a failure domain have read.
-fn count_in(fleet: &RouteFleet, domain: usize) -> usize {
-    let there = fleet.servers.iter().filter(|server| server.state.plan.domain == DOMAINS[domain]);
-    there.map(|server| server.state.calls().len()).sum()
-}
-
 async fn call(fleet: &RouteFleet, node: usize, path: &str, id: &str) -> streamfold_lab::client::CallAnswer {
     fleet.call(node, Method::GET, path, id, Bytes::new()).await.expect("an answer")
 }
@@ -59,7 +53,7 @@
                 );
             }
         }
-        assert_eq!(count_in(&fleet, outside), 0, "bound to {region}");
+        assert_eq!(fleet.count_calls_in(outside), 0, "bound to {region}");
     }
 }
 
@@ -89,7 +83,7 @@
     for node in 0..2 {
         assert_ne!(call(&fleet, node, "/all/x", &format!("all-paused-{node}")).await.status, 200);
     }
-    assert_eq!(count_in(&fleet, 1), 0);
+    assert_eq!(fleet.count_calls_in(1), 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -109,7 +103,7 @@
         wait_for("the takeover", async || !fleet.nodes[0].logged(&event).is_empty()).await;
     });
     send_signal(&fleet.nodes[1].process, "CONT").await;
-    assert_eq!(count_in(&fleet, 0), 0);
+    assert_eq!(fleet.count_calls_in(0), 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -120,7 +114,7 @@
         seen.push(format!("{path}: {}", tell_refusal(&get(&fleet, path, "r-0").await)));
     }
     insta::assert_snapshot!(seen.join("\n"));
-    assert_eq!(count_in(&fleet, 0) + count_in(&fleet, 1), 0);
+    assert_eq!(fleet.count_calls_in(0) + fleet.count_calls_in(1), 0);
     for event in ["event=call_not_made", "event=coverage_unreachable"] {
         let line = [event, "request=r-0", "barred=outside_homes:2"];
         wait_for("the line that says why", async || !fleet.nodes[0].logged(&line).is_empty()).await;
@@ -135,7 +129,7 @@
     for node in &fleet.nodes {
         wait_for("the newer routes", async || !node.logged(&["event=routes_in_force", "version=2"]).is_empty()).await;
     }
-    let before = count_in(&fleet, 0);
+    let before = fleet.count_calls_in(0);
     for number in 0..20 {
         for node in 0..2 {
             let id = format!("any-{node}-{number}");
@@ -143,5 +137,5 @@
             assert_eq!(call(&fleet, node, "/all/x", &format!("all-{node}-{number}")).await.status, 200);
         }
     }
-    assert_eq!(count_in(&fleet, 0), before, "the former homes get nothing more");
+    assert_eq!(fleet.count_calls_in(0), before, "the former homes get nothing more");
 }
--- a/crates/policy/src/server_scope.rs
+++ b/crates/policy/src/server_scope.rs
@@ -1,7 +1,7 @@
 //! Which servers a request may be sent to at all, whatever they would cost.
 //!
 //! The load pattern: the best servers of a shard lie where the request must not go, because its route
-//! is bound to other regions. The rule holds for first calls, retries, second calls and batches alike,
+//! is bound to other regions or because the operator has evacuated their failure domain. The rule holds for first calls, retries, second calls and batches alike,
 //! so it stands in one place, and a shard whose servers are all barred is missing.
 
 use std::fmt;
@@ -13,6 +13,8 @@
 pub enum ServerBar {
     /// It is leaving.
     Leaving,
+    /// The operator has evacuated its failure domain.
+    Evacuated,
     /// It is in a region where the route's requests must not be served.
     OutsideHomes,
 }
@@ -21,6 +23,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::OutsideHomes => "outside_homes",
         })
     }
@@ -31,6 +34,8 @@
 pub struct ServerStanding<'a> {
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Whether its failure domain is evacuated.
+    pub is_evacuated: bool,
     /// Its region, if that is known.
     pub region: Option<&'a RegionName>,
 }
@@ -40,5 +45,8 @@
     if standing.is_leaving {
         return Some(ServerBar::Leaving);
     }
+    if standing.is_evacuated {
+        return Some(ServerBar::Evacuated);
+    }
     (!homes.allow(standing.region)).then_some(ServerBar::OutsideHomes)
 }
--- a/crates/policy/tests/server_scope.rs
+++ b/crates/policy/tests/server_scope.rs
@@ -17,12 +17,12 @@
     ];
     let mut seen = Vec::new();
     for (name, homes) in &scopes {
-        for is_leaving in [false, true] {
+        for (is_leaving, is_evacuated) in [(false, false), (true, false), (false, true), (true, true)] {
             for region in [None, Some(&here)] {
-                let bar = find_bar(homes, ServerStanding { is_leaving, region });
+                let bar = find_bar(homes, ServerStanding { is_leaving, is_evacuated, region });
                 let bar = bar.map_or("none".to_owned(), |bar| bar.to_string());
                 seen.push(format!(
-                    "{name}, region {}, leaving {is_leaving}: {bar}",
+                    "{name}, region {}, leaving {is_leaving}, evacuated {is_evacuated}: {bar}",
                     region.map_or("unknown", |_| "here")
                 ));
             }
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -7,7 +7,7 @@
 
 use bincode::{Decode, Encode};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{NodeEntry, RouteTable, ServerEntry, ServerId};
+use streamfold_model::{FailureDomain, NodeEntry, RouteTable, ServerEntry, ServerId};
 use streamfold_store::StoreError;
 
 /// A future that a trait object returns.
@@ -98,6 +98,13 @@
     Servers,
     /// Nodes' entries.
     Nodes,
+    /// Failure domains that the operator has evacuated.
+    Evacuations,
+}
+
+impl FeedTopic {
+    /// Every topic, by the order of the type.
+    pub const ALL: [Self; 4] = [Self::Routes, Self::Servers, Self::Nodes, Self::Evacuations];
 }
 
 impl std::fmt::Display for FeedTopic {
@@ -106,6 +113,7 @@
             Self::Routes => "routes",
             Self::Servers => "servers",
             Self::Nodes => "nodes",
+            Self::Evacuations => "evacuations",
         })
     }
 }
@@ -119,6 +127,8 @@
     Server(ServerEntry),
     /// A node.
     Node(NodeEntry),
+    /// A failure domain that is evacuated.
+    Evacuation(FailureDomain),
 }
 
 /// A change of a topic.
@@ -131,7 +141,7 @@
 }
 
 /// The position in a topic's history up to which something is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Encode, Decode)]
 pub struct FeedPosition(pub u64);
 
 /// All of a topic at one position.
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -15,6 +15,7 @@
 use crate::cluster_parts::ClusterParts;
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::ClusterView;
+use crate::evacuation::EvacuationList;
 use crate::server::Server;
 
 /// How long a server whose entry is gone may still be used where no other answers. Entries
@@ -101,6 +102,36 @@
         true
     }
 
+    /// Puts a list of evacuated failure domains in force if it is newer than the one in force; whether
+    /// it was. Requests under way see it too, since each attempt asks the servers themselves.
+    pub fn offer_evacuations(&self, list: EvacuationList, origin: NewsOrigin) -> bool {
+        let mut parts = self.parts();
+        let before = parts.evacuations.as_ref();
+        if before.is_some_and(|before| before.position >= list.position) {
+            return false;
+        }
+        if before.map_or(!list.domains.is_empty(), |before| before.domains != list.domains) {
+            tracing::info!(
+                event = "evacuations_in_force",
+                failure_domains = list.name_domains(),
+                position = list.position.0,
+                source = %origin
+            );
+            metrics::gauge!("streamfold_evacuated_failure_domains").set(list.domains.len() as f64);
+        }
+        parts.evacuations = Some(list);
+        for server in parts.servers.values() {
+            server.set_evacuated(parts.is_evacuated(&server.domain));
+        }
+        self.generation.fetch_add(1, Ordering::Relaxed);
+        true
+    }
+
+    /// The evacuated failure domains, if anybody has told.
+    pub fn evacuations(&self) -> Option<EvacuationList> {
+        self.parts().evacuations.clone()
+    }
+
     /// Takes changes of a topic.
     pub fn apply(&self, now: Moment, changes: Vec<FeedChange>, topic: FeedTopic, origin: NewsOrigin) {
         let is_first = topic != FeedTopic::Routes && !self.knows_any(topic);
@@ -115,6 +146,8 @@
                 }
                 FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry, is_first),
                 FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry, origin, is_first),
+                // Known as a whole.
+                FeedChange::Put(FeedItem::Evacuation(_)) => {}
                 FeedChange::Removed(name) => is_changed |= self.remove(now, topic, &name),
             }
         }
@@ -139,7 +172,7 @@
     pub fn replace(&self, now: Moment, items: Vec<FeedItem>, topic: FeedTopic, origin: NewsOrigin) {
         let listed: HashSet<String> = items.iter().map(item_name).collect();
         let known: Vec<String> = match topic {
-            FeedTopic::Routes => Vec::new(),
+            FeedTopic::Routes | FeedTopic::Evacuations => Vec::new(),
             FeedTopic::Servers => self.parts().servers.keys().map(ToString::to_string).collect(),
             FeedTopic::Nodes => self.parts().nodes.keys().map(ToString::to_string).collect(),
         };
@@ -154,6 +187,7 @@
             FeedTopic::Routes => parts.table.is_some(),
             FeedTopic::Servers => !parts.servers.is_empty(),
             FeedTopic::Nodes => !parts.nodes.is_empty(),
+            FeedTopic::Evacuations => parts.evacuations.is_some(),
         }
     }
 
@@ -180,7 +214,9 @@
                 draining = entry.is_draining
             );
         }
-        parts.servers.insert(entry.id.clone(), Server::new(entry, &self.place, now));
+        let server = Server::new(entry, &self.place, now);
+        server.set_evacuated(parts.is_evacuated(&entry.domain));
+        parts.servers.insert(entry.id.clone(), server);
         parts.budgets.entry(entry.service.clone()).or_default();
         true
     }
@@ -208,7 +244,7 @@
     fn remove(&self, now: Moment, topic: FeedTopic, name: &str) -> bool {
         let mut parts = self.parts();
         match topic {
-            FeedTopic::Routes => false,
+            FeedTopic::Routes | FeedTopic::Evacuations => false,
             FeedTopic::Nodes => {
                 let gone = name.parse::<NodeId>().ok().and_then(|node| parts.nodes.remove(&node));
                 let Some(gone) = gone else { return false };
@@ -276,5 +312,6 @@
         FeedItem::Routes(_) => String::new(),
         FeedItem::Server(entry) => entry.id.to_string(),
         FeedItem::Node(entry) => entry.node.to_string(),
+        FeedItem::Evacuation(domain) => domain.to_string(),
     }
 }
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -14,6 +14,7 @@
 
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::{ClusterView, NodeCount, RouteTimes, Service};
+use crate::evacuation::EvacuationList;
 use crate::peers::PeerNode;
 use crate::server::Server;
 
@@ -32,6 +33,8 @@
     pub(crate) budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
     times: HashMap<RouteName, RouteTimes>,
     turns: HashMap<RouteName, Arc<SplitTurns>>,
+    /// The evacuated failure domains, once anybody has told.
+    pub(crate) evacuations: Option<EvacuationList>,
     /// Nodes, this one included.
     pub(crate) nodes: HashMap<NodeId, NodeEntry>,
     /// Nodes that went, with the moment until which they count.
@@ -40,6 +43,11 @@
 }
 
 impl ClusterParts {
+    /// Whether a failure domain is evacuated.
+    pub(crate) fn is_evacuated(&self, domain: &FailureDomain) -> bool {
+        self.evacuations.as_ref().is_some_and(|list| list.domains.contains(domain))
+    }
+
     /// Drops a server; whether it was known.
     pub(crate) fn drop_server(&mut self, id: &ServerId) -> bool {
         let Some(server) = self.servers.remove(id) else { return false };
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -5,8 +5,9 @@
 
 use streamfold_store::StoreError;
 
-use crate::border::{FeedPosition, FeedTopic, ListAge};
+use crate::border::{FeedChanges, FeedList, FeedPosition, FeedTopic, ListAge};
 use crate::cluster::NewsOrigin;
+use crate::evacuation::EvacuationList;
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
 use crate::store_turn::choose_pause;
@@ -81,24 +82,48 @@
         if news.changes.is_empty() {
             return Ok(news.position);
         }
-        // Taken before it is passed on: a node that begins to follow in between has it twice, and
-        // the other way round it would miss it.
-        router.cluster.apply(router.clock.now(), news.changes.clone(), self.topic, NewsOrigin::Store);
-        router.outlet.publish(|| RelayFrame::Changed(self.topic, news.changes));
+        let position = news.position;
+        self.take_changes(news);
         tokio::time::sleep(self.pause()).await;
-        Ok(news.position)
+        Ok(position)
+    }
+
+    /// Takes changes and passes them on. They are taken first: a node that begins to follow in between
+    /// has them twice, and the other way round it would miss them.
+    fn take_changes(&self, news: FeedChanges) {
+        let router = &self.router;
+        if self.topic != FeedTopic::Evacuations {
+            router.cluster.apply(router.clock.now(), news.changes.clone(), self.topic, NewsOrigin::Store);
+            router.outlet.publish(|| RelayFrame::Changed(self.topic, news.changes));
+        } else if let Some(known) = router.cluster.evacuations() {
+            self.take_evacuations(known.changed(&news.changes, news.position));
+        }
+    }
+
+    fn take_list(&self, list: FeedList) {
+        let router = &self.router;
+        if self.topic == FeedTopic::Evacuations {
+            return self.take_evacuations(EvacuationList::listed(&list));
+        }
+        router.cluster.replace(router.clock.now(), list.items.clone(), self.topic, NewsOrigin::Store);
+        router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items));
+    }
+
+    fn take_evacuations(&self, list: EvacuationList) {
+        self.router.cluster.offer_evacuations(list.clone(), NewsOrigin::Store);
+        self.router.outlet.publish(|| RelayFrame::Evacuations(list));
     }
 
     fn watch_wait(&self) -> Duration {
         match self.topic {
-            FeedTopic::Routes | FeedTopic::Servers => self.router.settings.silence_within.0,
+            FeedTopic::Routes | FeedTopic::Servers | FeedTopic::Evacuations => self.router.settings.silence_within.0,
             FeedTopic::Nodes => NODES_WATCH_WAIT,
         }
     }
 
     fn pause(&self) -> Duration {
         match self.topic {
-            FeedTopic::Routes => Duration::ZERO,
+            FeedTopic::Routes | FeedTopic::Evacuations => Duration::ZERO,
             FeedTopic::Servers => SERVERS_PAUSE,
             FeedTopic::Nodes => NODES_PAUSE,
         }
@@ -107,9 +132,9 @@
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
         let list = router.store_turn.call(router.feed.list(self.topic, ListAge::Fresh)).await?;
-        router.cluster.replace(router.clock.now(), list.items.clone(), self.topic, NewsOrigin::Store);
-        router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items));
-        Ok(list.position)
+        let position = list.position;
+        self.take_list(list);
+        Ok(position)
     }
 
     fn note_success(&mut self, position: FeedPosition) {
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -10,6 +10,7 @@
 use crate::batch::PATH_KNOWLEDGE;
 use crate::border::{FeedChange, FeedItem, FeedTopic};
 use crate::cluster::NewsOrigin;
+use crate::evacuation::EvacuationList;
 use crate::router::Router;
 
 /// How often another node is asked while the store is away.
@@ -40,6 +41,8 @@
     pub servers: Vec<ServerEntry>,
     /// Nodes, if they were asked for.
     pub nodes: Vec<NodeEntry>,
+    /// The evacuated failure domains, if it knows them.
+    pub evacuations: Option<EvacuationList>,
 }
 
 /// Answers another node.
@@ -51,7 +54,8 @@
         None if request.wants_entries => router.cluster.entries(router.clock.now()),
         None => (Vec::new(), Vec::new()),
     };
-    KnowledgeReply { table: newer.map(|table| RouteTable::clone(table)), servers, nodes }
+    let evacuations = router.cluster.evacuations();
+    KnowledgeReply { table: newer.map(|table| RouteTable::clone(table)), servers, nodes, evacuations }
 }
 
 /// Asks other nodes while the store is away, until the node ends.
@@ -59,7 +63,8 @@
     // The store is asked first.
     loop {
         tokio::time::sleep(ASK_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
-        if router.is_followed(FeedTopic::Routes) && router.is_followed(FeedTopic::Servers) {
+        // Nodes matter little from one second to the next.
+        if router.topics().all(|topic| topic == FeedTopic::Nodes || router.is_followed(topic)) {
             continue;
         }
         let Some(link) = choose_link(&router) else { continue };
@@ -84,6 +89,9 @@
     let wants_entries = !router.is_followed(FeedTopic::Servers);
     let request = KnowledgeRequest { version: router.cluster.version(), wants_entries, nodes_of: None };
     let reply: KnowledgeReply = link.call(PATH_KNOWLEDGE, &request, ASK_TIMEOUT).await?;
+    if let Some(list) = reply.evacuations {
+        router.cluster.offer_evacuations(list, NewsOrigin::Peer);
+    }
     // Servers first, since newer routes may name services that only the newer entries have.
     take_entries(router, link, reply.servers, reply.nodes);
     if let Some(table) = reply.table {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod connection;
 pub mod delegate;
 pub mod error;
+pub mod evacuation;
 pub mod feed;
 pub mod fold;
 pub mod front;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -13,6 +13,7 @@
 
 use crate::border::{FeedChange, FeedItem, FeedTopic, ListAge};
 use crate::cluster::NewsOrigin;
+use crate::evacuation::EvacuationList;
 use crate::knowledge;
 use crate::router::Router;
 
@@ -69,6 +70,8 @@
     pub servers: Vec<ServerEntry>,
     /// The nodes.
     pub nodes: Vec<NodeEntry>,
+    /// The evacuated failure domains, if it knows them.
+    pub evacuations: Option<EvacuationList>,
 }
 
 /// A message of a reader.
@@ -80,6 +83,8 @@
     Listed(FeedTopic, Vec<FeedItem>),
     /// Changes of a topic.
     Changed(FeedTopic, Vec<FeedChange>),
+    /// The evacuated failure domains, whole.
+    Evacuations(EvacuationList),
     /// Nothing new; the store is followed.
     Alive,
 }
@@ -254,8 +259,12 @@
     }
 }
 
-/// Takes all that a reader knows. Servers come before routes that may name them.
+/// Takes all that a reader knows. Evacuations come before the servers that they concern, and servers
+/// before routes that may name them.
 fn take_listing(router: &Router, listing: RelayListing) {
+    if let Some(list) = listing.evacuations {
+        take_evacuations(router, list);
+    }
     let servers = listing.servers.into_iter().map(FeedItem::Server).collect();
     take_topic(router, FeedTopic::Servers, servers);
     let nodes = listing.nodes.into_iter().map(FeedItem::Node).collect();
@@ -269,6 +278,11 @@
     router.set_followed(topic, true);
 }
 
+fn take_evacuations(router: &Router, list: EvacuationList) {
+    router.cluster.offer_evacuations(list, NewsOrigin::Reader);
+    router.set_followed(FeedTopic::Evacuations, true);
+}
+
 /// Takes a message of a reader and passes it on to the nodes that follow this one.
 fn take_frame(router: &Router, frame: RelayFrame) {
     let is_news = !matches!(frame, RelayFrame::Alive);
@@ -279,6 +293,7 @@
         RelayFrame::Changed(topic, changes) => {
             router.cluster.apply(router.clock.now(), changes, topic, NewsOrigin::Reader);
         }
+        RelayFrame::Evacuations(list) => take_evacuations(router, list),
         RelayFrame::Alive => {}
     }
     if let Some(copy) = copy {
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -10,7 +10,6 @@
 use streamfold_link::{PeerError, encode_frame, refuse, send_frame};
 use tokio::sync::broadcast;
 
-use crate::border::FeedTopic;
 use crate::relay::{ALIVE_EVERY, FeedSource, RelayFrame, RelayListing, RelayRequest};
 use crate::router::{Router, RouterPhase};
 
@@ -50,10 +49,9 @@
 
 /// Whether this node may be followed.
 fn is_reader(router: &Router) -> bool {
-    let topics = [FeedTopic::Routes, FeedTopic::Servers, FeedTopic::Nodes];
     let is_serving = *router.phase.borrow() == RouterPhase::Serving;
     let has_source = *router.source.borrow() != FeedSource::Undecided;
-    is_serving && has_source && topics.into_iter().all(|topic| router.is_followed(topic))
+    is_serving && has_source && router.topics().all(|topic| router.is_followed(topic))
 }
 
 /// Passes the news of the store to another node, whether this one has them from the store or from
@@ -136,5 +134,5 @@
 fn list_all(router: &Router) -> RelayListing {
     let (servers, nodes) = router.cluster.entries(router.clock.now());
     let table = router.cluster.view().table.as_ref().map(|table| (**table).clone());
-    RelayListing { table, servers, nodes }
+    RelayListing { table, servers, nodes, evacuations: router.cluster.evacuations() }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -80,7 +80,7 @@
     pub(crate) store_turn: StoreTurn,
     /// Passes news of the store to other nodes.
     pub outlet: RelayOutlet,
-    feeds: [FeedState; 3],
+    feeds: [FeedState; FeedTopic::ALL.len()],
     started: Moment,
 }
 
@@ -177,6 +177,12 @@
         }
     }
 
+    /// The topics that this deployment has.
+    pub fn topics(&self) -> impl Iterator<Item = FeedTopic> + use<> {
+        let has_evacuations = self.settings.evacuated_within.is_some();
+        FeedTopic::ALL.into_iter().filter(move |topic| *topic != FeedTopic::Evacuations || has_evacuations)
+    }
+
     /// Notes whether a topic is followed.
     pub fn set_followed(&self, topic: FeedTopic, is_followed: bool) {
         let state = &self.feeds[topic as usize];
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
-use crate::border::{CallFormat, ClusterFeed, FeedTopic};
+use crate::border::{CallFormat, ClusterFeed};
 use crate::error::RouterError;
 use crate::router::{Router, RunningRouter};
 use crate::settings::RouterSettings;
@@ -48,7 +48,7 @@
     tasks.spawn(front::serve(router.clone(), callers));
     tasks.spawn(ready::serve(router.clone(), readiness, metrics_text));
     tasks.spawn(ready::serve(router.clone(), metrics, metrics_text));
-    for topic in [FeedTopic::Routes, FeedTopic::Servers, FeedTopic::Nodes] {
+    for topic in router.topics() {
         tasks.spawn(feed::follow(router.clone(), topic));
     }
     tasks.spawn(join(router.clone()));
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -48,6 +48,7 @@
     slots: u32,
     leaving: AtomicBool,
     doubtful: AtomicBool,
+    evacuated: AtomicBool,
     state: Mutex<ReplicaState>,
     resting: Mutex<Vec<RestingConnection>>,
     count: Arc<ConnectionCount>,
@@ -106,6 +107,7 @@
             slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
             doubtful: AtomicBool::new(false),
+            evacuated: AtomicBool::new(false),
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(place.mechanisms)),
             resting: Mutex::default(),
             count: Arc::default(),
@@ -137,7 +139,11 @@
 
     /// What keeps requests with these homes from it, if anything does.
     pub fn find_bar(&self, homes: &HomeRegions) -> Option<ServerBar> {
-        let standing = ServerStanding { is_leaving: self.is_leaving(), region: self.region.as_ref() };
+        let standing = ServerStanding {
+            is_leaving: self.is_leaving(),
+            is_evacuated: self.evacuated.load(Ordering::Relaxed),
+            region: self.region.as_ref(),
+        };
         find_bar(homes, standing)
     }
 
@@ -158,6 +164,11 @@
         self.doubtful.store(is_doubtful, Ordering::Relaxed);
     }
 
+    /// Marks whether its failure domain is evacuated.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.evacuated.store(is_evacuated, Ordering::Relaxed);
+    }
+
     /// Sets how many connections this node may have to it.
     pub fn set_share(&self, share: u32) {
         self.count.share.store(share, Ordering::Relaxed);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -54,6 +54,10 @@
     /// end shows that.
     #[serde(default = "default_silence_within")]
     pub silence_within: TimeSpan,
+    /// How soon an evacuated failure domain's servers must get nothing more; without it the deployment
+    /// has no evacuations, and the store is not asked for them.
+    #[serde(default)]
+    pub evacuated_within: Option<TimeSpan>,
     /// Mechanisms of decision that are not used, so that what each is worth can be measured.
     #[serde(default, deserialize_with = "read_mechanisms")]
     pub without: Vec<Mechanism>,
