All nodes together send a cold server no more than its service declares

Cause: warm-up was read once, from a server's first entry, and only as slowness; nothing bounded what all nodes together send, and a server that went cold again was not noticed. Ruled out: each node its equal part: of a bound of 5 none of 60 nodes would have a call. By clock turns: clocks differ. The bar is one of server_scope's, so every way of choosing keeps it; the call is counted right before it is sent. Entries and answers tell again when a server is cold, and servers given back after an evacuation are taken for cold where calls are bounded.

--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -46,6 +46,10 @@
     };
     check_range("extra_calls.ratio", extra.ratio, (0.0..=10.0).contains(&extra.ratio), "0 to 10");
     check_range("extra_calls.allowance", extra.allowance, extra.allowance >= 0.0, "0 or more");
+    if let Some(cold) = &settings.cold_calls {
+        check_range("cold_calls.excess", cold.excess, cold.excess >= 0.0, "0 or more");
+        check_range("cold_calls.allowance", cold.allowance, cold.allowance >= 0.0, "0 or more");
+    }
     let spans = [
         ("extra_calls.window", extra.window),
         ("gone_after", settings.gone_after),
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -117,6 +117,10 @@
     pub max_connections: u32,
     /// Where its servers tell their health.
     pub health_path: String,
+    /// How long a server of it stays cold after it has started.
+    pub cold_for: Duration,
+    /// Requests a second that a cold server bears; none if that is not bounded.
+    pub cold_rate: Option<f64>,
 }
 
 /// What callers may send.
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -121,6 +121,13 @@
         if is_cold { WARMUP_SLOWNESS } else { 1.0 }
     }
 
+    /// Notes that it stays cold for a time from now on; a warm server may go cold again.
+    pub fn learn_cold(&mut self, now: Moment, left: Duration) {
+        if !left.is_zero() {
+            self.warm_at = now.plus(left);
+        }
+    }
+
     /// How much longer it is slow from its start.
     pub fn warmup_left(&self, now: Moment) -> Duration {
         self.warm_at.since(now)
--- a/crates/policy/src/server_scope.rs
+++ b/crates/policy/src/server_scope.rs
@@ -15,6 +15,8 @@
     Leaving,
     /// The operator has evacuated its failure domain.
     Evacuated,
+    /// It is cold, and this node has made the calls that are its part.
+    ColdLimit,
     /// It is in a region where the route's requests must not be served.
     OutsideHomes,
 }
@@ -24,6 +26,7 @@
         f.write_str(match self {
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
+            Self::ColdLimit => "cold_limit",
             Self::OutsideHomes => "outside_homes",
         })
     }
@@ -36,6 +39,8 @@
     pub is_leaving: bool,
     /// Whether its failure domain is evacuated.
     pub is_evacuated: bool,
+    /// Whether it is cold and this node may make no call to it now.
+    pub is_cold_spent: bool,
     /// Its region, if that is known.
     pub region: Option<&'a RegionName>,
 }
@@ -48,5 +53,8 @@
     if standing.is_evacuated {
         return Some(ServerBar::Evacuated);
     }
-    (!homes.allow(standing.region)).then_some(ServerBar::OutsideHomes)
+    if !homes.allow(standing.region) {
+        return Some(ServerBar::OutsideHomes);
+    }
+    standing.is_cold_spent.then_some(ServerBar::ColdLimit)
 }
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -59,6 +59,8 @@
     pub proof: Option<HeaderValue>,
     /// Its load.
     pub load: Option<ServerLoad>,
+    /// How much longer it is cold, if it tells.
+    pub cold_left: Option<Duration>,
     /// Whether the server closes the connection after this answer.
     pub is_closing: bool,
     /// How long the connection may rest before the server closes it.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -125,6 +125,10 @@
     if left.is_zero() {
         return Err(CallFailure::NotSent);
     }
+    if !server.admit_call(router.clock.now()) {
+        server.put_back(router.clock.now(), leased, None).await;
+        return Err(CallFailure::NotSent);
+    }
     let built = request.build(&*router.format, &server.id, left);
     let response = leased.connection.exchange(built, MAX_ANSWER_LEN).await.map_err(|error| match error {
         ExchangeError::NotSent => CallFailure::NotSent,
@@ -154,6 +158,9 @@
 }
 
 fn learn(now: Moment, server: &Server, reply: &ReplyHead) {
+    if let Some(left) = reply.cold_left {
+        server.state().learn_cold(now, left);
+    }
     if let Some(load) = reply.load {
         server.state().learn_load(now, load.running, load.waiting);
     }
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -56,7 +56,7 @@
     /// A cluster of which nothing is known yet.
     pub fn new(place: ClusterPlace) -> Self {
         let parts = ClusterParts::default();
-        let view = ArcSwap::from_pointee(parts.build_view(&place.node));
+        let view = ArcSwap::from_pointee(parts.build_view(&place));
         Self { place, generation: AtomicU64::new(0), parts: Mutex::new(parts), view }
     }
 
@@ -81,8 +81,8 @@
 
     fn publish(&self, parts: &ClusterParts) {
         self.generation.fetch_add(1, Ordering::Relaxed);
-        let view = parts.build_view(&self.place.node);
-        view.share_connections();
+        let view = parts.build_view(&self.place);
+        view.share_out(&self.place.node, self.place.cold_calls);
         self.view.store(Arc::new(view));
     }
 
@@ -104,7 +104,7 @@
 
     /// Puts a list of evacuated failure domains in force if it is newer than the one in force; whether
     /// it was. Requests under way see it too, since each attempt asks the servers themselves.
-    pub fn offer_evacuations(&self, list: EvacuationList, origin: NewsOrigin) -> bool {
+    pub fn offer_evacuations(&self, now: Moment, list: EvacuationList, origin: NewsOrigin) -> bool {
         let mut parts = self.parts();
         let before = parts.evacuations.as_ref();
         if before.is_some_and(|before| before.position >= list.position) {
@@ -121,7 +121,11 @@
         }
         parts.evacuations = Some(list);
         for server in parts.servers.values() {
-            server.set_evacuated(parts.is_evacuated(&server.domain));
+            let was_evacuated = server.set_evacuated(parts.is_evacuated(&server.domain));
+            // Its machine may have been stopped meanwhile, and its entry tells that only later.
+            if was_evacuated && !parts.is_evacuated(&server.domain) {
+                server.state().learn_cold(now, parts.bounded_cold(&server.service));
+            }
         }
         self.generation.fetch_add(1, Ordering::Relaxed);
         true
@@ -198,6 +202,10 @@
         parts.doubtful.remove(&entry.id);
         if let Some(server) = parts.servers.get(&entry.id) {
             server.set_doubtful(false);
+            if !entry.warmup.is_zero() && server.state().warmup_left(now).is_zero() {
+                tracing::info!(event = "server_cold", server = %entry.id, left_ms = entry.warmup.as_millis() as u64);
+            }
+            server.state().learn_cold(now, entry.warmup);
             if !entry.is_draining || server.is_leaving() {
                 return false;
             }
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -1,7 +1,8 @@
 //! What a node knows of the cluster, as it is changed; requests see it as a view.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use streamfold_model::{
     CoreShare, FailureDomain, NodeEntry, NodeId, RouteName, RouteSpec, RouteTable, RouteTarget, ServerId, ServiceName,
@@ -48,6 +49,12 @@
         self.evacuations.as_ref().is_some_and(|list| list.domains.contains(domain))
     }
 
+    /// How long servers of a service stay cold, where calls to cold ones are bounded; else nothing.
+    pub(crate) fn bounded_cold(&self, service: &ServiceName) -> Duration {
+        let spec = self.table.as_ref().and_then(|table| table.service(service));
+        spec.filter(|spec| spec.cold_rate.is_some()).map_or(Duration::ZERO, |spec| spec.cold_for)
+    }
+
     /// Drops a server; whether it was known.
     pub(crate) fn drop_server(&mut self, id: &ServerId) -> bool {
         let Some(server) = self.servers.remove(id) else { return false };
@@ -130,6 +137,16 @@
         counts
     }
 
+    /// The owners of a failure domain, also those that went lately: they may have called until then.
+    fn owners_of(&self, domain: &FailureDomain) -> Vec<NodeId> {
+        let strongest = self.find_strongest();
+        let gone = self.gone_nodes.iter().map(|(entry, _)| entry);
+        let here = self.nodes.values().chain(gone).filter(|entry| entry.domain == *domain);
+        let owners = here.filter(|entry| placement::is_owner(entry.power, strongest[&entry.domain]));
+        let names: BTreeSet<NodeId> = owners.map(|entry| entry.node.clone()).collect();
+        names.into_iter().collect()
+    }
+
     /// Whether a node is an owner in its failure domain; one that is not known counts as none.
     fn is_owner(&self, node: &NodeId) -> bool {
         let strongest = self.find_strongest();
@@ -138,7 +155,7 @@
     }
 
     /// The view of all this.
-    pub(crate) fn build_view(&self, own: &NodeId) -> ClusterView {
+    pub(crate) fn build_view(&self, place: &ClusterPlace) -> ClusterView {
         let mut services: HashMap<ServiceName, Service> = HashMap::new();
         for server in self.servers.values().filter(|server| !server.is_leaving()) {
             let make = || Service::new(self.budgets.get(&server.service).cloned().unwrap_or_default());
@@ -150,7 +167,8 @@
             times: self.times.clone(),
             turns: self.turns.clone(),
             nodes: self.count_nodes(),
-            is_owner: self.is_owner(own),
+            is_owner: self.is_owner(&place.node),
+            near_owners: self.owners_of(&place.domain),
             peers: self.peers.values().cloned().collect(),
         }
     }
--- a/crates/router/src/cluster_place.rs
+++ b/crates/router/src/cluster_place.rs
@@ -7,6 +7,8 @@
 use streamfold_policy::MechanismSet;
 use streamfold_policy::replica::Distance;
 
+use crate::settings::ColdCallSettings;
+
 /// Where a node stands among failure domains.
 pub struct ClusterPlace {
     /// This node.
@@ -18,6 +20,8 @@
     /// How long a node that is gone may have spent of what all nodes share: the window in which
     /// extra calls are counted.
     pub spent_for: Duration,
+    /// The bound on calls to cold servers, if there is one.
+    pub cold_calls: Option<ColdCallSettings>,
     /// The mechanisms by which servers are judged.
     pub mechanisms: MechanismSet,
 }
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use streamfold_model::{FailureDomain, HomeRegions, RouteName, RouteTable, ServiceName};
+use streamfold_model::{FailureDomain, HomeRegions, NodeId, RouteName, RouteTable, ServiceName};
+use streamfold_policy::Moment;
+use streamfold_policy::cold_limit::{ColdBound, deal_calls};
 use streamfold_policy::extra_budget::ExtraBudget;
 use streamfold_policy::owner::{CallerKind, CallingNodes, divide_connections};
 use streamfold_policy::replica::Distance;
@@ -12,6 +14,7 @@
 
 use crate::peers::PeerNode;
 use crate::server::Server;
+use crate::settings::ColdCallSettings;
 use crate::times::CallTimes;
 
 /// Nodes counted on while none is known.
@@ -35,14 +38,14 @@
     }
 
     /// The servers that a request with these homes may be sent to.
-    pub fn usable<'a>(&'a self, homes: &'a HomeRegions) -> impl Iterator<Item = &'a Arc<Server>> {
-        self.servers.iter().filter(|server| server.find_bar(homes).is_none())
+    pub fn usable<'a>(&'a self, now: Moment, homes: &'a HomeRegions) -> impl Iterator<Item = &'a Arc<Server>> {
+        self.servers.iter().filter(move |server| server.find_bar(now, homes).is_none())
     }
 
     /// How many of its servers each bar keeps requests with these homes from, for the log.
-    pub fn count_bars(&self, homes: &HomeRegions) -> BTreeMap<ServerBar, usize> {
+    pub fn count_bars(&self, now: Moment, homes: &HomeRegions) -> BTreeMap<ServerBar, usize> {
         let mut counts = BTreeMap::new();
-        for bar in self.servers.iter().filter_map(|server| server.find_bar(homes)) {
+        for bar in self.servers.iter().filter_map(|server| server.find_bar(now, homes)) {
             *counts.entry(bar).or_default() += 1;
         }
         counts
@@ -82,6 +85,8 @@
     pub is_owner: bool,
     /// Nodes that this one keeps links to.
     pub peers: Vec<Arc<PeerNode>>,
+    /// The owners of this node's failure domain by name, also those that were there until lately.
+    pub near_owners: Vec<NodeId>,
 }
 
 impl ClusterView {
@@ -110,13 +115,26 @@
         owned + among(self.node_count())
     }
 
-    /// Tells each server how many connections this node may have to it.
-    pub(crate) fn share_connections(&self) {
+    /// Tells each server how many connections this node may have to it, and how many calls it may make
+    /// while the server is cold.
+    pub(crate) fn share_out(&self, node: &NodeId, cold_calls: Option<ColdCallSettings>) {
         for server in self.services.values().flat_map(|service| &service.servers) {
             server.set_share(self.connection_share(server));
+            server.set_cold_share(cold_calls.and_then(|cold| self.cold_share(server, node, cold)));
         }
     }
 
+    /// Calls a second that this node may make to a server while it is cold, if they are bounded.
+    fn cold_share(&self, server: &Server, node: &NodeId, cold: ColdCallSettings) -> Option<u32> {
+        let rate = self.table.as_ref()?.service(&server.service)?.cold_rate?;
+        if server.distance != Distance::Domain {
+            return Some(0);
+        }
+        let bound = ColdBound { rate, excess: cold.excess, allowance: cold.allowance };
+        let owners: Vec<&str> = self.near_owners.iter().map(NodeId::as_str).collect();
+        Some(deal_calls(bound, &owners, node.as_str(), server.id.as_str()))
+    }
+
     fn connection_share(&self, server: &Server) -> u32 {
         let spec = self.table.as_ref().and_then(|table| table.service(&server.service));
         let Some(spec) = spec else { return 1 };
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -110,8 +110,9 @@
     }
 
     fn take_evacuations(&self, list: EvacuationList) {
-        self.router.cluster.offer_evacuations(list.clone(), NewsOrigin::Store);
-        self.router.outlet.publish(|| RelayFrame::Evacuations(list));
+        let router = &self.router;
+        router.cluster.offer_evacuations(router.clock.now(), list.clone(), NewsOrigin::Store);
+        router.outlet.publish(|| RelayFrame::Evacuations(list));
     }
 
     fn watch_wait(&self) -> Duration {
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -90,7 +90,7 @@
     let request = KnowledgeRequest { version: router.cluster.version(), wants_entries, nodes_of: None };
     let reply: KnowledgeReply = link.call(PATH_KNOWLEDGE, &request, ASK_TIMEOUT).await?;
     if let Some(list) = reply.evacuations {
-        router.cluster.offer_evacuations(list, NewsOrigin::Peer);
+        router.cluster.offer_evacuations(router.clock.now(), list, NewsOrigin::Peer);
     }
     // Servers first, since newer routes may name services that only the newer entries have.
     take_entries(router, link, reply.servers, reply.nodes);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -279,7 +279,7 @@
 }
 
 fn take_evacuations(router: &Router, list: EvacuationList) {
-    router.cluster.offer_evacuations(list, NewsOrigin::Reader);
+    router.cluster.offer_evacuations(router.clock.now(), list, NewsOrigin::Reader);
     router.set_followed(FeedTopic::Evacuations, true);
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -134,6 +134,7 @@
             domain: settings.failure_domain.clone(),
             regions: settings.regions.clone(),
             spent_for: settings.extra_calls.window.0,
+            cold_calls: settings.cold_calls,
             mechanisms: settings.mechanisms(),
         };
         Self {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -7,6 +7,7 @@
 
 use streamfold_model::{FailureDomain, HomeRegions, RegionName, ServerEntry, ServerId, ServiceName};
 use streamfold_policy::Moment;
+use streamfold_policy::cold_limit::ColdCalls;
 use streamfold_policy::replica::{Distance, ReplicaState};
 use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
 use tokio::sync::Notify;
@@ -49,6 +50,9 @@
     leaving: AtomicBool,
     doubtful: AtomicBool,
     evacuated: AtomicBool,
+    /// Calls a second that this node may make while it is cold.
+    cold_share: AtomicU32,
+    cold_calls: Mutex<ColdCalls>,
     state: Mutex<ReplicaState>,
     resting: Mutex<Vec<RestingConnection>>,
     count: Arc<ConnectionCount>,
@@ -108,6 +112,8 @@
             leaving: AtomicBool::new(entry.is_draining),
             doubtful: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
+            cold_share: AtomicU32::new(u32::MAX),
+            cold_calls: Mutex::default(),
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(place.mechanisms)),
             resting: Mutex::default(),
             count: Arc::default(),
@@ -138,10 +144,11 @@
     }
 
     /// What keeps requests with these homes from it, if anything does.
-    pub fn find_bar(&self, homes: &HomeRegions) -> Option<ServerBar> {
+    pub fn find_bar(&self, now: Moment, homes: &HomeRegions) -> Option<ServerBar> {
         let standing = ServerStanding {
             is_leaving: self.is_leaving(),
             is_evacuated: self.evacuated.load(Ordering::Relaxed),
+            is_cold_spent: self.is_cold_spent(now),
             region: self.region.as_ref(),
         };
         find_bar(homes, standing)
@@ -164,9 +171,29 @@
         self.doubtful.store(is_doubtful, Ordering::Relaxed);
     }
 
-    /// Marks whether its failure domain is evacuated.
-    pub fn set_evacuated(&self, is_evacuated: bool) {
-        self.evacuated.store(is_evacuated, Ordering::Relaxed);
+    /// Marks whether its failure domain is evacuated; whether it was before.
+    pub fn set_evacuated(&self, is_evacuated: bool) -> bool {
+        self.evacuated.swap(is_evacuated, Ordering::Relaxed)
+    }
+
+    /// Sets how many calls a second this node may make while it is cold; `None` for any number.
+    pub fn set_cold_share(&self, share: Option<u32>) {
+        self.cold_share.store(share.unwrap_or(u32::MAX), Ordering::Relaxed);
+    }
+
+    /// This node's part of the calls that it bears now, if it is cold and they are bounded.
+    fn cold_part(&self, now: Moment) -> Option<u32> {
+        let share = self.cold_share.load(Ordering::Relaxed);
+        (share != u32::MAX && !self.state().warmup_left(now).is_zero()).then_some(share)
+    }
+
+    fn is_cold_spent(&self, now: Moment) -> bool {
+        self.cold_part(now).is_some_and(|part| !lock(&self.cold_calls).has_room(now, part))
+    }
+
+    /// Counts a call that is about to be sent; false if it is cold and this node may make none now.
+    pub fn admit_call(&self, now: Moment) -> bool {
+        self.cold_part(now).is_none_or(|part| lock(&self.cold_calls).take(now, part))
     }
 
     /// Sets how many connections this node may have to it.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -58,6 +58,10 @@
     /// has no evacuations, and the store is not asked for them.
     #[serde(default)]
     pub evacuated_within: Option<TimeSpan>,
+    /// What a cold server bears beyond what its service declares, from all nodes together; without it
+    /// nothing bounds calls to cold servers.
+    #[serde(default)]
+    pub cold_calls: Option<ColdCallSettings>,
     /// Mechanisms of decision that are not used, so that what each is worth can be measured.
     #[serde(default, deserialize_with = "read_mechanisms")]
     pub without: Vec<Mechanism>,
@@ -102,6 +106,15 @@
     pub allowance: f64,
 }
 
+/// The bound on requests to a cold server in any second, for all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+pub struct ColdCallSettings {
+    /// How often the rate that its service declares.
+    pub excess: f64,
+    /// How many more.
+    pub allowance: f64,
+}
+
 /// Used where the file has none; the platform's usual one.
 fn default_grace() -> TimeSpan {
     TimeSpan(Duration::from_secs(6))
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -25,6 +25,7 @@
         domain: "zone-a".parse().expect("a failure domain"),
         regions: HashMap::new(),
         spent_for: Duration::from_secs(10),
+        cold_calls: None,
         mechanisms: MechanismSet::default(),
     })
 }
