--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -75,9 +75,15 @@
         // The library counts the rest before a head as a part of its reading.
         .header_read_timeout(limits.map_or(FIRST_IDLE, |limits| limits.idle_timeout + limits.header_timeout))
         .max_buf_size(limits.map_or(FIRST_HEAD_BUFFER, |limits| limits.header_bytes.max(MIN_HEAD_BUFFER)));
+    let is_answering = AtomicBool::new(false);
     let service = service_fn(|request| {
-        let router = router.clone();
-        async move { Ok::<_, Infallible>(handle(&router, request).await) }
+        let (router, is_answering) = (router.clone(), &is_answering);
+        async move {
+            is_answering.store(true, Ordering::Relaxed);
+            let answer = handle(&router, request).await;
+            is_answering.store(false, Ordering::Relaxed);
+            Ok::<_, Infallible>(answer)
+        }
     });
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut phase = router.phase.subscribe();
@@ -88,8 +94,17 @@
             connection.await
         }
     };
-    if let Err(error) = ended {
-        tracing::debug!(event = "caller_connection_ended", %error);
+    log_end(&ended, is_answering.load(Ordering::Relaxed));
+}
+
+/// Tells why a caller's connection ended, if it did so with a request unanswered or by an error.
+fn log_end(ended: &Result<(), hyper::Error>, is_unanswered: bool) {
+    let error = ended.as_ref().err().map(ToString::to_string);
+    if is_unanswered {
+        let cause = ended.as_ref().err().and_then(std::error::Error::source).map(ToString::to_string);
+        tracing::info!(event = "caller_connection_lost", error, cause);
+    } else if error.is_some() {
+        tracing::debug!(event = "caller_connection_ended", error);
     }
 }
 
