A failure domain from which nothing is heard is gone round as a whole, and what needs it is refused at once

Cause: where a failure domain is cut off or loses its power, each of its servers had to be found silent by itself, and requests that could not be answered without it were held until their callers' deadline. Change: policy/domain_reach; servers and nodes share one state of their failure domain, which also carries its evacuation. What is under way in a dark one is not waited for, a request that needs it is refused before anybody is asked. Nodes there are asked for a sign of life four times a second, so no request has to try.

--- a/crates/lab/tests/routes_shards.rs
+++ b/crates/lab/tests/routes_shards.rs
@@ -7,6 +7,7 @@
 use http::Method;
 use serde_json::json;
 use streamfold_lab::client::CallAnswer;
+use streamfold_lab::fleet::send_signal;
 use streamfold_lab::route_checks::{far, get, header, near};
 use streamfold_lab::route_fleet::{HOST, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::wait_for;
@@ -157,3 +158,51 @@
     .await;
     assert_eq!(fleet.count_runs("r-left"), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_nothing_is_heard_from_a_failure_domain_a_request_that_needs_it_is_refused_at_once() {
+    const LATE: [&str; 4] = ["f-0", "f-1", "f-2", "f-3"];
+    let mut servers = vec![near("n-0", "near-0"), near("n-1", "near-1")];
+    servers.extend(LATE.iter().map(|shard| far(&format!("{shard}-f"), shard)));
+    let shards = ["near-0", "near-1", "f-0", "f-1", "f-2", "f-3"];
+    let target = |coverage: f64| {
+        json!({ "gather": shards, "topK": 7, "minCoverage": coverage, "maxAttempts": 2, "timeoutMs": 2_500,
+            "targetLatencyMs": 400 })
+    };
+    let routes = vec![write_route("most", "/most/", &target(0.6)), write_route("few", "/few/", &target(0.3))];
+    let plan = RouteFleetPlan { nodes: [1, 1], servers, routes, ..RouteFleetPlan::default() };
+    let fleet = RouteFleet::start(plan).await.expect("a fleet");
+    let set_silent = async |is_silent: bool| {
+        for server in fleet.servers.iter().filter(|server| LATE.contains(&server.state.plan.service.as_str())) {
+            server.state.switches.pause_ms.store(if is_silent { 30_000 } else { 0 }, Ordering::Relaxed);
+        }
+        send_signal(&fleet.nodes[1].process, if is_silent { "STOP" } else { "CONT" }).await;
+    };
+    assert_eq!(get(&fleet, "/most/x", "r-whole").await.status, 200);
+    set_silent(true).await;
+    let mut number = 0;
+    wait_for("a refusal", async || {
+        number += 1;
+        let id = format!("r-{number}");
+        let answer = get(&fleet, "/most/x", &id).await;
+        let is_refused = answer.status == 503;
+        if is_refused {
+            assert!(header(&answer, "retry-after").is_some());
+            assert_eq!(fleet.count_calls(&id), 0, "{id} was told as not run");
+        }
+        is_refused
+    })
+    .await;
+    let event = ["event=failure_domain_dark", "failure_domain=zone-b"];
+    wait_for("the line that says why", async || !fleet.nodes[0].logged(&event).is_empty()).await;
+    // What can be served without it is.
+    let answer = get(&fleet, "/few/x", "r-few").await;
+    assert_eq!((answer.status.as_u16(), header(&answer, "x-missing-parts")), (200, Some("4")), "{answer:?}");
+    set_silent(false).await;
+    wait_for("whole answers again", async || {
+        number += 1;
+        let answer = get(&fleet, "/most/x", &format!("r-{number}")).await;
+        answer.status == 200 && header(&answer, "x-missing-parts") == Some("0")
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/policy/src/domain_reach.rs
@@ -0,0 +1,72 @@
+//! Whether another failure domain can be reached at all.
+//!
+//! The load pattern: a failure domain loses its power, or is cut off from the others, while requests
+//! to hundreds of its servers run and begin. Each server by itself looks paused, and learning that of
+//! one after the other takes every request its whole time. Servers pause independently of each other,
+//! so that several of them are overdue while nothing at all is heard from there tells more than any one.
+
+use std::time::Duration;
+
+use crate::moment::Moment;
+
+/// So many servers or nodes must be overdue: each of them pauses a few hundredths of the time, so that
+/// three at once that nothing else answers beside are no chance.
+const SILENT_ENOUGH: usize = 3;
+/// For how long a failure domain that fell silent is taken for dark before requests try it again:
+/// the first span, and the longest; each further one in a row doubles it.
+const FIRST_DARK: Duration = Duration::from_millis(300);
+const MAX_DARK: Duration = Duration::from_secs(2);
+/// Where a node there was asked for a sign of life in vain it stays dark for so long: until the answer
+/// to the next question or the one after it.
+const HOLD: Duration = Duration::from_millis(800);
+
+/// What a node believes of the way to another failure domain.
+#[derive(Debug, Clone, Default)]
+pub struct DomainReach {
+    /// When anything was heard from there last.
+    heard: Moment,
+    /// Those that are overdue since.
+    silent: Vec<String>,
+    dark_until: Moment,
+    spans: u32,
+}
+
+impl DomainReach {
+    /// Notes that anything was heard from there: an answer, a refusal, a connection that came up.
+    pub fn note_heard(&mut self, now: Moment) {
+        self.heard = self.heard.max(now);
+        self.silent.clear();
+        self.dark_until = Moment::default();
+        self.spans = 0;
+    }
+
+    /// Notes that a server or node there is overdue with a call that began at a moment; whether the
+    /// failure domain is taken for dark by that.
+    pub fn note_silent(&mut self, now: Moment, started: Moment, who: &str) -> bool {
+        if self.is_dark(now) || started <= self.heard || self.silent.iter().any(|silent| silent == who) {
+            return false;
+        }
+        self.silent.push(who.to_owned());
+        if self.silent.len() < SILENT_ENOUGH {
+            return false;
+        }
+        let span = FIRST_DARK * 2u32.pow(self.spans.min(5));
+        self.dark_until = now.plus(span.min(MAX_DARK));
+        self.spans += 1;
+        self.silent.clear();
+        true
+    }
+
+    /// Notes that a node there was asked for a sign of life in vain. So one that was dark stays so without
+    /// a request that tries it; one that is not tells nothing by that, since its other nodes may live.
+    pub fn note_no_sign(&mut self, now: Moment) {
+        if self.is_dark(now) {
+            self.dark_until = self.dark_until.max(now.plus(HOLD));
+        }
+    }
+
+    /// Whether nothing there is believed to answer now.
+    pub fn is_dark(&self, now: Moment) -> bool {
+        now < self.dark_until
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod cold_limit;
 pub mod come_back;
+pub mod domain_reach;
 pub mod extra_budget;
 pub mod feed_rule;
 pub mod finish;
--- a/crates/policy/src/mechanism.rs
+++ b/crates/policy/src/mechanism.rs
@@ -35,10 +35,12 @@
     DoubtfulServers,
     /// Requests of a split go to its services by turns.
     SplitTurns,
+    /// Failure domains from which nothing is heard are gone round as a whole.
+    DarkDomains,
 }
 
 /// Every mechanism with its name in settings, by the order of the type.
-const NAMES: [(Mechanism, &str); 14] = [
+const NAMES: [(Mechanism, &str); 15] = [
     (Mechanism::NearHedges, "near_hedges"),
     (Mechanism::FarHedges, "far_hedges"),
     (Mechanism::FarFolding, "far_folding"),
@@ -53,6 +55,7 @@
     (Mechanism::DomainReaders, "domain_readers"),
     (Mechanism::DoubtfulServers, "doubtful_servers"),
     (Mechanism::SplitTurns, "split_turns"),
+    (Mechanism::DarkDomains, "dark_domains"),
 ];
 
 impl fmt::Display for Mechanism {
--- /dev/null
+++ b/crates/policy/tests/domain_reach.rs
@@ -0,0 +1,65 @@
+//! A failure domain is taken for dark where several are silent and nothing is heard.
+
+use std::time::Duration;
+
+use streamfold_policy::Moment;
+use streamfold_policy::domain_reach::DomainReach;
+
+fn at(millis: u64) -> Moment {
+    Moment::default().plus(Duration::from_millis(millis))
+}
+
+/// For how many milliseconds from a moment on it is taken for dark.
+fn dark_for(reach: &DomainReach, from: u64) -> u64 {
+    (0..10_000).find(|millis| !reach.is_dark(at(from + millis))).expect("an end")
+}
+
+#[test]
+fn several_silent_servers_without_any_word_make_it_dark_longer_each_time() {
+    let mut reach = DomainReach::default();
+    let mut now = 100;
+    let mut spans = Vec::new();
+    for _ in 0..5 {
+        let became: Vec<bool> =
+            ["a", "a", "b", "c", "d"].map(|who| reach.note_silent(at(now + 40), at(now), who)).into();
+        assert_eq!(became, [false, false, false, true, false]);
+        let span = dark_for(&reach, now + 40);
+        spans.push(span);
+        now += 40 + span;
+    }
+    insta::assert_debug_snapshot!(spans);
+    reach.note_heard(at(now));
+    assert!(!reach.is_dark(at(now)), "any word ends it");
+}
+
+#[test]
+fn a_word_since_the_call_began_shows_that_only_the_servers_are_slow() {
+    let mut reach = DomainReach::default();
+    reach.note_heard(at(120));
+    for who in ["a", "b", "c", "d"] {
+        assert!(!reach.note_silent(at(150), at(110), who));
+    }
+    // Two are overdue, something is heard, two more are overdue.
+    let later = |reach: &mut DomainReach, who| reach.note_silent(at(200), at(160), who);
+    assert!(!later(&mut reach, "a") && !later(&mut reach, "b"));
+    reach.note_heard(at(170));
+    assert!(!reach.note_silent(at(210), at(180), "c") && !reach.note_silent(at(210), at(180), "d"));
+    assert!(!reach.is_dark(at(210)));
+}
+
+#[test]
+fn a_dark_one_stays_so_while_nobody_there_gives_a_sign() {
+    let mut reach = DomainReach::default();
+    reach.note_no_sign(at(50));
+    assert!(!reach.is_dark(at(50)), "a single node that is silent tells nothing of the others");
+    for who in ["a", "b", "c"] {
+        reach.note_silent(at(100), at(60), who);
+    }
+    for asked in (200..3_000).step_by(250) {
+        reach.note_no_sign(at(asked));
+        assert!(reach.is_dark(at(asked + 500)));
+    }
+    assert_eq!(dark_for(&reach, 2_950), 800);
+    reach.note_heard(at(3_000));
+    assert!(!reach.is_dark(at(3_000)));
+}
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -178,6 +178,12 @@
         self.pending > 0 || self.retry_at.is_some()
     }
 
+    /// Whether an answer may still come, as far as is known: not where every server asked is in a
+    /// failure domain that cannot be reached.
+    pub fn is_expected(&self, now: Moment) -> bool {
+        self.is_open() && (self.retry_at.is_some() || self.tried.iter().any(|server| !server.is_dark(now)))
+    }
+
     /// When something is to be done for it.
     pub fn next_alarm(&self) -> Option<Moment> {
         self.hedge_at.into_iter().chain(self.retry_at).min()
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -1,5 +1,6 @@
 //! One call to one server, and what may be said of whether it ran.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -118,6 +119,11 @@
     let now = router.clock.now();
     let leased = server.lease(now, is_once, CONNECT_TIMEOUT).await;
     let mut leased = leased.map_err(|error| {
+        match error.kind() {
+            ErrorKind::TimedOut => server.note_silent(router.clock.now(), now),
+            // Somebody refused it.
+            _ => server.note_heard(router.clock.now()),
+        }
         tracing::debug!(event = "server_unreachable", server = %server.id, %error);
         CallFailure::NotSent
     })?;
@@ -134,6 +140,7 @@
         ExchangeError::NotSent => CallFailure::NotSent,
         ExchangeError::Lost => CallFailure::Unknown,
     })?;
+    server.note_heard(router.clock.now());
     let (parts, body) = response.into_parts();
     let reply = router.format.read_reply(&request.id, parts.status, &parts.headers);
     learn(router.clock.now(), server, &reply);
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -119,14 +119,7 @@
             );
             metrics::gauge!("streamfold_evacuated_failure_domains").set(list.domains.len() as f64);
         }
-        parts.evacuations = Some(list);
-        for server in parts.servers.values() {
-            let was_evacuated = server.set_evacuated(parts.is_evacuated(&server.domain));
-            // Its machine may have been stopped meanwhile, and its entry tells that only later.
-            if was_evacuated && !parts.is_evacuated(&server.domain) {
-                server.state().learn_cold(now, parts.bounded_cold(&server.service));
-            }
-        }
+        parts.set_evacuations(now, list);
         self.generation.fetch_add(1, Ordering::Relaxed);
         true
     }
@@ -222,8 +215,8 @@
                 draining = entry.is_draining
             );
         }
-        let server = Server::new(entry, &self.place, now);
-        server.set_evacuated(parts.is_evacuated(&entry.domain));
+        let domain = parts.domain(&entry.domain, &self.place);
+        let server = Server::new(entry, domain, now, self.place.mechanisms);
         parts.servers.insert(entry.id.clone(), server);
         parts.budgets.entry(entry.service.clone()).or_default();
         true
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -15,6 +15,7 @@
 
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::{ClusterView, NodeCount, RouteTimes, Service};
+use crate::domain::DomainState;
 use crate::evacuation::EvacuationList;
 use crate::peers::PeerNode;
 use crate::server::Server;
@@ -34,6 +35,8 @@
     pub(crate) budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
     times: HashMap<RouteName, RouteTimes>,
     turns: HashMap<RouteName, Arc<SplitTurns>>,
+    /// Failure domains that have, or had, servers or nodes.
+    domains: HashMap<FailureDomain, Arc<DomainState>>,
     /// The evacuated failure domains, once anybody has told.
     pub(crate) evacuations: Option<EvacuationList>,
     /// Nodes, this one included.
@@ -44,13 +47,33 @@
 }
 
 impl ClusterParts {
-    /// Whether a failure domain is evacuated.
-    pub(crate) fn is_evacuated(&self, domain: &FailureDomain) -> bool {
-        self.evacuations.as_ref().is_some_and(|list| list.domains.contains(domain))
+    /// What is known of a failure domain.
+    pub(crate) fn domain(&mut self, name: &FailureDomain, place: &ClusterPlace) -> Arc<DomainState> {
+        let is_evacuated = self.evacuations.as_ref().is_some_and(|list| list.domains.contains(name));
+        let make = || {
+            let domain = DomainState::new(name, place);
+            domain.set_evacuated(is_evacuated);
+            Arc::new(domain)
+        };
+        self.domains.entry(name.clone()).or_insert_with(make).clone()
+    }
+
+    /// Puts a list of evacuated failure domains in force. The servers of one that is given back count as
+    /// cold where calls to cold ones are bounded: their machines may have been stopped meanwhile, and
+    /// their entries tell that only later.
+    pub(crate) fn set_evacuations(&mut self, now: Moment, list: EvacuationList) {
+        for domain in self.domains.values() {
+            let is_evacuated = list.domains.contains(&domain.name);
+            if domain.set_evacuated(is_evacuated) && !is_evacuated {
+                let servers = self.servers.values().filter(|server| server.domain == domain.name);
+                servers.for_each(|server| server.state().learn_cold(now, self.bounded_cold(&server.service)));
+            }
+        }
+        self.evacuations = Some(list);
     }
 
     /// How long servers of a service stay cold, where calls to cold ones are bounded; else nothing.
-    pub(crate) fn bounded_cold(&self, service: &ServiceName) -> Duration {
+    fn bounded_cold(&self, service: &ServiceName) -> Duration {
         let spec = self.table.as_ref().and_then(|table| table.service(service));
         spec.filter(|spec| spec.cold_rate.is_some()).map_or(Duration::ZERO, |spec| spec.cold_for)
     }
@@ -66,6 +89,9 @@
     /// Chooses the nodes to keep links to, a few owners of each failure domain, so that links grow
     /// with domains and not with nodes. In its own domain a node keeps links only to stronger ones.
     pub(crate) fn choose_peers(&mut self, place: &ClusterPlace) {
+        let domains: BTreeSet<FailureDomain> = self.nodes.values().map(|entry| entry.domain.clone()).collect();
+        let states = domains.into_iter().map(|domain| (domain.clone(), self.domain(&domain, place)));
+        let states: HashMap<FailureDomain, Arc<DomainState>> = states.collect();
         let strongest = self.find_strongest();
         let is_owner = |entry: &NodeEntry| {
             let strongest = strongest.get(&entry.domain).copied().flatten();
@@ -88,7 +114,7 @@
             for entry in entries.into_iter().filter(|entry| chosen.contains(&entry.node.as_str())) {
                 let known = self.peers.get(&entry.node);
                 let known = known.filter(|peer| peer.entry == *entry && peer.is_owner == is_owner(entry));
-                let make = || PeerNode::new(entry.clone(), place.distance(domain), is_owner(entry));
+                let make = || PeerNode::new(entry.clone(), states[domain].clone(), is_owner(entry));
                 peers.insert(entry.node.clone(), known.cloned().unwrap_or_else(make));
             }
         }
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -133,7 +133,7 @@
                 continue;
             }
             let Some(service) = self.view.services.get(&slot.attempts.service) else { continue };
-            let usable = service.usable(now, &self.route.homes).filter(|server| !server.state().is_avoided(now));
+            let usable = service.usable(now, &self.route.homes).filter(|server| !self.is_avoided(server, now));
             for server in usable.filter(|server| server.distance != Distance::Domain) {
                 let domain = (server.distance, server.domain.clone());
                 by_domain.entry(domain).or_default().insert(position);
@@ -216,7 +216,7 @@
     ) -> (BatchSlot, PendingBatchNews) {
         let now = self.now();
         let BatchOrder { peer, positions, shards, mode } = order;
-        let way = way(peer.distance);
+        let way = way(peer.domain.distance);
         let patience = self.times.patience(Distance::Domain, self.route.target_latency);
         let alive_within = patience.min(MAX_ALIVE);
         let target = self.request.started.plus(rule.target.min(rule.limit));
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -120,10 +120,10 @@
         }
     }
 
-    /// Whether enough shards have a server. Where they don't, none is asked: what servers did for an
+    /// Whether enough shards have a server that can be reached. Where they don't, none is asked: what servers did for an
     /// answer that cannot be given would be lost, and so would be the word that nothing ran.
     fn is_reachable(&self) -> bool {
-        let reachable = self.slots.iter().filter(|slot| self.context.best_server(&slot.attempts).is_some()).count();
+        let reachable = self.slots.iter().filter(|slot| self.context.is_reachable(&slot.attempts)).count();
         let is_enough = self.rule.is_enough(reachable);
         if !is_enough {
             tracing::info!(
@@ -147,14 +147,28 @@
         self.slots.iter().filter(|slot| slot.part.is_some()).count()
     }
 
+    /// The open batches that a shard is in.
+    fn open_batches(&self, slot: &ShardSlot) -> impl Iterator<Item = &BatchSlot> {
+        let numbers = slot.batch.into_iter().chain(slot.hedge);
+        numbers.map(|number| &self.batches[number]).filter(|batch| batch.is_open)
+    }
+
+    /// Whether anything is under way for a shard.
     fn is_pending(&self, slot: &ShardSlot) -> bool {
-        let mut batches = slot.batch.into_iter().chain(slot.hedge);
-        let in_batch = batches.any(|number| self.batches[number].is_open);
-        slot.part.is_none() && (slot.attempts.is_open() || in_batch)
+        slot.part.is_none() && (slot.attempts.is_open() || self.open_batches(slot).next().is_some())
     }
 
+    /// Whether a shard's answer may still come, as far as is known: what is under way in failure domains
+    /// that cannot be reached is not waited for.
+    fn is_expected(&self, slot: &ShardSlot, now: Moment) -> bool {
+        let in_batch = self.open_batches(slot).any(|batch| !batch.peer.domain.is_dark(now));
+        slot.part.is_none() && (in_batch || slot.attempts.is_expected(now))
+    }
+
+    /// Shards whose answers may still come.
     pub(crate) fn pending(&self) -> usize {
-        self.slots.iter().filter(|slot| self.is_pending(slot)).count()
+        let now = self.context.now();
+        self.slots.iter().filter(|slot| self.is_expected(slot, now)).count()
     }
 
     fn next_alarm(&self) -> Option<Moment> {
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -74,7 +74,9 @@
     pub(crate) fn take_over(&mut self, number: usize) {
         let batch = &mut self.batches[number];
         batch.takeover_at = None;
-        batch.peer.state().note_overdue(self.context.now(), batch.started);
+        let now = self.context.now();
+        batch.peer.state().note_overdue(now, batch.started);
+        batch.peer.domain.note_silent(now, batch.started, batch.peer.entry.node.as_str());
         tracing::info!(
             event = "batch_overdue",
             request = self.context.request.id_text(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cluster_view;
 pub mod connection;
 pub mod delegate;
+pub mod domain;
 pub mod error;
 pub mod evacuation;
 pub mod feed;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use streamfold_link::{FrameReader, PeerError, PeerLink};
-use streamfold_model::NodeEntry;
+use streamfold_model::{FailureDomain, NodeEntry};
 use streamfold_policy::Moment;
-use streamfold_policy::replica::{CallSample, Distance, ReplicaState};
+use streamfold_policy::replica::{CallSample, ReplicaState};
 
-use crate::batch::{BatchFrame, PATH_BATCH, ShardBatch};
+use crate::batch::{BatchFrame, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch};
+use crate::domain::DomainState;
+use crate::knowledge::{KnowledgeReply, KnowledgeRequest};
 use crate::router::Router;
 
 /// Batches that a node works on at the same time before more of them wait.
@@ -22,6 +24,11 @@
 /// How long a node counts as just started.
 const START_TIME: Duration = Duration::from_secs(2);
 
+/// How often a node of each failure domain that is taken for dark is asked for a sign of life, and how
+/// long that may take: servers there are used again so soon after it is back.
+const SIGN_EVERY: Duration = Duration::from_millis(250);
+const SIGN_WITHIN: Duration = Duration::from_millis(300);
+
 /// How much later than its sign of life is due a batch is taken back. Together with the longest wait
 /// for that sign it is under the half second that servers' times may exceed the caller's.
 const MAX_TRANSIT: Duration = Duration::from_millis(300);
@@ -30,8 +37,8 @@
 pub struct PeerNode {
     /// Its entry.
     pub entry: NodeEntry,
-    /// How far away it is.
-    pub distance: Distance,
+    /// Its failure domain.
+    pub domain: Arc<DomainState>,
     /// Whether it is an owner in its failure domain.
     pub is_owner: bool,
     /// The link to it.
@@ -42,10 +49,10 @@
 
 impl PeerNode {
     /// A node that is not connected to yet.
-    pub fn new(entry: NodeEntry, distance: Distance, is_owner: bool) -> Arc<Self> {
+    pub fn new(entry: NodeEntry, domain: Arc<DomainState>, is_owner: bool) -> Arc<Self> {
         let link = PeerLink::new(entry.peer_address);
         let state = Mutex::new(ReplicaState::new(PEER_SLOTS, Moment::default()));
-        Arc::new(Self { entry, distance, is_owner, link, state, is_stopping: AtomicBool::new(false) })
+        Arc::new(Self { entry, domain, is_owner, link, state, is_stopping: AtomicBool::new(false) })
     }
 
     /// What is believed of it.
@@ -55,7 +62,10 @@
 
     /// Whether it may be given work.
     pub fn is_usable(&self, now: Moment) -> bool {
-        self.link.is_open() && !self.is_stopping.load(Ordering::Relaxed) && !self.state().is_avoided(now)
+        self.link.is_open()
+            && !self.domain.is_dark(now)
+            && !self.is_stopping.load(Ordering::Relaxed)
+            && !self.state().is_avoided(now)
     }
 
     /// Marks it as about to stop; its next run has another entry.
@@ -69,9 +79,10 @@
     loop {
         let view = router.cluster.view();
         for peer in view.peers.iter().filter(|peer| !peer.link.is_open()) {
-            let peer = peer.clone();
+            let (peer, clock) = (peer.clone(), router.clock);
             tokio::spawn(async move {
                 if peer.link.connect_now().await.is_ok() {
+                    peer.domain.note_heard(clock.now());
                     tracing::info!(event = "peer_connected", peer = %peer.entry.node, address = %peer.entry.peer_address);
                 }
             });
@@ -84,6 +95,39 @@
     }
 }
 
+/// Asks nodes of failure domains that are taken for dark for signs of life, until the node ends.
+pub async fn ask_in_the_dark(router: Arc<Router>) {
+    loop {
+        tokio::time::sleep(SIGN_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
+        let now = router.clock.now();
+        let view = router.cluster.view();
+        let mut asked: Vec<&FailureDomain> = Vec::new();
+        for peer in view.peers.iter().filter(|peer| peer.domain.is_dark(now)) {
+            if !asked.contains(&&peer.domain.name) {
+                asked.push(&peer.domain.name);
+                tokio::spawn(ask_for_sign(router.clone(), choose_any(&view.peers, &peer.domain.name)));
+            }
+        }
+    }
+}
+
+/// Any one of the nodes of a failure domain; all of them are asked in time.
+fn choose_any(peers: &[Arc<PeerNode>], domain: &FailureDomain) -> Option<Arc<PeerNode>> {
+    let there: Vec<&Arc<PeerNode>> = peers.iter().filter(|peer| peer.domain.name == *domain).collect();
+    (!there.is_empty()).then(|| there[rand::random_range(0..there.len())].clone())
+}
+
+async fn ask_for_sign(router: Arc<Router>, peer: Option<Arc<PeerNode>>) {
+    let Some(peer) = peer else { return };
+    let request = KnowledgeRequest { version: router.cluster.version(), wants_entries: false, nodes_of: None };
+    let told = peer.link.call::<_, KnowledgeReply>(PATH_KNOWLEDGE, &request, SIGN_WITHIN).await;
+    let now = router.clock.now();
+    match told {
+        Ok(_) => peer.domain.note_heard(now),
+        Err(_) => peer.domain.note_no_sign(now),
+    }
+}
+
 /// A batch under way at another node. Dropped, the work there is cancelled.
 pub struct PendingBatch {
     /// The node.
@@ -148,6 +192,7 @@
 
     /// Notes what a frame tells of the node.
     fn note_frame(&mut self, frame: &BatchFrame) {
+        self.peer.domain.note_heard(self.record.router.clock.now());
         if let BatchFrame::Done(_) = frame {
             self.record.sample = CallSample::Answered;
         }
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -55,6 +55,7 @@
     tasks.spawn(feed::catch_up(router.clone()));
     tasks.spawn(peer_service::serve(router.clone(), peers_listener));
     tasks.spawn(peers::keep_connected(router.clone()));
+    tasks.spawn(peers::ask_in_the_dark(router.clone()));
     tasks.spawn(knowledge::ask_in_outages(router.clone()));
     tasks.spawn(sweep(router.clone()));
     Ok(RunningRouter { router, tasks })
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -5,15 +5,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{FailureDomain, HomeRegions, RegionName, ServerEntry, ServerId, ServiceName};
-use streamfold_policy::Moment;
+use streamfold_model::{FailureDomain, HomeRegions, ServerEntry, ServerId, ServiceName};
 use streamfold_policy::cold_limit::ColdCalls;
 use streamfold_policy::replica::{Distance, ReplicaState};
 use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
+use streamfold_policy::{MechanismSet, Moment};
 use tokio::sync::Notify;
 
-use crate::cluster_place::ClusterPlace;
 use crate::connection::ServerConnection;
+use crate::domain::DomainState;
 
 /// How long a connection rests at most where the server tells no time.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
@@ -45,11 +45,10 @@
     pub domain: FailureDomain,
     /// How far away it is.
     pub distance: Distance,
-    region: Option<RegionName>,
+    domain_state: Arc<DomainState>,
     slots: u32,
     leaving: AtomicBool,
     doubtful: AtomicBool,
-    evacuated: AtomicBool,
     /// Calls a second that this node may make while it is cold.
     cold_share: AtomicU32,
     cold_calls: Mutex<ColdCalls>,
@@ -100,21 +99,20 @@
 
 impl Server {
     /// A server that is not connected to yet.
-    pub fn new(entry: &ServerEntry, place: &ClusterPlace, now: Moment) -> Arc<Self> {
+    pub fn new(entry: &ServerEntry, domain: Arc<DomainState>, now: Moment, mechanisms: MechanismSet) -> Arc<Self> {
         Arc::new(Self {
             id: entry.id.clone(),
             service: entry.service.clone(),
             address: entry.address,
             domain: entry.domain.clone(),
-            distance: place.distance(&entry.domain),
-            region: place.region(&entry.domain).cloned(),
+            distance: domain.distance,
+            domain_state: domain,
             slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
             doubtful: AtomicBool::new(false),
-            evacuated: AtomicBool::new(false),
             cold_share: AtomicU32::new(u32::MAX),
             cold_calls: Mutex::default(),
-            state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(place.mechanisms)),
+            state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(mechanisms)),
             resting: Mutex::default(),
             count: Arc::default(),
         })
@@ -147,9 +145,9 @@
     pub fn find_bar(&self, now: Moment, homes: &HomeRegions) -> Option<ServerBar> {
         let standing = ServerStanding {
             is_leaving: self.is_leaving(),
-            is_evacuated: self.evacuated.load(Ordering::Relaxed),
+            is_evacuated: self.domain_state.is_evacuated(),
             is_cold_spent: self.is_cold_spent(now),
-            region: self.region.as_ref(),
+            region: self.domain_state.region.as_ref(),
         };
         find_bar(homes, standing)
     }
@@ -171,9 +169,19 @@
         self.doubtful.store(is_doubtful, Ordering::Relaxed);
     }
 
-    /// Marks whether its failure domain is evacuated; whether it was before.
-    pub fn set_evacuated(&self, is_evacuated: bool) -> bool {
-        self.evacuated.swap(is_evacuated, Ordering::Relaxed)
+    /// Whether nothing in its failure domain is believed to answer now.
+    pub fn is_dark(&self, now: Moment) -> bool {
+        self.domain_state.is_dark(now)
+    }
+
+    /// Notes that it was heard.
+    pub fn note_heard(&self, now: Moment) {
+        self.domain_state.note_heard(now);
+    }
+
+    /// Notes that a call to it that began at a moment is overdue.
+    pub fn note_silent(&self, now: Moment, started: Moment) {
+        self.domain_state.note_silent(now, started, self.id.as_str());
     }
 
     /// Sets how many calls a second this node may make while it is cold; `None` for any number.
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -42,6 +42,15 @@
 /// No server gave an answer.
 pub async fn run(context: &AttemptContext, service: &ServiceName) -> Result<CallerAnswer, RefusalKind> {
     let attempts = ServiceAttempts::new(service.clone());
+    if !context.is_reachable(&attempts) {
+        tracing::info!(
+            event = "service_unreachable",
+            request = context.request.id_text(),
+            service = %service,
+            barred = context.name_bars(service)
+        );
+        return Err(RefusalKind::not_run(TurnReason::NoServer));
+    }
     let mut round = SingleRound { context, attempts, calls: PendingCalls::new(), failure: None };
     round.context.start_first(0, &mut round.attempts, &round.calls);
     let answer = round.wait().await;
