What servers tell of their pace counts as long as slow spells are seen to last

Cause: the fourth figure of a server's load, how long work takes there now, was dropped, so slow servers were found by waiting for them. Deployments whose servers do not tell are untouched. Tests: pace.rs (spells of 0.4, 2 and 8 s are found; a slow server is left), routes_servers.rs with real processes.

--- a/crates/lab/tests/routes_servers.rs
+++ b/crates/lab/tests/routes_servers.rs
@@ -24,6 +24,29 @@
     assert!(fleet.servers[0].state.runs().is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_tells_a_slow_pace_is_left_for_a_far_one() {
+    let fleet = start_pair().await;
+    for server in &fleet.servers {
+        server.state.switches.work_ms.store(20, Ordering::Relaxed);
+    }
+    // Until the node knows what a call usually takes.
+    for number in 0..30 {
+        let id = format!("usual-{number}");
+        check_own(&fleet, &get(&fleet, "/any/x", &id).await, &id);
+    }
+    assert!(fleet.servers[1].state.calls().is_empty(), "the near server is the better one");
+    fleet.servers[0].state.pace.store(800, Ordering::Relaxed);
+    let mut number = 0;
+    wait_for("a request at the far server", async || {
+        number += 1;
+        let id = format!("slow-{number}");
+        check_own(&fleet, &get(&fleet, "/any/x", &id).await, &id);
+        !fleet.servers[1].state.calls().is_empty()
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_answers_for_another_is_not_called_again() {
     let fleet = start_pair().await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod members;
 pub mod moment;
 pub mod owner;
+pub mod pace;
 pub mod pin;
 pub mod placement;
 pub mod queue;
--- a/crates/policy/src/mechanism.rs
+++ b/crates/policy/src/mechanism.rs
@@ -37,10 +37,12 @@
     SplitTurns,
     /// Failure domains from which nothing is heard are gone round as a whole.
     DarkDomains,
+    /// What servers tell of their pace counts.
+    ToldPace,
 }
 
 /// Every mechanism with its name in settings, by the order of the type.
-const NAMES: [(Mechanism, &str); 15] = [
+const NAMES: [(Mechanism, &str); 16] = [
     (Mechanism::NearHedges, "near_hedges"),
     (Mechanism::FarHedges, "far_hedges"),
     (Mechanism::FarFolding, "far_folding"),
@@ -56,6 +58,7 @@
     (Mechanism::DoubtfulServers, "doubtful_servers"),
     (Mechanism::SplitTurns, "split_turns"),
     (Mechanism::DarkDomains, "dark_domains"),
+    (Mechanism::ToldPace, "told_pace"),
 ];
 
 impl fmt::Display for Mechanism {
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -4,6 +4,7 @@
 
 use crate::mechanism::{Mechanism, MechanismSet};
 use crate::moment::Moment;
+use crate::pace::{PaceBelief, SpellSample};
 
 /// What is remembered of refusals and failures fades by half in this time without a new call.
 const REFUSAL_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -83,6 +84,7 @@
     answered: Moment,
     resting_until: Moment,
     load: Option<(f64, Moment)>,
+    pace: PaceBelief,
     mechanisms: MechanismSet,
 }
 
@@ -101,6 +103,7 @@
             answered: Moment::default(),
             resting_until: Moment::default(),
             load: None,
+            pace: PaceBelief::default(),
             mechanisms: MechanismSet::default(),
         }
     }
@@ -116,9 +119,17 @@
     }
 
     /// How much slower it is than a typical server, which is 1, by its own word.
-    fn slowness(&self, now: Moment) -> f64 {
+    fn slowness(&self, now: Moment, spell: Duration) -> f64 {
         let is_cold = now < self.warm_at && self.mechanisms.has(Mechanism::WarmUp);
-        if is_cold { WARMUP_SLOWNESS } else { 1.0 }
+        let cold = if is_cold { WARMUP_SLOWNESS } else { 1.0 };
+        let has_pace = self.mechanisms.has(Mechanism::ToldPace);
+        if has_pace { self.pace.stretch(now, spell).max(cold) } else { cold }
+    }
+
+    /// Notes how many times as long as usual work takes there by its own word; what became of its slow
+    /// spell, if it was in one.
+    pub fn learn_pace(&mut self, now: Moment, pace: f64) -> Option<SpellSample> {
+        self.pace.learn(now, pace)
     }
 
     /// Notes that it stays cold for a time from now on; a warm server may go cold again.
@@ -164,10 +175,10 @@
     }
 
     /// What a call would cost here, in microseconds, where `typical` is the time such a call
-    /// usually takes.
-    pub fn cost(&self, now: Moment, distance: Distance, typical: Duration) -> f64 {
+    /// usually takes and `spell` how long servers stay slow.
+    pub fn cost(&self, now: Moment, distance: Distance, typical: Duration, spell: Duration) -> f64 {
         let typical = typical.as_micros() as f64;
-        let typical = (typical * self.slowness(now)).max(self.open_for(now));
+        let typical = (typical * self.slowness(now, spell)).max(self.open_for(now));
         let ahead = self.ahead(now);
         let slots = f64::from(self.slots);
         let queued = (ahead + 1.0 - slots).max(0.0) / slots;
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -6,6 +6,7 @@
 use streamfold_policy::{Mechanism, MechanismSet, Moment};
 
 const TYPICAL: Duration = Duration::from_millis(10);
+const SPELL: Duration = Duration::from_secs(1);
 
 /// What a server costs that is warming up, has refused a call and told a load.
 fn cost_without(mechanisms: &[Mechanism]) -> f64 {
@@ -17,7 +18,7 @@
     state.start(now);
     state.finish(now, now, CallSample::Full);
     state.learn_load(now, 2, 3);
-    state.cost(now, Distance::Domain, TYPICAL)
+    state.cost(now, Distance::Domain, TYPICAL, SPELL)
 }
 
 #[test]
--- a/crates/policy/tests/routing_rules.rs
+++ b/crates/policy/tests/routing_rules.rs
@@ -11,6 +11,7 @@
 
 const WINDOW: Duration = Duration::from_secs(10);
 const TYPICAL: Duration = Duration::from_millis(10);
+const SPELL: Duration = Duration::from_secs(1);
 
 fn ms(millis: u64) -> Moment {
     Moment(millis * 1000)
@@ -109,7 +110,7 @@
 }
 
 fn cost(server: &ReplicaState, now: Moment) -> f64 {
-    server.cost(now, Distance::Domain, TYPICAL)
+    server.cost(now, Distance::Domain, TYPICAL, SPELL)
 }
 
 /// For how many milliseconds from a moment on a server is gone round.
@@ -247,7 +248,7 @@
     (0..12).for_each(|_| busy.start(now));
     let mut told = server();
     told.learn_load(now, 4, 8);
-    let typical = |server: &ReplicaState, distance| server.cost(now, distance, TYPICAL);
+    let typical = |server: &ReplicaState, distance| server.cost(now, distance, TYPICAL, SPELL);
     let mut ranked = [
         ("idle, near", typical(&server(), Distance::Domain)),
         ("idle, in the region", typical(&server(), Distance::Region)),
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -119,7 +119,7 @@
             let typical = self.times.typical(server.distance, self.route.target_latency);
             let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
             let dark = if server.is_dark(now) { DARK_COST_US } else { 0.0 };
-            let cost = server.state().cost(now, server.distance, typical) + doubt + dark;
+            let cost = server.cost(now, typical) + doubt + dark;
             // Equal servers share the load.
             cost * rand::random_range(0.95..1.05)
         };
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -34,7 +34,7 @@
 }
 
 /// A server's load as it told it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServerLoad {
     /// Requests it works on.
     pub running: u32,
@@ -42,6 +42,8 @@
     pub waiting: u32,
     /// Requests it can work on at the same time.
     pub slots: u32,
+    /// How many times as long as usual work takes there now, if it tells.
+    pub pace: Option<f64>,
 }
 
 /// What the headers of a server's answer say.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -170,5 +170,8 @@
     }
     if let Some(load) = reply.load {
         server.state().learn_load(now, load.running, load.waiting);
+        if let Some(pace) = load.pace {
+            server.learn_pace(now, pace);
+        }
     }
 }
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -215,8 +215,8 @@
                 draining = entry.is_draining
             );
         }
-        let domain = parts.domain(&entry.domain, &self.place);
-        let server = Server::new(entry, domain, now, self.place.mechanisms);
+        let shared = parts.share(&entry.domain, &self.place);
+        let server = Server::new(entry, shared, now);
         parts.servers.insert(entry.id.clone(), server);
         parts.budgets.entry(entry.service.clone()).or_default();
         true
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -18,7 +18,7 @@
 use crate::domain::DomainState;
 use crate::evacuation::EvacuationList;
 use crate::peers::PeerNode;
-use crate::server::Server;
+use crate::server::{Server, ServerShared, SpellBook};
 
 /// Nodes of each other failure domain that a node keeps links to.
 const PEERS_PER_DOMAIN: usize = 4;
@@ -35,6 +35,8 @@
     pub(crate) budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
     times: HashMap<RouteName, RouteTimes>,
     turns: HashMap<RouteName, Arc<SplitTurns>>,
+    /// How long servers stay slow.
+    spells: Arc<SpellBook>,
     /// Failure domains that have, or had, servers or nodes.
     domains: HashMap<FailureDomain, Arc<DomainState>>,
     /// The evacuated failure domains, once anybody has told.
@@ -48,7 +50,7 @@
 
 impl ClusterParts {
     /// What is known of a failure domain.
-    pub(crate) fn domain(&mut self, name: &FailureDomain, place: &ClusterPlace) -> Arc<DomainState> {
+    fn domain(&mut self, name: &FailureDomain, place: &ClusterPlace) -> Arc<DomainState> {
         let is_evacuated = self.evacuations.as_ref().is_some_and(|list| list.domains.contains(name));
         let make = || {
             let domain = DomainState::new(name, place);
@@ -58,6 +60,12 @@
         self.domains.entry(name.clone()).or_insert_with(make).clone()
     }
 
+    /// What a server in a failure domain shares with others.
+    pub(crate) fn share(&mut self, domain: &FailureDomain, place: &ClusterPlace) -> ServerShared {
+        let domain = self.domain(domain, place);
+        ServerShared { domain, spells: self.spells.clone(), mechanisms: place.mechanisms }
+    }
+
     /// Puts a list of evacuated failure domains in force. The servers of one that is given back count as
     /// cold where calls to cold ones are bounded: their machines may have been stopped meanwhile, and
     /// their entries tell that only later.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -1,12 +1,13 @@
 //! One server: its entry, what is believed of it and the connections to it.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use streamfold_model::{FailureDomain, HomeRegions, ServerEntry, ServerId, ServiceName};
 use streamfold_policy::cold_limit::ColdCalls;
+use streamfold_policy::pace::{SpellRecord, SpellSample};
 use streamfold_policy::replica::{Distance, ReplicaState};
 use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
 use streamfold_policy::{MechanismSet, Moment};
@@ -33,6 +34,41 @@
     until: Moment,
 }
 
+/// What a server shares with others.
+pub struct ServerShared {
+    /// Its failure domain.
+    pub domain: Arc<DomainState>,
+    /// How long servers stay slow.
+    pub spells: Arc<SpellBook>,
+    /// The mechanisms by which it is judged.
+    pub mechanisms: MechanismSet,
+}
+
+/// How long servers stay slow, as this node has seen it of all of them; each cost reads it.
+pub struct SpellBook {
+    record: Mutex<SpellRecord>,
+    spell_us: AtomicU64,
+}
+
+impl Default for SpellBook {
+    fn default() -> Self {
+        let record = SpellRecord::default();
+        Self { spell_us: AtomicU64::new(record.spell().as_micros() as u64), record: Mutex::new(record) }
+    }
+}
+
+impl SpellBook {
+    fn note(&self, sample: SpellSample) {
+        let mut record = lock(&self.record);
+        record.note(sample);
+        self.spell_us.store(record.spell().as_micros() as u64, Ordering::Relaxed);
+    }
+
+    fn spell(&self) -> Duration {
+        Duration::from_micros(self.spell_us.load(Ordering::Relaxed))
+    }
+}
+
 /// A run of a server process.
 pub struct Server {
     /// Its id.
@@ -46,6 +82,7 @@
     /// How far away it is.
     pub distance: Distance,
     domain_state: Arc<DomainState>,
+    spells: Arc<SpellBook>,
     slots: u32,
     leaving: AtomicBool,
     doubtful: AtomicBool,
@@ -99,7 +136,8 @@
 
 impl Server {
     /// A server that is not connected to yet.
-    pub fn new(entry: &ServerEntry, domain: Arc<DomainState>, now: Moment, mechanisms: MechanismSet) -> Arc<Self> {
+    pub fn new(entry: &ServerEntry, shared: ServerShared, now: Moment) -> Arc<Self> {
+        let ServerShared { domain, spells, mechanisms } = shared;
         Arc::new(Self {
             id: entry.id.clone(),
             service: entry.service.clone(),
@@ -107,6 +145,7 @@
             domain: entry.domain.clone(),
             distance: domain.distance,
             domain_state: domain,
+            spells,
             slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
             doubtful: AtomicBool::new(false),
@@ -136,6 +175,20 @@
         lock(&self.state)
     }
 
+    /// What a call there would cost, in microseconds, where `typical` is the time such a call usually
+    /// takes.
+    pub fn cost(&self, now: Moment, typical: Duration) -> f64 {
+        self.state().cost(now, self.distance, typical, self.spells.spell())
+    }
+
+    /// Notes how many times as long as usual work takes there by its own word.
+    pub fn learn_pace(&self, now: Moment, pace: f64) {
+        let sample = self.state().learn_pace(now, pace);
+        if let Some(sample) = sample {
+            self.spells.note(sample);
+        }
+    }
+
     /// Whether it is leaving; it gets no new work.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
