--- a/crates/lab/tests/routes_servers.rs
+++ b/crates/lab/tests/routes_servers.rs
@@ -36,7 +36,7 @@
         check_own(&fleet, &get(&fleet, "/any/x", &id).await, &id);
     }
     assert!(fleet.servers[1].state.calls().is_empty(), "the near server is the better one");
-    fleet.servers[0].state.pace.store(800, Ordering::Relaxed);
+    fleet.servers[0].state.pace.store(2_000, Ordering::Relaxed);
     let mut number = 0;
     wait_for("a request at the far server", async || {
         number += 1;
