A node beside a dark failure domain asks the others for signs of life, and waits 100 ms before it takes one for dark

Cause 1: in a cut failure domain each node sees a request in two seconds and learns of one or two of the five others with each, so that nearly all requests failed late (502) before anything was refused. While any failure domain is dark, two nodes of each other one that was not just heard are asked; both silent is enough then (signs.rs). Also: unreachable is one of the bars of server_scope, so that all ways of choosing keep it and the log names it.

--- a/crates/policy/src/domain_reach.rs
+++ b/crates/policy/src/domain_reach.rs
@@ -12,6 +12,12 @@
 /// So many servers or nodes must be overdue: each of them pauses a few hundredths of the time, so that
 /// three at once that nothing else answers beside are no chance.
 const SILENT_ENOUGH: usize = 3;
+/// The same while another failure domain is dark already: then it is likely that this node itself is
+/// cut off, and requests that need one of the others should not have to find each of them out.
+const SILENT_BESIDE_DARK: usize = 2;
+/// Nothing must be heard for so long since the first of the calls began: a first call to another region,
+/// with its connection, takes some 60 ms where one way there takes 12.
+const LEAST_SILENCE: Duration = Duration::from_millis(100);
 /// For how long a failure domain that fell silent is taken for dark before requests try it again:
 /// the first span, and the longest; each further one in a row doubles it.
 const FIRST_DARK: Duration = Duration::from_millis(300);
@@ -20,6 +26,24 @@
 /// to the next question or the one after it.
 const HOLD: Duration = Duration::from_millis(800);
 
+/// What else a node believes while something is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceContext {
+    /// Nothing of note.
+    Alone,
+    /// Another failure domain is dark.
+    BesideDark,
+}
+
+impl SilenceContext {
+    fn enough(self) -> usize {
+        match self {
+            Self::Alone => SILENT_ENOUGH,
+            Self::BesideDark => SILENT_BESIDE_DARK,
+        }
+    }
+}
+
 /// What a node believes of the way to another failure domain.
 #[derive(Debug, Clone, Default)]
 pub struct DomainReach {
@@ -27,6 +51,9 @@
     heard: Moment,
     /// Those that are overdue since.
     silent: Vec<String>,
+    /// When the first of their calls began.
+    silent_since: Moment,
+    dark_from: Moment,
     dark_until: Moment,
     spans: u32,
 }
@@ -41,17 +68,19 @@
     }
 
     /// Notes that a server or node there is overdue with a call that began at a moment; whether the
-    /// failure domain is taken for dark by that.
-    pub fn note_silent(&mut self, now: Moment, started: Moment, who: &str) -> bool {
-        if self.is_dark(now) || started <= self.heard || self.silent.iter().any(|silent| silent == who) {
+    /// failure domain is taken for dark by that, unless it is heard until [`LEAST_SILENCE`] is over.
+    pub fn note_silent(&mut self, now: Moment, started: Moment, who: &str, context: SilenceContext) -> bool {
+        if now < self.dark_until || started <= self.heard || self.silent.iter().any(|silent| silent == who) {
             return false;
         }
+        self.silent_since = if self.silent.is_empty() { started } else { self.silent_since.min(started) };
         self.silent.push(who.to_owned());
-        if self.silent.len() < SILENT_ENOUGH {
+        if self.silent.len() < context.enough() {
             return false;
         }
         let span = FIRST_DARK * 2u32.pow(self.spans.min(5));
-        self.dark_until = now.plus(span.min(MAX_DARK));
+        self.dark_from = self.silent_since.plus(LEAST_SILENCE).max(now);
+        self.dark_until = self.dark_from.plus(span.min(MAX_DARK));
         self.spans += 1;
         self.silent.clear();
         true
@@ -65,8 +94,13 @@
         }
     }
 
+    /// Whether anything was heard from there within a span.
+    pub fn was_heard_within(&self, now: Moment, span: Duration) -> bool {
+        self.heard > Moment::default() && now.since(self.heard) < span
+    }
+
     /// Whether nothing there is believed to answer now.
     pub fn is_dark(&self, now: Moment) -> bool {
-        now < self.dark_until
+        self.dark_from <= now && now < self.dark_until
     }
 }
--- a/crates/policy/src/server_scope.rs
+++ b/crates/policy/src/server_scope.rs
@@ -1,7 +1,8 @@
 //! Which servers a request may be sent to at all, whatever they would cost.
 //!
 //! The load pattern: the best servers of a shard lie where the request must not go, because its route
-//! is bound to other regions or because the operator has evacuated their failure domain. The rule holds for first calls, retries, second calls and batches alike,
+//! is bound to other regions or because the operator has evacuated their failure domain, or a call there
+//! would be lost, because nothing is heard from that failure domain. The rule holds for first calls, retries, second calls and batches alike,
 //! so it stands in one place, and a shard whose servers are all barred is missing.
 
 use std::fmt;
@@ -15,6 +16,8 @@
     Leaving,
     /// The operator has evacuated its failure domain.
     Evacuated,
+    /// Nothing is heard from its failure domain.
+    Unreachable,
     /// It is cold, and this node has made the calls that are its part.
     ColdLimit,
     /// It is in a region where the route's requests must not be served.
@@ -26,6 +29,7 @@
         f.write_str(match self {
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
+            Self::Unreachable => "unreachable",
             Self::ColdLimit => "cold_limit",
             Self::OutsideHomes => "outside_homes",
         })
@@ -39,6 +43,8 @@
     pub is_leaving: bool,
     /// Whether its failure domain is evacuated.
     pub is_evacuated: bool,
+    /// Whether its failure domain is taken for dark.
+    pub is_unreachable: bool,
     /// Whether it is cold and this node may make no call to it now.
     pub is_cold_spent: bool,
     /// Its region, if that is known.
@@ -56,5 +62,8 @@
     if !homes.allow(standing.region) {
         return Some(ServerBar::OutsideHomes);
     }
+    if standing.is_unreachable {
+        return Some(ServerBar::Unreachable);
+    }
     standing.is_cold_spent.then_some(ServerBar::ColdLimit)
 }
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -21,9 +21,6 @@
 
 /// Added to the cost of a server whose entry is gone: any other that answers goes first.
 const DOUBT_COST_US: f64 = 1e9;
-/// Added to the cost of a server in a failure domain that cannot be reached: one that may answer, even
-/// one that is gone round for itself, goes first.
-const DARK_COST_US: f64 = 1e13;
 
 /// The pause before servers that did not take a request are tried again: the first, doubled
 /// with each further one, and the longest.
@@ -101,25 +98,13 @@
         self.find_cheapest(candidates.filter(|server| tries_doubtful || !server.is_doubtful()))
     }
 
-    /// Whether a server is believed not to answer now, by itself or with its failure domain.
-    pub(crate) fn is_avoided(&self, server: &Server, now: Moment) -> bool {
-        server.is_dark(now) || server.state().is_avoided(now)
-    }
-
-    /// Whether a service has a server that a request may be sent to and that can be reached, as far as
-    /// is known.
-    pub(crate) fn is_reachable(&self, attempts: &ServiceAttempts) -> bool {
-        self.best_server(attempts).is_some_and(|server| !server.is_dark(self.now()))
-    }
-
     /// The server that is believed to answer soonest.
     fn find_cheapest<'a>(&self, candidates: impl Iterator<Item = &'a Arc<Server>>) -> Option<Arc<Server>> {
         let now = self.now();
         let cost = |server: &Arc<Server>| {
             let typical = self.times.typical(server.distance, self.route.target_latency);
             let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
-            let dark = if server.is_dark(now) { DARK_COST_US } else { 0.0 };
-            let cost = server.cost(now, typical) + doubt + dark;
+            let cost = server.cost(now, typical) + doubt;
             // Equal servers share the load.
             cost * rand::random_range(0.95..1.05)
         };
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -133,7 +133,7 @@
                 continue;
             }
             let Some(service) = self.view.services.get(&slot.attempts.service) else { continue };
-            let usable = service.usable(now, &self.route.homes).filter(|server| !self.is_avoided(server, now));
+            let usable = service.usable(now, &self.route.homes).filter(|server| !server.state().is_avoided(now));
             for server in usable.filter(|server| server.distance != Distance::Domain) {
                 let domain = (server.distance, server.domain.clone());
                 by_domain.entry(domain).or_default().insert(position);
--- a/crates/router/src/domain.rs
+++ b/crates/router/src/domain.rs
@@ -3,9 +3,10 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use streamfold_model::{FailureDomain, RegionName};
-use streamfold_policy::domain_reach::DomainReach;
+use streamfold_policy::domain_reach::{DomainReach, SilenceContext};
 use streamfold_policy::replica::Distance;
 use streamfold_policy::{Mechanism, Moment};
 
@@ -74,9 +75,19 @@
         self.reach().note_no_sign(now);
     }
 
+    /// Whether anything was heard from there within a span.
+    pub fn was_heard_within(&self, now: Moment, span: Duration) -> bool {
+        self.reach().was_heard_within(now, span)
+    }
+
     /// Notes that a server or node there is overdue with a call that began at a moment.
     pub fn note_silent(&self, now: Moment, started: Moment, who: &str) {
-        if self.is_watched && self.reach().note_silent(now, started, who) {
+        self.note_silent_in(now, started, who, SilenceContext::Alone);
+    }
+
+    /// The same, with what else is believed.
+    pub fn note_silent_in(&self, now: Moment, started: Moment, who: &str, context: SilenceContext) {
+        if self.is_watched && self.reach().note_silent(now, started, who, context) {
             metrics::counter!("streamfold_dark_failure_domains_total").increment(1);
             tracing::warn!(event = "failure_domain_dark", failure_domain = %self.name, last = who);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -41,6 +41,7 @@
 mod router_stop;
 pub mod server;
 pub mod settings;
+pub mod signs;
 pub mod single;
 pub mod store_turn;
 pub mod times;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use streamfold_link::{FrameReader, PeerError, PeerLink};
-use streamfold_model::{FailureDomain, NodeEntry};
+use streamfold_model::NodeEntry;
 use streamfold_policy::Moment;
 use streamfold_policy::replica::{CallSample, ReplicaState};
 
-use crate::batch::{BatchFrame, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch};
+use crate::batch::{BatchFrame, PATH_BATCH, ShardBatch};
 use crate::domain::DomainState;
-use crate::knowledge::{KnowledgeReply, KnowledgeRequest};
 use crate::router::Router;
 
 /// Batches that a node works on at the same time before more of them wait.
@@ -24,11 +23,6 @@
 /// How long a node counts as just started.
 const START_TIME: Duration = Duration::from_secs(2);
 
-/// How often a node of each failure domain that is taken for dark is asked for a sign of life, and how
-/// long that may take: servers there are used again so soon after it is back.
-const SIGN_EVERY: Duration = Duration::from_millis(250);
-const SIGN_WITHIN: Duration = Duration::from_millis(300);
-
 /// How much later than its sign of life is due a batch is taken back. Together with the longest wait
 /// for that sign it is under the half second that servers' times may exceed the caller's.
 const MAX_TRANSIT: Duration = Duration::from_millis(300);
@@ -95,39 +89,6 @@
     }
 }
 
-/// Asks nodes of failure domains that are taken for dark for signs of life, until the node ends.
-pub async fn ask_in_the_dark(router: Arc<Router>) {
-    loop {
-        tokio::time::sleep(SIGN_EVERY.mul_f64(rand::random_range(0.8..1.2))).await;
-        let now = router.clock.now();
-        let view = router.cluster.view();
-        let mut asked: Vec<&FailureDomain> = Vec::new();
-        for peer in view.peers.iter().filter(|peer| peer.domain.is_dark(now)) {
-            if !asked.contains(&&peer.domain.name) {
-                asked.push(&peer.domain.name);
-                tokio::spawn(ask_for_sign(router.clone(), choose_any(&view.peers, &peer.domain.name)));
-            }
-        }
-    }
-}
-
-/// Any one of the nodes of a failure domain; all of them are asked in time.
-fn choose_any(peers: &[Arc<PeerNode>], domain: &FailureDomain) -> Option<Arc<PeerNode>> {
-    let there: Vec<&Arc<PeerNode>> = peers.iter().filter(|peer| peer.domain.name == *domain).collect();
-    (!there.is_empty()).then(|| there[rand::random_range(0..there.len())].clone())
-}
-
-async fn ask_for_sign(router: Arc<Router>, peer: Option<Arc<PeerNode>>) {
-    let Some(peer) = peer else { return };
-    let request = KnowledgeRequest { version: router.cluster.version(), wants_entries: false, nodes_of: None };
-    let told = peer.link.call::<_, KnowledgeReply>(PATH_KNOWLEDGE, &request, SIGN_WITHIN).await;
-    let now = router.clock.now();
-    match told {
-        Ok(_) => peer.domain.note_heard(now),
-        Err(_) => peer.domain.note_no_sign(now),
-    }
-}
-
 /// A batch under way at another node. Dropped, the work there is cancelled.
 pub struct PendingBatch {
     /// The node.
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -11,7 +11,7 @@
 use crate::error::RouterError;
 use crate::router::{Router, RunningRouter};
 use crate::settings::RouterSettings;
-use crate::{feed, front, knowledge, node_sweep, peer_service, peers, ready, relay};
+use crate::{feed, front, knowledge, node_sweep, peer_service, peers, ready, relay, signs};
 
 /// How often doubtful servers and resting connections are looked at.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
@@ -55,7 +55,7 @@
     tasks.spawn(feed::catch_up(router.clone()));
     tasks.spawn(peer_service::serve(router.clone(), peers_listener));
     tasks.spawn(peers::keep_connected(router.clone()));
-    tasks.spawn(peers::ask_in_the_dark(router.clone()));
+    tasks.spawn(signs::ask(router.clone()));
     tasks.spawn(knowledge::ask_in_outages(router.clone()));
     tasks.spawn(sweep(router.clone()));
     Ok(RunningRouter { router, tasks })
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -199,6 +199,7 @@
         let standing = ServerStanding {
             is_leaving: self.is_leaving(),
             is_evacuated: self.domain_state.is_evacuated(),
+            is_unreachable: self.is_dark(now),
             is_cold_spent: self.is_cold_spent(now),
             region: self.domain_state.region.as_ref(),
         };
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -42,7 +42,7 @@
 /// No server gave an answer.
 pub async fn run(context: &AttemptContext, service: &ServiceName) -> Result<CallerAnswer, RefusalKind> {
     let attempts = ServiceAttempts::new(service.clone());
-    if !context.is_reachable(&attempts) {
+    if context.best_server(&attempts).is_none() {
         tracing::info!(
             event = "service_unreachable",
             request = context.request.id_text(),
