A call that was not sent yet leaves no doubt whether it ran

Cause: a refusal counted every call in flight as one that may have run, also those that still connected, and shards that only waited to try again. Change: a call has a mark that is set before its first byte goes out; without any mark set the answer is 503 with a time to come back. Work at other nodes still counts as possible. Test: attempts.rs.

--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -12,7 +12,7 @@
 use streamfold_policy::{Mechanism, Moment};
 
 use crate::attempts::{AttemptStop, ServiceAttempts};
-use crate::call::{self, EndedCall};
+use crate::call::{self, EndedCall, SentMark};
 use crate::cluster_view::{ClusterView, RouteTimes, Service};
 use crate::hedge::FarHedge;
 use crate::request::CallerRequest;
@@ -132,14 +132,14 @@
             return Err(AttemptStop::Budget);
         }
         attempts.sent += 1;
-        attempts.pending += 1;
+        let mark = attempts.note_start(server.id.clone());
         attempts.tried.push(server.clone());
         attempts.started = self.now();
         attempts.is_overdue = false;
         attempts.is_handed = false;
         let patience = self.times.patience(server.distance, self.route.target_latency);
         attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
-        calls.push(self.call(position, server));
+        calls.push(self.call(position, server, mark));
         Ok(())
     }
 
@@ -185,12 +185,12 @@
         if attempts.tried.is_empty() && attempts.pauses == 0 && !attempts.has_arrived {
             budget.note_request(now, &limits, self.request_share);
         }
-        let is_extra = attempts.has_arrived || attempts.pending > 0;
+        let is_extra = attempts.has_arrived || attempts.is_calling();
         !is_extra || budget.spend(now, &limits)
     }
 
-    fn call(&self, position: usize, server: Arc<Server>) -> PendingCall {
-        let running = call::run(self.router.clone(), server, self.request.clone(), self.is_once());
+    fn call(&self, position: usize, server: Arc<Server>, mark: SentMark) -> PendingCall {
+        let running = call::run(self.router.clone(), server, self.request.clone(), self.is_once(), mark);
         let clock = self.router.clock;
         let started = self.now();
         let timed = async move {
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -9,7 +9,7 @@
 use streamfold_policy::Moment;
 use streamfold_policy::server_bound::ServerRights;
 
-use crate::call::CallFailure;
+use crate::call::{CallFailure, SentMark};
 use crate::server::Server;
 
 /// Why no further server is asked.
@@ -40,8 +40,8 @@
 pub struct ServiceAttempts {
     /// The service.
     pub service: ServiceName,
-    /// Calls in flight.
-    pub pending: u32,
+    /// Calls in flight, by the server.
+    calls: Vec<(ServerId, SentMark)>,
     /// Servers that may have run the request by calls of this node, or by hedges it handed on.
     pub(crate) sent: u32,
     /// Servers that may have run it by calls of a node that was asked for it and has told so.
@@ -79,7 +79,7 @@
     pub fn new(service: ServiceName) -> Self {
         Self {
             service,
-            pending: 0,
+            calls: Vec::new(),
             sent: 0,
             sent_elsewhere: 0,
             has_arrived: false,
@@ -98,9 +98,32 @@
         }
     }
 
+    /// Notes that a call to a server starts, which sets the mark once it is sent.
+    pub fn note_start(&mut self, server: ServerId) -> SentMark {
+        let mark = SentMark::default();
+        self.calls.push((server, mark.clone()));
+        mark
+    }
+
+    /// Whether calls are in flight.
+    pub fn is_calling(&self) -> bool {
+        !self.calls.is_empty()
+    }
+
+    /// Whether the request may have run, or may run by a call in flight.
+    pub fn may_run(&self) -> bool {
+        self.may_have_run || self.calls.iter().any(|(_, mark)| mark.is_set())
+    }
+
+    /// Notes that a server answered with a proof that it ran the request.
+    pub fn note_answer(&mut self, server: &ServerId) {
+        self.calls.retain(|(called, _)| called != server);
+        self.may_have_run = true;
+    }
+
     /// Servers that may have run the request, and whether a call reached any.
     pub fn tally(&self) -> (u32, bool) {
-        (self.sent + self.sent_elsewhere, self.has_arrived || self.pending > 0)
+        (self.sent + self.sent_elsewhere, self.has_arrived || self.is_calling())
     }
 
     /// Notes what another node did for the request, which sends it no more.
@@ -154,7 +177,7 @@
 
     /// Notes how a call ended that gave no usable answer.
     pub fn note_failure(&mut self, server: Arc<Server>, failure: Option<CallFailure>) {
-        self.pending = self.pending.saturating_sub(1);
+        self.calls.retain(|(called, _)| *called != server.id);
         self.failure = failure.map_or("bad_answer", CallFailure::name);
         match failure {
             Some(CallFailure::NotSent) => {
@@ -175,7 +198,7 @@
 
     /// Whether an answer may still come.
     pub fn is_open(&self) -> bool {
-        self.pending > 0 || self.retry_at.is_some()
+        self.is_calling() || self.retry_at.is_some()
     }
 
     /// Whether an answer may still come, as far as is known: not where every server asked is in a
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,6 +41,23 @@
     }
 }
 
+/// Whether any byte of a call may have gone out. Until then giving the call up leaves no doubt that it
+/// did not run: callers may be told so, and ask again elsewhere what must not run twice.
+#[derive(Debug, Clone, Default)]
+pub struct SentMark(Arc<AtomicBool>);
+
+impl SentMark {
+    /// Marks the call as about to be sent.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it may have been sent.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Why a call gave no answer of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallFailure {
@@ -92,14 +110,22 @@
     }
 }
 
-/// Sends a request to a server and reads its answer; `is_once` tells that it must not run twice.
-pub async fn run(router: Arc<Router>, server: Arc<Server>, request: Arc<CallerRequest>, is_once: bool) -> EndedCall {
+/// Sends a request to a server and reads its answer; `is_once` tells that it must not run twice, and
+/// `mark` is set before anything goes out.
+pub async fn run(
+    router: Arc<Router>,
+    server: Arc<Server>,
+    request: Arc<CallerRequest>,
+    is_once: bool,
+    mark: SentMark,
+) -> EndedCall {
     let started = router.clock.now();
     let mut record = CallRecord::start(&router, &server, started);
     let left = request.deadline.since(started);
-    let result = match tokio::time::timeout(left, exchange(&router, &server, &request, is_once)).await {
+    let result = match tokio::time::timeout(left, exchange(&router, &server, &request, is_once, &mark)).await {
         Ok(result) => result,
-        Err(_) => Err(CallFailure::Unknown),
+        Err(_) if mark.is_set() => Err(CallFailure::Unknown),
+        Err(_) => Err(CallFailure::NotSent),
     };
     record.sample = match &result {
         Ok(_) => CallSample::Answered,
@@ -115,6 +141,7 @@
     server: &Arc<Server>,
     request: &CallerRequest,
     is_once: bool,
+    mark: &SentMark,
 ) -> Result<ServerReply, CallFailure> {
     let now = router.clock.now();
     let leased = server.lease(now, is_once, CONNECT_TIMEOUT).await;
@@ -135,6 +162,7 @@
         server.put_back(router.clock.now(), leased, None).await;
         return Err(CallFailure::NotSent);
     }
+    mark.set();
     let built = request.build(&*router.format, &server.id, left);
     let response = leased.connection.exchange(built, MAX_ANSWER_LEN).await.map_err(|error| match error {
         ExchangeError::NotSent => CallFailure::NotSent,
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -153,9 +153,9 @@
         numbers.map(|number| &self.batches[number]).filter(|batch| batch.is_open)
     }
 
-    /// Whether anything is under way for a shard.
-    fn is_pending(&self, slot: &ShardSlot) -> bool {
-        slot.part.is_none() && (slot.attempts.is_open() || self.open_batches(slot).next().is_some())
+    /// Whether a shard's request may have run, or may by what is under way.
+    fn may_run(&self, slot: &ShardSlot) -> bool {
+        slot.attempts.may_run() || self.open_batches(slot).next().is_some()
     }
 
     /// Whether a shard's answer may still come, as far as is known: what is under way in failure domains
@@ -235,8 +235,7 @@
         match ended.result {
             Ok(reply) if reply.is_proven_success() => {
                 self.context.times.add(ended.server.distance, took);
-                slot.attempts.pending = slot.attempts.pending.saturating_sub(1);
-                slot.attempts.may_have_run = true;
+                slot.attempts.note_answer(&ended.server.id);
                 if slot.part.is_none() {
                     slot.part = reply.proof.map(|proof| ShardPart { proof, records: reply.body, floor: None });
                 }
@@ -285,7 +284,7 @@
     }
 
     fn refusal(&self) -> RefusalKind {
-        let has_run = self.slots.iter().any(|slot| slot.attempts.may_have_run || self.is_pending(slot));
+        let has_run = self.slots.iter().any(|slot| self.may_run(slot));
         match has_run {
             false => RefusalKind::not_run(TurnReason::NoServer),
             true if self.context.now() >= self.context.request.deadline => RefusalKind::Late,
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -110,7 +110,7 @@
     }
 
     fn refusal(&self) -> RefusalKind {
-        let has_run = self.attempts.may_have_run || self.attempts.pending > 0;
+        let has_run = self.attempts.may_run();
         match has_run {
             false => RefusalKind::not_run(TurnReason::NoServer),
             true if self.context.now() >= self.context.request.deadline => RefusalKind::Late,
--- a/crates/router/tests/attempts.rs
+++ b/crates/router/tests/attempts.rs
@@ -34,3 +34,15 @@
     attempts.note_elsewhere(1, true);
     assert!(!attempts.is_untouched(), "another node has used a server");
 }
+
+#[test]
+fn a_call_that_was_not_sent_yet_leaves_no_doubt() {
+    let mut attempts = make_attempts();
+    let server = |name: &str| name.parse().expect("a name");
+    let first = attempts.note_start(server("i-0"));
+    assert!(attempts.is_calling() && !attempts.may_run(), "it still connects");
+    first.set();
+    assert!(attempts.may_run());
+    attempts.note_answer(&server("i-0"));
+    assert!(!attempts.is_calling() && attempts.may_run(), "it ran");
+}
