--- a/crates/lab/src/route_checks.rs
+++ b/crates/lab/src/route_checks.rs
@@ -7,6 +7,7 @@
 
 use crate::client::CallAnswer;
 use crate::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, write_route};
+use crate::wait::wait_for;
 
 /// A server of a service in the first failure domain.
 pub fn near(id: &str, service: &str) -> RouteServerPlan {
@@ -58,6 +59,18 @@
     fleet.call(0, Method::GET, path, id, Bytes::new()).await.expect("an answer")
 }
 
+/// Calls `/all/` of the first node, always whole, until it has handed so many shards to another one.
+pub async fn wait_delegated(fleet: &RouteFleet, shards: usize) {
+    let mut number = 0;
+    wait_for("a batch at the other node", async || {
+        number += 1;
+        let answer = get(fleet, "/all/x", &format!("r-{number}")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        !fleet.nodes[0].logged(&["event=request ", &format!("delegated={shards}")]).is_empty()
+    })
+    .await;
+}
+
 /// A header of an answer as text.
 pub fn header<'a>(answer: &'a CallAnswer, name: &str) -> Option<&'a str> {
     answer.headers.get(name).map(|value| value.to_str().expect("a text"))
--- a/crates/lab/tests/routes_homes.rs
+++ b/crates/lab/tests/routes_homes.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use serde_json::{Value, json};
 use streamfold_lab::fleet::send_signal;
-use streamfold_lab::route_checks::{check_own, far, get, header, near, tell_refusal};
+use streamfold_lab::route_checks::{check_own, far, get, header, near, tell_refusal, wait_delegated};
 use streamfold_lab::route_fleet::{DOMAINS, REGIONS, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::wait_for;
 
@@ -89,14 +89,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn taking_over_from_a_silent_node_stays_in_the_homes() {
     let fleet = start_bound(SOUTH).await;
-    let mut number = 0;
-    wait_for("a batch at the other node", async || {
-        number += 1;
-        let answer = get(&fleet, "/all/x", &format!("r-{number}")).await;
-        assert_eq!(answer.status, 200, "{answer:?}");
-        !fleet.nodes[0].logged(&["event=request ", "delegated=4"]).is_empty()
-    })
-    .await;
+    wait_delegated(&fleet, 4).await;
     send_signal(&fleet.nodes[1].process, "STOP").await;
     let (_, ()) = tokio::join!(get(&fleet, "/all/x", "r-silent"), async {
         let event = ["event=batch_overdue", "request=r-silent"];
--- a/crates/lab/tests/routes_servers.rs
+++ b/crates/lab/tests/routes_servers.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use streamfold_lab::fleet::send_signal;
 use streamfold_lab::route_checks::{
-    check_own, far, get, header, near, start_pair, start_single, tell_refusal, to_service,
+    check_own, far, get, header, near, start_pair, start_single, tell_refusal, to_service, wait_delegated,
 };
 use streamfold_lab::route_fleet::{RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::wait_for;
@@ -152,14 +152,7 @@
         .await
         .expect("a fleet");
     // First whole, until the other node is asked for shards.
-    let mut number = 0;
-    wait_for("a batch at the other node", async || {
-        number += 1;
-        let answer = get(&fleet, "/all/x", &format!("r-{number}")).await;
-        assert_eq!(answer.status, 200, "{answer:?}");
-        !fleet.nodes[0].logged(&["event=request ", "delegated=2"]).is_empty()
-    })
-    .await;
+    wait_delegated(&fleet, 2).await;
     for server in &fleet.servers {
         server.state.switches.wrong_id.store(true, Ordering::Relaxed);
     }
@@ -189,14 +182,7 @@
     let routes = vec![write_route("all", "/all/", &gather)];
     let plan = RouteFleetPlan { nodes: [1, 1], servers: servers.collect(), routes, ..RouteFleetPlan::default() };
     let fleet = RouteFleet::start(plan).await.expect("a fleet");
-    let mut number = 0;
-    wait_for("a batch at the other node", async || {
-        number += 1;
-        let answer = get(&fleet, "/all/x", &format!("r-{number}")).await;
-        assert_eq!(answer.status, 200, "{answer:?}");
-        !fleet.nodes[0].logged(&["event=request ", "delegated=4"]).is_empty()
-    })
-    .await;
+    wait_delegated(&fleet, 4).await;
     for server in &fleet.servers {
         server.state.switches.pause_ms.store(30_000, Ordering::Relaxed);
     }
@@ -225,18 +211,12 @@
     let servers = servers.chain([far("alive-0", "alive")]).collect();
     let plan = RouteFleetPlan { nodes: [1, 1], servers, routes, ..RouteFleetPlan::default() };
     let fleet = RouteFleet::start(plan).await.expect("a fleet");
-    let mut number = 0;
-    wait_for("a batch at the other node", async || {
-        number += 1;
-        let answer = get(&fleet, "/all/x", &format!("r-{number}")).await;
-        assert_eq!(answer.status, 200, "{answer:?}");
-        !fleet.nodes[0].logged(&["event=request ", "delegated=3"]).is_empty()
-    })
-    .await;
+    wait_delegated(&fleet, 3).await;
     for server in fleet.servers.iter().filter(|server| server.state.plan.service != "alive") {
         server.state.switches.pause_ms.store(30_000, Ordering::Relaxed);
     }
     let id = "r-held-up";
+    let mut number = 0;
     send_signal(&fleet.nodes[1].process, "STOP").await;
     let (answer, ()) = tokio::join!(get(&fleet, "/all/x", id), async {
         let event = ["event=batch_failed", "request=r-held-up"];
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -18,7 +18,8 @@
 use crate::domain::DomainState;
 use crate::evacuation::EvacuationList;
 use crate::peers::PeerNode;
-use crate::server::{Server, ServerShared, SpellBook};
+use crate::server::{Server, ServerShared};
+use crate::spell_book::SpellBook;
 
 /// Nodes of each other failure domain that a node keeps links to.
 const PEERS_PER_DOMAIN: usize = 4;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod cluster_place;
 pub mod cluster_view;
 pub mod connection;
+pub mod connection_pool;
 pub mod delegate;
 pub mod domain;
 pub mod error;
@@ -43,6 +44,7 @@
 pub mod settings;
 pub mod signs;
 pub mod single;
+pub mod spell_book;
 pub mod store_turn;
 pub mod times;
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -1,38 +1,19 @@
 //! One server: its entry, what is believed of it and the connections to it.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use streamfold_model::{FailureDomain, HomeRegions, ServerEntry, ServerId, ServiceName};
 use streamfold_policy::cold_limit::ColdCalls;
-use streamfold_policy::pace::{SpellRecord, SpellSample};
 use streamfold_policy::replica::{Distance, ReplicaState};
 use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
 use streamfold_policy::{MechanismSet, Moment};
-use tokio::sync::Notify;
 
-use crate::connection::ServerConnection;
+use crate::connection_pool::{ConnectionPool, LeasedConnection};
 use crate::domain::DomainState;
-
-/// How long a connection rests at most where the server tells no time.
-const DEFAULT_REST: Duration = Duration::from_secs(4);
-/// A connection is given up so long before the server would close it.
-const REST_MARGIN: Duration = Duration::from_millis(500);
-/// Connections beyond the first rest only shortly: when machines lose power, servers hold the
-/// old connections for a while beside the new ones, and refuse those over their limit.
-const SPARE_REST: Duration = Duration::from_millis(400);
-/// A request that must not run twice takes no connection that has rested longer: the server
-/// may be closing it at this moment.
-const FRESH_REST: Duration = Duration::from_millis(500);
-
-/// A connection at rest.
-struct RestingConnection {
-    leased: LeasedConnection,
-    since: Moment,
-    until: Moment,
-}
+use crate::spell_book::SpellBook;
 
 /// What a server shares with others.
 pub struct ServerShared {
@@ -44,31 +25,6 @@
     pub mechanisms: MechanismSet,
 }
 
-/// How long servers stay slow, as this node has seen it of all of them; each cost reads it.
-pub struct SpellBook {
-    record: Mutex<SpellRecord>,
-    spell_us: AtomicU64,
-}
-
-impl Default for SpellBook {
-    fn default() -> Self {
-        let record = SpellRecord::default();
-        Self { spell_us: AtomicU64::new(record.spell().as_micros() as u64), record: Mutex::new(record) }
-    }
-}
-
-impl SpellBook {
-    fn note(&self, sample: SpellSample) {
-        let mut record = lock(&self.record);
-        record.note(sample);
-        self.spell_us.store(record.spell().as_micros() as u64, Ordering::Relaxed);
-    }
-
-    fn spell(&self) -> Duration {
-        Duration::from_micros(self.spell_us.load(Ordering::Relaxed))
-    }
-}
-
 /// A run of a server process.
 pub struct Server {
     /// Its id.
@@ -90,44 +46,7 @@
     cold_share: AtomicU32,
     cold_calls: Mutex<ColdCalls>,
     state: Mutex<ReplicaState>,
-    resting: Mutex<Vec<RestingConnection>>,
-    count: Arc<ConnectionCount>,
-}
-
-/// Connections to one server, at rest or in use.
-#[derive(Default)]
-struct ConnectionCount {
-    open: AtomicU32,
-    /// Connections this node may have to it.
-    share: AtomicU32,
-    freed: Notify,
-}
-
-/// Counts one connection for as long as it lives.
-struct ConnectionPermit(Arc<ConnectionCount>);
-
-impl ConnectionPermit {
-    /// Counts one more connection, unless the share is used up.
-    fn take(count: &Arc<ConnectionCount>) -> Option<Self> {
-        let share = count.share.load(Ordering::Relaxed);
-        let more = |open| (open < share).then_some(open + 1);
-        let counted = count.open.fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
-        counted.ok().map(|_| Self(count.clone()))
-    }
-}
-
-impl Drop for ConnectionPermit {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-        self.0.freed.notify_one();
-    }
-}
-
-/// A connection in use with its permit.
-pub struct LeasedConnection {
-    /// The connection.
-    pub connection: ServerConnection,
-    _permit: ConnectionPermit,
+    pool: ConnectionPool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -152,8 +71,7 @@
             cold_share: AtomicU32::new(u32::MAX),
             cold_calls: Mutex::default(),
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(mechanisms)),
-            resting: Mutex::default(),
-            count: Arc::default(),
+            pool: ConnectionPool::default(),
         })
     }
 
@@ -210,7 +128,7 @@
     /// this: a restarted one has another id.
     pub fn mark_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.drop_resting();
+        self.pool.close_resting();
     }
 
     /// Whether its entry is gone and it may be gone itself.
@@ -260,25 +178,7 @@
 
     /// Sets how many connections this node may have to it.
     pub fn set_share(&self, share: u32) {
-        self.count.share.store(share, Ordering::Relaxed);
-    }
-
-    /// Connections open now, at rest or in use.
-    pub fn open_connections(&self) -> u32 {
-        self.count.open.load(Ordering::Relaxed)
-    }
-
-    /// Takes a resting connection that the server has not closed; one that rested long is
-    /// passed over where `is_once` is set.
-    async fn take_resting(&self, now: Moment, is_once: bool) -> Option<LeasedConnection> {
-        loop {
-            let resting = lock(&self.resting).pop()?;
-            let mut leased = resting.leased;
-            let is_stale = is_once && now.since(resting.since) > FRESH_REST;
-            if now < resting.until && !is_stale && leased.connection.is_usable().await {
-                return Some(leased);
-            }
-        }
+        self.pool.set_share(share);
     }
 
     /// A connection to it: one at rest, a new one, or the next one that is freed.
@@ -286,38 +186,18 @@
     /// # Errors
     /// It cannot be connected to in time.
     pub async fn lease(&self, now: Moment, is_once: bool, within: Duration) -> std::io::Result<LeasedConnection> {
-        loop {
-            if let Some(leased) = self.take_resting(now, is_once).await {
-                return Ok(leased);
-            }
-            if let Some(permit) = ConnectionPermit::take(&self.count) {
-                let connection = ServerConnection::open(self.address, within).await?;
-                return Ok(LeasedConnection { connection, _permit: permit });
-            }
-            let freed = tokio::time::timeout(within, self.count.freed.notified()).await;
-            freed.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?;
-        }
+        self.pool.lease(self.address, now, is_once, within).await
     }
 
     /// Takes a connection back for the next request, if it can carry one.
-    pub async fn put_back(&self, now: Moment, mut leased: LeasedConnection, told: Option<Duration>) {
-        if self.is_leaving() || !leased.connection.is_usable().await {
-            return;
+    pub async fn put_back(&self, now: Moment, leased: LeasedConnection, told: Option<Duration>) {
+        if !self.is_leaving() {
+            self.pool.put_back(now, leased, told).await;
         }
-        let rest = told.map_or(DEFAULT_REST, |told| told.saturating_sub(REST_MARGIN));
-        let mut resting = lock(&self.resting);
-        let rest = if resting.is_empty() { rest } else { rest.min(SPARE_REST) };
-        resting.push(RestingConnection { leased, since: now, until: now.plus(rest) });
-        drop(resting);
-        self.count.freed.notify_one();
     }
 
     /// Closes connections that have rested too long.
     pub fn sweep(&self, now: Moment) {
-        lock(&self.resting).retain(|resting| now < resting.until);
-    }
-
-    fn drop_resting(&self) {
-        lock(&self.resting).clear();
+        self.pool.sweep(now);
     }
 }
