Only calls that are still unanswered after 100 ms, within half a second, tell that a failure domain is dark

A second call to another region is overdue after the patience, given up when the first answers, and was remembered as silent; three such in seconds without a word in between made the whole failure domain dark for 0.3 s. Found while profiling the path of a request from the log. Change: a call's silence is looked at once, 100 ms after it began, and counts only if it is still under way then; silence longer ago than half a second is forgotten. The unit test of the second fails without it.

--- a/crates/policy/src/domain_reach.rs
+++ b/crates/policy/src/domain_reach.rs
@@ -17,7 +17,10 @@
 const SILENT_BESIDE_DARK: usize = 2;
 /// Nothing must be heard for so long since the first of the calls began: a first call to another region,
 /// with its connection, takes some 60 ms where one way there takes 12.
-const LEAST_SILENCE: Duration = Duration::from_millis(100);
+pub const LEAST_SILENCE: Duration = Duration::from_millis(100);
+/// Those that are silent count together for so long: where a failure domain is lost, whatever was asked
+/// there is overdue within this time. Calls that were given up meanwhile leave nothing for later.
+const COUNTED_FOR: Duration = Duration::from_millis(500);
 /// For how long a failure domain that fell silent is taken for dark before requests try it again:
 /// the first span, and the longest; each further one in a row doubles it.
 const FIRST_DARK: Duration = Duration::from_millis(300);
@@ -70,6 +73,9 @@
     /// Notes that a server or node there is overdue with a call that began at a moment; whether the
     /// failure domain is taken for dark by that, unless it is heard until [`LEAST_SILENCE`] is over.
     pub fn note_silent(&mut self, now: Moment, started: Moment, who: &str, context: SilenceContext) -> bool {
+        if now.since(self.silent_since) > COUNTED_FOR {
+            self.silent.clear();
+        }
         if now < self.dark_until || started <= self.heard || self.silent.iter().any(|silent| silent == who) {
             return false;
         }
--- a/crates/policy/tests/domain_reach.rs
+++ b/crates/policy/tests/domain_reach.rs
@@ -86,3 +86,11 @@
     reach.note_heard(at(161));
     assert!(!reach.is_dark(at(161)));
 }
+
+#[test]
+fn silence_long_ago_does_not_count_with_that_of_now() {
+    let mut reach = DomainReach::default();
+    let mut became = |now: u64, who| reach.note_silent(at(now + 100), at(now), who, SilenceContext::Alone);
+    assert_eq!([became(10, "a"), became(20, "b"), became(700, "c"), became(710, "d")], [false; 4]);
+    assert!(became(720, "e"), "three within half a second");
+}
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -137,6 +137,7 @@
         attempts.started = self.now();
         attempts.is_overdue = false;
         attempts.is_handed = false;
+        attempts.watch_silence(&server, attempts.started);
         let patience = self.times.patience(server.distance, self.route.target_latency);
         attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
         calls.push(self.call(position, server, mark));
@@ -248,6 +249,7 @@
         far: Option<&mut Vec<FarHedge>>,
     ) {
         let now = self.now();
+        attempts.note_silence(now);
         if attempts.retry_at.is_some_and(|at| at <= now) {
             attempts.retry_at = None;
             self.retry(position, attempts, calls);
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -7,6 +7,8 @@
 
 use streamfold_model::{ServerId, ServiceName};
 use streamfold_policy::Moment;
+use streamfold_policy::domain_reach::LEAST_SILENCE;
+use streamfold_policy::replica::Distance;
 use streamfold_policy::server_bound::ServerRights;
 
 use crate::call::{CallFailure, SentMark};
@@ -36,6 +38,18 @@
     }
 }
 
+/// A call to another failure domain whose silence tells of that as a whole, if it lasts long enough.
+pub(crate) struct SilenceWatch {
+    server: Arc<Server>,
+    started: Moment,
+}
+
+impl SilenceWatch {
+    fn ends_at(&self) -> Moment {
+        self.started.plus(LEAST_SILENCE)
+    }
+}
+
 /// The attempts of one request at one service.
 pub struct ServiceAttempts {
     /// The service.
@@ -60,6 +74,8 @@
     pub(crate) started: Moment,
     /// When the newest call counts as overdue, or a hedge is looked at again.
     pub hedge_at: Option<Moment>,
+    /// The first call that went to another failure domain, until its silence is looked at.
+    silence: Option<SilenceWatch>,
     /// Whether the newest call is known to be overdue.
     pub(crate) is_overdue: bool,
     /// Whether the newest call is one that another node makes.
@@ -89,6 +105,7 @@
             retry_at: None,
             started: Moment::default(),
             hedge_at: None,
+            silence: None,
             is_overdue: false,
             is_handed: false,
             may_have_run: false,
@@ -98,6 +115,21 @@
         }
     }
 
+    /// Watches the silence of a call to another failure domain that starts now.
+    pub(crate) fn watch_silence(&mut self, server: &Arc<Server>, now: Moment) {
+        if server.distance != Distance::Domain && self.silence.is_none() {
+            self.silence = Some(SilenceWatch { server: server.clone(), started: now });
+        }
+    }
+
+    /// Tells the failure domain of a call that is still unanswered after so long.
+    pub(crate) fn note_silence(&mut self, now: Moment) {
+        let Some(watch) = self.silence.take_if(|watch| watch.ends_at() <= now) else { return };
+        if self.calls.iter().any(|(called, _)| *called == watch.server.id) {
+            watch.server.note_silent(now, watch.started);
+        }
+    }
+
     /// Notes that a call to a server starts, which sets the mark once it is sent.
     pub fn note_start(&mut self, server: ServerId) -> SentMark {
         let mark = SentMark::default();
@@ -209,6 +241,7 @@
 
     /// When something is to be done for it.
     pub fn next_alarm(&self) -> Option<Moment> {
-        self.hedge_at.into_iter().chain(self.retry_at).min()
+        let silence_at = self.silence.as_ref().map(SilenceWatch::ends_at);
+        self.hedge_at.into_iter().chain(self.retry_at).chain(silence_at).min()
     }
 }
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -117,7 +117,6 @@
     /// Tells the server's state, once a call, that the call is overdue.
     fn note_overdue(&self, server: &Server, started: Moment) {
         server.state().note_overdue(self.now(), started);
-        server.note_silent(self.now(), started);
         metrics::counter!("streamfold_overdue_calls_total").increment(1);
     }
 }
