A connection that fails on this side tells nothing of the failure domain it was for

Found while reading the diff: any error but a time-out counted as a word from there, also one for want of descriptors.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -148,8 +148,9 @@
     let mut leased = leased.map_err(|error| {
         match error.kind() {
             ErrorKind::TimedOut => server.note_silent(router.clock.now(), now),
-            // Somebody refused it.
-            _ => server.note_heard(router.clock.now()),
+            // The machine answered, if by a refusal.
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => server.note_heard(router.clock.now()),
+            _ => {}
         }
         tracing::debug!(event = "server_unreachable", server = %server.id, %error);
         CallFailure::NotSent
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -120,8 +120,9 @@
         }
     }
 
-    /// Whether enough shards have a server that can be reached. Where they don't, none is asked: what servers did for an
-    /// answer that cannot be given would be lost, and so would be the word that nothing ran.
+    /// Whether enough shards have a server that can be reached. Where they don't, none is asked: what
+    /// servers did for an answer that cannot be given would be lost, and so would be the word that
+    /// nothing ran.
     fn is_reachable(&self) -> bool {
         let reachable = self.slots.iter().filter(|slot| self.context.best_server(&slot.attempts).is_some()).count();
         let is_enough = self.rule.is_enough(reachable);
