--- a/crates/daemon/tests/route_settings.rs
+++ b/crates/daemon/tests/route_settings.rs
@@ -58,3 +58,16 @@
 fn spans_that_would_leave_no_pause_are_refused() {
     assert_snapshot!(problems(&format!("{GOOD}gone_after: 0s\nsilence_within: 0s\n")));
 }
+
+#[test]
+fn bounds_of_evacuations_and_cold_servers_are_read_and_checked() {
+    let settings = parse("node.yaml", GOOD).expect("settings");
+    assert_eq!((settings.evacuated_within, settings.cold_calls), (None, None), "a deployment may have neither");
+    let bounds = |within: &str, excess: &str| {
+        format!("{GOOD}evacuated_within: {within}\ncold_calls: {{excess: {excess}, allowance: 5}}\n")
+    };
+    let settings = parse("node.yaml", &bounds("5000ms", "1.5")).expect("settings");
+    assert_eq!(settings.evacuated_within.map(|span| span.0.as_millis()), Some(5_000));
+    assert_eq!(settings.cold_calls.map(|cold| (cold.excess, cold.allowance)), Some((1.5, 5.0)));
+    assert_snapshot!(problems(&bounds("0s", "-1")));
+}
