Logs tell what a request asks for, how a call was lost, and which servers' processes are gone

Cause: the logs could not tell the incident's hypotheses apart: nothing said whether two requests have the same content, 80 calls that ended in 0.3 s were all «unknown», and no line said that a process is gone rather than a connection. Change: a content id (method, host, path, body) on the lines of requests and failed calls; connection_lost as a failure of its own; a lost call's server is connected to, and where it refuses, server_crashed names what it worked on. Nothing decides by it. Ruled out: logging each call's start (67 requests a second to 20 shards would push all else out of the 256 KB buffer).

--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -267,6 +267,26 @@
     ChangeId, "change id"
 );
 
+hex_id!(
+    /// What a request asks for: two that have it in common have the same method, host, path and body,
+    /// whoever sent them and under whatever request id.
+    ContentId, "content id"
+);
+
+impl ContentId {
+    /// The id of some content, given piece by piece. It is cut from a SHA-256 digest, so that nobody can
+    /// make a request that is taken for another's.
+    pub fn of(pieces: &[&[u8]]) -> Self {
+        let mut digest = Sha256::new();
+        for piece in pieces {
+            digest.update((piece.len() as u64).to_le_bytes());
+            digest.update(piece);
+        }
+        let bytes: [u8; 32] = digest.finalize().into();
+        Self(bytes.iter().take(16).fold(0, |id, byte| id << 8 | u128::from(*byte)))
+    }
+}
+
 /// Where a server listens: an IP number and a port.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pin;
 pub mod placement;
 pub mod queue;
+pub mod recent_work;
 pub mod replica;
 pub mod retry;
 pub mod rules;
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -213,6 +213,7 @@
         tracing::info!(
             event = "call_failed",
             request = self.request.id_text(),
+            content = %self.request.content,
             service = %attempts.service,
             server = failed,
             failure = attempts.failure,
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -221,7 +221,7 @@
                 self.has_arrived = true;
                 self.passed.push(server);
             }
-            Some(CallFailure::Unknown) | None => {
+            Some(CallFailure::ConnectionLost | CallFailure::Unknown) | None => {
                 self.has_arrived = true;
                 self.may_have_run = true;
             }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -11,6 +11,7 @@
 use streamfold_policy::replica::CallSample;
 
 use crate::border::ReplyHead;
+use crate::crash_check;
 use crate::error::ExchangeError;
 use crate::request::CallerRequest;
 use crate::router::Router;
@@ -65,6 +66,9 @@
     NotSent,
     /// The server says that it did not run the request.
     NotRun,
+    /// The connection ended before any of the answer: it may have run, and the server's process may be
+    /// gone.
+    ConnectionLost,
     /// Nobody knows whether it ran.
     Unknown,
 }
@@ -75,6 +79,7 @@
         match self {
             Self::NotSent => "not_sent",
             Self::NotRun => "not_run",
+            Self::ConnectionLost => "connection_lost",
             Self::Unknown => "unknown",
         }
     }
@@ -137,7 +142,7 @@
 }
 
 async fn exchange(
-    router: &Router,
+    router: &Arc<Router>,
     server: &Arc<Server>,
     request: &CallerRequest,
     is_once: bool,
@@ -149,7 +154,11 @@
         match error.kind() {
             ErrorKind::TimedOut => server.note_silent(router.clock.now(), now),
             // The machine answered, if by a refusal.
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => server.note_heard(router.clock.now()),
+            ErrorKind::ConnectionRefused => {
+                server.note_heard(router.clock.now());
+                crash_check::note_refused(router, server);
+            }
+            ErrorKind::ConnectionReset => server.note_heard(router.clock.now()),
             _ => {}
         }
         tracing::debug!(event = "server_unreachable", server = %server.id, %error);
@@ -164,9 +173,14 @@
         return Err(CallFailure::NotSent);
     }
     mark.set();
+    let _work = server.begin_work(router.clock, request.content);
     let built = request.build(&*router.format, &server.id, left);
     let response = leased.connection.exchange(built, MAX_ANSWER_LEN).await.map_err(|error| match error {
         ExchangeError::NotSent => CallFailure::NotSent,
+        ExchangeError::ConnectionLost => {
+            crash_check::note_lost(router, server);
+            CallFailure::ConnectionLost
+        }
         ExchangeError::Lost => CallFailure::Unknown,
     })?;
     server.note_heard(router.clock.now());
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -51,7 +51,8 @@
     /// Sends a request and reads the whole answer, at most `limit` bytes of body.
     ///
     /// # Errors
-    /// `NotSent` if no byte of the request went out, else `Lost`.
+    /// `NotSent` if no byte of the request went out, `ConnectionLost` if the connection ended before
+    /// any of the answer, else `Lost`.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -61,7 +62,8 @@
         let exchange = async move {
             let response = sent.await.map_err(|mut error| match error.take_message() {
                 Some(_) => ExchangeError::NotSent,
-                None => ExchangeError::Lost,
+                None if error.error().is_parse() => ExchangeError::Lost,
+                None => ExchangeError::ConnectionLost,
             })?;
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, limit).collect().await.map_err(|_| ExchangeError::Lost)?;
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -23,7 +23,10 @@
     /// No byte of the request went out.
     #[error("not sent")]
     NotSent,
-    /// The request went out and no whole answer came back; it may have run.
+    /// The request went out and the connection ended before any of its answer; it may have run.
+    #[error("connection lost")]
+    ConnectionLost,
+    /// A part of the answer came back, and not the rest or nothing that is one.
     #[error("answer lost")]
     Lost,
 }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -261,6 +261,7 @@
         tracing::info!(
             event = "request",
             request = context.request.id_text(),
+            content = %context.request.content,
             route = %context.route.name,
             version = %context.view.table.as_ref().map_or(Default::default(), |table| table.version),
             outcome = self.outcome,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cluster_view;
 pub mod connection;
 pub mod connection_pool;
+pub mod crash_check;
 pub mod delegate;
 pub mod domain;
 pub mod error;
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
-use streamfold_model::ServerId;
+use streamfold_model::{ContentId, ServerId};
 use streamfold_policy::Moment;
 
 use crate::batch::RequestCopy;
@@ -42,6 +42,14 @@
     }
 }
 
+/// The id of what a request asks for. Its headers are left out but for the host: they differ from one
+/// attempt of a caller to the next.
+fn identify(method: &Method, uri: &Uri, headers: &HeaderMap, body: &Bytes) -> ContentId {
+    let host = headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+    let target = uri.path_and_query().map_or("", |target| target.as_str());
+    ContentId::of(&[method.as_str().as_bytes(), host, target.as_bytes(), body])
+}
+
 /// A request with its whole body, ready to be sent to any number of servers.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -51,6 +59,8 @@
     pub started: Moment,
     /// When it is given up.
     pub deadline: Moment,
+    /// What it asks for.
+    pub content: ContentId,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -72,7 +82,9 @@
         headers.remove(CONTENT_LENGTH);
         headers.remove(EXPECT);
         let held = head.deadline.map_or(limit, |deadline| deadline.min(limit));
+        let content = identify(&parts.method, &parts.uri, &headers, &body);
         Self {
+            content,
             id: head.request,
             started,
             deadline: started.plus(held),
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -5,12 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{FailureDomain, HomeRegions, ServerEntry, ServerId, ServiceName};
+use streamfold_model::{ContentId, FailureDomain, HomeRegions, ServerEntry, ServerId, ServiceName};
 use streamfold_policy::cold_limit::ColdCalls;
+use streamfold_policy::recent_work::RecentWork;
 use streamfold_policy::replica::{Distance, ReplicaState};
 use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
 use streamfold_policy::{MechanismSet, Moment};
 
+use crate::clock::NodeClock;
 use crate::connection_pool::{ConnectionPool, LeasedConnection};
 use crate::domain::DomainState;
 use crate::spell_book::SpellBook;
@@ -46,9 +48,24 @@
     cold_share: AtomicU32,
     cold_calls: Mutex<ColdCalls>,
     state: Mutex<ReplicaState>,
+    work: Mutex<RecentWork>,
+    crashed: AtomicBool,
     pool: ConnectionPool,
 }
 
+/// Counts a call as work of a server for as long as it lives.
+pub struct WorkRecord<'a> {
+    server: &'a Server,
+    clock: NodeClock,
+    content: ContentId,
+}
+
+impl Drop for WorkRecord<'_> {
+    fn drop(&mut self) {
+        lock(&self.server.work).note_end(self.clock.now(), self.content);
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -71,10 +88,33 @@
             cold_share: AtomicU32::new(u32::MAX),
             cold_calls: Mutex::default(),
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(mechanisms)),
+            work: Mutex::default(),
+            crashed: AtomicBool::new(false),
             pool: ConnectionPool::default(),
         })
     }
 
+    /// Notes that a call goes out to it.
+    pub fn begin_work(&self, clock: NodeClock, content: ContentId) -> WorkRecord<'_> {
+        lock(&self.work).note_start(content);
+        WorkRecord { server: self, clock, content }
+    }
+
+    /// What it works on or has just worked on for this node.
+    pub fn recent_work(&self, now: Moment) -> Vec<ContentId> {
+        lock(&self.work).contents(now)
+    }
+
+    /// Notes that its process is gone; whether that is news.
+    pub fn mark_crashed(&self) -> bool {
+        !self.crashed.swap(true, Ordering::Relaxed)
+    }
+
+    /// Whether its process was found to be gone.
+    pub fn is_crashed(&self) -> bool {
+        self.crashed.load(Ordering::Relaxed)
+    }
+
     /// Its entry as another node needs it.
     pub fn entry(&self, now: Moment) -> ServerEntry {
         ServerEntry {
