Three failing tests: a request that ends its servers comes again and is sent on each time

Seen with real processes and a stand-in whose servers end 10 ms after they began to run a marked request and are back 300 ms later under another id. The stand-in's servers learn to crash; nothing of the product is changed.

--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -14,10 +14,11 @@
 use streamfold_standin::documents::{self, SettingsGaps, write_document};
 pub use streamfold_standin::documents::{HOST, write_route};
 use streamfold_standin::names;
-use streamfold_standin::server::{self as route_server, RouteServer, RouteServerPlan};
-use streamfold_standin::store::{self as platform, PlatformStandin};
+use streamfold_standin::server::{self as route_server, RouteServer, RouteServerPlan, RouteServerState};
+use streamfold_standin::store::{self as platform, PlatformStandin, PlatformState};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdout, Command};
+use tokio::task::JoinSet;
 
 use crate::client::{CallAnswer, CallError, LabClient};
 use crate::fleet::find_binary;
@@ -133,6 +134,8 @@
     pub client: LabClient,
     settings: &'static str,
     cpu_shares: HashMap<&'static str, f64>,
+    /// Each writes the entries of a server that crashes.
+    registrars: JoinSet<()>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -158,9 +161,16 @@
             client: LabClient::default(),
             settings: plan.settings,
             cpu_shares: plan.cpu_shares,
+            registrars: JoinSet::new(),
         };
         for server in plan.servers {
-            fleet.servers.push(route_server::start(any_port(), server).await.map_err(io("a server"))?);
+            let server = route_server::start(any_port(), server).await.map_err(io("a server"))?;
+            fleet.registrars.spawn(register_restarts(
+                fleet.platform.state.clone(),
+                server.state.clone(),
+                server.address,
+            ));
+            fleet.servers.push(server);
         }
         (0..fleet.servers.len()).for_each(|position| fleet.register(position, "ready"));
         if has_routes {
@@ -285,6 +295,18 @@
     }
 }
 
+/// Writes a server's entry anew whenever its process has started again: another run has another id.
+async fn register_restarts(platform: Arc<PlatformState>, server: Arc<RouteServerState>, address: SocketAddr) {
+    let mut restarts = server.restarts.subscribe();
+    let mut last = server.id();
+    while restarts.changed().await.is_ok() {
+        let id = server.id();
+        platform.remove_object(documents::SERVERS, &last);
+        platform.put_object(documents::SERVERS, &id, server.entry(address, "ready"));
+        last = id;
+    }
+}
+
 pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
