Nodes pass on only the sections that the other one lacks

Ruled out: configurations (under 7 KB each, none of 128 KB for all followers), time of building views (4 to 5 ms each at 0.12 of a core). Change: what a node knows goes by sections, one a failure domain, with a digest; a node that begins anew says what it has and gets what differs; one that has a new reader, or lists the store anew, passes on just that; the same in outages of the store. Test: a_node_that_begins_anew_with_a_reader_gets_only_what_it_lacks, failed before.

--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -4,10 +4,12 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 
+use bytes::Bytes;
+use http::Method;
 use serde_json::{Value, json};
 use streamfold_lab::fleet::send_signal;
 use streamfold_lab::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, RouteNode, write_route};
-use streamfold_lab::wait::wait_for;
+use streamfold_lab::wait::{WAIT_AT_MOST, wait_for};
 use streamfold_model::CoreShare;
 use streamfold_policy::feed_rule::{FeedNode, choose_readers};
 use streamfold_standin::server::RouteServerPlan;
@@ -195,3 +197,48 @@
     let told = async || !fleet.nodes[2].logged(&["event=own_entry_missing"]).is_empty();
     wait_for("the line about the missing entry", told).await;
 }
+
+/// Bytes that a server's entry takes at least, with its id of twenty letters.
+const LEAST_ENTRY: u64 = 30;
+
+/// Bytes of listings that all nodes but one have sent to nodes that began to follow them.
+async fn count_begin_bytes(fleet: &RouteFleet, without: Option<usize>) -> u64 {
+    let mut sum = 0;
+    for position in (0..fleet.nodes.len()).filter(|position| Some(*position) != without) {
+        let address = fleet.nodes[position].addresses.metrics;
+        let answer = fleet.client.call(Method::GET, address, "/metrics", &[], Bytes::new(), WAIT_AT_MOST).await;
+        let text = String::from_utf8(answer.expect("counters").body.to_vec()).expect("text");
+        let line = text.lines().find(|line| line.starts_with("streamfold_relay_bytes_total{kind=\"begin\"}"));
+        sum += line.and_then(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).unwrap_or(0);
+    }
+    sum
+}
+
+/// Nodes that lose their reader all begin anew with one other. In a recorded day eighteen of them did so within
+/// 17 ms at a node with 25 Mbit/s, which sent each all of 75 KB: 1.35 MB, behind which its calls to servers waited for
+/// 0.57 s, so that those were told 862 ms where their caller had 253 left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_begins_anew_with_a_reader_gets_only_what_it_lacks() {
+    let mut fleet = start_fleet().await;
+    for number in 0..300 {
+        let entry = json!({ "service": format!("shard-{number}"), "address": format!("127.9.0.1:{}", 20_000 + number),
+            "zone": DOMAINS[number % 2], "version": "1", "capacity": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 1 });
+        fleet.platform.state.put_object("servers", &format!("i-of-shard-{number}"), entry);
+    }
+    let is_last = |node: &RouteNode| !node.logged(&["event=server_seen", "server=i-of-shard-299"]).is_empty();
+    wait_for("all entries at all nodes", async || fleet.nodes.iter().all(is_last)).await;
+    let reader = find_readers(&fleet)[0];
+    let before = count_begin_bytes(&fleet, Some(reader)).await;
+    fleet.nodes[reader].process.kill().await.expect("a killed reader");
+    let dead = format!("reader={} ", fleet.nodes[reader].name);
+    let follows_living = |position: &usize| {
+        let followed = fleet.nodes[*position].logged(&["event=reader_followed"]).pop();
+        followed.is_some_and(|line| !line.contains(&dead))
+    };
+    wait_for("one new reader that all others follow", async || {
+        (0..NODES).filter(|position| *position != reader && follows_living(position)).count() == NODES - 2
+    })
+    .await;
+    let sent = count_begin_bytes(&fleet, Some(reader)).await - before;
+    assert!(sent < 300 * LEAST_ENTRY, "{sent} bytes for {} nodes", NODES - 2);
+}
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -296,6 +296,11 @@
         parts.nodes.values().filter(|entry| entry.domain == *domain).cloned().collect()
     }
 
+    /// How many servers are known.
+    pub fn count_servers(&self) -> usize {
+        self.parts().servers.len()
+    }
+
     /// The entries of servers and nodes known, for another node.
     pub fn entries(&self, now: Moment) -> (Vec<ServerEntry>, Vec<NodeEntry>) {
         let parts = self.parts();
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -8,6 +8,7 @@
 use crate::border::{FeedChanges, FeedList, FeedPosition, FeedTopic, ListAge};
 use crate::cluster::NewsOrigin;
 use crate::evacuation::EvacuationList;
+use crate::listing::{KnownEntries, RelayListing};
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
 use crate::store_turn::choose_pause;
@@ -128,10 +129,23 @@
         if self.topic == FeedTopic::Evacuations {
             return self.take_evacuations(EvacuationList::listed(&list));
         }
+        if matches!(self.topic, FeedTopic::Servers | FeedTopic::Nodes) {
+            return self.take_entries(list);
+        }
         router.cluster.replace(router.clock.now(), list.items.clone(), self.topic, NewsOrigin::Store);
         router.outlet.publish(|| RelayFrame::Listed(self.topic, list.items));
     }
 
+    /// Takes all servers or nodes, and passes on what was not known before.
+    fn take_entries(&self, list: FeedList) {
+        let router = &self.router;
+        let known = KnownEntries::of(router).digest(router.cluster.version());
+        router.cluster.replace(router.clock.now(), list.items, self.topic, NewsOrigin::Store);
+        router
+            .outlet
+            .publish(|| RelayFrame::Begin(Box::new(RelayListing::make(router, &KnownEntries::of(router), &known))));
+    }
+
     fn take_evacuations(&self, list: EvacuationList) {
         let router = &self.router;
         router.cluster.offer_evacuations(router.clock.now(), list.clone(), NewsOrigin::Store);
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -5,12 +5,13 @@
 
 use bincode::{Decode, Encode};
 use streamfold_link::{PeerError, PeerLink};
-use streamfold_model::{CrashEntry, FailureDomain, NodeEntry, RouteTable, ServerEntry, TableVersion};
+use streamfold_model::{CrashEntry, FailureDomain, NodeEntry, RouteTable, TableVersion};
 
 use crate::batch::PATH_KNOWLEDGE;
 use crate::border::{FeedChange, FeedItem, FeedTopic};
 use crate::cluster::NewsOrigin;
 use crate::evacuation::EvacuationList;
+use crate::listing::{DomainSection, KnownDigest, KnownEntries};
 use crate::router::Router;
 
 /// How often another node is asked while the store is away.
@@ -26,8 +27,8 @@
 pub struct KnowledgeRequest {
     /// The version of the routes it has; only a newer one is of use.
     pub version: TableVersion,
-    /// Whether it has no news of servers and nodes.
-    pub wants_entries: bool,
+    /// What it has of servers and nodes, if it has no news of them.
+    pub known: Option<KnownDigest>,
     /// The failure domain whose nodes alone it wants to know.
     pub nodes_of: Option<FailureDomain>,
 }
@@ -37,9 +38,9 @@
 pub struct KnowledgeReply {
     /// Newer routes, if it has them.
     pub table: Option<RouteTable>,
-    /// Servers, if they were asked for.
-    pub servers: Vec<ServerEntry>,
-    /// Nodes, if they were asked for.
+    /// Servers and nodes that the asking node lacks or has otherwise, if it wants them.
+    pub sections: Vec<DomainSection>,
+    /// The nodes of the failure domain that was asked for.
     pub nodes: Vec<NodeEntry>,
     /// The evacuated failure domains, if it knows them.
     pub evacuations: Option<EvacuationList>,
@@ -51,14 +52,12 @@
 pub fn tell(router: &Router, request: &KnowledgeRequest) -> KnowledgeReply {
     let view = router.cluster.view();
     let newer = view.table.as_ref().filter(|table| table.version > request.version);
-    let (servers, nodes) = match &request.nodes_of {
-        Some(domain) => (Vec::new(), router.cluster.nodes_of(domain)),
-        None if request.wants_entries => router.cluster.entries(router.clock.now()),
-        None => (Vec::new(), Vec::new()),
-    };
+    let nodes = request.nodes_of.as_ref().map_or_else(Vec::new, |domain| router.cluster.nodes_of(domain));
+    let known = request.known.as_ref().filter(|_| request.nodes_of.is_none());
+    let sections = known.map_or_else(Vec::new, |known| KnownEntries::of(router).sections_for(known));
     let evacuations = router.cluster.evacuations();
     let crashes = router.cluster.quarantine.entries();
-    KnowledgeReply { table: newer.map(|table| RouteTable::clone(table)), servers, nodes, evacuations, crashes }
+    KnowledgeReply { table: newer.map(|table| RouteTable::clone(table)), sections, nodes, evacuations, crashes }
 }
 
 /// Asks other nodes while the store is away, until the node ends.
@@ -89,8 +88,9 @@
 }
 
 async fn ask(router: &Router, link: &Arc<PeerLink>) -> Result<(), PeerError> {
-    let wants_entries = !router.is_followed(FeedTopic::Servers);
-    let request = KnowledgeRequest { version: router.cluster.version(), wants_entries, nodes_of: None };
+    let version = router.cluster.version();
+    let known = (!router.is_followed(FeedTopic::Servers)).then(|| KnownEntries::of(router).digest(version));
+    let request = KnowledgeRequest { version, known, nodes_of: None };
     let reply: KnowledgeReply = link.call(PATH_KNOWLEDGE, &request, ASK_TIMEOUT).await?;
     if let Some(list) = reply.evacuations {
         router.cluster.offer_evacuations(router.clock.now(), list, NewsOrigin::Peer);
@@ -98,7 +98,7 @@
     let crashes = reply.crashes.into_iter().map(FeedItem::Crash).map(FeedChange::Put).collect();
     router.cluster.apply(router.clock.now(), crashes, FeedTopic::Crashes, NewsOrigin::Peer);
     // Servers first, since newer routes may name services that only the newer entries have.
-    take_entries(router, link, reply.servers, reply.nodes);
+    take_entries(router, link, reply.sections);
     if let Some(table) = reply.table {
         router.cluster.offer_table(table, NewsOrigin::Peer);
     }
@@ -116,7 +116,7 @@
 /// even this one yet.
 pub async fn learn_neighbours(router: &Router, link: &Arc<PeerLink>) -> bool {
     let domain = router.settings.failure_domain.clone();
-    let request = KnowledgeRequest { version: router.cluster.version(), wants_entries: false, nodes_of: Some(domain) };
+    let request = KnowledgeRequest { version: router.cluster.version(), known: None, nodes_of: Some(domain) };
     let reply: KnowledgeReply = match link.call(PATH_KNOWLEDGE, &request, NEIGHBOURS_TIMEOUT).await {
         Ok(reply) => reply,
         Err(error) => {
@@ -134,11 +134,16 @@
 
 /// Adds servers and nodes that another node knows. None is removed: that the other node does
 /// not know one does not say that it is gone.
-fn take_entries(router: &Router, link: &PeerLink, servers: Vec<ServerEntry>, nodes: Vec<NodeEntry>) {
-    if servers.is_empty() || router.is_followed(FeedTopic::Servers) {
+fn take_entries(router: &Router, link: &PeerLink, sections: Vec<DomainSection>) {
+    let (mut servers, mut nodes) = (Vec::new(), Vec::new());
+    for section in sections {
+        servers.extend(section.servers.unwrap_or_default());
+        nodes.extend(section.nodes.unwrap_or_default());
+    }
+    if (servers.is_empty() && nodes.is_empty()) || router.is_followed(FeedTopic::Servers) {
         return;
     }
-    if !router.is_listed(FeedTopic::Servers) {
+    if !servers.is_empty() && !router.is_listed(FeedTopic::Servers) {
         tracing::info!(event = "entries_from_peer", address = %link.address(), servers = servers.len());
         router.set_listed(FeedTopic::Servers);
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod gather_hedge;
 pub mod hedge;
 pub mod knowledge;
+pub mod listing;
 pub mod node_sweep;
 pub mod peer_gather;
 pub mod peer_service;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -7,7 +7,7 @@
 use bincode::{Decode, Encode};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use streamfold_link::{FrameReader, PeerError, PeerLink};
-use streamfold_model::{CrashEntry, NodeEntry, NodeId, RouteTable, ServerEntry};
+use streamfold_model::{NodeEntry, NodeId};
 use streamfold_policy::Mechanism;
 use streamfold_policy::feed_rule::{FeedNode, choose_readers};
 
@@ -15,6 +15,7 @@
 use crate::cluster::NewsOrigin;
 use crate::evacuation::EvacuationList;
 use crate::knowledge;
+use crate::listing::{KnownDigest, KnownEntries, RelayListing};
 use crate::router::Router;
 
 /// Path of a subscription to the news of the store, with the form of the messages.
@@ -59,27 +60,16 @@
 pub struct RelayRequest {
     /// The node that asks.
     pub node: NodeId,
-}
-
-/// All that a reader knows.
-#[derive(Debug, Clone, Encode, Decode)]
-pub struct RelayListing {
-    /// The routes, if there are any.
-    pub table: Option<RouteTable>,
-    /// The servers.
-    pub servers: Vec<ServerEntry>,
-    /// The nodes.
-    pub nodes: Vec<NodeEntry>,
-    /// The evacuated failure domains, if it knows them.
-    pub evacuations: Option<EvacuationList>,
-    /// Contents that ended servers.
-    pub crashes: Vec<CrashEntry>,
+    /// What it has: eighteen nodes that begin anew at once were sent all of 75 KB each, behind which the calls of a
+    /// node with 25 Mbit/s waited for 0.57 s.
+    pub known: KnownDigest,
 }
 
 /// A message of a reader.
 #[derive(Debug, Clone, Encode, Decode)]
 pub enum RelayFrame {
-    /// All that it knows; the first message.
+    /// All that it knows and the other node does not; the first message, and again where this node begins
+    /// anew with its own reader.
     Begin(Box<RelayListing>),
     /// All of one topic, read anew.
     Listed(FeedTopic, Vec<FeedItem>),
@@ -248,7 +238,8 @@
 impl RelaySubscription {
     async fn open(router: &Router, entry: &NodeEntry) -> Result<Self, RelayError> {
         let link = PeerLink::new(entry.peer_address);
-        let request = RelayRequest { node: router.settings.node.clone() };
+        let known = KnownEntries::of(router).digest(router.cluster.version());
+        let request = RelayRequest { node: router.settings.node.clone(), known };
         let begin = async {
             let mut frames = link.stream(PATH_RELAY, &request).await?;
             let first = frames.next::<RelayFrame>().await?;
@@ -258,8 +249,10 @@
             tokio::time::timeout(BEGIN_WITHIN, begin).await.map_err(|_| RelayError::Silent)?;
         let (frames, first) = begun?;
         let Some(RelayFrame::Begin(listing)) = first else { return Err(RelayError::NoListing) };
-        tracing::info!(event = "reader_followed", reader = %entry.node, servers = listing.servers.len());
+        let news = listing.sections.iter().filter_map(|section| section.servers.as_ref()).map(Vec::len).sum::<usize>();
         take_frame(router, RelayFrame::Begin(listing));
+        let servers = router.cluster.count_servers();
+        tracing::info!(event = "reader_followed", reader = %entry.node, servers, news);
         router.set_source(FeedSource::Relay);
         Ok(Self { reader: entry.node.clone(), frames, _link: link })
     }
@@ -285,9 +278,10 @@
     }
     let crashes = listing.crashes.into_iter().map(FeedItem::Crash).collect();
     take_topic(router, FeedTopic::Crashes, crashes);
-    let servers = listing.servers.into_iter().map(FeedItem::Server).collect();
+    let (servers, nodes) = KnownEntries::of(router).complete(listing.sections);
+    let servers = servers.into_iter().map(FeedItem::Server).collect();
     take_topic(router, FeedTopic::Servers, servers);
-    let nodes = listing.nodes.into_iter().map(FeedItem::Node).collect();
+    let nodes = nodes.into_iter().map(FeedItem::Node).collect();
     take_topic(router, FeedTopic::Nodes, nodes);
     let table = listing.table.map(Box::new).map(FeedItem::Routes);
     take_topic(router, FeedTopic::Routes, table.into_iter().collect());
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -1,6 +1,6 @@
 //! News of the store passed on to other nodes of the failure domain.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +10,8 @@
 use streamfold_link::{PeerError, encode_frame, refuse, send_frame};
 use tokio::sync::broadcast;
 
-use crate::relay::{ALIVE_EVERY, FeedSource, RelayFrame, RelayListing, RelayRequest};
+use crate::listing::{KnownDigest, KnownEntries, RelayListing};
+use crate::relay::{ALIVE_EVERY, FeedSource, RelayFrame, RelayRequest};
 use crate::router::{Router, RouterPhase};
 
 /// How long a node may take to become a reader after it was asked: it may have lost its own
@@ -25,14 +26,13 @@
 /// Passes news to every node that follows this one.
 pub struct RelayOutlet {
     news: broadcast::Sender<Bytes>,
-    /// The first message to a follower with the generation of what it tells: after a restart of
-    /// all nodes many ask for it at once.
-    begin: Mutex<Option<(u64, Bytes)>>,
+    /// What this node knows with the generation of it: after a restart of all nodes many ask for it at once.
+    known: Mutex<Option<(u64, Arc<KnownEntries>)>>,
 }
 
 impl Default for RelayOutlet {
     fn default() -> Self {
-        Self { news: broadcast::Sender::new(MAX_LAG), begin: Mutex::default() }
+        Self { news: broadcast::Sender::new(MAX_LAG), known: Mutex::default() }
     }
 }
 
@@ -88,7 +88,7 @@
     // Subscribed before the listing is made, so that nothing is missed between them.
     let mut news = router.outlet.news.subscribe();
     let mut stream = respond.send_response(Response::new(()), false)?;
-    let begin = encode_begin(router)?;
+    let begin = encode_begin(router, &request.known)?;
     note_passed("begin", begin.len(), 1);
     send_frame(&mut stream, begin, false).await?;
     let result = pass_on(router, &mut news, &mut stream).await;
@@ -138,21 +138,19 @@
     tokio::time::timeout(BECOME_WITHIN, becoming).await.is_ok()
 }
 
-/// The first message to a follower.
-fn encode_begin(router: &Router) -> Result<Bytes, PeerError> {
-    let generation = router.cluster.generation();
-    let mut begin = router.outlet.begin.lock().unwrap_or_else(PoisonError::into_inner);
-    if let Some((_, frame)) = begin.as_ref().filter(|(made, _)| *made == generation) {
-        return Ok(frame.clone());
-    }
-    let frame = encode_frame(&RelayFrame::Begin(Box::new(list_all(router))))?;
-    *begin = Some((generation, frame.clone()));
-    Ok(frame)
+/// The first message to a follower that has something already.
+fn encode_begin(router: &Router, known: &KnownDigest) -> Result<Bytes, PeerError> {
+    let listing = RelayListing::make(router, &known_entries(router), known);
+    encode_frame(&RelayFrame::Begin(Box::new(listing)))
 }
 
-fn list_all(router: &Router) -> RelayListing {
-    let (servers, nodes) = router.cluster.entries(router.clock.now());
-    let table = router.cluster.view().table.as_ref().map(|table| (**table).clone());
-    let crashes = router.cluster.quarantine.entries();
-    RelayListing { table, servers, nodes, evacuations: router.cluster.evacuations(), crashes }
+fn known_entries(router: &Router) -> Arc<KnownEntries> {
+    let generation = router.cluster.generation();
+    let mut known = router.outlet.known.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some((_, entries)) = known.as_ref().filter(|(made, _)| *made == generation) {
+        return entries.clone();
+    }
+    let entries = Arc::new(KnownEntries::of(router));
+    *known = Some((generation, entries.clone()));
+    entries
 }
