A server's run is its id and its start, and entries of other writers name nothing to use

A server was its id alone; a state that is not named was read as ready; an entry that turned unreadable stayed in use where a watch told it, and was gone where a listing did; one spoiled element made a whole page unreadable. Change: ServerRun in the model, decoded in the adapter alone, carried between nodes and told in logs; a newer run's entry replaces all that was known, an older one's entry or removal changes nothing; crashes are counted by run. Ruled out: runs told apart by sequence (an entry is written anew only when more than that changes).

--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -153,7 +153,7 @@
     ServiceName, "service name", check_token
 );
 name_id!(
-    /// One run of a server process; a restarted server has another.
+    /// Names a server. A process that starts again may have the name that it had before.
     ServerId, "server id", check_token
 );
 
@@ -202,6 +202,58 @@
     Incarnation, u64, "incarnation"
 );
 
+number_id!(
+    /// When a server's process started: milliseconds since 1970 by its own clock, used only to tell its runs
+    /// apart and to order them. 0 where it tells none.
+    ServerStart, u64, "server start"
+);
+
+/// One run of a server's process.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Encode, Decode)]
+#[serde(try_from = "String", into = "String")]
+pub struct ServerRun {
+    /// The server.
+    pub id: ServerId,
+    /// Which run of it.
+    pub start: ServerStart,
+}
+
+/// Between a server's id and the start of a run in text.
+const RUN_MARK: char = '@';
+
+impl fmt::Display for ServerRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.start {
+            ServerStart(0) => self.id.fmt(f),
+            start => write!(f, "{}{RUN_MARK}{start}", self.id),
+        }
+    }
+}
+
+impl FromStr for ServerRun {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let started = text.rsplit_once(RUN_MARK).and_then(|(id, start)| Some((id, start.parse().ok()?)));
+        let (id, start) = started.unwrap_or((text, ServerStart(0)));
+        Ok(Self { id: id.parse()?, start })
+    }
+}
+
+impl TryFrom<String> for ServerRun {
+    type Error = ParseIdError;
+
+    fn try_from(text: String) -> Result<Self, ParseIdError> {
+        text.parse()
+    }
+}
+
+impl From<ServerRun> for String {
+    fn from(run: ServerRun) -> String {
+        run.to_string()
+    }
+}
+
 impl ConfigVersion {
     /// The version that follows this one.
     pub fn next(self) -> Self {
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -8,7 +8,8 @@
 use bincode::{Decode, Encode};
 
 use crate::ids::{
-    ContentId, FailureDomain, Incarnation, NodeId, RegionName, RouteName, ServerId, ServiceName, TableVersion,
+    ContentId, FailureDomain, Incarnation, NodeId, RegionName, RouteName, ServerId, ServerRun, ServerStart,
+    ServiceName, TableVersion,
 };
 use crate::units::CoreShare;
 
@@ -227,8 +228,10 @@
 /// A server as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct ServerEntry {
-    /// This run of the server.
+    /// Its name.
     pub id: ServerId,
+    /// Which run of it wrote the entry.
+    pub start: ServerStart,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -243,6 +246,13 @@
     pub warmup: Duration,
 }
 
+impl ServerEntry {
+    /// The run that wrote it.
+    pub fn run(&self) -> ServerRun {
+        ServerRun { id: self.id.clone(), start: self.start }
+    }
+}
+
 /// A node as it registered itself for the others.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct NodeEntry {
@@ -263,15 +273,15 @@
 pub struct CrashEntry {
     /// What the requests ask for.
     pub content: ContentId,
-    /// Servers that ended while they ran it, the first few.
-    pub crashed: Vec<ServerId>,
+    /// Runs of servers that ended under it, the first few.
+    pub crashed: Vec<ServerRun>,
     /// How often it was tried again at one server since it is held off.
     pub trials: u32,
 }
 
 impl CrashEntry {
     /// Adds servers that ended under it; whether there were any more.
-    pub fn add_crashed(&mut self, servers: &[ServerId]) -> bool {
+    pub fn add_crashed(&mut self, servers: &[ServerRun]) -> bool {
         let known = self.crashed.len();
         let more = servers.iter().filter(|server| !self.crashed.contains(server)).cloned();
         self.crashed = self.crashed.iter().cloned().chain(more).collect();
--- a/crates/policy/src/crash_book.rs
+++ b/crates/policy/src/crash_book.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use streamfold_model::{ContentId, CrashEntry, ServerId};
+use streamfold_model::{ContentId, CrashEntry, ServerRun};
 
 use crate::Moment;
 
@@ -66,9 +66,11 @@
 /// What this node has seen, or has been told by nodes it asked.
 #[derive(Debug, Default)]
 struct CrashCase {
-    crashed: BTreeSet<ServerId>,
-    /// Servers that answered, with the moment.
-    answered: HashMap<ServerId, Moment>,
+    crashed: BTreeSet<ServerRun>,
+    /// Servers that answered and were found to live on.
+    survived: BTreeSet<ServerRun>,
+    /// Servers that answered, of which that is not known yet.
+    answered: BTreeSet<ServerRun>,
     /// When the last crash was noted.
     last: Moment,
     /// When a request with it was last answered whole.
@@ -86,11 +88,6 @@
         let survived = |at: &Moment| *at >= self.last && now.since(*at) >= SURVIVED_AFTER;
         self.held_since.is_none() && self.served_at.as_ref().is_some_and(survived)
     }
-
-    /// Servers that ran it and lived on.
-    fn survivors(&self, now: Moment) -> usize {
-        self.answered.values().filter(|at| now.since(**at) >= SURVIVED_AFTER).count()
-    }
 }
 
 /// What the store holds of a content, as this node knows it.
@@ -140,13 +137,13 @@
             let until = since.plus(trial_wait(trials));
             return if until <= now { ContentStanding::TrialDue } else { ContentStanding::Held { until } };
         }
-        let survivors = case.map_or(0, |case| case.survivors(now));
+        let survivors = case.map_or(0, |case| case.survived.len());
         let is_suspect = case.is_some() && crashes >= LEAST_CRASHES && crashes > survivors;
         if is_suspect { ContentStanding::Suspect } else { ContentStanding::Clear }
     }
 
     /// Servers that ended under a content, as far as is known, the first few.
-    pub fn crashed(&self, content: ContentId) -> BTreeSet<ServerId> {
+    pub fn crashed(&self, content: ContentId) -> BTreeSet<ServerRun> {
         let case = self.cases.get(&content).into_iter().flat_map(|case| &case.crashed);
         let shared = self.shared.get(&content).into_iter().flat_map(|shared| &shared.entry.crashed);
         case.chain(shared).take(MAX_NAMED * 2).cloned().collect()
@@ -154,7 +151,7 @@
 
     /// Notes that a server ended while it worked on a content or just after; whether a decision is to be
     /// made in a while.
-    pub fn note_crash(&mut self, now: Moment, content: ContentId, server: &ServerId) -> bool {
+    pub fn note_crash(&mut self, now: Moment, content: ContentId, server: &ServerRun) -> bool {
         self.prune(now);
         if !self.cases.contains_key(&content) && self.cases.len() >= MAX_CASES {
             return false;
@@ -163,7 +160,9 @@
         if case.is_over(now) {
             *case = CrashCase::default();
         }
-        case.answered.remove(server);
+        if case.survived.contains(server) {
+            return false;
+        }
         if case.crashed.len() < MAX_NAMED {
             case.crashed.insert(server.clone());
         }
@@ -172,9 +171,9 @@
     }
 
     /// Notes servers that ended under a content as another node has told; whether a decision is to be made.
-    pub fn note_told(&mut self, now: Moment, content: ContentId, servers: &[ServerId]) -> bool {
+    pub fn note_told(&mut self, now: Moment, content: ContentId, servers: &[ServerRun]) -> bool {
         let known = self.crashed(content);
-        let news: Vec<&ServerId> = servers.iter().take(MAX_NAMED).filter(|server| !known.contains(*server)).collect();
+        let news: Vec<&ServerRun> = servers.iter().take(MAX_NAMED).filter(|server| !known.contains(*server)).collect();
         let mut is_due = false;
         for server in news {
             is_due |= self.note_crash(now, content, server);
@@ -182,10 +181,16 @@
         is_due
     }
 
-    /// Notes that a server answered a request with a content.
-    pub fn note_answer(&mut self, now: Moment, content: ContentId, server: &ServerId) {
-        if let Some(case) = self.cases.get_mut(&content).filter(|case| case.answered.len() < MAX_NAMED * 2) {
-            case.answered.entry(server.clone()).or_insert(now);
+    /// Notes that a server answered a request with a content; whether it is to be found out if it lives on.
+    pub fn note_answer(&mut self, content: ContentId, server: &ServerRun) -> bool {
+        let case = self.cases.get_mut(&content).filter(|case| case.answered.len() < MAX_NAMED * 2);
+        case.is_some_and(|case| case.answered.insert(server.clone()))
+    }
+
+    /// Notes that a server lived on after it had answered a request with a content.
+    pub fn note_survived(&mut self, content: ContentId, server: &ServerRun) {
+        if let Some(case) = self.cases.get_mut(&content) {
+            case.survived.insert(server.clone());
         }
     }
 
@@ -204,7 +209,7 @@
         let case = self.cases.get_mut(&suspect.content)?;
         case.is_settling = false;
         let is_served = case.served_at.is_some_and(|at| at >= case.last);
-        if is_served || crashed.len() <= case.survivors(now) {
+        if is_served || crashed.len() <= case.survived.len() {
             return None;
         }
         if crashed.len() >= LEAST_CRASHES {
@@ -214,7 +219,7 @@
         let is_known = self.shared.get(&suspect.content).is_some_and(|shared| {
             shared.entry.crashed.len() >= LEAST_CRASHES || shared.entry.crashed.len() >= crashed.len()
         });
-        let crashed: Vec<ServerId> = crashed.into_iter().take(MAX_NAMED).collect();
+        let crashed: Vec<ServerRun> = crashed.into_iter().take(MAX_NAMED).collect();
         let entry = CrashEntry { content: suspect.content, crashed, trials: 0 };
         (has_room && !is_known && entry.crashed.len() >= least).then_some(entry)
     }
--- a/crates/policy/tests/crash_book.rs
+++ b/crates/policy/tests/crash_book.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use streamfold_model::{ContentId, CrashEntry, ServerId};
+use streamfold_model::{ContentId, CrashEntry, ServerId, ServerRun};
 use streamfold_policy::Moment;
 use streamfold_policy::canary::{CallRight, CanaryEnd, CanaryRecord, VERDICT_WITHIN};
 use streamfold_policy::crash_book::{
@@ -14,7 +14,11 @@
 const OVER_SHARDS: CrashSuspect = CrashSuspect { content: CONTENT, is_lone: false };
 const PATIENCE: Duration = Duration::from_secs(1);
 
-fn server(number: usize) -> ServerId {
+fn server(number: usize) -> ServerRun {
+    format!("i-{}@{number}", number % 2).parse().expect("a run")
+}
+
+fn server_id(number: usize) -> ServerId {
     format!("i-{number}").parse().expect("an id")
 }
 
@@ -63,13 +67,16 @@
 fn servers_that_answered_and_lived_on_speak_for_a_content() {
     let mut book = crashed(LEAST_CRASHES, at(0));
     for number in 10..10 + LEAST_CRASHES {
-        book.note_answer(at(10), CONTENT, &server(number));
+        assert!(book.note_answer(CONTENT, &server(number)), "whether it lives on is to be found out");
+        assert!(!book.note_answer(CONTENT, &server(number)), "once");
+        assert_eq!(book.standing(at(20), CONTENT), ContentStanding::Suspect, "they may still end");
+        book.note_survived(CONTENT, &server(number));
     }
-    assert_eq!(book.standing(at(20), CONTENT), ContentStanding::Suspect, "they may still end");
-    let later = at(10).plus(SURVIVED_AFTER);
-    assert_eq!(book.standing(later, CONTENT), ContentStanding::Clear);
-    book.note_crash(later, CONTENT, &server(10));
-    assert_eq!(book.standing(later, CONTENT), ContentStanding::Suspect, "one of them did");
+    assert_eq!(book.standing(at(300), CONTENT), ContentStanding::Clear);
+    book.note_crash(at(400), CONTENT, &server(10));
+    assert_eq!(book.crashed(CONTENT).len(), LEAST_CRASHES, "it ended by something else, since it had lived on");
+    book.note_crash(at(400), CONTENT, &server(20));
+    assert_eq!(book.standing(at(400), CONTENT), ContentStanding::Suspect);
 }
 
 #[test]
@@ -120,7 +127,7 @@
     let mut record = CanaryRecord::default();
     assert_eq!(record.right(at(0), ContentStanding::Clear, PATIENCE), CallRight::Free);
     assert_eq!(record.right(at(0), suspect, PATIENCE), CallRight::First);
-    record.note_sent(at(0), server(1));
+    record.note_sent(at(0), server_id(1));
     assert_eq!(record.right(at(1), suspect, PATIENCE), CallRight::Wait);
     assert_eq!(record.right(at(1_000), suspect, PATIENCE), CallRight::Never, "it was too long");
     record.note_end(CanaryEnd::NotRun);
@@ -138,7 +145,7 @@
     let mut record = CanaryRecord::trial();
     let due = ContentStanding::TrialDue;
     assert_eq!(record.right(at(0), due, PATIENCE), CallRight::First);
-    record.note_sent(at(0), server(1));
+    record.note_sent(at(0), server_id(1));
     record.note_end(CanaryEnd::Answered);
     assert_eq!(record.right(at(1), due, PATIENCE), CallRight::Wait);
     record.note_trial(true);
--- a/crates/policy/tests/recent_work.rs
+++ b/crates/policy/tests/recent_work.rs
@@ -4,7 +4,7 @@
 
 use streamfold_model::ContentId;
 use streamfold_policy::Moment;
-use streamfold_policy::crash_book::CrashSuspect;
+use streamfold_policy::crash_book::{CrashSuspect, SURVIVED_AFTER};
 use streamfold_policy::recent_work::{LATELY, RecentWork};
 
 fn at(millis: u64) -> Moment {
@@ -16,15 +16,38 @@
     let mut work = RecentWork::default();
     let [long, twice, old] = [1, 2, 3].map(|content| CrashSuspect { content: ContentId(content), is_lone: true });
     work.note_start(old);
-    work.note_end(at(0), old);
+    work.note_end(at(0), old, false);
     work.note_start(long);
     work.note_start(twice);
     work.note_start(twice);
-    work.note_end(at(100), twice);
+    work.note_end(at(100), twice, false);
     assert_eq!(work.suspects(at(150)), [long, twice, old]);
     assert_eq!(work.suspects(at(0).plus(LATELY).plus(Duration::from_millis(1))), [long, twice]);
-    work.note_end(at(300), twice);
-    work.note_end(at(300), long);
+    work.note_end(at(300), twice, false);
+    work.note_end(at(300), long, false);
     assert_eq!(work.suspects(at(300)), [long, twice]);
     assert_eq!(work.suspects(at(300).plus(LATELY * 2)), []);
 }
+
+#[test]
+fn what_a_server_has_lived_through_before_is_no_suspect() {
+    let mut work = RecentWork::default();
+    let [popular, new] = [1, 2].map(|content| CrashSuspect { content: ContentId(content), is_lone: true });
+    work.note_start(popular);
+    work.note_end(at(0), popular, true);
+    work.note_start(popular);
+    work.note_start(new);
+    assert_eq!(work.suspects(at(100)), [popular, new], "it may still end under the first");
+    assert_eq!(work.suspects(at(0).plus(SURVIVED_AFTER)), [new]);
+}
+
+#[test]
+fn a_call_that_was_answered_before_the_server_ended_is_no_suspect() {
+    let mut work = RecentWork::default();
+    let [answered, lost] = [1, 2].map(|content| CrashSuspect { content: ContentId(content), is_lone: true });
+    for suspect in [answered, lost] {
+        work.note_start(suspect);
+        work.note_end(at(0), suspect, suspect == answered);
+    }
+    assert_eq!(work.suspects(at(1)), [lost]);
+}
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -17,6 +17,7 @@
 use crate::canary::CanaryCall;
 use crate::cluster_view::{ClusterView, RouteTimes, Service};
 use crate::hedge::FarHedge;
+use crate::quarantine;
 use crate::request::CallerRequest;
 use crate::router::Router;
 use crate::server::Server;
@@ -153,7 +154,7 @@
             self.canary.note_sent(self.now(), &server);
         }
         attempts.sent += 1;
-        let mark = attempts.note_start(server.id.clone());
+        let mark = attempts.note_start(server.run());
         attempts.tried.push(server.clone());
         attempts.started = self.now();
         attempts.is_overdue = false;
@@ -204,7 +205,7 @@
     pub(crate) fn note_ended(&self, ended: &EndedCall) {
         self.canary.note_end(&self.router, self.request.suspect.content, ended);
         if ended.result.as_ref().is_ok_and(|reply| reply.proof.is_some()) {
-            self.router.cluster.quarantine.note_answer(self.now(), self.request.suspect.content, &ended.server.id);
+            quarantine::note_answer(&self.router, self.request.suspect.content, &ended.server);
         }
     }
 
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use streamfold_model::{ServerId, ServiceName};
+use streamfold_model::{ServerId, ServerRun, ServiceName};
 use streamfold_policy::Moment;
 use streamfold_policy::domain_reach::LEAST_SILENCE;
 use streamfold_policy::replica::Distance;
@@ -61,7 +61,7 @@
     /// The service.
     pub service: ServiceName,
     /// Calls in flight, by the server.
-    calls: Vec<(ServerId, SentMark)>,
+    calls: Vec<(ServerRun, SentMark)>,
     /// Servers that may have run the request by calls of this node, or by hedges it handed on.
     pub(crate) sent: u32,
     /// Servers that may have run it by calls of a node that was asked for it and has told so.
@@ -134,13 +134,13 @@
     /// Tells the failure domain of a call that is still unanswered after so long.
     pub(crate) fn note_silence(&mut self, now: Moment) {
         let Some(watch) = self.silence.take_if(|watch| watch.ends_at() <= now) else { return };
-        if self.calls.iter().any(|(called, _)| *called == watch.server.id) {
+        if self.calls.iter().any(|(called, _)| *called == watch.server.run()) {
             watch.server.note_silent(now, watch.started);
         }
     }
 
     /// Notes that a call to a server starts, which sets the mark once it is sent.
-    pub fn note_start(&mut self, server: ServerId) -> SentMark {
+    pub fn note_start(&mut self, server: ServerRun) -> SentMark {
         let mark = SentMark::default();
         self.calls.push((server, mark.clone()));
         mark
@@ -157,7 +157,7 @@
     }
 
     /// Notes that a server answered with a proof that it ran the request.
-    pub fn note_answer(&mut self, server: &ServerId) {
+    pub fn note_answer(&mut self, server: &ServerRun) {
         self.calls.retain(|(called, _)| called != server);
         self.may_have_run = true;
     }
@@ -218,7 +218,7 @@
 
     /// Notes how a call ended that gave no usable answer.
     pub fn note_failure(&mut self, server: Arc<Server>, failure: Option<CallFailure>) {
-        self.calls.retain(|(called, _)| *called != server.id);
+        self.calls.retain(|(called, _)| *called != server.run());
         self.failure = failure.map_or("bad_answer", CallFailure::name);
         match failure {
             Some(CallFailure::NotSent) => {
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -3,7 +3,7 @@
 use bincode::{Decode, Encode};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
-use streamfold_model::{HomeRegions, RouteName, ServerId, ServiceName, TableVersion};
+use streamfold_model::{HomeRegions, RouteName, ServerId, ServerRun, ServiceName, TableVersion};
 
 /// Path of a batch of shards. It names the form of the messages: nodes of an earlier form refuse it,
 /// as this one refuses theirs, since a batch that does not tell its homes must not be served.
@@ -136,7 +136,7 @@
     /// The greatest records of the shards that are in.
     pub records: Vec<u8>,
     /// Servers that ended under what the request asks for, as far as the replying node knows.
-    pub crashed: Vec<ServerId>,
+    pub crashed: Vec<ServerRun>,
 }
 
 /// A frame of an answer to a batch.
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -7,7 +7,9 @@
 
 use bincode::{Decode, Encode};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{ContentId, CrashEntry, FailureDomain, NodeEntry, RouteTable, ServerEntry, ServerId};
+use streamfold_model::{
+    ContentId, CrashEntry, FailureDomain, NodeEntry, RouteTable, ServerEntry, ServerId, ServerStart,
+};
 use streamfold_store::StoreError;
 
 /// A future that a trait object returns.
@@ -140,13 +142,29 @@
     Crash(CrashEntry),
 }
 
+/// What is gone of a topic.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct RemovedEntry {
+    /// Its name.
+    pub name: String,
+    /// Which run of a server it was the entry of; 0 for any, and for all that is no server.
+    pub start: ServerStart,
+}
+
+impl RemovedEntry {
+    /// The thing of a name, whatever it was.
+    pub fn any(name: String) -> Self {
+        Self { name, start: ServerStart(0) }
+    }
+}
+
 /// A change of a topic.
 #[derive(Debug, Clone, Encode, Decode)]
 pub enum FeedChange {
     /// Something is there or has changed.
     Put(FeedItem),
-    /// The thing of this name is gone.
-    Removed(String),
+    /// The thing of this name is gone, or cannot be read any more.
+    Removed(RemovedEntry),
 }
 
 /// The position in a topic's history up to which something is known.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -173,7 +173,7 @@
         return Err(CallFailure::NotSent);
     }
     mark.set();
-    let _work = server.begin_work(router.clock, request.suspect);
+    let mut work = server.begin_work(router.clock, request.suspect);
     let built = request.build(&*router.format, &server.id, left);
     let response = leased.connection.exchange(built, MAX_ANSWER_LEN).await.map_err(|error| match error {
         ExchangeError::NotSent => CallFailure::NotSent,
@@ -184,6 +184,7 @@
         ExchangeError::Lost => CallFailure::Unknown,
     })?;
     server.note_heard(router.clock.now());
+    work.note_answered();
     let (parts, body) = response.into_parts();
     let reply = router.format.read_reply(&request.id, parts.status, &parts.headers);
     learn(router.clock.now(), server, &reply);
--- a/crates/router/src/canary.rs
+++ b/crates/router/src/canary.rs
@@ -6,7 +6,7 @@
 use streamfold_model::ContentId;
 use streamfold_policy::Moment;
 use streamfold_policy::canary::{CallRight, CanaryEnd, CanaryRecord};
-use streamfold_policy::crash_book::{ContentStanding, SURVIVED_AFTER};
+use streamfold_policy::crash_book::ContentStanding;
 
 use crate::call::{CallFailure, EndedCall, ServerReply};
 use crate::router::Router;
@@ -64,8 +64,7 @@
 
 /// Looks whether a server that answered a trial lives on, and gives the content free if it does.
 async fn watch_trial(router: Arc<Router>, content: ContentId, canary: CanaryCall, server: Arc<Server>) {
-    tokio::time::sleep(SURVIVED_AFTER).await;
-    let has_survived = !server.is_crashed() && crash_check::is_up(&server).await;
+    let has_survived = crash_check::lives_on(&server).await;
     if has_survived {
         quarantine::release(&router, content).await;
     }
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use streamfold_model::{FailureDomain, NodeEntry, NodeId, RouteTable, ServerEntry, ServerId, TableVersion};
+use streamfold_model::{
+    FailureDomain, NodeEntry, NodeId, RouteTable, ServerEntry, ServerId, ServerStart, TableVersion,
+};
 use streamfold_policy::Moment;
 
-use crate::border::{FeedChange, FeedItem, FeedTopic};
+use crate::border::{FeedChange, FeedItem, FeedTopic, RemovedEntry};
 use crate::cluster_parts::ClusterParts;
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::ClusterView;
@@ -150,7 +152,7 @@
                 // Known as a whole.
                 FeedChange::Put(FeedItem::Evacuation(_)) => {}
                 FeedChange::Put(FeedItem::Crash(entry)) => self.quarantine.put(now, entry, origin),
-                FeedChange::Removed(name) => is_changed |= self.remove(now, topic, &name),
+                FeedChange::Removed(entry) => is_changed |= self.remove(now, topic, &entry),
             }
         }
         // Also what is not in the view, such as doubt, is passed on to other nodes.
@@ -179,7 +181,8 @@
             FeedTopic::Nodes => self.parts().nodes.keys().map(ToString::to_string).collect(),
             FeedTopic::Crashes => self.quarantine.contents().iter().map(ToString::to_string).collect(),
         };
-        let gone = known.into_iter().filter(|name| !listed.contains(name)).map(FeedChange::Removed);
+        let gone = known.into_iter().filter(|name| !listed.contains(name));
+        let gone = gone.map(RemovedEntry::any).map(FeedChange::Removed);
         let changes = items.into_iter().map(FeedChange::Put).chain(gone).collect();
         self.apply(now, changes, topic, origin);
     }
@@ -199,7 +202,12 @@
     /// them would push all others out of the log's buffer.
     fn put_server(&self, now: Moment, entry: &ServerEntry, is_first: bool) -> bool {
         let mut parts = self.parts();
+        if parts.servers.get(&entry.id).is_some_and(|server| entry.start < server.start) {
+            // An older run's entry by a slower way.
+            return false;
+        }
         parts.doubtful.remove(&entry.id);
+        parts.end_run_before(entry);
         if let Some(server) = parts.servers.get(&entry.id) {
             server.set_doubtful(false);
             if !entry.warmup.is_zero() && server.state().warmup_left(now).is_zero() {
@@ -219,6 +227,7 @@
                 server = %entry.id,
                 service = %entry.service,
                 address = %entry.address,
+                start = %entry.start,
                 draining = entry.is_draining
             );
         }
@@ -249,8 +258,9 @@
         true
     }
 
-    fn remove(&self, now: Moment, topic: FeedTopic, name: &str) -> bool {
+    fn remove(&self, now: Moment, topic: FeedTopic, removed: &RemovedEntry) -> bool {
         let mut parts = self.parts();
+        let name = removed.name.as_str();
         match topic {
             FeedTopic::Routes | FeedTopic::Evacuations => false,
             FeedTopic::Crashes => {
@@ -269,6 +279,9 @@
             FeedTopic::Servers => {
                 let Ok(id) = name.parse::<ServerId>() else { return false };
                 let Some(server) = parts.servers.get(&id) else { return false };
+                if removed.start != ServerStart(0) && removed.start < server.start {
+                    return false;
+                }
                 if server.is_leaving() {
                     return parts.drop_server(&id);
                 }
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use streamfold_model::{
-    CoreShare, FailureDomain, NodeEntry, NodeId, RouteName, RouteSpec, RouteTable, RouteTarget, ServerId, ServiceName,
+    CoreShare, FailureDomain, NodeEntry, NodeId, RouteName, RouteSpec, RouteTable, RouteTarget, ServerEntry, ServerId,
+    ServiceName,
 };
 use streamfold_policy::Moment;
 use streamfold_policy::extra_budget::ExtraBudget;
@@ -87,6 +88,21 @@
         spec.filter(|spec| spec.cold_rate.is_some()).map_or(Duration::ZERO, |spec| spec.cold_for)
     }
 
+    /// Ends what is known of an earlier run of a server: what was learnt of it holds for no other.
+    pub(crate) fn end_run_before(&mut self, entry: &ServerEntry) {
+        let Some(known) = self.servers.get(&entry.id).filter(|known| known.start < entry.start) else { return };
+        tracing::info!(
+            event = "server_restarted",
+            server = %entry.id,
+            service = %entry.service,
+            address = %entry.address,
+            before = %known.start,
+            start = %entry.start
+        );
+        known.mark_leaving();
+        self.servers.remove(&entry.id);
+    }
+
     /// Drops a server; whether it was known.
     pub(crate) fn drop_server(&mut self, id: &ServerId) -> bool {
         let Some(server) = self.servers.remove(id) else { return false };
--- a/crates/router/src/crash_check.rs
+++ b/crates/router/src/crash_check.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use streamfold_policy::crash_book::CrashSuspect;
+use streamfold_policy::crash_book::{CrashSuspect, SURVIVED_AFTER};
 use tokio::net::TcpStream;
 
 use crate::quarantine;
@@ -32,9 +32,10 @@
     note_crash(router, server, &server.recent_work(router.clock.now()));
 }
 
-/// Whether a server takes connections.
-pub async fn is_up(server: &Server) -> bool {
-    matches!(connect(server).await, Some(Ok(_)))
+/// Whether a server that has just answered lives on for a while.
+pub async fn lives_on(server: &Server) -> bool {
+    tokio::time::sleep(SURVIVED_AFTER).await;
+    !server.is_crashed() && matches!(connect(server).await, Some(Ok(_)))
 }
 
 /// Connects to a server, if that does not take too long.
@@ -59,9 +60,9 @@
     metrics::counter!("streamfold_crashed_servers_total").increment(1);
     tracing::info!(
         event = "server_crashed",
-        server = %server.id,
+        server = %server.run(),
         service = %server.service,
         contents = names.join(",")
     );
-    quarantine::note_crash(router, &server.id, suspects);
+    quarantine::note_crash(router, &server.run(), suspects);
 }
--- a/crates/router/src/evacuation.rs
+++ b/crates/router/src/evacuation.rs
@@ -39,7 +39,7 @@
         for change in changes {
             match change {
                 FeedChange::Put(item) => domains.extend(read_domain(item).cloned()),
-                FeedChange::Removed(name) => domains.retain(|domain| domain.as_str() != name),
+                FeedChange::Removed(entry) => domains.retain(|domain| domain.as_str() != entry.name),
             }
         }
         Self { domains, position }
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -237,7 +237,7 @@
         match ended.result {
             Ok(reply) if reply.is_proven_success() => {
                 self.context.times.add(ended.server.distance, took);
-                slot.attempts.note_answer(&ended.server.id);
+                slot.attempts.note_answer(&ended.server.run());
                 if slot.part.is_none() {
                     slot.part = reply.proof.map(|proof| ShardPart { proof, records: reply.body, floor: None });
                 }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -5,14 +5,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{ContentId, CrashEntry, ServerId};
+use streamfold_model::{ContentId, CrashEntry, ServerRun};
 use streamfold_policy::Moment;
 use streamfold_policy::crash_book::{ContentStanding, CrashBook, CrashSuspect, LEAST_CRASHES, SETTLE_AFTER};
 use streamfold_store::StoreError;
 
 use crate::border::EntryRevision;
 use crate::cluster::NewsOrigin;
+use crate::crash_check;
 use crate::router::Router;
+use crate::server::Server;
 use crate::store_turn::choose_pause;
 
 /// How long a node tries to tell the others of a content: the store is away at most for seconds, and a
@@ -50,15 +52,13 @@
     }
 
     /// Servers that ended under a content, as far as is known.
-    pub fn crashed(&self, content: ContentId) -> Vec<ServerId> {
+    pub fn crashed(&self, content: ContentId) -> Vec<ServerRun> {
         if self.is_used() { self.book().crashed(content).into_iter().collect() } else { Vec::new() }
     }
 
-    /// Notes that a server answered a request with a content.
-    pub fn note_answer(&self, now: Moment, content: ContentId, server: &ServerId) {
-        if self.is_used() {
-            self.book().note_answer(now, content, server);
-        }
+    /// Notes that a server answered a request with a content; whether it is to be found out if it lives on.
+    fn note_answer(&self, content: ContentId, server: &ServerRun) -> bool {
+        self.is_used() && self.book().note_answer(content, server)
     }
 
     /// Notes that a request with a content was answered whole.
@@ -95,7 +95,7 @@
 }
 
 /// Notes that a server ended while it worked on something or just after.
-pub(crate) fn note_crash(router: &Arc<Router>, server: &ServerId, suspects: &[CrashSuspect]) {
+pub(crate) fn note_crash(router: &Arc<Router>, server: &ServerRun, suspects: &[CrashSuspect]) {
     let now = router.clock.now();
     for suspect in suspects {
         if router.cluster.quarantine.change(|book| book.note_crash(now, suspect.content, server)) {
@@ -104,8 +104,22 @@
     }
 }
 
+/// Notes that a server answered a request with a content, and if servers ended under that finds out whether
+/// this one lives on.
+pub(crate) fn note_answer(router: &Arc<Router>, content: ContentId, server: &Arc<Server>) {
+    if !router.cluster.quarantine.note_answer(content, &server.run()) {
+        return;
+    }
+    let (router, server) = (router.clone(), server.clone());
+    tokio::spawn(async move {
+        if crash_check::lives_on(&server).await {
+            router.cluster.quarantine.book().note_survived(content, &server.run());
+        }
+    });
+}
+
 /// Notes servers that ended under a content as another node has told.
-pub(crate) fn note_told(router: &Arc<Router>, suspect: CrashSuspect, servers: &[ServerId]) {
+pub(crate) fn note_told(router: &Arc<Router>, suspect: CrashSuspect, servers: &[ServerRun]) {
     if servers.is_empty() {
         return;
     }
@@ -134,8 +148,8 @@
     }
 }
 
-fn join(servers: &[ServerId]) -> String {
-    servers.iter().map(ServerId::as_str).collect::<Vec<_>>().join(",")
+fn join(servers: &[ServerRun]) -> String {
+    servers.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
 }
 
 /// Adds what this node has seen to what the store holds, however often it takes; what it holds then.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{FailureDomain, HomeRegions, ServerEntry, ServerId, ServiceName};
+use streamfold_model::{FailureDomain, HomeRegions, ServerEntry, ServerId, ServerRun, ServerStart, ServiceName};
 use streamfold_policy::cold_limit::ColdCalls;
 use streamfold_policy::crash_book::CrashSuspect;
 use streamfold_policy::recent_work::RecentWork;
@@ -30,8 +30,10 @@
 
 /// A run of a server process.
 pub struct Server {
-    /// Its id.
+    /// Its name.
     pub id: ServerId,
+    /// Which run of it.
+    pub start: ServerStart,
     /// Its service.
     pub service: ServiceName,
     /// Where it listens.
@@ -59,11 +61,19 @@
     server: &'a Server,
     clock: NodeClock,
     suspect: CrashSuspect,
+    is_answered: bool,
+}
+
+impl WorkRecord<'_> {
+    /// Notes that the server answered.
+    pub fn note_answered(&mut self) {
+        self.is_answered = true;
+    }
 }
 
 impl Drop for WorkRecord<'_> {
     fn drop(&mut self) {
-        lock(&self.server.work).note_end(self.clock.now(), self.suspect);
+        lock(&self.server.work).note_end(self.clock.now(), self.suspect, self.is_answered);
     }
 }
 
@@ -77,6 +87,7 @@
         let ServerShared { domain, spells, mechanisms } = shared;
         Arc::new(Self {
             id: entry.id.clone(),
+            start: entry.start,
             service: entry.service.clone(),
             address: entry.address,
             domain: entry.domain.clone(),
@@ -98,7 +109,7 @@
     /// Notes that a call goes out to it.
     pub fn begin_work(&self, clock: NodeClock, suspect: CrashSuspect) -> WorkRecord<'_> {
         lock(&self.work).note_start(suspect);
-        WorkRecord { server: self, clock, suspect }
+        WorkRecord { server: self, clock, suspect, is_answered: false }
     }
 
     /// What it works on or has just worked on for this node.
@@ -116,10 +127,16 @@
         self.crashed.load(Ordering::Relaxed)
     }
 
+    /// Which run of which server it is.
+    pub fn run(&self) -> ServerRun {
+        ServerRun { id: self.id.clone(), start: self.start }
+    }
+
     /// Its entry as another node needs it.
     pub fn entry(&self, now: Moment) -> ServerEntry {
         ServerEntry {
             id: self.id.clone(),
+            start: self.start,
             service: self.service.clone(),
             address: self.address,
             domain: self.domain.clone(),
@@ -165,8 +182,8 @@
         find_bar(homes, standing)
     }
 
-    /// Marks it as leaving and gives up the connections at rest. No server comes back from
-    /// this: a restarted one has another id.
+    /// Marks it as leaving and gives up the connections at rest. No run comes back from this: one that
+    /// starts again is another, whatever its id.
     pub fn mark_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
         self.pool.close_resting();
