Decisions go by a clock that goes on in a suspension, and news are asked for anew after one

Cause: ages, deadlines and budgets went by a clock that stands still while a machine is suspended; a request would be passed on with the time that it had before, and what an old watch told would hold. Not done: requests in the first quarter of a second after waking go by the old news; no test suspends a whole node.

--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -49,6 +49,7 @@
         };
         tokio::select! {
             () = follower.run() => {}
+            () = wait_woken(&router) => router.set_followed(topic, false),
             // What makes one connection to the store fall silent does so to all of them.
             () = wait_servers_lost(&router), if topic == FeedTopic::Crashes => {}
             _ = source.wait_for(|source| *source != FeedSource::Store) => {}
@@ -56,6 +57,13 @@
     }
 }
 
+/// Waits until the machine was suspended.
+pub(crate) async fn wait_woken(router: &Router) {
+    let mut woken = router.woken.subscribe();
+    // The sender lives as long as the router.
+    let _ = woken.changed().await;
+}
+
 /// Waits until servers' entries are not followed any more, whose watch is soon known to be silent.
 async fn wait_servers_lost(router: &Router) {
     let mut changed = router.feed_changed.subscribe();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::border::{FeedChange, FeedItem, FeedTopic, ListAge};
 use crate::cluster::NewsOrigin;
 use crate::evacuation::EvacuationList;
+use crate::feed;
 use crate::knowledge;
 use crate::listing::{KnownDigest, KnownEntries, RelayListing};
 use crate::router::Router;
@@ -109,6 +110,9 @@
     /// It does not follow the store any more, or is about to stop.
     #[error("the reader has ended")]
     Ended,
+    /// This node's machine was suspended, so what came before is old.
+    #[error("this machine was suspended")]
+    Suspended,
     /// It began with something else than all that it knows.
     #[error("the reader began without a listing")]
     NoListing,
@@ -259,6 +263,13 @@
 
     /// Takes news until the reader is lost.
     async fn run(&mut self, router: &Router) -> RelayError {
+        tokio::select! {
+            error = self.take_news(router) => error,
+            () = feed::wait_woken(router) => RelayError::Suspended,
+        }
+    }
+
+    async fn take_news(&mut self, router: &Router) -> RelayError {
         loop {
             match tokio::time::timeout(SILENCE, self.frames.next::<RelayFrame>()).await {
                 Ok(Ok(Some(frame))) => take_frame(router, frame),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -66,6 +66,8 @@
     pub seed_links: Vec<Arc<PeerLink>>,
     /// Told when another node has newer routes.
     pub newer_routes: Notify,
+    /// How long the machine was suspended when this node last looked; what it knew before is old then.
+    pub(crate) woken: watch::Sender<Duration>,
     /// Told when nodes were listed, so that links to them are made.
     pub nodes_learnt: Notify,
     /// The newest version of the routes that another node was heard to have.
@@ -151,6 +153,7 @@
             seed_links: seed_links(&settings),
             newer_routes: Notify::new(),
             nodes_learnt: Notify::new(),
+            woken: watch::Sender::new(Duration::ZERO),
             heard_version: AtomicU64::new(0),
             source: watch::Sender::new(FeedSource::Undecided),
             feed_changed: watch::Sender::new(()),
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -89,6 +89,17 @@
 async fn sweep(router: Arc<Router>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
+        note_suspension(&router);
         router.cluster.sweep(router.clock.now());
     }
 }
+
+/// Tells what follows the news of the store that the machine was suspended: everything is asked for anew.
+fn note_suspension(router: &Router) {
+    let suspended = router.clock.suspended();
+    let before = *router.woken.borrow();
+    if suspended > before {
+        tracing::warn!(event = "machine_was_suspended", for_ms = (suspended - before).as_millis() as u64);
+        router.woken.send_replace(suspended);
+    }
+}
