A request waits at most a quarter of a second to become the trial of a quarantined content

Cause: read in the diff: with a slow store two calls could take four seconds, in which the caller was held though it could be told when to come back. Change: the claim ends after 250 ms, and the request is refused. At the repaired place a comment says what it prevents.

--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -20,6 +20,9 @@
 /// How long a node tries to tell the others of a content: the store is away at most for seconds, and a
 /// content that comes again is noted again.
 const TELL_WITHIN: Duration = Duration::from_secs(30);
+/// How long a request waits to become the one that tries a content again, while its caller could have been told
+/// when to come back: two calls to the store take some 20 ms.
+const CLAIM_WITHIN: Duration = Duration::from_millis(250);
 
 /// What a node knows of contents that end servers.
 #[derive(Default)]
@@ -193,7 +196,8 @@
         tracing::info!(event = "content_tried", %content, trials = 0);
         return true;
     };
-    match raise_trials(router, &known).await {
+    let raised = tokio::time::timeout(CLAIM_WITHIN, raise_trials(router, &known)).await;
+    match raised.unwrap_or(Err(StoreError::Unreachable)) {
         Ok(Some(entry)) => {
             tracing::info!(event = "content_tried", %content, trials = entry.trials);
             quarantine.put(router.clock.now(), entry, NewsOrigin::Store);
