--- a/crates/lab/src/route_checks.rs
+++ b/crates/lab/src/route_checks.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::Method;
 use serde_json::{Value, json};
+use streamfold_standin::names;
 use streamfold_standin::server::RouteServerPlan;
 
 use crate::client::CallAnswer;
@@ -79,8 +80,8 @@
 /// Checks that a success is whole and the own answer of a server that ran this request.
 pub fn check_own(fleet: &RouteFleet, answer: &CallAnswer, id: &str) {
     assert!(answer.status.is_success(), "{id}: {answer:?}");
-    assert_eq!(header(answer, "x-request-id"), Some(id));
-    let proof = header(answer, "x-server-stamp").expect("a proof");
+    assert_eq!(header(answer, names::REQUEST_ID), Some(id));
+    let proof = header(answer, names::PROOF).expect("a proof");
     let service = fleet.find_proof(id, proof).expect("the proof of a server that ran it");
     let server = fleet.servers.iter().find(|server| server.state.plan.service == service).expect("a server");
     assert_eq!(answer.body, server.state.body(), "{id}");
