--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -106,12 +106,23 @@
     let _ = output.write_all(&lines).and_then(|()| output.flush());
 }
 
+/// Has each panic told as a line with its place, since the task that panics cannot say itself what it was doing.
+fn log_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let place = panic.location().map(ToString::to_string);
+        let error = panic.payload_as_str();
+        tracing::error!(event = "panicked", thread = std::thread::current().name(), place, error);
+        metrics::counter!("streamfold_panics_total").increment(1);
+    }));
+}
+
 /// Starts logging with a filter such as `info`; one that cannot be read counts as `info`.
 pub fn start(filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
     let layer = tracing_logfmt::builder().with_target(false).layer().with_writer(BufferWriter);
     // A second start in one process keeps the first.
     let _ = tracing_subscriber::registry().with(filter).with(layer).try_init();
+    log_panics();
     let (flusher, asked) = channel();
     let thread = std::thread::Builder::new().name("logs".to_owned()).spawn(move || run(&asked));
     match thread {
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -35,6 +35,12 @@
     pub body: Bytes,
 }
 
+/// An error with everything that led to it: the first alone does not tell a reset from a close.
+fn name_causes(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
+
 /// A client that keeps connections.
 #[derive(Clone)]
 pub struct LabClient {
@@ -72,9 +78,9 @@
         let request = builder.body(Full::new(body))?;
         let exchange = async {
             let response =
-                self.client.request(request).await.map_err(|error| CallError::Exchange(error.to_string()))?;
+                self.client.request(request).await.map_err(|error| CallError::Exchange(name_causes(&error)))?;
             let (parts, body) = response.into_parts();
-            let body = body.collect().await.map_err(|error| CallError::Exchange(error.to_string()))?;
+            let body = body.collect().await.map_err(|error| CallError::Exchange(name_causes(&error)))?;
             Ok(CallAnswer { status: parts.status, headers: parts.headers, body: body.to_bytes() })
         };
         tokio::time::timeout(wait, exchange).await.unwrap_or(Err(CallError::TimedOut))
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -33,6 +33,9 @@
 /// How often the lab looks how late it wakes up.
 const LAG_LOOK: Duration = Duration::from_millis(20);
 
+/// What the line of a panic has in a node's log.
+const PANICKED: &str = " event=panicked ";
+
 /// What a soak is.
 #[derive(Debug, Clone, Copy)]
 pub struct SoakPlan {
@@ -118,6 +121,7 @@
     tokio::time::sleep(SETTLE).await;
     watchers.shutdown().await;
     let (routed, spared) = check(fleet.clone(), &log).await;
+    note_panics(&fleet);
     let mut outcomes = BTreeMap::new();
     for request in lock(&log.seen).iter() {
         *outcomes.entry(request.outcome()).or_default() += 1;
@@ -192,6 +196,15 @@
     checked.unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()))
 }
 
+/// Notes what the nodes' logs tell of tasks that panicked, with the place.
+fn note_panics(fleet: &SoakFleet) {
+    for node in &fleet.nodes {
+        for line in node.logged(&[PANICKED]) {
+            fleet.note(BrokenPromise::Panicked, &node.name, line);
+        }
+    }
+}
+
 async fn measure_lag(late: Arc<AtomicU64>) {
     loop {
         let begin = Instant::now();
--- a/crates/lab/src/soak_audit.rs
+++ b/crates/lab/src/soak_audit.rs
@@ -48,6 +48,8 @@
     NotBack,
     /// A process ended that nobody had asked to.
     Ended,
+    /// A task of a node panicked.
+    Panicked,
 }
 
 /// A promise that was broken.
--- a/crates/lab/src/soak_fleet.rs
+++ b/crates/lab/src/soak_fleet.rs
@@ -67,6 +67,16 @@
     process: tokio::sync::Mutex<Option<Child>>,
 }
 
+impl SoakNode {
+    /// Lines of its log that hold all of some texts.
+    pub fn logged(&self, texts: &[&str]) -> Vec<String> {
+        // A log that cannot be read counts for nothing, which the report then shows.
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let holds = |line: &&str| texts.iter().all(|text| line.contains(text));
+        log.lines().filter(holds).map(str::to_owned).collect()
+    }
+}
+
 /// An entry that said that its server leaves, or that was removed.
 #[derive(Debug, Clone)]
 pub struct GoneEntry {
@@ -364,10 +374,7 @@
 
     /// Lines in the logs of all nodes that hold all of some texts.
     pub fn count_logged(&self, texts: &[&str]) -> usize {
-        // A log that cannot be read counts for nothing, which the report then shows.
-        let read = |node: &SoakNode| std::fs::read_to_string(&node.log).unwrap_or_default();
-        let holds = |line: &&str| texts.iter().all(|text| line.contains(text));
-        self.nodes.iter().map(|node| read(node).lines().filter(holds).count()).sum()
+        self.nodes.iter().map(|node| node.logged(texts).len()).sum()
     }
 
     /// How a node's process ended, if it did since it was last asked.
