A request whose handling panics is answered, nodes are looked up once, and tasks that panic are begun anew

Change: nodes of a failure domain are looked up once a request (the second look is gone), and who owns which shard is a rule of policy/owner.rs with a test for no node; a panic in a request ends in 502 `lost`, its line says `panicked`; elsewhere, too: queries and orders of indexes (500 `node-fault`, unknown whether it ran), and the tasks that a node lives by (feeds, links, ports), which ended for good and silently, are begun anew. Router and policy tests pass.

--- a/crates/daemon/src/caller_error.rs
+++ b/crates/daemon/src/caller_error.rs
@@ -65,6 +65,9 @@
     /// No server told its versions.
     #[error("no server of the index has told which versions it holds")]
     NoVersion,
+    /// Work on the request panicked; what it had sent by then is not known.
+    #[error("this node failed over the request, which may have run")]
+    NodeFault,
     /// An order gave no result; a ticket where one would help.
     #[error("the order gave no result: {0}")]
     Order(OrderFailure, Option<String>),
@@ -91,6 +94,7 @@
             Self::Stopping => ("stopping", StatusCode::SERVICE_UNAVAILABLE),
             Self::NoConfiguration => ("no-configuration", StatusCode::SERVICE_UNAVAILABLE),
             Self::NoVersion => ("no-version", StatusCode::SERVICE_UNAVAILABLE),
+            Self::NodeFault => ("node-fault", StatusCode::INTERNAL_SERVER_ERROR),
             Self::Order(failure, _) => order_kind(*failure),
         }
     }
@@ -98,6 +102,7 @@
     /// Whether the request ran.
     pub fn ran(&self) -> RanState {
         match self {
+            Self::NodeFault => RanState::Unknown,
             Self::Order(failure, _) => failure.ran(),
             _ => RanState::NotRun,
         }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -13,6 +13,7 @@
     CallerSpec, Configuration, ContentDigest, IndexVersion, ProblemDetails, RanState, RequestId, ShardId,
 };
 use streamfold_policy::Moment;
+use streamfold_router::task;
 use tokio::net::TcpListener;
 
 use crate::admission::let_in;
@@ -69,7 +70,7 @@
 }
 
 /// Serves the callers' port until the node ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>) {
     let connections = node.settings.connections;
     let router = Router::new()
         .route("/v1/indexes/{index}/query", post(query))
@@ -87,7 +88,8 @@
 ) -> Response {
     let id = RequestId(rand::random());
     let started = node.clock.now();
-    let result = answer_query(&node, id, &index, parameters.as_deref(), request).await;
+    let answered = task::guard(answer_query(&node, id, &index, parameters.as_deref(), request)).await;
+    let result = answered.unwrap_or(Err(CallerError::NodeFault));
     finish(&node, id, "query", &index, started, result)
 }
 
@@ -132,7 +134,8 @@
 async fn order(State(node): State<Arc<Node>>, Path(index): Path<String>, request: Request<Body>) -> Response {
     let id = RequestId(rand::random());
     let started = node.clock.now();
-    let result = answer_order(&node, id, &index, request).await;
+    let answered = task::guard(answer_order(&node, id, &index, request)).await;
+    let result = answered.unwrap_or(Err(CallerError::NodeFault));
     finish(&node, id, "order", &index, started, result)
 }
 
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -25,7 +25,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves a router until the node has ended, then lets open connections finish.
-pub async fn serve(node: Arc<Node>, listener: TcpListener, router: Router, connections: usize) {
+pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>, router: Router, connections: usize) {
     let mut builder = Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEADERS);
     builder.http2().max_concurrent_streams(MAX_STREAMS).max_header_list_size(MAX_HEADERS as u32);
--- a/crates/daemon/src/node_start.rs
+++ b/crates/daemon/src/node_start.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use streamfold_router::task::NodeTasks;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
@@ -35,11 +36,11 @@
     pub(crate) tasks: JoinSet<()>,
 }
 
-async fn listen(port: &'static str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+async fn listen(port: &'static str, address: SocketAddr) -> Result<(Arc<TcpListener>, SocketAddr), StartError> {
     let failed = |source| StartError::Listen { port, address, source };
     let listener = TcpListener::bind(address).await.map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
-    Ok((listener, bound))
+    Ok((Arc::new(listener), bound))
 }
 
 /// Opens the ports and starts a node.
@@ -60,14 +61,14 @@
         operators = %operators,
         peers = %peers
     );
-    let mut tasks = JoinSet::new();
-    tasks.spawn(callers::serve(node.clone(), callers_listener));
-    tasks.spawn(operators::serve(node.clone(), operators_listener));
-    tasks.spawn(peers::serve(node.clone(), peers_listener));
-    tasks.spawn(gossip::run(node.clone()));
-    tasks.spawn(watcher::run(node.clone()));
-    tasks.spawn(keep_view(node.clone()));
-    Ok(RunningNode { node, addresses, tasks })
+    let mut tasks = NodeTasks::new(node.clone());
+    tasks.start("callers", move |node| callers::serve(node, callers_listener.clone()));
+    tasks.start("operators", move |node| operators::serve(node, operators_listener.clone()));
+    tasks.start("peers", move |node| peers::serve(node, peers_listener.clone()));
+    tasks.start("heartbeats", gossip::run);
+    tasks.start("configurations", watcher::run);
+    tasks.start("view", keep_view);
+    Ok(RunningNode { node, addresses, tasks: tasks.into_running() })
 }
 
 async fn keep_view(node: Arc<Node>) {
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -31,7 +31,7 @@
 const DEFAULT_AUDIT: u64 = 20;
 
 /// Serves the operators' port until the node ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>) {
     let router = Router::new()
         .route("/healthz", get(|| async { "alive\n" }))
         .route("/readyz", get(ready))
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -60,7 +60,7 @@
 }
 
 /// Serves the peers' port until the node ends.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>) {
     serve_peers(Arc::new(NodeService(node)), listener).await;
 }
 
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -47,7 +47,7 @@
 }
 
 /// Serves the peers' port until the node ends.
-pub async fn serve(service: Arc<dyn PeerService>, listener: TcpListener) {
+pub async fn serve(service: Arc<dyn PeerService>, listener: Arc<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -19,6 +19,18 @@
     weighed.into_iter().map(|(_, node)| node).collect()
 }
 
+/// For each of some nodes the keys that it owns, by their positions. Without a node nobody owns any.
+pub fn group_by_owner<'a>(nodes: &[&str], keys: impl IntoIterator<Item = &'a str>) -> Vec<Vec<usize>> {
+    let mut owned = vec![Vec::new(); nodes.len()];
+    for (position, key) in keys.into_iter().enumerate() {
+        let owner = nodes.iter().enumerate().max_by_key(|(_, node)| (weight(node, key), **node));
+        if let Some((number, _)) = owner {
+            owned[number].push(position);
+        }
+    }
+    owned
+}
+
 /// Connections that one of `owners` owners may open to a server that accepts `limit`:
 /// one share stays spare for the moment in which two views differ by one change.
 pub fn connection_share(limit: u32, owners: usize) -> u32 {
--- a/crates/policy/tests/owner.rs
+++ b/crates/policy/tests/owner.rs
@@ -1,7 +1,7 @@
-//! What nodes of a failure domain may take of a server's connections.
+//! Which nodes own what, and what they may take of a server's connections.
 
 use quickcheck::quickcheck;
-use streamfold_policy::owner::{CallerKind, CallingNodes, divide_connections};
+use streamfold_policy::owner::{CallerKind, CallingNodes, choose_owners, divide_connections, group_by_owner};
 
 /// Connections of all nodes together, where `owners` are some of `nodes`.
 fn sum_up(limit: u32, nodes: CallingNodes, owners: CallingNodes) -> usize {
@@ -39,3 +39,21 @@
     let share = |is_near, is_owner| divide_connections(175, nodes, owners, CallerKind { is_near, is_owner });
     assert_eq!([share(true, true), share(false, true), share(true, false), share(false, false)], [13, 2, 1, 1]);
 }
+
+#[test]
+fn keys_go_to_the_node_that_owns_them_and_to_none_where_there_is_none() {
+    let keys: Vec<String> = (0..40).map(|number| format!("shard-{number}")).collect();
+    let nodes = ["a", "b", "c"];
+    let owned = group_by_owner(&nodes, keys.iter().map(String::as_str));
+    for (position, key) in keys.iter().enumerate() {
+        let owner = choose_owners(nodes, key, 1)[0];
+        let holders: Vec<&str> = nodes
+            .into_iter()
+            .zip(&owned)
+            .filter(|(_, owned)| owned.contains(&position))
+            .map(|(node, _)| node)
+            .collect();
+        assert_eq!(holders, [owner]);
+    }
+    assert!(group_by_owner(&[], keys.iter().map(String::as_str)).is_empty());
+}
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -11,7 +11,7 @@
 use futures_util::stream::FuturesUnordered;
 use streamfold_model::{CoreShare, FailureDomain, NodeId, ServiceName};
 use streamfold_policy::fold_rule::FoldRule;
-use streamfold_policy::owner::choose_owners;
+use streamfold_policy::owner::group_by_owner;
 use streamfold_policy::placement::OwnerGroup;
 use streamfold_policy::replica::Distance;
 use streamfold_policy::{Mechanism, Moment};
@@ -77,12 +77,6 @@
     pub positions: Vec<usize>,
 }
 
-impl PlannedBatch {
-    fn new(peer: Arc<PeerNode>) -> Self {
-        Self { peer, positions: Vec::new() }
-    }
-}
-
 /// What another node is asked for.
 pub struct BatchOrder {
     /// The node.
@@ -139,43 +133,49 @@
                 by_domain.entry(domain).or_default().insert(position);
             }
         }
-        by_domain.retain(|(_, domain), _| !self.usable_peers(domain).is_empty());
+        // Looked up once for each failure domain: a node may go out of use between two looks.
+        let mut peers: BTreeMap<FailureDomain, Vec<Arc<PeerNode>>> = BTreeMap::new();
+        by_domain.retain(|(_, domain), _| {
+            let known = peers.entry(domain.clone()).or_insert_with(|| self.usable_peers(domain));
+            !known.is_empty()
+        });
         let mut placed = share_out(by_domain);
         let own = self.router.cluster.place().domain.clone();
-        if self.hands_near(&own, near.len()) {
-            placed.push((own, near));
+        let near_peers = self.usable_peers(&own);
+        if self.hands_near(&near_peers, near.len()) {
+            placed.push((own.clone(), near));
         }
-        placed.into_iter().flat_map(|(domain, positions)| self.split(slots, &domain, positions)).collect()
+        peers.insert(own, near_peers);
+        let split = |(domain, positions): (FailureDomain, Vec<usize>)| {
+            self.split(slots, peers.remove(&domain).unwrap_or_default(), &positions)
+        };
+        placed.into_iter().flat_map(split).collect()
     }
 
     /// Whether shards near this node are handed to stronger nodes near it.
-    fn hands_near(&self, own: &FailureDomain, shards: usize) -> bool {
-        let (Some(group), Some(power)) = (find_group(&self.usable_peers(own)), self.router.settings.power()) else {
+    fn hands_near(&self, near_peers: &[Arc<PeerNode>], shards: usize) -> bool {
+        let (Some(group), Some(power)) = (find_group(near_peers), self.router.settings.power()) else {
             return false;
         };
         self.router.has(Mechanism::NearFolding) && group.is_worth_asking(shards, self.route.target_latency, power)
     }
 
-    /// The batches that the shards of a failure domain make. A shard goes to the same node from
-    /// everywhere as far as the choice allows, since that one has the connections.
-    fn split(&self, slots: &[ShardSlot], domain: &FailureDomain, positions: Vec<usize>) -> Vec<PlannedBatch> {
-        let mut peers = self.usable_peers(domain);
+    /// The batches that the shards of a failure domain make of some of its nodes. A shard goes to the
+    /// same node from everywhere as far as the choice allows, since that one has the connections.
+    fn split(&self, slots: &[ShardSlot], mut peers: Vec<Arc<PeerNode>>, positions: &[usize]) -> Vec<PlannedBatch> {
         let group = find_group(&peers);
         let count = group.map_or(1, |group| group.count_batches(positions.len(), self.route.target_latency));
         peers.sort_by_cached_key(|peer| (peer.state().running(), rand::random::<u32>()));
         peers.truncate(count);
         let names: Vec<&str> = peers.iter().map(|peer| peer.entry.node.as_str()).collect();
-        let mut batches: Vec<PlannedBatch> = peers.iter().map(|peer| PlannedBatch::new(peer.clone())).collect();
-        for position in positions {
-            let owners = choose_owners(names.iter().copied(), slots[position].attempts.service.as_str(), 1);
-            let index = names.iter().position(|name| owners.first() == Some(name)).unwrap_or_default();
-            // The last node may have gone out of use since it was counted; its shards are asked for directly then.
-            if let Some(batch) = batches.get_mut(index) {
-                batch.positions.push(position);
-            }
-        }
-        batches.retain(|batch| !batch.positions.is_empty());
-        batches
+        let services = positions.iter().map(|position| slots[*position].attempts.service.as_str());
+        let owned = group_by_owner(&names, services);
+        let batch = |(peer, owned): (&Arc<PeerNode>, Vec<usize>)| PlannedBatch {
+            peer: peer.clone(),
+            positions: owned.into_iter().map(|index| positions[index]).collect(),
+        };
+        let batches = peers.iter().zip(owned).map(batch);
+        batches.filter(|batch| !batch.positions.is_empty()).collect()
     }
 
     /// The nodes of a failure domain that may be given work: its owners, or others while none of
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -29,7 +29,7 @@
 use crate::cluster_view::ClusterView;
 use crate::request::CallerRequest;
 use crate::router::{LiveCount, Router, RouterPhase};
-use crate::{gather, quarantine, single};
+use crate::{gather, quarantine, single, task};
 
 /// Pause after a failed accept, such as with no descriptor left.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -43,7 +43,7 @@
 
 /// Accepts callers until the node closes. Then the port closes too: a request on a connection
 /// made so late could not be finished before the process ends.
-pub async fn serve(router: Arc<Router>, listener: TcpListener) {
+pub async fn serve(router: Arc<Router>, listener: Arc<TcpListener>) {
     let mut phase = router.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -82,7 +82,9 @@
         let (router, is_answering) = (router.clone(), &is_answering);
         async move {
             is_answering.store(true, Ordering::Relaxed);
-            let answer = handle(&router, request).await;
+            // Whether the request has run is not known then: work that panics says nothing of what it sent.
+            let handled = task::guard(handle(&router, request)).await;
+            let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
             is_answering.store(false, Ordering::Relaxed);
             Ok::<_, Infallible>(answer)
         }
@@ -285,6 +287,9 @@
 
 impl Drop for RequestRecord<'_> {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            (self.outcome, self.status) = ("panicked", RefusalKind::Lost.status().as_u16());
+        }
         let context = self.context;
         let took = context.now().since(context.request.started);
         metrics::counter!("streamfold_requests_total", "outcome" => self.outcome).increment(1);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod single;
 pub mod spell_book;
 pub mod store_turn;
+pub mod task;
 pub mod times;
 
 pub use router::{Router, RunningRouter};
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -61,7 +61,7 @@
 }
 
 /// Serves other nodes until this one ends.
-pub async fn serve(router: Arc<Router>, listener: TcpListener) {
+pub async fn serve(router: Arc<Router>, listener: Arc<TcpListener>) {
     server::serve(Arc::new(RouterService(router)), listener).await;
 }
 
--- a/crates/router/src/ready.rs
+++ b/crates/router/src/ready.rs
@@ -22,7 +22,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Serves until the node ends.
-pub async fn serve(router: Arc<Router>, listener: TcpListener, metrics_text: fn() -> String) {
+pub async fn serve(router: Arc<Router>, listener: Arc<TcpListener>, metrics_text: fn() -> String) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -5,19 +5,20 @@
 
 use streamfold_policy::Mechanism;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
 
 use crate::border::{CallFormat, ClusterFeed};
 use crate::error::RouterError;
 use crate::router::{Router, RunningRouter};
 use crate::settings::RouterSettings;
+use crate::task::NodeTasks;
 use crate::{feed, front, knowledge, node_sweep, peer_service, peers, ready, relay, signs};
 
 /// How often doubtful servers and resting connections are looked at.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
 
-async fn listen(port: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, RouterError> {
-    TcpListener::bind(address).await.map_err(|source| RouterError::Listen { port, address, source })
+async fn listen(port: &'static str, address: std::net::SocketAddr) -> Result<Arc<TcpListener>, RouterError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map(Arc::new).map_err(|source| RouterError::Listen { port, address, source })
 }
 
 /// Opens the ports and starts a router.
@@ -44,21 +45,21 @@
         platform = %router.settings.platform,
         without = join_names(&router.settings.without)
     );
-    let mut tasks = JoinSet::new();
-    tasks.spawn(front::serve(router.clone(), callers));
-    tasks.spawn(ready::serve(router.clone(), readiness, metrics_text));
-    tasks.spawn(ready::serve(router.clone(), metrics, metrics_text));
+    let mut tasks = NodeTasks::new(router.clone());
+    tasks.start("callers", move |router| front::serve(router, callers.clone()));
+    tasks.start("readiness", move |router| ready::serve(router, readiness.clone(), metrics_text));
+    tasks.start("metrics", move |router| ready::serve(router, metrics.clone(), metrics_text));
     for topic in router.topics() {
-        tasks.spawn(feed::follow(router.clone(), topic));
+        tasks.start("feed", move |router| feed::follow(router, topic));
     }
-    tasks.spawn(join(router.clone()));
-    tasks.spawn(feed::catch_up(router.clone()));
-    tasks.spawn(peer_service::serve(router.clone(), peers_listener));
-    tasks.spawn(peers::keep_connected(router.clone()));
-    tasks.spawn(signs::ask(router.clone()));
-    tasks.spawn(knowledge::ask_in_outages(router.clone()));
-    tasks.spawn(sweep(router.clone()));
-    Ok(RunningRouter { router, tasks })
+    tasks.start("join", join);
+    tasks.start("catch_up", feed::catch_up);
+    tasks.start("peers", move |router| peer_service::serve(router, peers_listener.clone()));
+    tasks.start("links", peers::keep_connected);
+    tasks.start("signs", signs::ask);
+    tasks.start("knowledge", knowledge::ask_in_outages);
+    tasks.start("sweep", sweep);
+    Ok(RunningRouter { router, tasks: tasks.into_running() })
 }
 
 fn join_names(mechanisms: &[Mechanism]) -> Option<String> {
