Lost orders have lines with their cause, and the lab keeps nodes' logs where a variable names a folder

Symptom: an_order_delivered_twice_runs_once beside load: 16 to 42 of 50 orders ran, the others were told as unknown. What was missing: a forwarded order that failed, an order whose piece was lost and a holder taken for gone had no line, and a fleet's logs were read and dropped.

--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -90,6 +90,7 @@
         } else if holder.alive {
             forward(node, &ask, &holder.node).await
         } else {
+            tracing::info!(event = "order_holder_gone", request = %ask.request, holder = %holder.node);
             OrderReply::Failed(OrderFailure::MinterGone)
         };
         let is_moving = reply == OrderReply::Failed(OrderFailure::Stopping);
@@ -131,7 +132,10 @@
 }
 
 async fn forward(node: &Arc<Node>, ask: &OrderAsk, holder: &streamfold_model::NodeId) -> OrderReply {
-    let Some(link) = node.links.get(holder) else { return OrderReply::Failed(OrderFailure::MinterGone) };
+    let Some(link) = node.links.get(holder) else {
+        tracing::info!(event = "order_not_forwarded", request = %ask.request, holder = %holder, error = "no address");
+        return OrderReply::Failed(OrderFailure::MinterGone);
+    };
     let left = ask.deadline.since(node.clock.now());
     let message = OrderRequest {
         request: ask.request,
@@ -142,8 +146,14 @@
         ticket: ask.key.clone(),
         body: ask.body.clone(),
     };
-    let reply = link.call(PATH_ORDER, &message, left).await;
-    reply.unwrap_or(OrderReply::Failed(OrderFailure::MinterGone))
+    match link.call(PATH_ORDER, &message, left).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            let left_ms = ask.deadline.since(node.clock.now()).as_millis() as u64;
+            tracing::info!(event = "order_not_forwarded", request = %ask.request, holder = %holder, %error, left_ms);
+            OrderReply::Failed(OrderFailure::MinterGone)
+        }
+    }
 }
 
 /// The layout that orders go by: that of the newest index version any server told of.
@@ -172,7 +182,11 @@
             match (reply.outcome, reply.result) {
                 (AttemptOutcome::Answered, Ok(results)) => return done(shard, reply.version, results),
                 (outcome, Err(told)) if outcome.is_not_run() => reason = told,
-                _ => return OrderReply::Failed(OrderFailure::OutcomeUnknown),
+                (outcome, _) => {
+                    let left_ms = ask.deadline.since(node.clock.now()).as_millis() as u64;
+                    tracing::info!(event = "order_lost", request = %ask.request, owner = %target.node, ?outcome, left_ms);
+                    return OrderReply::Failed(OrderFailure::OutcomeUnknown);
+                }
             }
         }
     }
@@ -224,6 +238,10 @@
     match tokio::time::timeout(left, link.call_first::<_, PieceReply>(PATH_BATCH, &batch)).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) if error.is_not_sent() => lost(AttemptOutcome::NotSent, MissingReason::NoOwner),
-        _ => unknown,
+        Ok(Err(error)) => {
+            tracing::info!(event = "order_piece_lost", request = %ask.request, owner = %target.node, %error);
+            unknown
+        }
+        Err(_) => unknown,
     }
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A small fleet on loopback: a platform, servers and nodes, with a configuration applied.
 
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
@@ -14,8 +15,8 @@
 use streamfold_daemon::settings::{DaemonArgs, NodeSettings, PolicyChoice, parse};
 use streamfold_model::operator::ApplyRequest;
 use streamfold_model::{ChangeId, IndexName, ParseIdError, SourceFile};
-use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, Command};
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::process::{Child, ChildStdout, Command};
 
 use crate::client::{CallError, LabClient};
 use crate::fleet_plan::{FleetPlan, write_config};
@@ -27,6 +28,8 @@
 pub const INDEX: &str = "carts";
 /// The token of its caller.
 pub const TOKEN: &str = "demo-token";
+/// The variable that names the folder in which logs of nodes are kept, so that a test that failed can be traced.
+const LOG_FOLDER: &str = "STREAMFOLD_LAB_LOGS";
 /// How long a fleet may take to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How often readiness is looked at.
@@ -391,10 +394,29 @@
     };
     // The settings were read before the node listened.
     let _ = std::fs::remove_file(&path);
-    tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+    tokio::spawn(keep_log(lines, name.to_owned()));
     Ok((addresses, NodeHandle::Process(child)))
 }
 
+/// Reads a node's log to its end, into a file of the folder for logs if one is named.
+async fn keep_log(mut lines: Lines<BufReader<ChildStdout>>, name: String) {
+    let folder = std::env::var_os(LOG_FOLDER).map(PathBuf::from);
+    let path = folder.map(|folder| folder.join(format!("{name}-{:08x}.log", rand::random::<u32>())));
+    let mut file = path.and_then(|path| match std::fs::File::create(&path) {
+        Ok(file) => Some(file),
+        Err(error) => {
+            eprintln!("the log of node {name} is not kept in {}: {error}", path.display());
+            None
+        }
+    });
+    while let Ok(Some(line)) = lines.next_line().await {
+        if let Some(file) = &mut file {
+            // A log that ends early only makes a failure harder to trace.
+            let _ = writeln!(file, "{line}");
+        }
+    }
+}
+
 /// The ports in a `listening` log line.
 fn read_listening(line: &str) -> Option<NodeAddresses> {
     if !line.contains("event=listening") {
