--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -21,9 +21,17 @@
     BatchRequest, OrderFailure, OrderReply, OrderRequest, PATH_BATCH, PATH_ORDER, PieceReply, PieceRequest,
 };
 
-/// Pause before the holder of a ticket is looked up again while its node stops.
+/// Pause before the holder of a ticket is looked up again while its node stops, or cannot be connected to.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(50);
 
+/// What became of an order that was handed to the node that holds its ticket.
+enum ForwardResult {
+    /// That node's reply, or why there is none though the order may have reached it.
+    Replied(OrderReply),
+    /// It certainly did not reach it, so it may go there again.
+    NotSent,
+}
+
 /// An order that was let in.
 #[derive(Clone)]
 pub struct OrderAsk {
@@ -85,17 +93,21 @@
 pub async fn run_ticket(node: &Arc<Node>, ask: OrderAsk, ticket: &OrderTicket) -> OrderReply {
     loop {
         let holder = node.members().ticket_holder(&ticket.node, ticket.incarnation);
-        let reply = if holder.node == node.settings.node {
-            run_held(node, ask.clone(), ticket).await
+        let forwarded = if holder.node == node.settings.node {
+            ForwardResult::Replied(run_held(node, ask.clone(), ticket).await)
         } else if holder.alive {
             forward(node, &ask, &holder.node).await
         } else {
             tracing::info!(event = "order_holder_gone", request = %ask.request, holder = %holder.node);
-            OrderReply::Failed(OrderFailure::MinterGone)
+            ForwardResult::Replied(OrderReply::Failed(OrderFailure::MinterGone))
+        };
+        // Nobody can tell what other deliveries of the order did, so one that reached no holder is unknown.
+        let (reply, may_go_again) = match forwarded {
+            ForwardResult::Replied(reply) => (reply.clone(), reply == OrderReply::Failed(OrderFailure::Stopping)),
+            ForwardResult::NotSent => (OrderReply::Failed(OrderFailure::MinterGone), true),
         };
-        let is_moving = reply == OrderReply::Failed(OrderFailure::Stopping);
         let left = ask.deadline.since(node.clock.now());
-        if !is_moving || left <= HANDOVER_PAUSE || node.is_refusing() {
+        if !may_go_again || left <= HANDOVER_PAUSE || node.is_refusing() {
             return reply;
         }
         tokio::time::sleep(HANDOVER_PAUSE).await;
@@ -131,10 +143,10 @@
     }
 }
 
-async fn forward(node: &Arc<Node>, ask: &OrderAsk, holder: &streamfold_model::NodeId) -> OrderReply {
+async fn forward(node: &Arc<Node>, ask: &OrderAsk, holder: &streamfold_model::NodeId) -> ForwardResult {
     let Some(link) = node.links.get(holder) else {
         tracing::info!(event = "order_not_forwarded", request = %ask.request, holder = %holder, error = "no address");
-        return OrderReply::Failed(OrderFailure::MinterGone);
+        return ForwardResult::NotSent;
     };
     let left = ask.deadline.since(node.clock.now());
     let message = OrderRequest {
@@ -147,11 +159,14 @@
         body: ask.body.clone(),
     };
     match link.call(PATH_ORDER, &message, left).await {
-        Ok(reply) => reply,
+        Ok(reply) => ForwardResult::Replied(reply),
         Err(error) => {
             let left_ms = ask.deadline.since(node.clock.now()).as_millis() as u64;
             tracing::info!(event = "order_not_forwarded", request = %ask.request, holder = %holder, %error, left_ms);
-            OrderReply::Failed(OrderFailure::MinterGone)
+            match error.is_not_sent() {
+                true => ForwardResult::NotSent,
+                false => ForwardResult::Replied(OrderReply::Failed(OrderFailure::MinterGone)),
+            }
         }
     }
 }
--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -12,6 +12,7 @@
 use streamfold_lab::fleet_plan::{DomainPlan, FleetPlan};
 use streamfold_lab::load::{self, GOOD_WITHIN, LoadPlan, LoadReport};
 use streamfold_lab::orders::OrderSender;
+use streamfold_lab::proxy;
 use streamfold_lab::wait::{WAIT_AT_MOST, wait_for};
 use streamfold_model::operator::ApplyRequest;
 use streamfold_model::{ChangeId, ConfigVersion, HeadRecord, MissingReason, SourceFile};
@@ -249,3 +250,23 @@
     assert_eq!((report.whole, report.broken), (50, 0), "{report:?}");
     fleet.stop().await;
 }
+
+/// A forwarded order for which there was no connection had certainly not run, and was told as unknown at once: beside
+/// load a new connection may take longer than the time for one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_waits_for_the_way_to_the_node_of_its_ticket() {
+    let mut fleet = Fleet::start(FleetPlan { deadline: "8s", ..plan() }).await.expect("a fleet");
+    let sender = OrderSender::new(fleet.client.clone());
+    let ticket = sender.mint(fleet.nodes[0].addresses.callers, 1).await.remove(0);
+    let way = fleet.nodes[0].proxy.take().expect("a proxy");
+    let (address, target) = (way.address, *way.target.lock().expect("its target"));
+    drop(way);
+    let (told, way) = tokio::join!(order(&fleet, 3, &ticket), async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        proxy::start(address, target).await.expect("the way again")
+    });
+    assert_eq!(ran(&told), "ran", "{told:?}");
+    assert_eq!(fleet.log.count(&ticket), 1);
+    drop(way);
+    fleet.stop().await;
+}
