The test of an order that waits for its way begins once the old way is closed

Cause: the test sent the order while its connection was just breaking, so that it may have arrived; unknown is the true word for that. Change: the test waits until nobody has a connection over the way (the system's list of sockets); what it asks is the same. Ruled out: sending such an order again (it may run twice).

--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -251,6 +251,18 @@
     fleet.stop().await;
 }
 
+/// Whether anybody has a connection to an address, also one whose other end is closed already.
+fn has_connections(address: std::net::SocketAddr) -> bool {
+    /// What the system calls established, and closed by the other end.
+    const OPEN_STATES: [&str; 2] = ["01", "08"];
+    let port = format!(":{:04X}", address.port());
+    let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the system's list of sockets");
+    sockets.lines().skip(1).any(|socket| {
+        let fields: Vec<&str> = socket.split_whitespace().collect();
+        fields[2].ends_with(&port) && OPEN_STATES.contains(&fields[3])
+    })
+}
+
 /// A forwarded order for which there was no connection had certainly not run, and was told as unknown at once: beside
 /// load a new connection may take longer than the time for one.
 #[tokio::test(flavor = "multi_thread")]
@@ -261,6 +273,8 @@
     let way = fleet.nodes[0].proxy.take().expect("a proxy");
     let (address, target) = (way.address, *way.target.lock().expect("its target"));
     drop(way);
+    // What goes out on a connection that is just breaking may have arrived, and is unknown in truth.
+    wait_for("every connection over the way to be closed", async || !has_connections(address)).await;
     let (told, way) = tokio::join!(order(&fleet, 3, &ticket), async {
         tokio::time::sleep(Duration::from_millis(500)).await;
         proxy::start(address, target).await.expect("the way again")
