--- a/crates/router/tests/panicked.rs
+++ b/crates/router/tests/panicked.rs
@@ -3,7 +3,7 @@
 //! looks, and the second found nobody: `panicked at delegate.rs, index out of bounds: the len is 0`. The task
 //! was the caller's connection's, so the caller got no answer at all (`connection closed before message completed`), no
 //! server was called, and the node's line said that the caller had left. Played with 0.1 s between the two looks this
-//! came in 10 of 24 soaks, the first of them of a request sent during the pause and cut 50 to 160 ms after it.
+//! came in 10 of 24 soaks, twice for a request sent during the same pause of the same node.
 //!
 //! So whatever panics, the caller is answered, and truthfully: nobody knows whether the request has run.
 
