A request over shards that lost a call waits for the verdict, and ends no last server of a shard

Cause: a content that comes for the first time and ends its servers went to one server of every shard; each lost call was tried at the other server of its shard before three were known to have ended, and what was known then still let one call go first.

Ruled out: a longer wait alone (the call that goes first would still end the last server of a shard); one shard first for contents never seen (costs every request a call's time); spread first batches (the same, and servers end up to 90 ms after a call began).

Change: a request over shards sends nothing more from its first lost call on, until the check of the server says whether its process is gone (at most 30 ms after the last loss; at once where the process is found to live on). If its content is suspect then, it was sent before the servers ended and no server has answered it, it sends nothing more. One that was answered, or that comes later, goes to one server first, as before.

--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -2,7 +2,9 @@
 //!
 //! The load pattern: a request over every shard ends a server of each at once, and its retries end the others,
 //! where one server would have shown what it does. One that is suspect without reason loses the time of one
-//! call.
+//! call. Which request did it cannot be known the first time, so one over shards that lost a call sends nothing
+//! more until it is known what became of the server, and nothing at all if several ended and nobody has answered
+//! it: the other server of each shard lives on.
 
 use std::time::Duration;
 
@@ -60,9 +62,14 @@
 pub struct CanaryRecord {
     /// Whether it is the one request of all nodes that tries a content held off.
     pub is_trial: bool,
+    /// Whether it goes to a server of every shard at once.
+    is_over_shards: bool,
     first: CanaryState,
     lost: usize,
     lost_at: Moment,
+    /// Whether calls were sent while nothing spoke against it.
+    was_free: bool,
+    is_answered: bool,
 }
 
 impl CanaryRecord {
@@ -71,6 +78,11 @@
         Self { is_trial: true, ..Self::default() }
     }
 
+    /// That of a request to every shard.
+    pub fn over_shards() -> Self {
+        Self { is_over_shards: true, ..Self::default() }
+    }
+
     /// Whether the request may send a call; `patience` is how long the first one may take.
     pub fn right(&self, now: Moment, standing: ContentStanding, patience: Duration) -> CallRight {
         let is_held = matches!(standing, ContentStanding::Held { .. } | ContentStanding::TrialDue);
@@ -81,6 +93,8 @@
             CanaryState::Sent { at, .. } if now.since(*at) < patience => CallRight::Wait,
             CanaryState::Sent { .. } => CallRight::Never,
             CanaryState::NotSent if self.awaits_verdict(now) => CallRight::Wait,
+            // One more server would end, and with it the last one of its shard.
+            CanaryState::NotSent if standing == ContentStanding::Suspect && self.is_likely() => CallRight::Never,
             CanaryState::NotSent if self.is_trial || standing == ContentStanding::Suspect => CallRight::First,
             CanaryState::NotSent => CallRight::Free,
         }
@@ -88,7 +102,28 @@
 
     /// Whether it has lost so many calls that it must first be known what became of the servers.
     fn awaits_verdict(&self, now: Moment) -> bool {
-        self.lost >= LEAST_CRASHES && now.since(self.lost_at) < VERDICT_WITHIN
+        let least = if self.is_over_shards { 1 } else { LEAST_CRASHES };
+        self.lost >= least && now.since(self.lost_at) < VERDICT_WITHIN
+    }
+
+    /// Whether it is likely to be what ended the servers: it was sent before they did, and nobody has answered.
+    fn is_likely(&self) -> bool {
+        self.is_over_shards && self.was_free && !self.is_answered
+    }
+
+    /// Notes that a call is sent while nothing speaks against it.
+    pub fn note_free(&mut self) {
+        self.was_free = true;
+    }
+
+    /// Notes that a server answered it.
+    pub fn note_answered(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// Notes that a server lives on whose connection was lost.
+    pub fn note_alive(&mut self) {
+        self.lost = self.lost.saturating_sub(1);
     }
 
     /// Notes that a call's connection was lost.
--- a/crates/policy/tests/crash_book.rs
+++ b/crates/policy/tests/crash_book.rs
@@ -178,6 +178,33 @@
     assert_eq!(record.right(verdict, ContentStanding::Suspect, PATIENCE), CallRight::First);
 }
 
+#[test]
+fn a_request_over_shards_waits_from_its_first_lost_call_on() {
+    let mut record = CanaryRecord::over_shards();
+    record.note_free();
+    record.note_lost(at(0));
+    assert_eq!(record.right(at(1), ContentStanding::Clear, PATIENCE), CallRight::Wait);
+    record.note_alive();
+    assert_eq!(record.right(at(1), ContentStanding::Clear, PATIENCE), CallRight::Free, "the server lives on");
+    record.note_lost(at(2));
+    let verdict = at(2).plus(VERDICT_WITHIN);
+    assert_eq!(record.right(verdict, ContentStanding::Clear, PATIENCE), CallRight::Free, "one server ended, no more");
+}
+
+#[test]
+fn a_request_over_shards_that_may_have_ended_several_servers_sends_nothing_more() {
+    let suspect = ContentStanding::Suspect;
+    let mut record = CanaryRecord::over_shards();
+    record.note_free();
+    record.note_lost(at(0));
+    let verdict = at(0).plus(VERDICT_WITHIN);
+    assert_eq!(record.right(verdict, suspect, PATIENCE), CallRight::Never);
+    record.note_answered();
+    assert_eq!(record.right(verdict, suspect, PATIENCE), CallRight::First, "a server has run it and answered");
+    let later = CanaryRecord::over_shards();
+    assert_eq!(later.right(verdict, suspect, PATIENCE), CallRight::First, "it comes when servers have ended");
+}
+
 quickcheck! {
     /// However crashes come in, a content that never ended three servers is never held off, and the book
     /// stays bounded.
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -152,8 +152,9 @@
             metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
             return Err(AttemptStop::Budget);
         }
-        if right == CallRight::First {
-            self.canary.note_sent(self.now(), &server);
+        match right {
+            CallRight::First => self.canary.note_sent(self.now(), &server),
+            _ => self.canary.note_free(),
         }
         attempts.sent += 1;
         let mark = attempts.note_start(server.run());
--- a/crates/router/src/canary.rs
+++ b/crates/router/src/canary.rs
@@ -13,35 +13,84 @@
 use crate::server::Server;
 use crate::{crash_check, quarantine};
 
+/// A call whose connection was lost.
+struct LostCall {
+    server: Arc<Server>,
+    at: Moment,
+}
+
+/// What is known of one request's calls.
+#[derive(Default)]
+struct CanaryState {
+    record: CanaryRecord,
+    /// Lost calls, until it is known that their servers live on.
+    lost: Vec<LostCall>,
+}
+
 /// The first call of one request.
 #[derive(Clone, Default)]
-pub struct CanaryCall(Arc<Mutex<CanaryRecord>>);
+pub struct CanaryCall(Arc<Mutex<CanaryState>>);
 
 impl CanaryCall {
+    fn of(record: CanaryRecord) -> Self {
+        Self(Arc::new(Mutex::new(CanaryState { record, lost: Vec::new() })))
+    }
+
     /// That of a request that tries a content held off.
     pub fn trial() -> Self {
-        Self(Arc::new(Mutex::new(CanaryRecord::trial())))
+        Self::of(CanaryRecord::trial())
     }
 
-    fn record(&self) -> MutexGuard<'_, CanaryRecord> {
+    /// That of a request to every shard.
+    pub fn over_shards() -> Self {
+        Self::of(CanaryRecord::over_shards())
+    }
+
+    fn state(&self) -> MutexGuard<'_, CanaryState> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether a call may be sent; `patience` is how long the first one may take.
     pub fn right(&self, now: Moment, standing: ContentStanding, patience: Duration) -> CallRight {
-        self.record().right(now, standing, patience)
+        let mut state = self.state();
+        let CanaryState { record, lost } = &mut *state;
+        lost.retain(|call| {
+            let is_alive = call.server.is_alive_since(call.at);
+            if is_alive {
+                record.note_alive();
+            }
+            !is_alive
+        });
+        record.right(now, standing, patience)
+    }
+
+    /// Notes that a call is sent while nothing speaks against the request.
+    pub fn note_free(&self) {
+        self.state().record.note_free();
+    }
+
+    /// Notes that a server answered the request.
+    pub fn note_answered(&self) {
+        self.state().record.note_answered();
     }
 
     /// Notes that the first call goes to a server.
     pub fn note_sent(&self, now: Moment, server: &Server) {
-        self.record().note_sent(now, server.id.clone());
+        self.state().record.note_sent(now, server.id.clone());
     }
 
     /// Notes how a call of the request ended.
     pub fn note_end(&self, router: &Arc<Router>, content: ContentId, ended: &EndedCall) {
-        let mut record = self.record();
-        if matches!(ended.result, Err(CallFailure::ConnectionLost)) {
-            record.note_lost(router.clock.now());
+        let mut state = self.state();
+        let CanaryState { record, lost } = &mut *state;
+        match &ended.result {
+            Ok(reply) if reply.is_proven_success() => record.note_answered(),
+            Err(CallFailure::ConnectionLost) => {
+                let now = router.clock.now();
+                record.note_lost(now);
+                lost.push(LostCall { server: ended.server.clone(), at: now });
+            }
+            _ => {}
         }
         if !record.is_at(&ended.server.id) {
             return;
@@ -69,5 +118,5 @@
     if has_survived {
         quarantine::release(&router, content).await;
     }
-    canary.record().note_trial(has_survived);
+    canary.state().record.note_trial(has_survived);
 }
--- a/crates/router/src/crash_check.rs
+++ b/crates/router/src/crash_check.rs
@@ -45,10 +45,10 @@
 
 async fn check(router: Arc<Router>, server: Arc<Server>, suspects: Vec<CrashSuspect>) {
     tokio::time::sleep(CHECK_AFTER).await;
-    if let Some(Err(error)) = connect(&server).await
-        && error.kind() == ErrorKind::ConnectionRefused
-    {
-        note_crash(&router, &server, &suspects);
+    match connect(&server).await {
+        Some(Ok(_)) => server.note_alive(router.clock.now()),
+        Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => note_crash(&router, &server, &suspects),
+        _ => {}
     }
 }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -163,6 +163,7 @@
         RouteTarget::All(_) => routed.route.target_latency,
         RouteTarget::One(_) => routed.route.target_latency.mul_f64(EARLY_SHARE),
     };
+    let canary = if is_lone { CanaryCall::default() } else { CanaryCall::over_shards() };
     Ok(AttemptContext {
         retry_until: started.plus(retry_within),
         router: router.clone(),
@@ -172,7 +173,7 @@
         times,
         request_share: 1.0,
         asker: RequestAsker::Caller,
-        canary: CanaryCall::default(),
+        canary,
     })
 }
 
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -27,6 +27,7 @@
     }
 
     fn send_planned(&mut self, batch: PlannedBatch) {
+        self.context.canary.note_free();
         let PlannedBatch { peer, positions } = batch;
         let domain = peer.entry.domain.clone();
         let number = self.batches.len();
@@ -160,6 +161,9 @@
         let batch = &mut self.batches[number];
         batch.records = Bytes::from(reply.records);
         let positions = batch.positions.clone();
+        if !proofs.is_empty() {
+            self.context.canary.note_answered();
+        }
         for (index, proof) in proofs {
             let slot = &mut self.slots[positions[index]];
             slot.attempts.may_have_run = true;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -195,6 +195,6 @@
         times,
         request_share,
         asker,
-        canary: CanaryCall::default(),
+        canary: CanaryCall::over_shards(),
     })
 }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -1,7 +1,7 @@
 //! One server: its entry, what is believed of it and the connections to it.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -53,6 +53,8 @@
     state: Mutex<ReplicaState>,
     work: Mutex<RecentWork>,
     crashed: AtomicBool,
+    /// When its process was last found to live on after a connection was lost, in microseconds.
+    alive_at: AtomicU64,
     pool: ConnectionPool,
 }
 
@@ -102,6 +104,7 @@
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with(mechanisms)),
             work: Mutex::default(),
             crashed: AtomicBool::new(false),
+            alive_at: AtomicU64::new(0),
             pool: ConnectionPool::default(),
         })
     }
@@ -127,6 +130,16 @@
         self.crashed.load(Ordering::Relaxed)
     }
 
+    /// Notes that its process lives on though a connection was lost.
+    pub fn note_alive(&self, now: Moment) {
+        self.alive_at.fetch_max(now.0, Ordering::Relaxed);
+    }
+
+    /// Whether its process was found to live on after a moment.
+    pub fn is_alive_since(&self, moment: Moment) -> bool {
+        self.alive_at.load(Ordering::Relaxed) > moment.0
+    }
+
     /// Which run of which server it is.
     pub fn run(&self) -> ServerRun {
         ServerRun { id: self.id.clone(), start: self.start }
