--- a/crates/lab/tests/routes.rs
+++ b/crates/lab/tests/routes.rs
@@ -183,3 +183,14 @@
     assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
     assert!(fleet.servers[0].state.calls().is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_caller_that_still_writes_gets_its_answer() {
+    let fleet = start_single().await;
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let body = Bytes::from(vec![b'x'; 4 << 20]);
+        let answer = fleet.call(0, Method::POST, "/nowhere/x", &id, body).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::NOT_FOUND, "{id}");
+    }
+}
--- a/crates/lab/tests/routes_servers.rs
+++ b/crates/lab/tests/routes_servers.rs
@@ -1,5 +1,6 @@
 //! Servers that fail, refuse, hang or answer for others: what is tried, what runs, what callers learn. With real processes.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use serde_json::json;
@@ -10,6 +11,7 @@
 use streamfold_lab::route_fleet::{RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::wait_for;
 use streamfold_standin::server::{RouteServer, RouteServerPlan, RouteSwitches};
+use tokio::net::TcpStream;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_paused_server_is_gone_round() {
@@ -243,7 +245,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_without_a_reachable_server_does_not_run() {
     let mut fleet = start_pair().await;
+    let addresses: Vec<SocketAddr> = fleet.servers.iter().map(|server| server.address).collect();
     fleet.servers.clear();
+    // The stand-ins' tasks end a moment after they were told to. Until then a port takes connections, and what
+    // was sent on one of those may have run.
+    for address in addresses {
+        wait_for("a closed port", async || TcpStream::connect(address).await.is_err()).await;
+    }
     let mut seen = Vec::new();
     for path in ["/any/x", "/once/x"] {
         seen.push(format!("{path}: {}", tell_refusal(&get(&fleet, path, "r-0").await)));
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -7,9 +7,10 @@
 
 use bytes::Bytes;
 use http::header::{HOST, HeaderMap};
+use http::request::Parts;
 use http::{Request, Uri};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -38,6 +39,10 @@
 /// Heads and idle times while no routes are known.
 const FIRST_HEAD_BUFFER: usize = 64 << 10;
 const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// The most bytes of a refused request's body that are still read, and how long that may take: a caller that
+/// goes on writing beyond them is cut off.
+const MAX_DISCARDED: usize = 8 << 20;
+const DISCARD_WITHIN: Duration = Duration::from_secs(2);
 /// The share of the target latency within which a request that no server takes is refused.
 const EARLY_SHARE: f64 = 0.2;
 
@@ -127,33 +132,39 @@
 async fn handle(router: &Arc<Router>, request: Request<Incoming>) -> CallerAnswer {
     let _count = LiveCount::new(&router.requests);
     let started = router.clock.now();
-    match prepare(router, request, started).await {
+    let (parts, mut body) = request.into_parts();
+    match prepare(router, parts, &mut body, started).await {
         Ok(context) => run(router, context).await,
-        Err(kind) => refuse(&*router.format, kind),
+        Err(kind) => {
+            if !body.is_end_stream() {
+                tokio::spawn(discard(body));
+            }
+            refuse(&*router.format, kind)
+        }
     }
 }
 
 async fn prepare(
     router: &Arc<Router>,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
     started: Moment,
 ) -> Result<AttemptContext, RefusalKind> {
-    let head = router.format.read_caller(request.headers()).map_err(|error| {
-        tracing::info!(event = "request_unreadable", path = request.uri().path(), %error);
+    let head = router.format.read_caller(&parts.headers).map_err(|error| {
+        tracing::info!(event = "request_unreadable", path = parts.uri.path(), %error);
         RefusalKind::BadRequest
     })?;
-    let routed = find_route(router, request.headers(), request.uri()).inspect_err(|kind| {
+    let routed = find_route(router, &parts.headers, &parts.uri).inspect_err(|kind| {
         let id = head.request.to_str().unwrap_or("not-text");
         tracing::info!(
             event = "request_refused",
             request = id,
-            path = request.uri().path(),
+            path = parts.uri.path(),
             version = %router.cluster.version(),
             routes_followed = router.is_followed(FeedTopic::Routes),
             reason = kind.name()
         );
     })?;
-    let (parts, body) = request.into_parts();
     let body = read_body(body, routed.body_limit).await?;
     let times = routed.view.times.get(&routed.route.name).cloned().unwrap_or_default();
     let is_lone = matches!(routed.route.target, RouteTarget::One(_));
@@ -197,7 +208,7 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
+async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(RefusalKind::TooLong),
@@ -205,6 +216,20 @@
     }
 }
 
+/// Reads what is left of a refused request's body, within bounds. A connection that is closed while its caller
+/// still writes is reset, and the caller loses the refusal.
+async fn discard(mut body: Incoming) {
+    let reading = async {
+        let mut left = MAX_DISCARDED;
+        while let Some(Ok(frame)) = body.frame().await {
+            let Some(rest) = left.checked_sub(frame.data_ref().map_or(0, Bytes::len)) else { return };
+            left = rest;
+        }
+    };
+    // Whether it ends in time or not, nothing of it is wanted.
+    let _ = tokio::time::timeout(DISCARD_WITHIN, reading).await;
+}
+
 /// Lets a request in: at once, as the one that tries again what ended servers, or not at all.
 async fn admit(context: &mut AttemptContext) -> Result<(), RefusalKind> {
     let router = &context.router;
