A team's burst counts in each window, and failure domains save two credits

Change: the rate includes the burst of each window; a failure domain saves two credits and begins with none; the pool saves a quarter of the allowance.

--- a/crates/policy/src/usage_credit.rs
+++ b/crates/policy/src/usage_credit.rs
@@ -7,7 +7,7 @@
 //! Half of each team's rate is divided among the failure domains, where one node deals it out a request's way of a
 //! millisecond away. The other half is a pool that one node of one failure domain lends from: it goes where the
 //! team's callers are, and evens out that requests do not come evenly. Nobody but these nodes gives credit, and each
-//! begins with next to nothing, so a node that dies, is cut off or starts again leaves less than the limit, never
+//! begins with nothing, so a node that dies, is cut off or starts again leaves less than the limit, never
 //! more: nothing has to be agreed on.
 
 use std::collections::HashMap;
@@ -20,12 +20,12 @@
 /// The part of a rate that is divided among the failure domains. Teams send some 0.6 of their rate on usual days, so
 /// a pool that is away leaves most of that, and a pool that is there can nearly double what a failure domain has.
 const DIVIDED_PART: f64 = 0.5;
-/// The share of the allowance that failure domains may hold as whole first credits; with more of them than that the
-/// pool lends everything.
-const FIRST_SHARE: f64 = 0.5;
-/// The share of the allowance that the pool holds on top of a team's burst: nodes that start again may give as much
-/// once more.
-const POOL_SHARE: f64 = 0.3;
+/// Credit that a failure domain may save: with one, a quarter of what it has would be lost between its requests.
+const DOMAIN_MOST: f64 = 2.0;
+/// The share of the allowance that failure domains may save; with more of them than that the pool lends everything.
+const SAVED_SHARE: f64 = 0.6;
+/// The share of the allowance that the pool may save. The rest is for one that starts again.
+const POOL_SHARE: f64 = 0.25;
 /// How long credit that was lent may be used. The pool earns as much again meanwhile, so it adds to what a window
 /// may see.
 const LENT_FOR: Duration = Duration::from_millis(500);
@@ -46,10 +46,15 @@
 }
 
 impl UsageAllowance {
+    /// What a team may send a second, its burst in each window included.
+    fn rate(self, limit: UsageLimit) -> f64 {
+        limit.rate + limit.burst / self.window.as_secs_f64().max(1.0)
+    }
+
     /// The part of a rate that one failure domain has for itself.
     fn domain_part(self) -> f64 {
         let domains = self.domains.max(1) as f64;
-        let has_room = domains <= self.requests * FIRST_SHARE;
+        let has_room = domains * DOMAIN_MOST <= self.requests * SAVED_SHARE;
         if has_room { DIVIDED_PART / domains } else { 0.0 }
     }
 
@@ -124,7 +129,7 @@
 impl DomainCredit {
     fn new(now: Moment) -> Self {
         Self {
-            own: CreditBucket { credit: 1.0, filled: now },
+            own: CreditBucket { credit: 0.0, filled: now },
             lent: 0,
             lent_until: now,
             pool_again: now,
@@ -167,9 +172,8 @@
         is_last: bool,
     ) -> CreditAnswer {
         let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now));
-        let rate = limit.rate * allowance.domain_part();
-        let most = if rate > 0.0 { (limit.burst * allowance.domain_part()).max(1.0) } else { 0.0 };
-        credit.own.fill(now, rate, most);
+        let rate = allowance.rate(limit) * allowance.domain_part();
+        credit.own.fill(now, rate, DOMAIN_MOST);
         if !is_last {
             credit.note_demand(now);
         }
@@ -221,13 +225,11 @@
         allowance: UsageAllowance,
         wanted: u32,
     ) -> PoolLoan {
-        let part = allowance.pool_part();
-        let spare = allowance.requests * POOL_SHARE;
-        let (rate, most) = (limit.rate * part, limit.burst * part + spare);
-        // What this node has lent before its start is past after a window. Another node may have lent from a pool
-        // of the same team until now, so the burst is not there at first.
+        let rate = allowance.rate(limit) * allowance.pool_part();
+        let most = (allowance.requests * POOL_SHARE).max(1.0);
+        // What was lent before this node's start is past after a window.
         let known = now.since(Moment::default()).as_secs_f64() / allowance.window.as_secs_f64().max(1.0);
-        let make = || CreditBucket { credit: spare * known.min(1.0), filled: now };
+        let make = || CreditBucket { credit: most * known.min(1.0), filled: now };
         let bucket = self.teams.entry(team.clone()).or_insert_with(make);
         bucket.fill(now, rate, most);
         let requests = (bucket.credit as u32).min(wanted);
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -163,9 +163,7 @@
 /// # Errors
 /// The team is over its limit, or nobody who could say so can be asked.
 pub async fn admit(router: &Router, view: &ClusterView, team: &TeamSpec, request: &str) -> Result<(), RefusalKind> {
-    if team.limit.is_none() {
-        return Ok(());
-    }
+    let Some(limit) = team.limit else { return Ok(()) };
     let lenders = view.lenders.get(&router.settings.failure_domain).map_or(&[][..], Vec::as_slice);
     for entry in rank_lenders(lenders, &team.name, MAX_ASKED) {
         let reply = if entry.node == router.settings.node {
@@ -183,6 +181,8 @@
                     event = "over_limit",
                     request,
                     team = %team.name,
+                    rate = limit.rate,
+                    burst = limit.burst,
                     lender = %entry.node,
                     wait_ms = wait.as_millis() as u64
                 );
