Nodes that start together ask the store by failure domain, not each for itself

Three changes, each with its test: - who starts learns the nodes of its failure domain from the nodes that its settings name, as at the very first start; these list them from the store. Without an answer within 0.6 s it lists them itself, as before. - weak nodes follow strong ones where there is one for 32: ranks 161 and on followed weak nodes of 22 Mbit/s, 16 each (policy test: 190 and 380 nodes, none follows a weak one, at most three steps from the store). - a node that will follow the store says so to who asks it, and is waited for by rank, up to 8 s (policy test: of 190 nodes at most 16 lose patience within 2 s). Before it waited 0.6 s and refused. Only at a start: who loses its reader later switches as before. A node that waits so asks nobody for all servers in its first 1.5 s.

--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -39,6 +39,8 @@
 const ALLOWANCE: u32 = 1_000;
 /// The first of a node's four ports.
 const FIRST_PORTS: std::ops::Range<u16> = 10_000..30_000;
+/// Nodes that the settings of a node that starts again name.
+const SEEDS: usize = 3;
 /// The share of a core that a node has if a plan says nothing else.
 pub const WHOLE_CORE: f64 = 1.0;
 /// Seconds between asking a node to stop and killing it.
@@ -248,6 +250,29 @@
         Ok(())
     }
 
+    /// Kills all nodes and starts them again where they were; they may not be ready yet. Their seeds are the first
+    /// three then.
+    ///
+    /// # Errors
+    /// A process cannot be started.
+    pub async fn restart_all(&mut self) -> Result<(), RouteFleetError> {
+        let seeds: Vec<String> = self.nodes.iter().take(SEEDS).map(|node| node.addresses.peers.to_string()).collect();
+        for node in &mut self.nodes {
+            node.process.kill().await.map_err(io("killing a process"))?;
+        }
+        let platform = self.platform.address;
+        for node in &mut self.nodes {
+            let domain = DOMAINS.iter().position(|domain| node.name.starts_with(domain)).unwrap_or_default();
+            let share = self.cpu_shares.get(node.name.as_str()).copied().unwrap_or(WHOLE_CORE);
+            let text = write_settings(&node.name, domain, &node.addresses, platform, &seeds, share)?;
+            let text = text.replace("first_start: true", "first_start: false") + self.settings;
+            let is_log_read = Arc::new(AtomicBool::new(true));
+            let (process, log) = start_process(&node.name, &text, is_log_read.clone()).await?;
+            (node.process, node.log, node.is_log_read) = (process, log, is_log_read);
+        }
+        Ok(())
+    }
+
     /// Waits until every node answers the balancer with a status.
     ///
     /// # Errors
--- a/crates/policy/src/feed_rule.rs
+++ b/crates/policy/src/feed_rule.rs
@@ -10,6 +10,7 @@
 use streamfold_model::CoreShare;
 
 use crate::owner::choose_owners;
+use crate::placement::is_owner;
 
 /// With fewer nodes than this in a failure domain each follows the store by itself: sharing saves a
 /// call or two, and a follower whose reader is cut off learns up to two seconds late that a server's
@@ -28,6 +29,12 @@
 /// ones do not come up the next in rank do.
 const PATIENCE_STEP: Duration = Duration::from_millis(125);
 const MAX_PATIENCE: Duration = Duration::from_millis(1_200);
+/// How long it waits for one that says that it is about to begin. A listing grows with servers, and where every node
+/// of hundreds takes it from the store after the same second, none has it for ten.
+const MAX_STARTING_PATIENCE: Duration = Duration::from_secs(8);
+/// Weak nodes that follow one strong node at most; with more of them weak nodes pass news on as well. A strong node's
+/// link bears so many at once where a weak one's would take seconds for a few.
+const MAX_LEAVES: usize = 32;
 
 /// A node that may follow or be followed.
 #[derive(Debug, Clone, Copy)]
@@ -45,13 +52,15 @@
     pub readers: Vec<&'a str>,
     /// How long it waits for one of them when it has just been started.
     pub patience: Duration,
+    /// How long it waits then for one that says that it is about to begin.
+    pub starting_patience: Duration,
 }
 
 /// The nodes from which `own` may take the news of the store. The nodes form a tree by rank, the
-/// strong ones first, of which only the root follows the store. A node only ever follows nodes of a
+/// strong ones first, of which only the root follows the store. Weak nodes follow strong ones. A node only ever follows nodes of a
 /// higher rank, so no two follow each other, whatever each of them knows.
 pub fn choose_readers<'a>(own: &str, domain: &str, nodes: &[FeedNode<'a>]) -> ReaderChoice<'a> {
-    let alone = ReaderChoice { readers: Vec::new(), patience: Duration::ZERO };
+    let alone = ReaderChoice { readers: Vec::new(), patience: Duration::ZERO, starting_patience: Duration::ZERO };
     if nodes.len() < MIN_SHARING {
         return alone;
     }
@@ -59,7 +68,10 @@
     let power = |name: &str| nodes.iter().find(|node| node.name == name).and_then(|node| node.power);
     ranked.sort_by_cached_key(|name| Reverse(power(name)));
     let Some(rank) = ranked.iter().position(|node| *node == own) else { return alone };
-    let way_up = std::iter::successors(find_parent(rank), |parent| find_parent(*parent));
+    let strongest = nodes.iter().map(|node| node.power).max().flatten();
+    let strong = ranked.iter().filter(|name| is_owner(power(name), strongest)).count();
+    let tree = NodeTree { nodes: ranked.len(), strong };
+    let way_up = std::iter::successors(tree.find_parent(rank), |parent| tree.find_parent(*parent));
     let mut readers: Vec<usize> = Vec::new();
     for reader in way_up.chain(0..rank) {
         if !readers.contains(&reader) {
@@ -67,11 +79,30 @@
         }
     }
     let readers = readers.into_iter().take(MAX_TRIED).map(|reader| ranked[reader]).collect();
-    let patience = (PATIENCE_STEP * rank as u32).min(MAX_PATIENCE);
-    ReaderChoice { readers, patience }
+    let patience = PATIENCE_STEP * rank as u32;
+    ReaderChoice {
+        readers,
+        patience: patience.min(MAX_PATIENCE),
+        starting_patience: patience.min(MAX_STARTING_PATIENCE),
+    }
+}
+
+/// How the nodes of a failure domain hang together, by their ranks.
+#[derive(Debug, Clone, Copy)]
+struct NodeTree {
+    nodes: usize,
+    /// The strong ones, which come first.
+    strong: usize,
 }
 
-/// The rank of the node that one of a rank prefers; none for the root.
-fn find_parent(rank: usize) -> Option<usize> {
-    rank.checked_sub(1).map(|before| before / FAN_OUT)
+impl NodeTree {
+    /// The rank of the node that one of a rank prefers; none for the root.
+    fn find_parent(self, rank: usize) -> Option<usize> {
+        let before = rank.checked_sub(1)?;
+        let weak = self.nodes - self.strong;
+        if rank >= self.strong && weak <= self.strong * MAX_LEAVES {
+            return Some((rank - self.strong) % self.strong);
+        }
+        Some(before / FAN_OUT)
+    }
 }
--- a/crates/policy/tests/feed_rule.rs
+++ b/crates/policy/tests/feed_rule.rs
@@ -119,3 +119,47 @@
     let soon = waits.iter().filter(|wait| **wait < Duration::from_millis(400)).count();
     assert_eq!((waits[0], soon, waits[47]), (Duration::ZERO, 4, Duration::from_millis(1_200)));
 }
+
+/// Some strong nodes and many weak ones.
+fn mixed(strong: usize, weak: usize) -> Vec<(String, CoreShare)> {
+    let strong = (0..strong).map(|number| (format!("strong-{number}"), CoreShare(1_000)));
+    strong.chain((0..weak).map(|number| (format!("weak-{number}"), CoreShare(120)))).collect()
+}
+
+#[test]
+fn among_hundreds_of_nodes_weak_ones_follow_strong_ones_and_none_follows_a_weak_one() {
+    // A failure domain of the largest deployment, and twice as many nodes.
+    for (strong, weak) in [(10, 180), (20, 360), (10, 320)] {
+        let all = mixed(strong, weak);
+        let nodes: Vec<FeedNode> = all.iter().map(|(name, power)| FeedNode { name, power: Some(*power) }).collect();
+        let mut followers = std::collections::BTreeMap::new();
+        let mut longest = 0;
+        for (own, _) in &all {
+            let mut reader = feed_rule::choose_readers(own, "zone-a", &nodes).readers.first().copied();
+            let mut steps = 0;
+            if let Some(reader) = reader {
+                *followers.entry(reader).or_insert(0) += 1;
+            }
+            while let Some(name) = reader {
+                reader = feed_rule::choose_readers(name, "zone-a", &nodes).readers.first().copied();
+                steps += 1;
+            }
+            longest = longest.max(steps);
+        }
+        assert!(followers.keys().all(|reader| reader.starts_with("strong-")), "{followers:?}");
+        assert!(followers.values().all(|count| *count <= 32 + strong), "{followers:?}");
+        assert!(longest <= 3, "{longest} steps from the store");
+    }
+}
+
+#[test]
+fn who_hears_that_a_reader_is_about_to_begin_waits_by_its_rank() {
+    let all = mixed(10, 180);
+    let nodes: Vec<FeedNode> = all.iter().map(|(name, power)| FeedNode { name, power: Some(*power) }).collect();
+    let waits = all.iter().map(|(own, _)| feed_rule::choose_readers(own, "zone-a", &nodes).starting_patience);
+    let mut waits: Vec<Duration> = waits.collect();
+    waits.sort_unstable();
+    // A listing of seconds is taken from the store by so many nodes and no more.
+    let early = waits.iter().filter(|wait| **wait < Duration::from_secs(2)).count();
+    assert!(early <= 16, "{early} of {} nodes lose patience within two seconds", waits.len());
+}
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -12,10 +12,13 @@
 use crate::cluster::NewsOrigin;
 use crate::evacuation::EvacuationList;
 use crate::listing::{DomainSection, KnownDigest, KnownEntries};
+use crate::relay::FeedSource;
 use crate::router::Router;
 
 /// How often another node is asked while the store is away.
 const ASK_EVERY: Duration = Duration::from_millis(500);
+/// How long a node that has no source of news counts as just started.
+const START_TIME: Duration = Duration::from_millis(1_500);
 /// How long a node may take to tell.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -69,6 +72,11 @@
         if router.topics().all(|topic| topic == FeedTopic::Nodes || router.is_followed(topic)) {
             continue;
         }
+        // A node that has just been started waits for its reader: the others may have been started with it, and
+        // all of them would ask the few that the settings name for all servers at once.
+        if *router.source.borrow() == FeedSource::Undecided && router.uptime() < START_TIME {
+            continue;
+        }
         let Some(link) = choose_link(&router) else { continue };
         if let Err(error) = ask(&router, &link).await {
             tracing::debug!(event = "knowledge_failed", address = %link.address(), %error);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -2,6 +2,7 @@
 //! follows the store for all of them.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
@@ -39,8 +40,13 @@
 /// how often at least: many nodes that lost their reader together follow the store for a moment.
 const FIRST_LOOK: Duration = Duration::from_millis(500);
 const LOOK_EVERY: Duration = Duration::from_secs(3);
+/// How often a node that waits for a reader which is about to begin looks whether that still says so.
+const START_LOOK: Duration = Duration::from_millis(100);
 /// At the very first start of all nodes, the time for every node to register.
 const FIRST_START_WAIT: Duration = Duration::from_secs(1);
+/// How long those may take to know the nodes of the failure domain: they start within a third of a second of the
+/// others.
+const SEEDS_WITHIN: Duration = Duration::from_millis(600);
 /// So much earlier the nodes that the settings name list all nodes then, so that the others need not:
 /// 295 nodes made as many calls to the store, a third of those of a calm day.
 const SEEDS_LEAD: Duration = Duration::from_millis(300);
@@ -80,6 +86,8 @@
     Evacuations(EvacuationList),
     /// Nothing new; the store is followed.
     Alive,
+    /// It is about to follow the store and begins then; before the first message.
+    Starting,
 }
 
 impl RelayFrame {
@@ -94,6 +102,7 @@
             Self::Listed(FeedTopic::Evacuations, _) | Self::Changed(FeedTopic::Evacuations, _) => "evacuations",
             Self::Evacuations(_) => "evacuations",
             Self::Alive => "alive",
+            Self::Starting => "starting",
         }
     }
 }
@@ -145,18 +154,33 @@
 }
 
 /// The reader of a node that has just been started. Others may have been started with it, so those
-/// that are not up yet are asked again.
+/// that are not up yet are asked again, and one that is about to begin is waited for.
 async fn await_reader(router: &Router) -> Option<RelaySubscription> {
-    let patience = choose_own_readers(router).1;
+    let choice = choose_own_readers(router);
+    let starting = AtomicBool::new(false);
     let asking = async {
         loop {
-            if let Some(subscription) = find_reader(router, None, SWITCH_WITHIN).await {
+            if let Some(subscription) = open_first(router, choice.readers.clone(), Some(&starting)).await {
                 return subscription;
             }
+            starting.store(false, Ordering::Relaxed);
             tokio::time::sleep(START_PAUSE).await;
         }
     };
-    tokio::time::timeout(patience, asking).await.ok()
+    let mut asking = std::pin::pin!(asking);
+    let began = router.clock.now();
+    let mut patience = choice.patience;
+    loop {
+        if let Ok(subscription) = tokio::time::timeout(patience, &mut asking).await {
+            return Some(subscription);
+        }
+        let waited = router.clock.now().since(began);
+        if !starting.load(Ordering::Relaxed) || waited >= choice.starting_patience {
+            tracing::info!(event = "no_reader", waited_ms = waited.as_millis() as u64);
+            return None;
+        }
+        patience = START_LOOK;
+    }
 }
 
 /// Learns the nodes from the store, as the first thing of all. Where the system has run before,
@@ -164,14 +188,12 @@
 pub async fn look_around(router: &Router) {
     let is_first = router.settings.first_start;
     if is_first {
-        tokio::time::sleep(FIRST_START_WAIT).await;
-        if let Some(seed) = knowledge::choose_seed(router) {
-            tokio::time::sleep(SEEDS_LEAD).await;
-            if knowledge::learn_neighbours(router, seed).await {
-                router.nodes_learnt.notify_one();
-                return;
-            }
-        }
+        let lead = if knowledge::choose_seed(router).is_some() { SEEDS_LEAD } else { Duration::ZERO };
+        tokio::time::sleep(FIRST_START_WAIT + lead).await;
+    }
+    if learn_from_seeds(router).await {
+        router.nodes_learnt.notify_one();
+        return;
     }
     let age = if is_first { ListAge::Fresh } else { ListAge::MayBeStale };
     match router.feed.list(FeedTopic::Nodes, age).await {
@@ -183,21 +205,42 @@
     }
 }
 
+/// Learns the nodes of the failure domain from nodes that the settings name, which list all nodes from the store
+/// first. Nodes that are started together would ask the store for all nodes each, which grows with their square.
+async fn learn_from_seeds(router: &Router) -> bool {
+    let asking = async {
+        while let Some(seed) = knowledge::choose_seed(router) {
+            if knowledge::learn_neighbours(router, seed).await {
+                return true;
+            }
+            tokio::time::sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+        }
+        false
+    };
+    tokio::time::timeout(SEEDS_WITHIN, asking).await.unwrap_or(false)
+}
+
 /// The first of the readers that begins in time; not the one that was just lost.
 async fn find_reader(router: &Router, lost: Option<&NodeId>, within: Duration) -> Option<RelaySubscription> {
-    let (readers, _) = choose_own_readers(router);
-    let candidates = readers.into_iter().filter(|entry| Some(&entry.node) != lost);
-    tokio::time::timeout(within, open_first(router, candidates)).await.unwrap_or_default()
+    let mut readers = choose_own_readers(router).readers;
+    readers.retain(|entry| Some(&entry.node) != lost);
+    tokio::time::timeout(within, open_first(router, readers, None)).await.unwrap_or_default()
 }
 
 /// Asks readers, the preferred first and each next one when those before have refused or keep this
-/// node waiting; the first that begins.
-async fn open_first(router: &Router, candidates: impl Iterator<Item = NodeEntry>) -> Option<RelaySubscription> {
-    let mut candidates = candidates.peekable();
+/// node waiting; the first that begins. Where `starting` is given it is set once one says that it is about to begin,
+/// and then no further one is asked.
+async fn open_first(
+    router: &Router,
+    candidates: Vec<NodeEntry>,
+    starting: Option<&AtomicBool>,
+) -> Option<RelaySubscription> {
+    let mut candidates = candidates.into_iter().peekable();
     let mut asked = FuturesUnordered::new();
     loop {
-        match candidates.next() {
-            Some(entry) => asked.push(async move { RelaySubscription::open(router, &entry).await }),
+        let is_starting = starting.is_some_and(|starting| starting.load(Ordering::Relaxed));
+        match candidates.next_if(|_| !is_starting || asked.is_empty()) {
+            Some(entry) => asked.push(async move { RelaySubscription::open(router, &entry, starting).await }),
             None if asked.is_empty() => return None,
             None => {}
         }
@@ -212,11 +255,10 @@
     }
 }
 
-/// The nodes that this one may follow, the preferred first, and how long it waits for one when it
-/// has just been started.
-fn choose_own_readers(router: &Router) -> (Vec<NodeEntry>, Duration) {
+/// The nodes that this one may follow, and how long it waits for one.
+fn choose_own_readers(router: &Router) -> OwnReaders {
     if !router.has(Mechanism::DomainReaders) {
-        return (Vec::new(), Duration::ZERO);
+        return OwnReaders::default();
     }
     let place = router.cluster.place();
     let mut neighbours = router.cluster.neighbours();
@@ -228,7 +270,21 @@
         neighbours.iter().map(|entry| FeedNode { name: entry.node.as_str(), power: entry.power }).collect();
     let choice = choose_readers(place.node.as_str(), place.domain.as_str(), &nodes);
     let find = |name: &str| neighbours.iter().find(|entry| entry.node.as_str() == name).cloned();
-    (choice.readers.into_iter().filter_map(find).collect(), choice.patience)
+    OwnReaders {
+        readers: choice.readers.into_iter().filter_map(find).collect(),
+        patience: choice.patience,
+        starting_patience: choice.starting_patience,
+    }
+}
+
+/// The nodes that this one may follow, the preferred first.
+#[derive(Default)]
+struct OwnReaders {
+    readers: Vec<NodeEntry>,
+    /// How long it waits for one when it has just been started.
+    patience: Duration,
+    /// How long it waits then for one that is about to begin.
+    starting_patience: Duration,
 }
 
 /// A reader that has begun.
@@ -240,7 +296,7 @@
 }
 
 impl RelaySubscription {
-    async fn open(router: &Router, entry: &NodeEntry) -> Result<Self, RelayError> {
+    async fn open(router: &Router, entry: &NodeEntry, starting: Option<&AtomicBool>) -> Result<Self, RelayError> {
         let link = PeerLink::new(entry.peer_address);
         let known = KnownEntries::of(router).digest(router.cluster.version());
         let request = RelayRequest { node: router.settings.node.clone(), known };
@@ -251,7 +307,14 @@
         };
         let begun: Result<_, PeerError> =
             tokio::time::timeout(BEGIN_WITHIN, begin).await.map_err(|_| RelayError::Silent)?;
-        let (frames, first) = begun?;
+        let (mut frames, mut first) = begun?;
+        while let Some(RelayFrame::Starting) = first {
+            if let Some(starting) = starting {
+                starting.store(true, Ordering::Relaxed);
+            }
+            let next = tokio::time::timeout(SILENCE, frames.next::<RelayFrame>()).await;
+            first = next.map_err(|_| RelayError::Silent)??;
+        }
         let Some(RelayFrame::Begin(listing)) = first else { return Err(RelayError::NoListing) };
         let news = listing.sections.iter().filter_map(|section| section.servers.as_ref()).map(Vec::len).sum::<usize>();
         take_frame(router, RelayFrame::Begin(listing));
@@ -310,7 +373,7 @@
 
 /// Takes a message of a reader and passes it on to the nodes that follow this one.
 fn take_frame(router: &Router, frame: RelayFrame) {
-    let is_news = !matches!(frame, RelayFrame::Alive);
+    let is_news = !matches!(frame, RelayFrame::Alive | RelayFrame::Starting);
     let copy = is_news.then(|| frame.clone());
     match frame {
         RelayFrame::Begin(listing) => take_listing(router, *listing),
@@ -319,7 +382,7 @@
             router.cluster.apply(router.clock.now(), changes, topic, NewsOrigin::Reader);
         }
         RelayFrame::Evacuations(list) => take_evacuations(router, list),
-        RelayFrame::Alive => {}
+        RelayFrame::Alive | RelayFrame::Starting => {}
     }
     if let Some(copy) = copy {
         router.outlet.publish(|| copy);
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -14,9 +14,10 @@
 use crate::relay::{ALIVE_EVERY, FeedSource, RelayFrame, RelayRequest};
 use crate::router::{Router, RouterPhase};
 
-/// How long a node may take to become a reader after it was asked: it may have lost its own
-/// reader at the same moment, and reads the store then.
-const BECOME_WITHIN: Duration = Duration::from_millis(600);
+/// How long a node may take to become a reader after it was asked: it may have lost its own reader at the same
+/// moment, or have been started with the node that asks, and lists all servers then. That one waits no longer than
+/// it wants to.
+const BECOME_WITHIN: Duration = Duration::from_secs(10);
 /// Messages that a slow follower may lag behind before it has to begin anew.
 const MAX_LAG: usize = 256;
 
@@ -81,13 +82,17 @@
     request: &RelayRequest,
     respond: &mut SendResponse<Bytes>,
 ) -> Result<(), PeerError> {
-    if !becomes_reader(router).await {
+    if !is_reader(router) && !may_become_reader(router) {
         return refuse(respond);
     }
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    let becoming = tokio::time::timeout(BECOME_WITHIN, become_reader(router, &mut stream));
+    if !becoming.await.unwrap_or(Ok(false))? {
+        return Ok(stream.send_data(Bytes::new(), true)?);
+    }
     tracing::info!(event = "follower_begun", follower = %request.node);
     // Subscribed before the listing is made, so that nothing is missed between them.
     let mut news = router.outlet.news.subscribe();
-    let mut stream = respond.send_response(Response::new(()), false)?;
     let begin = encode_begin(router, &request.known)?;
     note_passed("begin", begin.len(), 1);
     send_frame(&mut stream, begin, false).await?;
@@ -122,20 +127,28 @@
     Ok(())
 }
 
-/// Waits shortly for this node to follow the store; whether it does. One that the store turns away
-/// does not keep others waiting.
-async fn becomes_reader(router: &Router) -> bool {
-    if !is_reader(router) && router.store_turn.is_refused() {
-        return false;
-    }
+/// Whether this node may soon follow the store. One that the store turns away does not keep others waiting.
+fn may_become_reader(router: &Router) -> bool {
+    *router.phase.borrow() == RouterPhase::Serving && !router.store_turn.is_refused()
+}
+
+/// Waits for this node to follow the store, and says that it is about to; whether it does.
+async fn become_reader(router: &Router, stream: &mut SendStream<Bytes>) -> Result<bool, PeerError> {
+    let starting = encode_frame(&RelayFrame::Starting)?;
     let mut changed = router.feed_changed.subscribe();
-    let becoming = async {
-        while !is_reader(router) {
-            // The sender lives as long as the router.
-            let _ = changed.changed().await;
+    while !is_reader(router) {
+        if !may_become_reader(router) {
+            return Ok(false);
         }
-    };
-    tokio::time::timeout(BECOME_WITHIN, becoming).await.is_ok()
+        send_frame(stream, starting.clone(), false).await?;
+        tokio::select! {
+            _ = changed.changed() => {}
+            () = tokio::time::sleep(ALIVE_EVERY) => {}
+            // The other node waits no longer.
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(false),
+        }
+    }
+    Ok(true)
 }
 
 /// The first message to a follower that has something already.
