Extra calls are allowed to those who make the calls

Suspicion of the issue, by reading: half of the allowance of extra calls is divided among all nodes, 0.42 of a call for each of 985, which nobody can spend; the other half among all owners, of which half have no server of a shard near.

Change: of a shard's allowance 0.6 is divided among the owners of failure domains that have servers of it, 0.3 among all owners, 0.1 among all; of a service that answers alone 0.2 among the owners and 0.8 among all; what is less than a call goes whole to as large a share of the nodes, by their names. The sum is as before. By the code an owner near a shard has 21 calls in ten seconds in place of 7 on the fleet, two of three nodes one for a lone service in place of none.

Tests: six failure domains of 164 and of 333 nodes (policy); the sum over any fleet; the view's own test tells both parts now in place of the one, since there is no one part any more.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer_margin;
 pub mod batch_gate;
 pub mod budget;
+pub mod budget_share;
 pub mod canary;
 pub mod cold_limit;
 pub mod come_back;
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -232,7 +232,7 @@
     /// Counts a call in the budget of the service; false if it is extra and the budget is spent.
     pub(crate) fn charge(&self, attempts: &ServiceAttempts, service: &Service) -> bool {
         let now = self.now();
-        let limits = self.router.extra_limits(&self.view);
+        let limits = self.router.extra_limits(&self.view, service);
         let mut budget = service.budget();
         if attempts.tried.is_empty() && attempts.pauses == 0 && !attempts.has_arrived {
             budget.note_request(now, &limits, self.request_share);
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -1,6 +1,6 @@
 //! What a node knows of the cluster, as it is changed; requests see it as a view.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -220,11 +220,23 @@
         entry.is_some_and(|entry| placement::is_owner(entry.power, strongest[&entry.domain]))
     }
 
+    /// The services that are shards of routes.
+    fn find_shards(&self) -> HashSet<ServiceName> {
+        let routes = self.table.iter().flat_map(|table| table.routes());
+        let gathered = routes.filter(|route| matches!(route.target, RouteTarget::All(_)));
+        gathered.flat_map(|route| route.services()).cloned().collect()
+    }
+
     /// The view of all this.
     pub(crate) fn build_view(&self, place: &ClusterPlace) -> ClusterView {
         let mut services: HashMap<ServiceName, Service> = HashMap::new();
+        let shards = self.find_shards();
         for server in self.servers.values().filter(|server| !server.is_leaving()) {
-            let make = || Service::new(self.budgets.get(&server.service).cloned().unwrap_or_default());
+            let make = || {
+                let name = server.service.clone();
+                let (is_shard, budget) = (shards.contains(&name), self.budgets.get(&name).cloned());
+                Service::new(name, is_shard, budget.unwrap_or_default())
+            };
             services.entry(server.service.clone()).or_insert_with(make).add(server.clone());
         }
         ClusterView {
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -1,10 +1,11 @@
 //! What one request works with: the routes in force and the servers and nodes known then.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use streamfold_model::{FailureDomain, HomeRegions, NodeEntry, NodeId, RouteName, RouteTable, ServiceName};
 use streamfold_policy::Moment;
+use streamfold_policy::budget_share::{BudgetNode, BudgetNodes, divide_allowance};
 use streamfold_policy::cold_limit::{ColdBound, deal_calls};
 use streamfold_policy::extra_budget::ExtraBudget;
 use streamfold_policy::owner::{CallerKind, CallingNodes, divide_connections};
@@ -23,17 +24,25 @@
 /// A service with its servers. They are reached only through [`Service::usable`], so that no way of
 /// choosing one can pass over what bars it.
 pub struct Service {
+    name: ServiceName,
     servers: Vec<Arc<Server>>,
+    /// Failure domains that have any of them.
+    domains: BTreeSet<FailureDomain>,
+    /// Whether it is a shard of a route.
+    is_shard: bool,
     budget: Arc<Mutex<ExtraBudget>>,
 }
 
 impl Service {
     /// A service without servers, with what was spent on it.
-    pub(crate) fn new(budget: Arc<Mutex<ExtraBudget>>) -> Self {
-        Self { servers: Vec::new(), budget }
+    pub(crate) fn new(name: ServiceName, is_shard: bool, budget: Arc<Mutex<ExtraBudget>>) -> Self {
+        Self { name, servers: Vec::new(), domains: BTreeSet::new(), is_shard, budget }
     }
 
     pub(crate) fn add(&mut self, server: Arc<Server>) {
+        if !self.domains.contains(&server.domain) {
+            self.domains.insert(server.domain.clone());
+        }
         self.servers.push(server);
     }
 
@@ -105,16 +114,21 @@
         }
     }
 
-    /// This node's part of what all nodes share. One half is divided among the owners, which make
-    /// nearly all calls, and one among all nodes.
-    pub fn shared_part(&self) -> f64 {
-        let among = |count: usize| 0.5 / count.max(1) as f64;
-        let owners = match self.nodes.values().map(|count| count.owners).sum() {
-            0 => self.node_count(),
-            count => count,
+    /// This node's part of an allowance of extra calls to a service.
+    pub fn divide_allowance(&self, allowance: f64, service: &Service, node: &NodeId) -> f64 {
+        let owners_of = |domain: &FailureDomain| self.nodes.get(domain).map_or(0, |count| count.owners);
+        let nodes = BudgetNodes {
+            all: self.node_count(),
+            owners: match self.nodes.values().map(|count| count.owners).sum() {
+                0 => self.node_count(),
+                count => count,
+            },
+            near_owners: service.domains.iter().map(owners_of).sum(),
+            is_shard: service.is_shard,
         };
-        let owned = if self.is_owner { among(owners) } else { 0.0 };
-        owned + among(self.node_count())
+        let is_near = service.servers.iter().any(|server| server.distance == Distance::Domain);
+        let node = BudgetNode { name: node.as_str(), is_owner: self.is_owner, is_near };
+        divide_allowance(allowance, service.name.as_str(), nodes, node)
     }
 
     /// Tells each server how many connections this node may have to it, and how many calls it may make
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -205,7 +205,7 @@
     /// Counts a request for a service whose first call another node makes.
     pub fn note_delegated(&self, service: &ServiceName) {
         let Some(service) = self.view.services.get(service) else { return };
-        let limits = self.router.extra_limits(&self.view);
+        let limits = self.router.extra_limits(&self.view, service);
         service.budget().note_request(self.now(), &limits, ASKING_SHARE);
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -17,7 +17,7 @@
 use crate::clock::{NodeClock, wall_ms};
 use crate::cluster::Cluster;
 use crate::cluster_place::ClusterPlace;
-use crate::cluster_view::ClusterView;
+use crate::cluster_view::{ClusterView, Service};
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
@@ -291,10 +291,11 @@
 
     /// The bounds on this node's extra calls to one service. A node that has started anew does
     /// not know what it spent before, so it waits a window for its part of the allowance.
-    pub fn extra_limits(&self, view: &ClusterView) -> ExtraLimits {
+    pub fn extra_limits(&self, view: &ClusterView, service: &Service) -> ExtraLimits {
         let extra = self.live.load().extra_calls;
         let is_new = !self.settings.first_start && self.uptime() < extra.window.0;
-        let allowance = if is_new { 0.0 } else { extra.allowance * DIVIDED_ALLOWANCE * view.shared_part() };
+        let divided = extra.allowance * DIVIDED_ALLOWANCE;
+        let allowance = if is_new { 0.0 } else { view.divide_allowance(divided, service, &self.settings.node) };
         ExtraLimits { ratio: extra.ratio * USED_RATIO, window: extra.window.0, allowance }
     }
 }
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -3,7 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use streamfold_model::{CoreShare, Incarnation, NodeEntry};
+use streamfold_model::{
+    CallerLimits, CoreShare, HomeRegions, Incarnation, NodeEntry, RouteKind, RouteSpec, RouteTable, RouteTarget,
+    ServerEntry, ServerStart, ServiceName, ShardFold, TableVersion, WeightedService,
+};
 use streamfold_policy::{MechanismSet, Moment};
 use streamfold_router::border::{FeedChange, FeedItem, FeedTopic};
 use streamfold_router::cluster::{Cluster, NewsOrigin};
@@ -56,8 +59,55 @@
     NodeEntry { domain, power: Some(CoreShare(thousandths)), ..entry(name, 1) }
 }
 
+/// A route to a target.
+fn route(name: &str, target: RouteTarget) -> RouteSpec {
+    RouteSpec {
+        name: name.parse().expect("a name"),
+        host: "shop.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind: RouteKind::Repeatable,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        max_attempts: 2,
+        priority: 0,
+        homes: HomeRegions::Everywhere,
+        is_open: false,
+        target,
+    }
+}
+
+/// Puts a route to a shard and one to a lone service in force, both with a server in a failure domain.
+fn tell_services(cluster: &Cluster, domain: &str) {
+    let name = |name: &str| -> ServiceName { name.parse().expect("a name") };
+    let fold = ShardFold { shards: vec![name("shard")], top: 5, min_coverage: 0.5 };
+    let lone = WeightedService { service: name("lone"), weight: 1.0 };
+    let routes = vec![route("all", RouteTarget::All(fold)), route("one", RouteTarget::One(vec![lone]))];
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        header_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    let table = RouteTable::build(TableVersion(1), routes, Vec::new(), limits).expect("a table");
+    cluster.offer_table(table, NewsOrigin::Store);
+    for service in ["shard", "lone"] {
+        let server = ServerEntry {
+            id: format!("i-{service}").parse().expect("an id"),
+            start: ServerStart(1),
+            service: name(service),
+            address: "127.0.0.1:8080".parse().expect("an address"),
+            domain: domain.parse().expect("a failure domain"),
+            slots: 1,
+            is_draining: false,
+            warmup: Duration::ZERO,
+        };
+        let change = FeedChange::Put(FeedItem::Server(server));
+        cluster.apply(Moment::default(), vec![change], FeedTopic::Servers, NewsOrigin::Store);
+    }
+}
+
 /// The nodes that a node of some size keeps links to, those of its own failure domain first, and its
-/// part of what all nodes share in thousandths.
+/// part of a thousand extra calls to a shard and to a lone service.
 fn tell_links(own_thousandths: u32) -> String {
     let cluster = make_cluster();
     tell(&cluster, sized("own", "zone-a", own_thousandths), NewsOrigin::Store);
@@ -69,10 +119,16 @@
             tell(&cluster, sized(&format!("{domain}-weak-{number}"), domain, 120), NewsOrigin::Store);
         }
     }
+    tell_services(&cluster, "zone-a");
     let view = cluster.view();
+    let own = "own".parse().expect("a name");
+    let part = |service: &str| {
+        let service = &view.services[&service.parse::<ServiceName>().expect("a name")];
+        view.divide_allowance(1e3, service, &own)
+    };
     let mut links: Vec<String> = view.peers.iter().map(|peer| peer.entry.node.to_string()).collect();
     links.sort_unstable();
-    format!("{own_thousandths}: {} part {:.0}", links.join(" "), view.shared_part() * 1e3)
+    format!("{own_thousandths}: {} parts {:.0} and {:.0}", links.join(" "), part("shard"), part("lone"))
 }
 
 #[test]
