--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -198,8 +198,6 @@
 
     /// A link that is cut without a word would wait for the network's own long time-outs, so
     /// it is made anew. What is on its way goes on: where the other node is only late, closing the connection loses it.
-    /// Beside 34 busy processes on 8 cores
-    /// 107 of 400 orders were told to have run with it, 214 without (8 plays of 50 each).
     fn note_silence(&self) {
         if self.silent.fetch_add(1, Ordering::Relaxed) + 1 >= MAX_SILENT_CALLS {
             self.silent.store(0, Ordering::Relaxed);
--- a/crates/policy/src/answer_margin.rs
+++ b/crates/policy/src/answer_margin.rs
@@ -10,9 +10,8 @@
 
 /// The way from and to the caller (up to 3 ms each), and timers that fire late.
 const FIXED: Duration = Duration::from_millis(11);
-/// Processor time of an answer, on a whole core, and of each of its shards. At an eighth of a core
-/// and 180 shards that is 7 ms more than a fixed margin of 12 ms, which let half of the answers for a
-/// target of 100 ms arrive after 96 ms; with it after 88 ms (users' bench, one pair of plays).
+/// Processor time of an answer, on a whole core, and of each of its shards: on an eighth of a core 180 shards take
+/// longer than any fixed margin that a stronger node could afford.
 const ANSWER_WORK: Duration = Duration::from_micros(150);
 const SHARD_WORK: Duration = Duration::from_micros(4);
 /// The margin of a node whose processor is not known.
--- a/crates/policy/src/come_back.rs
+++ b/crates/policy/src/come_back.rs
@@ -6,9 +6,7 @@
 
 use std::time::Duration;
 
-/// From a node's start until it has routes and servers, where most nodes start together: medians of
-/// 0.11 to 0.20 s in five failure domains of about 48 nodes, 0.58 s in one that lost its first reader
-/// (users' bench, one play).
+/// From a node's start until it has routes and servers, where most nodes start together.
 const START_TIME: Duration = Duration::from_millis(300);
 /// Until the balancer's next choice may be another node, or a link or server is there again.
 const SHORTEST: Duration = Duration::from_millis(100);
--- a/crates/policy/src/crash_book.rs
+++ b/crates/policy/src/crash_book.rs
@@ -19,8 +19,8 @@
 /// How long after a crash it is decided whether the content is held off: a server that answers in that
 /// time speaks for it. About the longest target latency; all nodes must know within 4 s.
 pub const SETTLE_AFTER: Duration = Duration::from_millis(300);
-/// A server that answered must live on so long to speak for a content: servers were seen to end up to 90 ms
-/// after a call began (traces of a recorded day).
+/// A server that answered must live on so long to speak for a content: processes end some 100 ms after a call
+/// began.
 pub const SURVIVED_AFTER: Duration = Duration::from_millis(250);
 /// How long a content is held off before it is tried again: servers are back after some three seconds,
 /// and one that is held off by mistake, since it ran beside the one that did it, should be back with them.
--- a/crates/policy/src/feed_rule.rs
+++ b/crates/policy/src/feed_rule.rs
@@ -16,12 +16,11 @@
 /// call or two, and a follower whose reader is cut off learns up to two seconds late that a server's
 /// entry went, which with the doubt that follows is too late where servers leave within three.
 const MIN_SHARING: usize = 4;
-/// Nodes that prefer the same reader: with a hundred a reader of an eighth of a core was busy with
-/// them alone and held 58 MB (sweep of 300 nodes).
+/// Nodes that prefer the same reader where all are alike: a reader of an eighth of a core has little left for
+/// callers beside a hundred of them.
 const FAN_OUT: usize = 16;
-/// Readers that a node tries before it follows the store by itself: the store may turn a third of all
-/// nodes away, and with three tries a failure domain whose first three nodes were among them made
-/// 400 calls in 9 s, each node for itself.
+/// Readers that a node tries before it follows the store by itself: the store may turn a third of all nodes away,
+/// the first few of a failure domain among them.
 const MAX_TRIED: usize = 8;
 /// How long a node that has just been started waits for a reader: so much for each rank, and the
 /// longest. Nodes that are started together come up within 300 ms of each other, and one of half a
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -3,9 +3,7 @@
 //! The load pattern: servers share their machines with others, so that one of thirty is slow for half a
 //! second, and some of a service are slow for many seconds. A server tells it with each answer, but one
 //! that is left because it is slow tells nothing more. How long such spells last differs by deployment,
-//! so it is measured: by what servers tell next that have told a slow pace before. On a calm day with 42
-//! of 270 servers slow for 8 s it raises what answers are worth by 0.04 of the whole (error 0.007, two
-//! replays with and without).
+//! so it is measured: by what servers tell next that have told a slow pace before.
 
 use std::time::Duration;
 
--- a/crates/policy/src/recent_work.rs
+++ b/crates/policy/src/recent_work.rs
@@ -9,8 +9,8 @@
 use crate::Moment;
 use crate::crash_book::{CrashSuspect, SURVIVED_AFTER};
 
-/// How long after its end a call may still be what ended the server: servers were seen to end 4 to 90 ms
-/// after a call began (traces of a recorded day), and the node learns of it a way later.
+/// How long after its end a call may still be what ended the server: processes end some 100 ms after a call began,
+/// and the node learns of it a way later.
 pub const LATELY: Duration = Duration::from_millis(200);
 /// Calls remembered after their end; a server has a few slots, and works on a call for milliseconds.
 const MAX_ENDED: usize = 16;
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -140,8 +140,7 @@
         if let Some(stop) = self.find_bound(attempts) {
             return Err(stop);
         }
-        // What ended the servers that ran it ends the next one too, under whatever request id it comes: 168 calls in
-        // place of three at most, 4 s after the third crash (a stand-in's servers, 12 requests).
+        // What ended the servers that ran it ends the next one too, under whatever request id it comes.
         let right = self.call_right();
         match right {
             CallRight::Free | CallRight::First => {}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -47,8 +47,7 @@
 /// How long those may take to know the nodes of the failure domain: they start within a third of a second of the
 /// others.
 const SEEDS_WITHIN: Duration = Duration::from_millis(600);
-/// So much earlier the nodes that the settings name list all nodes then, so that the others need not:
-/// 295 nodes made as many calls to the store, a third of those of a calm day.
+/// So much earlier the nodes that the settings name list all nodes then, so that the others need not.
 const SEEDS_LEAD: Duration = Duration::from_millis(300);
 
 /// Where a node has its news of the store from.
@@ -67,8 +66,7 @@
 pub struct RelayRequest {
     /// The node that asks.
     pub node: NodeId,
-    /// What it has: eighteen nodes that begin anew at once were sent all of 75 KB each, behind which the calls of a
-    /// node with 25 Mbit/s waited for 0.57 s.
+    /// What it has: behind whole listings for many nodes that begin anew at once, calls over a weak link would wait.
     pub known: KnownDigest,
 }
 
