--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -26,6 +26,9 @@
 /// those of servers that live are back within about two seconds. A server that left gets no
 /// request later than three seconds after.
 const DOUBT: Duration = Duration::from_millis(2_200);
+/// Nodes that have a line each in the log when they come together; of more only their number has one.
+const MAX_NAMED_NODES: usize = 16;
+
 /// Who told this node something of the cluster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NewsOrigin {
@@ -141,6 +144,11 @@
         if is_first && !changes.is_empty() {
             tracing::info!(event = "listed", topic = %topic, entries = changes.len(), source = %origin);
         }
+        // A line for each of a thousand nodes at each of them would be a million of them when all start again.
+        let is_many = changes.len() > MAX_NAMED_NODES;
+        if is_many && !is_first && topic == FeedTopic::Nodes {
+            tracing::info!(event = "nodes_seen", entries = changes.len(), source = %origin);
+        }
         let mut is_changed = false;
         for change in changes {
             match change {
@@ -148,7 +156,9 @@
                     self.offer_table(*table, origin);
                 }
                 FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry, is_first),
-                FeedChange::Put(FeedItem::Node(entry)) => is_changed |= self.put_node(entry, origin, is_first),
+                FeedChange::Put(FeedItem::Node(entry)) => {
+                    is_changed |= self.put_node(entry, origin, is_first || is_many);
+                }
                 // Known as a whole.
                 FeedChange::Put(FeedItem::Evacuation(_)) => {}
                 FeedChange::Put(FeedItem::Crash(entry)) => self.quarantine.put(now, entry, origin),
@@ -238,7 +248,7 @@
         true
     }
 
-    fn put_node(&self, entry: NodeEntry, origin: NewsOrigin, is_first: bool) -> bool {
+    fn put_node(&self, entry: NodeEntry, origin: NewsOrigin, is_unnamed: bool) -> bool {
         let mut parts = self.parts();
         let known = parts.nodes.get(&entry.node);
         // What another node tells may be older than what the store has told.
@@ -246,7 +256,7 @@
         if known == Some(&entry) || (is_older && origin == NewsOrigin::Peer) {
             return false;
         }
-        if !is_first {
+        if !is_unnamed {
             tracing::info!(
                 event = "node_seen",
                 node = %entry.node,
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -16,6 +16,9 @@
 /// How often doubtful servers and resting connections are looked at.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
 
+/// How often a node that starts looks whether it can serve.
+const READY_LOOK: Duration = Duration::from_millis(50);
+
 async fn listen(port: &'static str, address: std::net::SocketAddr) -> Result<Arc<TcpListener>, RouterError> {
     let bound = TcpListener::bind(address).await;
     bound.map(Arc::new).map_err(|source| RouterError::Listen { port, address, source })
@@ -59,6 +62,7 @@
     tasks.start("signs", signs::ask);
     tasks.start("knowledge", knowledge::ask_in_outages);
     tasks.start("sweep", sweep);
+    tokio::spawn(tell_ready(router.clone()));
     Ok(RunningRouter { router, tasks: tasks.into_running() })
 }
 
@@ -87,6 +91,24 @@
     }
 }
 
+/// Tells when the node can serve for the first time, and what it knows then.
+async fn tell_ready(router: Arc<Router>) {
+    let mut changed = router.feed_changed.subscribe();
+    while !router.is_ready() {
+        // What other nodes tell is no change of what is followed. Either way it is looked at.
+        let _ = tokio::time::timeout(READY_LOOK, changed.changed()).await;
+    }
+    let view = router.cluster.view();
+    tracing::info!(
+        event = "first_ready",
+        uptime_ms = router.uptime().as_millis() as u64,
+        version = %router.cluster.version(),
+        servers = router.cluster.count_servers(),
+        nodes = view.node_count(),
+        source = ?*router.source.borrow()
+    );
+}
+
 async fn sweep(router: Arc<Router>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
