--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -21,6 +21,8 @@
 pub const PATH_CREDIT: &str = "/1/credit";
 /// Nodes of each failure domain that give credit: so many links lead there from any node.
 const LENDERS: usize = 4;
+/// Links that are kept while nodes come and go; beyond them those without a connection are dropped.
+const MAX_LINKS: usize = 128;
 /// By what they are chosen.
 const LENDERS_KEY: &str = "credit";
 /// How long the node that deals out credit in this failure domain may take: some way of a millisecond, and its
@@ -64,7 +66,7 @@
     pub wait_us: u64,
 }
 
-/// The credit that this node gives, and its links to others that do.
+/// The credit that this node gives, and its links to other nodes that do.
 #[derive(Default)]
 pub struct UsageLedger {
     domain: Mutex<DomainCredits>,
@@ -90,6 +92,9 @@
         if let Some(known) = known {
             return (known.avoided_until <= now).then(|| known.link.clone());
         }
+        if links.len() >= MAX_LINKS {
+            links.retain(|_, known| known.link.is_open());
+        }
         let link = PeerLink::new(entry.peer_address);
         links.insert(entry.node.clone(), LenderLink { link: link.clone(), avoided_until: now });
         Some(link)
