A node that has not heard of all others divides credit by the failure domains of the settings

Found by reading: since a node that starts again first learns the nodes of its own failure domain, its lenders took that for the only one, and after a start of all nodes six failure domains would each have given a team's whole rate until they heard of the others. Now they divide by the settings' failure domains at least, and ask no pool before. So that a team's first request after a start is not refused then, a failure domain's own credit counts from the node's start, up to one request.

--- a/crates/policy/src/usage_credit.rs
+++ b/crates/policy/src/usage_credit.rs
@@ -7,7 +7,7 @@
 //! Half of each team's rate is divided among the failure domains, where one node deals it out a request's way of a
 //! millisecond away. The other half is a pool that one node of one failure domain lends from: it goes where the
 //! team's callers are, and evens out that requests do not come evenly. Nobody but these nodes gives credit, and each
-//! begins with nothing, so a node that dies, is cut off or starts again leaves less than the limit, never
+//! begins with next to nothing, so a node that dies, is cut off or starts again leaves less than the limit, never
 //! more: nothing has to be agreed on.
 
 use std::collections::HashMap;
@@ -16,6 +16,7 @@
 use streamfold_model::{TeamName, UsageLimit};
 
 use crate::moment::Moment;
+use crate::owner::choose_owners;
 
 /// The part of a rate that is divided among the failure domains. Teams send some 0.6 of their rate on usual days, so
 /// a pool that is away leaves most of that, and a pool that is there can nearly double what a failure domain has.
@@ -45,6 +46,31 @@
     pub domains: usize,
 }
 
+/// The failure domains of a deployment, as one node knows them.
+#[derive(Debug, Clone, Copy)]
+pub struct CreditDomains<'a> {
+    /// Those of which it knows nodes that give credit.
+    pub known: &'a [&'a str],
+    /// How many the settings name.
+    pub named: usize,
+    /// Whether it has heard of all nodes since its start. One that has not may take its own failure domain for the
+    /// only one, and after a start of all nodes each of them would give all of a team's credit.
+    pub are_all_heard: bool,
+}
+
+impl CreditDomains<'_> {
+    /// Among how many credit is divided.
+    pub fn count(&self) -> usize {
+        self.known.len().max(self.named)
+    }
+
+    /// The one that has the pool of a team, if that can be told.
+    pub fn find_pool(&self, team: &TeamName) -> Option<&str> {
+        let chosen = choose_owners(self.known.iter().copied(), team.as_str(), 1);
+        chosen.first().copied().filter(|_| self.are_all_heard)
+    }
+}
+
 impl UsageAllowance {
     /// What a team may send a second, its burst in each window included.
     fn rate(self, limit: UsageLimit) -> f64 {
@@ -127,9 +153,11 @@
 }
 
 impl DomainCredit {
-    fn new(now: Moment) -> Self {
+    /// Credit since the node's start; no more than one, since another node may have dealt it out until now.
+    fn new(now: Moment, rate: f64) -> Self {
+        let earned = now.since(Moment::default()).as_secs_f64() * rate;
         Self {
-            own: CreditBucket { credit: 0.0, filled: now },
+            own: CreditBucket { credit: earned.min(1.0), filled: now },
             lent: 0,
             lent_until: now,
             pool_again: now,
@@ -162,7 +190,8 @@
 }
 
 impl DomainCredits {
-    /// Asks for one request of a team; `is_last` tells that the pool was asked already.
+    /// Asks for one request of a team; `is_last` tells that the pool was asked already. Moments count from the start
+    /// of the node.
     pub fn take(
         &mut self,
         now: Moment,
@@ -171,8 +200,8 @@
         allowance: UsageAllowance,
         is_last: bool,
     ) -> CreditAnswer {
-        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now));
         let rate = allowance.rate(limit) * allowance.domain_part();
+        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now, rate));
         credit.own.fill(now, rate, DOMAIN_MOST);
         if !is_last {
             credit.note_demand(now);
--- a/crates/policy/tests/usage_credit.rs
+++ b/crates/policy/tests/usage_credit.rs
@@ -6,7 +6,7 @@
 use quickcheck::quickcheck;
 use streamfold_model::{TeamName, UsageLimit};
 use streamfold_policy::Moment;
-use streamfold_policy::usage_credit::{CreditAnswer, CreditPools, DomainCredits, UsageAllowance};
+use streamfold_policy::usage_credit::{CreditAnswer, CreditDomains, CreditPools, DomainCredits, UsageAllowance};
 
 /// Failure domains of the model.
 const DOMAINS: usize = 6;
@@ -169,6 +169,18 @@
     assert!(most_in_window(&ran) as f64 <= bound(limit), "{} of {}", most_in_window(&ran), bound(limit));
 }
 
+#[test]
+fn a_node_that_has_not_heard_of_all_others_divides_by_the_settings_and_asks_no_pool() {
+    let team = "blue".parse().expect("a name");
+    let just_started = CreditDomains { known: &["zone-a"], named: 6, are_all_heard: false };
+    assert_eq!((just_started.count(), just_started.find_pool(&team)), (6, None));
+    let all = ["zone-a", "zone-b", "zone-c"];
+    let pools: Vec<Option<&str>> = [0, 3]
+        .map(|named| CreditDomains { known: &all, named, are_all_heard: true }.find_pool(&team).map(|_| "a pool"))
+        .to_vec();
+    assert_eq!(pools, [Some("a pool"); 2]);
+}
+
 /// The share of the requests within its limit that are refused where a team sends so much of its rate, over many seeds.
 fn refused_share(limit: UsageLimit, load: f64) -> f64 {
     let plays = (0..40).map(|seed| play(seed, limit, limit.rate * load, 60, false).1);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -210,7 +210,7 @@
     }
 }
 
-/// Learns the nodes from the store if they fit in one answer; whether they did.
+/// Learns the nodes from the store if they fit in one answer; false where they are more.
 async fn learn_few(router: &Router) -> bool {
     match router.feed.list_few(FeedTopic::Nodes).await {
         Ok(Some(list)) => {
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -11,9 +11,12 @@
 use streamfold_policy::Moment;
 use streamfold_policy::come_back::TurnReason;
 use streamfold_policy::owner::choose_owners;
-use streamfold_policy::usage_credit::{CreditAnswer, CreditPools, DomainCredits, PoolLoan, UsageAllowance};
+use streamfold_policy::usage_credit::{
+    CreditAnswer, CreditDomains, CreditPools, DomainCredits, PoolLoan, UsageAllowance,
+};
 
 use crate::answer::RefusalKind;
+use crate::border::FeedTopic;
 use crate::cluster_view::ClusterView;
 use crate::router::Router;
 
@@ -122,10 +125,19 @@
     ranked.into_iter().filter_map(find).collect()
 }
 
-/// The node that lends from the pool of a team: one of the failure domain where the pool is.
-fn find_pool<'a>(view: &'a ClusterView, team: &TeamName) -> Option<&'a NodeEntry> {
-    let domains = view.lenders.keys().map(FailureDomain::as_str);
-    let home = choose_owners(domains, team.as_str(), 1).first().copied()?;
+/// The failure domains that have nodes which give credit.
+fn known_domains(view: &ClusterView) -> Vec<&str> {
+    view.lenders.keys().map(FailureDomain::as_str).collect()
+}
+
+fn credit_domains<'a>(router: &Router, known: &'a [&'a str]) -> CreditDomains<'a> {
+    CreditDomains { known, named: router.settings.regions.len(), are_all_heard: router.is_listed(FeedTopic::Nodes) }
+}
+
+/// The node that lends from the pool of a team.
+fn find_pool<'a>(router: &Router, view: &'a ClusterView, team: &TeamName) -> Option<&'a NodeEntry> {
+    let known = known_domains(view);
+    let home = credit_domains(router, &known).find_pool(team)?.to_owned();
     let lenders = view.lenders.iter().find(|(domain, _)| domain.as_str() == home);
     rank_lenders(lenders?.1, team, 1).first().copied()
 }
@@ -135,7 +147,7 @@
     UsageAllowance {
         requests: usage.map_or(0.0, |usage| usage.allowance),
         window: usage.map_or(ASSUMED_WINDOW, |usage| usage.window.0),
-        domains: view.lenders.len(),
+        domains: credit_domains(router, &known_domains(view)).count(),
     }
 }
 
@@ -253,7 +265,7 @@
 }
 
 async fn ask_pool(router: &Router, view: &ClusterView, team: &TeamName, wanted: u32) -> Option<PoolLoan> {
-    let entry = find_pool(view, team)?;
+    let entry = find_pool(router, view, team)?;
     let reply = if entry.node == router.settings.node {
         lend(router, view, team, wanted)
     } else {
