--- a/crates/policy/src/budget_share.rs
+++ b/crates/policy/src/budget_share.rs
@@ -5,7 +5,7 @@
 //! So the allowance is divided among those who make the calls: for a shard the owners of the failure domains that have
 //! servers of it, for a service that answers alone all nodes; what would be less than a call goes whole to some of them.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use crate::owner::weight;
 
 /// The part of a shard's allowance that the owners near its servers divide: they make nearly all calls to it.
 const NEAR_PART: f64 = 0.6;
@@ -59,6 +59,5 @@
     if calls >= 1.0 {
         return calls;
     }
-    let lot = xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(node.as_bytes(), 0));
-    if (lot as f64) < calls * u64::MAX as f64 { 1.0 } else { 0.0 }
+    if (weight(node, service) as f64) < calls * u64::MAX as f64 { 1.0 } else { 0.0 }
 }
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -2,8 +2,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The weight of a node for a key; the highest weights own it.
-fn weight(node: &str, key: &str) -> u64 {
+/// The weight of a node for a key, the same everywhere; the highest weights own it.
+pub(crate) fn weight(node: &str, key: &str) -> u64 {
     xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(node.as_bytes(), 0))
 }
 
