--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -5,12 +5,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{HOST, HeaderMap};
 use http::request::Parts;
 use http::{Request, Uri};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -25,7 +23,9 @@
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::attempt_context::{AttemptContext, RequestAsker};
-use crate::border::{FeedTopic, ShownKey};
+use crate::border::{CallerHead, FeedTopic};
+use crate::caller_body::{discard_rest, read_body};
+use crate::caller_team::find_team;
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
 use crate::request::CallerRequest;
@@ -39,10 +39,6 @@
 /// Heads and idle times while no routes are known.
 const FIRST_HEAD_BUFFER: usize = 64 << 10;
 const FIRST_IDLE: Duration = Duration::from_secs(15);
-/// The most bytes of a refused request's body that are still read, and how long that may take: a caller that
-/// goes on writing beyond them is cut off.
-const MAX_DISCARDED: usize = 8 << 20;
-const DISCARD_WITHIN: Duration = Duration::from_secs(2);
 /// The share of the target latency within which a request that no server takes is refused.
 const EARLY_SHARE: f64 = 0.2;
 
@@ -137,9 +133,7 @@
     match prepare(router, parts, &mut body, started).await {
         Ok(context) => run(router, context).await,
         Err(kind) => {
-            if !body.is_end_stream() {
-                tokio::spawn(discard(body));
-            }
+            discard_rest(body);
             refuse(&*router.format, kind)
         }
     }
@@ -166,22 +160,7 @@
             reason = kind.name()
         );
     })?;
-    let team = find_team(router, &routed, head.key).inspect_err(|kind| {
-        let id = head.request.to_str().unwrap_or("not-text");
-        metrics::counter!("streamfold_keys_refused_total").increment(1);
-        tracing::info!(
-            event = "key_refused",
-            request = id,
-            route = %routed.route.name,
-            shown = head.key.name(),
-            version = %router.cluster.version(),
-            unfollowed_ms = router.unfollowed_for(FeedTopic::Routes).as_millis() as u64,
-            reason = kind.name()
-        );
-    })?;
-    if routed.table.teams().is_some() {
-        router.format.write_team(&mut parts.headers, team.as_ref().map(|team| &team.name));
-    }
+    let team = take_team(router, &routed, &head, &mut parts.headers)?;
     let body = read_body(body, routed.body_limit).await?;
     let times = routed.view.times.get(&routed.route.name).cloned().unwrap_or_default();
     let is_lone = matches!(routed.route.target, RouteTarget::One(_));
@@ -207,6 +186,30 @@
     })
 }
 
+/// The team of a request, where callers have keys. Its key is taken out of the headers and the team named in them.
+fn take_team(
+    router: &Router,
+    routed: &RoutedRequest,
+    head: &CallerHead,
+    headers: &mut HeaderMap,
+) -> Result<Option<Arc<TeamSpec>>, RefusalKind> {
+    let Some(teams) = routed.table.teams() else { return Ok(None) };
+    let team = find_team(router, teams, &routed.route, head.key).inspect_err(|kind| {
+        metrics::counter!("streamfold_keys_refused_total").increment(1);
+        tracing::info!(
+            event = "key_refused",
+            request = head.request.to_str().unwrap_or("not-text"),
+            route = %routed.route.name,
+            shown = head.key.name(),
+            version = %router.cluster.version(),
+            unfollowed_ms = router.unfollowed_for(FeedTopic::Routes).as_millis() as u64,
+            reason = kind.name()
+        );
+    })?;
+    router.format.write_team(headers, team.as_ref().map(|team| &team.name));
+    Ok(team)
+}
+
 /// The host a request is for, in lower case and without its port.
 fn read_host(headers: &HeaderMap, uri: &Uri) -> Option<String> {
     let named = uri.host().or_else(|| headers.get(HOST).and_then(|value| value.to_str().ok()))?;
@@ -230,50 +233,6 @@
     }
 }
 
-/// The team of a request by the key that its caller shows; `None` where it needs none and shows none.
-fn find_team(router: &Router, routed: &RoutedRequest, shown: ShownKey) -> Result<Option<Arc<TeamSpec>>, RefusalKind> {
-    let Some(teams) = routed.table.teams() else { return Ok(None) };
-    let unknown = || RefusalKind::not_run(TurnReason::RoutesUnknown { uptime: router.uptime() });
-    let unfollowed = router.unfollowed_for(FeedTopic::Routes);
-    let strict = router.settings.keys.filter(|keys| keys.strict == Some(true));
-    let are_keys_lost = strict.is_some_and(|keys| unfollowed > keys.within.0);
-    let team = match shown {
-        ShownKey::Key(key) => teams.find(&key),
-        ShownKey::None | ShownKey::Malformed => None,
-    };
-    match team.filter(|_| !are_keys_lost) {
-        Some(team) => Ok(Some(team.clone())),
-        None if routed.route.is_open => Ok(None),
-        // It may have been taken away by now.
-        None if team.is_some() => Err(unknown()),
-        // It may have been handed out by now.
-        None if matches!(shown, ShownKey::Key(_)) && (!unfollowed.is_zero() || router.is_behind()) => Err(unknown()),
-        None => Err(RefusalKind::NoKey),
-    }
-}
-
-async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(RefusalKind::TooLong),
-        Err(_) => Err(RefusalKind::BadRequest),
-    }
-}
-
-/// Reads what is left of a refused request's body, within bounds. A connection that is closed while its caller
-/// still writes is reset, and the caller loses the refusal.
-async fn discard(mut body: Incoming) {
-    let reading = async {
-        let mut left = MAX_DISCARDED;
-        while let Some(Ok(frame)) = body.frame().await {
-            let Some(rest) = left.checked_sub(frame.data_ref().map_or(0, Bytes::len)) else { return };
-            left = rest;
-        }
-    };
-    // Whether it ends in time or not, nothing of it is wanted.
-    let _ = tokio::time::timeout(DISCARD_WITHIN, reading).await;
-}
-
 /// Lets a request in: at once, as the one that tries again what ended servers, or not at all.
 async fn admit(context: &mut AttemptContext) -> Result<(), RefusalKind> {
     let router = &context.router;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -12,11 +12,10 @@
 use streamfold_policy::Mechanism;
 use streamfold_policy::feed_rule::{FeedNode, choose_readers};
 
-use crate::border::{FeedChange, FeedItem, FeedList, FeedTopic, ListAge};
+use crate::border::{FeedChange, FeedItem, FeedTopic};
 use crate::cluster::NewsOrigin;
 use crate::evacuation::EvacuationList;
 use crate::feed;
-use crate::knowledge;
 use crate::listing::{KnownDigest, KnownEntries, RelayListing};
 use crate::router::Router;
 
@@ -42,16 +41,6 @@
 const LOOK_EVERY: Duration = Duration::from_secs(3);
 /// How often a node that waits for a reader which is about to begin looks whether that still says so.
 const START_LOOK: Duration = Duration::from_millis(100);
-/// At the very first start of all nodes, the time for every node to register.
-const FIRST_START_WAIT: Duration = Duration::from_secs(1);
-/// How long the nodes that the settings name may take to know those of the failure domain: they start within a third
-/// of a second of the others.
-const SEEDS_WITHIN: Duration = Duration::from_millis(600);
-/// How long they are asked before the store is, where nodes start again: a few ways there and back.
-const SEEDS_HEAD_START: Duration = Duration::from_millis(40);
-/// So much earlier the nodes that the settings name list all nodes then, so that the others need not.
-const SEEDS_LEAD: Duration = Duration::from_millis(300);
-
 /// Where a node has its news of the store from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FeedSource {
@@ -183,68 +172,6 @@
     }
 }
 
-/// Learns the nodes, as the first thing of all. Where the system has run before, what the store told seconds ago will
-/// do: the entries of nodes outlast their runs.
-///
-/// Nodes that start together would ask the store for all nodes each, which grows with their square. So where they are
-/// more than one answer of the store holds, those that the settings name list them, and the others ask these.
-pub async fn look_around(router: &Router) {
-    let is_first = router.settings.first_start;
-    if is_first {
-        let lead = if knowledge::choose_seed(router).is_some() { SEEDS_LEAD } else { Duration::ZERO };
-        tokio::time::sleep(FIRST_START_WAIT + lead).await;
-    }
-    let first_try = if is_first { SEEDS_WITHIN } else { SEEDS_HEAD_START };
-    if learn_from_seeds(router, first_try).await || (!is_first && learn_few(router).await) {
-        router.nodes_learnt.notify_one();
-        return;
-    }
-    if !is_first && learn_from_seeds(router, SEEDS_WITHIN).await {
-        router.nodes_learnt.notify_one();
-        return;
-    }
-    let age = if is_first { ListAge::Fresh } else { ListAge::MayBeStale };
-    match router.feed.list(FeedTopic::Nodes, age).await {
-        Ok(list) => take_nodes(router, list),
-        Err(error) => tracing::info!(event = "nodes_unknown", %error),
-    }
-}
-
-/// Learns the nodes from the store if they fit in one answer; false where they are more.
-async fn learn_few(router: &Router) -> bool {
-    match router.feed.list_few(FeedTopic::Nodes).await {
-        Ok(Some(list)) => {
-            take_nodes(router, list);
-            true
-        }
-        Ok(None) => false,
-        Err(error) => {
-            tracing::info!(event = "nodes_unknown", %error);
-            // The same call would not do better now.
-            true
-        }
-    }
-}
-
-fn take_nodes(router: &Router, list: FeedList) {
-    router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes, NewsOrigin::Store);
-    router.nodes_learnt.notify_one();
-}
-
-/// Learns the nodes of the failure domain from nodes that the settings name; whether one of them knew them in time.
-async fn learn_from_seeds(router: &Router, within: Duration) -> bool {
-    let asking = async {
-        while let Some(seed) = knowledge::choose_seed(router) {
-            if knowledge::learn_neighbours(router, seed).await {
-                return true;
-            }
-            tokio::time::sleep(START_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
-        }
-        false
-    };
-    tokio::time::timeout(within, asking).await.unwrap_or(false)
-}
-
 /// The first of the readers that begins in time; not the one that was just lost.
 async fn find_reader(router: &Router, lost: Option<&NodeId>, within: Duration) -> Option<RelaySubscription> {
     let mut readers = choose_own_readers(router).readers;
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -11,7 +11,7 @@
 use crate::router::{Router, RunningRouter};
 use crate::settings::RouterSettings;
 use crate::task::NodeTasks;
-use crate::{feed, front, knowledge, node_sweep, peer_service, peers, ready, relay, signs};
+use crate::{feed, front, knowledge, look_around, node_sweep, peer_service, peers, ready, relay, signs};
 
 /// How often doubtful servers and resting connections are looked at.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
@@ -81,12 +81,12 @@
     };
     if router.settings.first_start {
         let joined = async {
-            relay::look_around(&router).await;
+            look_around::run(&router).await;
             relay::follow(router.clone()).await;
         };
         tokio::join!(announced, joined);
     } else {
-        relay::look_around(&router).await;
+        look_around::run(&router).await;
         tokio::join!(announced, relay::follow(router.clone()));
     }
 }
