Routes that a node reads after a lag, or is told of, are passed on to its followers

Cause: the node that they follow read version 5 itself and published nothing, and its own next reader's listing leaves out what the node has. Change: both ways on which a node puts routes in force for itself publish them. Ruled out: its followers' links (they had signs of life, and other news). Test late_routes: red 1 of 1 before, green 11 of 11 after, calm; relay, routes_news and routes_alone pass (18 tests).

--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -86,7 +86,11 @@
         }
         tracing::info!(event = "routes_behind", version = %router.cluster.version());
         match router.feed.list(FeedTopic::Routes, ListAge::Fresh).await {
-            Ok(list) => router.cluster.replace(router.clock.now(), list.items, FeedTopic::Routes, NewsOrigin::Store),
+            Ok(list) => {
+                router.cluster.replace(router.clock.now(), list.items.clone(), FeedTopic::Routes, NewsOrigin::Store);
+                // Who follows this node would not hear of them: what it has, its own reader leaves out.
+                router.outlet.publish(|| RelayFrame::Listed(FeedTopic::Routes, list.items));
+            }
             Err(error) => tracing::warn!(event = "routes_not_read", %error),
         }
     }
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -12,7 +12,7 @@
 use crate::cluster::NewsOrigin;
 use crate::evacuation::EvacuationList;
 use crate::listing::{DomainSection, KnownDigest, KnownEntries};
-use crate::relay::FeedSource;
+use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
 
 /// How often another node is asked while the store is away.
@@ -107,8 +107,11 @@
     router.cluster.apply(router.clock.now(), crashes, FeedTopic::Crashes, NewsOrigin::Peer);
     // Servers first, since newer routes may name services that only the newer entries have.
     take_entries(router, link, reply.sections);
-    if let Some(table) = reply.table {
-        router.cluster.offer_table(table, NewsOrigin::Peer);
+    if let Some(table) = reply.table
+        && router.cluster.offer_table(table.clone(), NewsOrigin::Peer)
+    {
+        // Who follows this node would not hear of them: what it has, its own reader leaves out.
+        router.outlet.publish(|| RelayFrame::Listed(FeedTopic::Routes, vec![FeedItem::Routes(Box::new(table))]));
     }
     Ok(())
 }
