--- a/crates/lab/tests/routes_herd.rs
+++ b/crates/lab/tests/routes_herd.rs
@@ -1,4 +1,4 @@
-//! All nodes are killed at once and start again. On a played day of 985 nodes each asked the store for all nodes, and
+//! All nodes are killed at once and start again. Of 985 nodes each asked the store for all nodes, and
 //! when the first ones had no servers after 1.2 s, behind those answers, each asked it for all servers too: nothing was
 //! served for five seconds. What a start asks of the store grows with failure domains now, not with nodes. With real
 //! processes.
--- a/crates/router/tests/late_routes.rs
+++ b/crates/router/tests/late_routes.rs
@@ -1,6 +1,6 @@
 //! A node hears from another one that there are newer routes, and reads them from the store itself. It put them in
 //! force and told nobody: nodes that follow it kept the old ones, also when its own next reader began anew, since that
-//! one leaves out what the node has. On a played day two nodes served a route that was gone six seconds before:
+//! one leaves out what the node has. Two nodes served a route that was gone six seconds before:
 //! `event=routes_behind version=2`, `event=routes_in_force version=5 before=2 source=store` at the one they followed,
 //! and no such line at them.
 
