--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -14,6 +14,8 @@
 
 /// How often the settings file is looked at without a signal.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
+/// No way on earth takes longer; a longer one is a slip of the pen, and would give up requests that were just read.
+const MAX_CALLER_WAY: Duration = Duration::from_secs(1);
 
 /// Reads and checks the settings that the arguments name.
 ///
@@ -50,6 +52,9 @@
         check_range("cold_calls.excess", cold.excess, cold.excess >= 0.0, "0 or more");
         check_range("cold_calls.allowance", cold.allowance, cold.allowance >= 0.0, "0 or more");
     }
+    if let Some(way) = settings.caller_way {
+        check_range("caller_way", way.0.as_secs_f64(), way.0 <= MAX_CALLER_WAY, "1s at most");
+    }
     let spans = [
         ("extra_calls.window", extra.window),
         ("gone_after", settings.gone_after),
--- a/crates/daemon/tests/route_settings.rs
+++ b/crates/daemon/tests/route_settings.rs
@@ -2,6 +2,7 @@
 
 use insta::assert_snapshot;
 use streamfold_daemon::route_node::parse;
+use streamfold_router::settings::SchedulingSettings;
 
 const GOOD: &str = "\
 serve: routes
@@ -59,6 +60,18 @@
     assert_snapshot!(problems(&format!("{GOOD}gone_after: 0s\nsilence_within: 0s\n")));
 }
 
+#[test]
+fn what_is_decided_when_room_is_short_is_read_and_checked() {
+    let settings = parse("node.yaml", GOOD).expect("settings");
+    assert_eq!((settings.caller_way, settings.scheduling), (None, SchedulingSettings::default()), "off");
+    let text = format!("{GOOD}caller_way: 3ms\nscheduling: {{by_priority: true, by_pace: true}}\n");
+    let settings = parse("node.yaml", &text).expect("settings");
+    let scheduling = SchedulingSettings { by_priority: true, by_team: false, by_pace: true };
+    assert_eq!(settings.scheduling, scheduling);
+    assert_snapshot!(problems(&format!("{GOOD}caller_way: 2s\n")));
+    assert_snapshot!(problems(&format!("{GOOD}scheduling: {{by_luck: true}}\n")));
+}
+
 #[test]
 fn bounds_of_evacuations_and_cold_servers_are_read_and_checked() {
     let settings = parse("node.yaml", GOOD).expect("settings");
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,4 +27,4 @@
     ServiceSpec, ShardFold, TableError, WeightedService,
 };
 pub use team::{KeyDigest, TeamDirectory, TeamError, TeamKeys, TeamSpec, UsageLimit};
-pub use units::{ByteSize, CallRate, CoreShare, ParseUnitError, TimeSpan};
+pub use units::{ByteSize, CallRate, CoreShare, ParseUnitError, Priority, TimeSpan};
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -12,7 +12,7 @@
     ServiceName, TableVersion,
 };
 use crate::team::TeamDirectory;
-use crate::units::CoreShare;
+use crate::units::{CoreShare, Priority};
 
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
@@ -104,8 +104,8 @@
     pub target_latency: Duration,
     /// The most servers one request may be sent to; for shards, the most of each shard.
     pub max_attempts: u32,
-    /// Its rank; 0 is the most urgent.
-    pub priority: u32,
+    /// The rank of its requests, where their team has none.
+    pub priority: Priority,
     /// Where its requests may be served.
     pub homes: HomeRegions,
     /// Whether its requests need no key where others do.
--- a/crates/model/src/team.rs
+++ b/crates/model/src/team.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::TeamName;
 use crate::routing::HomeRegions;
+use crate::units::Priority;
 
 /// A caller's key as it is kept and compared: a digest from which nobody can tell the key.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Encode, Decode)]
@@ -41,8 +42,8 @@
 pub struct TeamSpec {
     /// Its name, which servers are told.
     pub name: TeamName,
-    /// The rank of its requests in place of their route's; 0 is the most urgent.
-    pub priority: Option<u32>,
+    /// The rank of its requests in place of their route's.
+    pub priority: Option<Priority>,
     /// Where its requests may be served, within what their route allows.
     pub homes: HomeRegions,
     /// How many requests it may send; without a limit any number.
--- a/crates/model/src/units.rs
+++ b/crates/model/src/units.rs
@@ -163,3 +163,26 @@
         write!(f, "{}", f64::from(self.0) / 1e3)
     }
 }
+
+/// The rank of work: 0 goes before all others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct Priority(pub u32);
+
+impl fmt::Display for Priority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Priority {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, ParseUnitError> {
+        let parsed = text.trim().parse().map(Self);
+        parsed.map_err(|_| ParseUnitError {
+            kind: "priority",
+            text: text.chars().take(40).collect(),
+            example: "0 or 2",
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry_gate.rs
@@ -0,0 +1,58 @@
+//! Whether a request that arrives is begun.
+//!
+//! The load pattern: servers of many shards are slow or gone while callers keep coming, so that not all requests can
+//! be answered in time. What is begun in vain takes room from what could be served.
+
+use std::time::Duration;
+
+use streamfold_model::Priority;
+
+use crate::moment::Moment;
+
+/// What is known when a request arrives.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EntryAsk {
+    /// Its rank.
+    pub priority: Priority,
+    /// Its target latency.
+    pub target: Duration,
+    /// The time it has left.
+    pub left: Duration,
+    /// When enough of its shards are expected to have answered, from now; none if that is not known.
+    pub expected: Option<Duration>,
+    /// How long calls of its priority wait for a server.
+    pub waited: Duration,
+}
+
+/// What becomes of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryStep {
+    /// It is begun.
+    Begin,
+    /// It is refused, since it cannot be answered within the time it has left.
+    Hopeless {
+        /// Until it could be.
+        wait: Duration,
+    },
+    /// It is refused, since more urgent requests need the room.
+    GiveWay {
+        /// Until there may be room.
+        wait: Duration,
+    },
+}
+
+/// Lets requests in or turns them away.
+pub trait EntryRule: Send {
+    /// What becomes of a request that arrives now.
+    fn decide(&mut self, now: Moment, ask: &EntryAsk) -> EntryStep;
+}
+
+/// Begins every request.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OpenGate;
+
+impl EntryRule for OpenGate {
+    fn decide(&mut self, _now: Moment, _ask: &EntryAsk) -> EntryStep {
+        EntryStep::Begin
+    }
+}
--- a/crates/policy/src/mechanism.rs
+++ b/crates/policy/src/mechanism.rs
@@ -39,10 +39,22 @@
     DarkDomains,
     /// What servers tell of their pace counts.
     ToldPace,
+    /// The time that a caller's new connection took counts as a part of its first request.
+    HandshakeTime,
+    /// Calls for full servers wait at the node, the most urgent first.
+    CallLines,
+    /// Among calls of one priority, teams take turns by their rates.
+    TeamTurns,
+    /// Requests that cannot be answered in time, or must give way to more urgent ones, are refused on arrival.
+    EntryGate,
+    /// Callers that are refused together are told different times to come back.
+    ReturnTurns,
+    /// How fast a server works is learnt from its answers.
+    MeasuredPace,
 }
 
 /// Every mechanism with its name in settings, by the order of the type.
-const NAMES: [(Mechanism, &str); 16] = [
+const NAMES: [(Mechanism, &str); 22] = [
     (Mechanism::NearHedges, "near_hedges"),
     (Mechanism::FarHedges, "far_hedges"),
     (Mechanism::FarFolding, "far_folding"),
@@ -59,6 +71,12 @@
     (Mechanism::SplitTurns, "split_turns"),
     (Mechanism::DarkDomains, "dark_domains"),
     (Mechanism::ToldPace, "told_pace"),
+    (Mechanism::HandshakeTime, "handshake_time"),
+    (Mechanism::CallLines, "call_lines"),
+    (Mechanism::TeamTurns, "team_turns"),
+    (Mechanism::EntryGate, "entry_gate"),
+    (Mechanism::ReturnTurns, "return_turns"),
+    (Mechanism::MeasuredPace, "measured_pace"),
 ];
 
 impl fmt::Display for Mechanism {
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -7,7 +7,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use streamfold_model::{FailureDomain, HomeRegions, RouteKind, RouteSpec, ServerId, ServiceName, TeamSpec};
+use streamfold_model::{FailureDomain, HomeRegions, Priority, RouteKind, RouteSpec, ServerId, ServiceName, TeamSpec};
 use streamfold_policy::canary::CallRight;
 use streamfold_policy::replica::Distance;
 use streamfold_policy::{Mechanism, Moment};
@@ -61,6 +61,8 @@
     pub homes: HomeRegions,
     /// The team that it is of, where callers have keys.
     pub team: Option<Arc<TeamSpec>>,
+    /// Its rank among requests for the same servers.
+    pub priority: Priority,
     /// Latencies of the route.
     pub times: RouteTimes,
     /// How long servers that did not take the request are tried again.
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -3,11 +3,11 @@
 use bincode::{Decode, Encode};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
-use streamfold_model::{HomeRegions, RouteName, ServerId, ServerRun, ServiceName, TableVersion};
+use streamfold_model::{HomeRegions, Priority, RouteName, ServerId, ServerRun, ServiceName, TableVersion, TeamName};
 
 /// Path of a batch of shards. It names the form of the messages: nodes of an earlier form refuse it,
 /// as this one refuses theirs, since a batch that does not tell its homes must not be served.
-pub const PATH_BATCH: &str = "/3/shards";
+pub const PATH_BATCH: &str = "/4/shards";
 /// Path of a request for what a node knows of the cluster, with the form of the messages.
 pub const PATH_KNOWLEDGE: &str = "/4/knowledge";
 
@@ -80,6 +80,10 @@
     pub route: RouteName,
     /// The version of the routes it was found in.
     pub version: TableVersion,
+    /// The rank of the request.
+    pub priority: Priority,
+    /// Its team, where callers have keys.
+    pub team: Option<TeamName>,
     /// The shards.
     pub shards: Vec<BatchShard>,
     /// How they are answered.
@@ -122,6 +126,35 @@
     pub has_arrived: bool,
 }
 
+/// How long calls of a priority wait for a server at a node, as it saw lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct PriorityWait {
+    /// The rank of the calls.
+    pub priority: Priority,
+    /// How long the last of them waited, in microseconds.
+    pub wait_us: u64,
+}
+
+/// How fast a server works, as a node measured it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ServerPace {
+    /// The run of the server.
+    pub server: ServerRun,
+    /// How many thousandths of the usual time its work takes.
+    pub thousandths: u32,
+    /// How long ago that was measured, in microseconds.
+    pub age_us: u64,
+}
+
+/// What a node tells of its failure domain beside the answers to a batch.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Encode, Decode)]
+pub struct DomainReport {
+    /// How long calls wait, for each priority of which any waited lately.
+    pub waits: Vec<PriorityWait>,
+    /// Paces of servers that are far from the usual one; a few, the newest first.
+    pub paces: Vec<ServerPace>,
+}
+
 /// What became of a batch.
 #[derive(Debug, Clone, Encode, Decode)]
 pub struct ShardReply {
@@ -137,6 +170,8 @@
     pub records: Vec<u8>,
     /// Servers that ended under what the request asks for, as far as the replying node knows.
     pub crashed: Vec<ServerRun>,
+    /// What the replying node tells of its failure domain.
+    pub report: DomainReport,
 }
 
 /// A frame of an answer to a batch.
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -234,6 +234,8 @@
             request: self.request.copy(),
             route: self.route.name.clone(),
             version: self.router.cluster.version(),
+            priority: self.priority,
+            team: self.team.as_ref().map(|team| team.name.clone()),
             shards,
             mode,
             top,
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use streamfold_link::socket::watch_peer;
 use streamfold_model::{RouteSpec, RouteTable, RouteTarget, TeamSpec};
+use streamfold_policy::caller_way::find_begin;
 use streamfold_policy::come_back::TurnReason;
 use streamfold_policy::crash_book::ContentStanding;
 use streamfold_policy::split_rule::SplitTurns;
@@ -28,7 +29,7 @@
 use crate::caller_team::find_team;
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
-use crate::request::CallerRequest;
+use crate::request::{CallerRequest, RequestArrival};
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::{gather, quarantine, single, task, usage};
 
@@ -67,6 +68,7 @@
 
 async fn serve_connection(router: Arc<Router>, stream: TcpStream) {
     let _count = LiveCount::of_counted(&router.connections);
+    let accepted = router.clock.now();
     if let Err(error) = watch_peer(&stream) {
         tracing::debug!(event = "connection_options_failed", %error);
         return;
@@ -79,12 +81,14 @@
         .header_read_timeout(limits.map_or(FIRST_IDLE, |limits| limits.idle_timeout + limits.header_timeout))
         .max_buf_size(limits.map_or(FIRST_HEAD_BUFFER, |limits| limits.header_bytes.max(MIN_HEAD_BUFFER)));
     let is_answering = AtomicBool::new(false);
+    let is_used = AtomicBool::new(false);
     let service = service_fn(|request| {
         let (router, is_answering) = (router.clone(), &is_answering);
+        let accepted = Some(accepted).filter(|_| !is_used.swap(true, Ordering::Relaxed));
         async move {
             is_answering.store(true, Ordering::Relaxed);
             // Whether the request has run is not known then: work that panics says nothing of what it sent.
-            let handled = task::guard(handle(&router, request)).await;
+            let handled = task::guard(handle(&router, request, accepted)).await;
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
             is_answering.store(false, Ordering::Relaxed);
             Ok::<_, Infallible>(answer)
@@ -126,11 +130,11 @@
     body_limit: usize,
 }
 
-async fn handle(router: &Arc<Router>, request: Request<Incoming>) -> CallerAnswer {
+async fn handle(router: &Arc<Router>, request: Request<Incoming>, accepted: Option<Moment>) -> CallerAnswer {
     let _count = LiveCount::new(&router.requests);
-    let started = router.clock.now();
+    let arrival = note_arrival(router, accepted);
     let (parts, mut body) = request.into_parts();
-    match prepare(router, parts, &mut body, started).await {
+    match prepare(router, parts, &mut body, arrival).await {
         Ok(context) => run(router, context).await,
         Err(kind) => {
             discard_rest(body);
@@ -139,11 +143,18 @@
     }
 }
 
+/// When a request came that is read now; `accepted` tells when its connection was accepted, if it is the first one on it.
+fn note_arrival(router: &Router, accepted: Option<Moment>) -> RequestArrival {
+    let read = router.clock.now();
+    let way = router.settings.caller_way.filter(|_| router.has(Mechanism::HandshakeTime));
+    RequestArrival { begun: way.map_or(read, |way| find_begin(read, accepted, way.0)), read }
+}
+
 async fn prepare(
     router: &Arc<Router>,
     mut parts: Parts,
     body: &mut Incoming,
-    started: Moment,
+    arrival: RequestArrival,
 ) -> Result<AttemptContext, RefusalKind> {
     let head = router.format.read_caller(&parts.headers).map_err(|error| {
         tracing::info!(event = "request_unreadable", path = parts.uri.path(), %error);
@@ -164,7 +175,7 @@
     let body = read_body(body, routed.body_limit).await?;
     let times = routed.view.times.get(&routed.route.name).cloned().unwrap_or_default();
     let is_lone = matches!(routed.route.target, RouteTarget::One(_));
-    let request = CallerRequest::new(head, parts, body, started, routed.route.timeout, is_lone);
+    let request = CallerRequest::new(head, parts, body, arrival, routed.route.timeout, is_lone);
     // A request that one server must take is refused early, so that its caller can come back.
     let retry_within = match routed.route.target {
         RouteTarget::All(_) => routed.route.target_latency,
@@ -172,9 +183,10 @@
     };
     let canary = if is_lone { CanaryCall::default() } else { CanaryCall::over_shards() };
     Ok(AttemptContext {
-        retry_until: started.plus(retry_within),
+        retry_until: arrival.begun.plus(retry_within),
         router: router.clone(),
         homes: team.as_ref().map_or_else(|| routed.route.homes.clone(), |team| routed.route.homes.within(&team.homes)),
+        priority: team.as_ref().and_then(|team| team.priority).unwrap_or(routed.route.priority),
         team,
         view: routed.view,
         route: routed.route,
@@ -350,6 +362,7 @@
             delegated = coverage.map(|coverage| coverage.delegated),
             peers = coverage.map(|coverage| coverage.peers.as_str()).filter(|peers| !peers.is_empty()),
             missing = coverage.map(|coverage| coverage.missing.as_str()).filter(|missing| !missing.is_empty()),
+            unread_us = context.request.read.since(context.request.started).as_micros() as u64,
             late = took > context.route.target_latency,
             took_us = took.as_micros() as u64
         );
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -7,7 +7,7 @@
 use streamfold_policy::server_bound::ServerRights;
 
 use crate::attempt_context::AttemptContext;
-use crate::batch::{BatchMode, FoldedShard, MissingShard, ShardBatch, ShardReply};
+use crate::batch::{BatchMode, DomainReport, FoldedShard, MissingShard, ShardBatch, ShardReply};
 use crate::fold::cut_records;
 use crate::gather::GatherRound;
 
@@ -74,6 +74,6 @@
             BatchMode::Each { .. } => Vec::new(),
         };
         let crashed = self.context.router.cluster.quarantine.crashed(self.context.request.suspect.content);
-        ShardReply { version, is_stopping: false, shards, missing, records, crashed }
+        ShardReply { version, is_stopping: false, shards, missing, records, crashed, report: DomainReport::default() }
     }
 }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -11,19 +11,20 @@
 use http::{Request, Response, StatusCode};
 use streamfold_link::server::{self, PeerService};
 use streamfold_link::{PeerError, encode_frame, read_message, refuse, reply, send_frame};
-use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold};
+use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold, TeamSpec};
 use tokio::net::TcpListener;
 
 use crate::attempt_context::{AttemptContext, RequestAsker};
 use crate::batch::{BatchFrame, BatchMode, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
 use crate::border::{CallerHead, ShownKey};
 use crate::canary::CanaryCall;
+use crate::cluster_view::ClusterView;
 use crate::delegate::ASKING_SHARE;
 use crate::knowledge::{self, KnowledgeRequest};
 use crate::peer_gather::PeerGather;
 use crate::relay::{PATH_RELAY, RelayRequest};
 use crate::relay_service;
-use crate::request::CallerRequest;
+use crate::request::{CallerRequest, RequestArrival};
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::usage::{self, CreditRequest, PATH_CREDIT};
 
@@ -159,6 +160,11 @@
     relay_service::serve(router, &request, respond).await
 }
 
+/// The team of a batch, by the routes in force here.
+fn find_team(view: &ClusterView, batch: &ShardBatch) -> Option<Arc<TeamSpec>> {
+    view.table.as_ref()?.teams()?.find_name(batch.team.as_ref()?).cloned()
+}
+
 /// The batch as a request of its own, over just its shards.
 fn build_context(router: &Arc<Router>, batch: &ShardBatch) -> Result<AttemptContext, PeerError> {
     let malformed = |_| PeerError::BadStatus(400);
@@ -173,7 +179,7 @@
     let head = CallerHead { request: id, deadline: None, key: ShownKey::None };
     let body = Bytes::copy_from_slice(&batch.request.body);
     let left = Duration::from_micros(batch.left_us);
-    let request = CallerRequest::new(head, parts, body, now, left, false);
+    let request = CallerRequest::new(head, parts, body, RequestArrival::at(now), left, false);
     let view = router.cluster.view();
     let times = view.times.get(&batch.route).cloned().unwrap_or_default();
     let shards = batch.shards.iter().map(|shard| shard.service.clone()).collect();
@@ -186,7 +192,7 @@
         timeout: left,
         target_latency: Duration::from_micros(batch.target_us),
         max_attempts: batch.max_attempts,
-        priority: 0,
+        priority: batch.priority,
         homes: batch.homes.clone(),
         is_open: true,
         target: RouteTarget::All(fold),
@@ -200,9 +206,10 @@
     Ok(AttemptContext {
         retry_until,
         router: router.clone(),
+        priority: batch.priority,
+        team: find_team(&view, batch),
         view,
         homes: route.homes.clone(),
-        team: None,
         route: Arc::new(route),
         request: Arc::new(request),
         times,
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -51,13 +51,31 @@
     ContentId::of(&[method.as_str().as_bytes(), host, target.as_bytes(), body])
 }
 
+/// When a request came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestArrival {
+    /// When its caller began to wait for the answer.
+    pub begun: Moment,
+    /// When it was read.
+    pub read: Moment,
+}
+
+impl RequestArrival {
+    /// That of a request whose caller began to wait when it was read.
+    pub fn at(now: Moment) -> Self {
+        Self { begun: now, read: now }
+    }
+}
+
 /// A request with its whole body, ready to be sent to any number of servers.
 #[derive(Debug)]
 pub struct CallerRequest {
     /// Its id.
     pub id: HeaderValue,
-    /// When it came in.
+    /// When its caller began to wait for the answer.
     pub started: Moment,
+    /// When it was read.
+    pub read: Moment,
     /// When it is given up.
     pub deadline: Moment,
     /// What it asks for, should a server end under it.
@@ -75,7 +93,7 @@
         head: CallerHead,
         parts: http::request::Parts,
         body: Bytes,
-        started: Moment,
+        arrival: RequestArrival,
         limit: Duration,
         is_lone: bool,
     ) -> CallerRequest {
@@ -89,8 +107,9 @@
         Self {
             suspect: CrashSuspect { content, is_lone },
             id: head.request,
-            started,
-            deadline: started.plus(held),
+            started: arrival.begun,
+            read: arrival.read,
+            deadline: arrival.begun.plus(held),
             method: parts.method,
             uri: parts.uri,
             headers,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -70,6 +70,13 @@
     /// they are declared.
     #[serde(default)]
     pub usage: Option<UsageSettings>,
+    /// The longest way of a caller's bytes to this node, one way. Without it a request counts as begun when it was
+    /// read.
+    #[serde(default)]
+    pub caller_way: Option<TimeSpan>,
+    /// Decisions of a deployment whose callers compete for room; without it none is made.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// Mechanisms of decision that are not used, so that what each is worth can be measured.
     #[serde(default, deserialize_with = "read_mechanisms")]
     pub without: Vec<Mechanism>,
@@ -103,6 +110,21 @@
     }
 }
 
+/// Which decisions are made when room is short. Each also takes a configuration that calls for it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SchedulingSettings {
+    /// By priority, where routes or teams of different priority use one service.
+    #[serde(default)]
+    pub by_priority: bool,
+    /// By team, where teams have limits.
+    #[serde(default)]
+    pub by_team: bool,
+    /// By the measured pace of servers, where a service has several.
+    #[serde(default)]
+    pub by_pace: bool,
+}
+
 /// The bounds on calls beyond the first of each request, for all nodes together.
 #[derive(Debug, Clone, Copy, Deserialize)]
 pub struct ExtraCalls {
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use streamfold_model::{
-    CallerLimits, CoreShare, HomeRegions, Incarnation, NodeEntry, RouteKind, RouteSpec, RouteTable, RouteTarget,
-    ServerEntry, ServerStart, ServiceName, ShardFold, TableVersion, WeightedService,
+    CallerLimits, CoreShare, HomeRegions, Incarnation, NodeEntry, Priority, RouteKind, RouteSpec, RouteTable,
+    RouteTarget, ServerEntry, ServerStart, ServiceName, ShardFold, TableVersion, WeightedService,
 };
 use streamfold_policy::{MechanismSet, Moment};
 use streamfold_router::border::{FeedChange, FeedItem, FeedTopic};
@@ -69,7 +69,7 @@
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(100),
         max_attempts: 2,
-        priority: 0,
+        priority: Priority(0),
         homes: HomeRegions::Everywhere,
         is_open: false,
         target,
