The pace of servers is learnt from how long their calls take

Cause: among three servers of a shard the node chose by one usual time for all of them.

Change: each call that starts notes what it should take, waiting included; its end, or its being given up, tells the pace of the server. Lasting differences need tens of answers; a server that is many times slower needs two events, of which the first fades within a pause. A server's own word loses its weight where answers contradict it.

Ruled out: one mean for both (a pause marks a server for seconds, or a slow one is found late); calls that were open together as several events (a pause counts as many).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod server_scope;
 pub mod split_rule;
 pub mod usage_credit;
+pub mod work_pace;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
 pub use budget::TokenBudget;
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -5,6 +5,7 @@
 use crate::mechanism::{Mechanism, MechanismSet};
 use crate::moment::Moment;
 use crate::pace::{PaceBelief, SpellSample};
+use crate::work_pace::{WorkPace, WorkSample};
 
 /// What is remembered of refusals and failures fades by half in this time without a new call.
 const REFUSAL_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -32,6 +33,8 @@
 const AVOIDED: f64 = 1e12;
 /// Relative slowness of a server that says it is still warming up.
 const WARMUP_SLOWNESS: f64 = 1.6;
+/// A server that takes so many times as long as usual is no good one: its answers miss most targets.
+const SLOW_SERVER: f64 = 2.0;
 
 /// How far away a server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -69,12 +72,21 @@
     Abandoned,
 }
 
+/// A call of this node that runs on a server.
+#[derive(Debug, Clone, Copy)]
+struct OpenCall {
+    started: Moment,
+    /// How long it should take, with the waiting that was to be expected; none where nobody measures.
+    usual: Option<Duration>,
+    has_waited: bool,
+}
+
 /// A node's knowledge of one server.
 #[derive(Debug, Clone)]
 pub struct ReplicaState {
     slots: u32,
-    /// When the calls of this node that run on it started.
-    started: Vec<Moment>,
+    /// The calls of this node that run on it.
+    calls: Vec<OpenCall>,
     sampled: Moment,
     warm_at: Moment,
     silences: u32,
@@ -85,6 +97,9 @@
     resting_until: Moment,
     load: Option<(f64, Moment)>,
     pace: PaceBelief,
+    work: WorkPace,
+    /// Whether its service has enough servers to choose among them by their measured pace.
+    is_compared: bool,
     mechanisms: MechanismSet,
 }
 
@@ -93,7 +108,7 @@
     pub fn new(slots: u32, warm_at: Moment) -> Self {
         Self {
             slots: slots.max(1),
-            started: Vec::new(),
+            calls: Vec::new(),
             sampled: Moment::default(),
             warm_at,
             silences: 0,
@@ -104,6 +119,8 @@
             resting_until: Moment::default(),
             load: None,
             pace: PaceBelief::default(),
+            work: WorkPace::default(),
+            is_compared: false,
             mechanisms: MechanismSet::default(),
         }
     }
@@ -115,15 +132,60 @@
 
     /// Calls of this node that run on it.
     pub fn running(&self) -> u32 {
-        self.started.len() as u32
+        self.calls.len() as u32
+    }
+
+    /// Sets whether its service has enough servers to choose among them by their measured pace.
+    pub fn set_compared(&mut self, is_compared: bool) {
+        self.is_compared = is_compared;
     }
 
-    /// How much slower it is than a typical server, which is 1, by its own word.
+    /// Whether it is judged by its measured pace.
+    fn is_measured(&self) -> bool {
+        self.is_compared && self.mechanisms.has(Mechanism::MeasuredPace)
+    }
+
+    /// How much slower it is than a typical server, which is 1, by its own word and by what was measured.
     fn slowness(&self, now: Moment, spell: Duration) -> f64 {
         let is_cold = now < self.warm_at && self.mechanisms.has(Mechanism::WarmUp);
         let cold = if is_cold { WARMUP_SLOWNESS } else { 1.0 };
-        let has_pace = self.mechanisms.has(Mechanism::ToldPace);
-        if has_pace { self.pace.stretch(now, spell).max(cold) } else { cold }
+        let has_word = self.mechanisms.has(Mechanism::ToldPace);
+        let word = if has_word { self.pace.stretch(now, spell) } else { 1.0 };
+        if !self.is_measured() {
+            return word.max(cold);
+        }
+        let measured = self.work.stretch(now, spell);
+        // A word of 1 says nothing of a server that is faster than usual.
+        let word = if word > 1.0 { self.work.believe_word(word) } else { measured };
+        let cold = if is_cold { cold } else { measured };
+        measured.max(word).max(cold)
+    }
+
+    /// The pace that calls of this node have shown, and when, where it is judged by that.
+    pub fn measured_pace(&self, now: Moment, spell: Duration) -> Option<(f64, Moment)> {
+        let sampled = self.work.sampled().filter(|_| self.is_measured())?;
+        Some((self.work.seen(now, spell), sampled))
+    }
+
+    /// Notes the pace that another node measured some time ago.
+    pub fn learn_measured(&mut self, now: Moment, pace: f64, age: Duration) {
+        if self.is_measured() {
+            self.work.learn_told(now, pace, age);
+        }
+    }
+
+    /// Whether a call there is expected to take much longer than usual, or no answer is expected at all.
+    pub fn is_slow(&self, now: Moment, spell: Duration) -> bool {
+        self.is_avoided(now) || self.slowness(now, spell) >= SLOW_SERVER
+    }
+
+    /// The time from now until a call made now is answered, where `typical` is the time such a call usually takes; none
+    /// where nothing is known of it.
+    pub fn expected(&self, now: Moment, typical: Duration, spell: Duration) -> Option<Duration> {
+        let is_known = self.is_measured() && (self.work.is_known(now) || !self.calls.is_empty());
+        let rest = self.resting_until.max(self.silent_until.unwrap_or_default()).since(now);
+        let work = typical.mul_f64(self.slowness(now, spell)).max(self.open_for(now));
+        is_known.then(|| rest + work.mul_f64(1.0 + self.queued(now)))
     }
 
     /// Notes how many times as long as usual work takes there by its own word; what became of its slow
@@ -158,7 +220,7 @@
     /// Work that it runs or holds waiting.
     fn ahead(&self, now: Moment) -> f64 {
         let told = self.load.filter(|(_, told)| now.since(*told) < LOAD_LIFE).map_or(0.0, |(load, _)| load);
-        told.max(self.started.len() as f64)
+        told.max(self.calls.len() as f64)
     }
 
     /// Whether it has answered anything since a moment.
@@ -178,27 +240,54 @@
     /// usually takes and `spell` how long servers stay slow.
     pub fn cost(&self, now: Moment, distance: Distance, typical: Duration, spell: Duration) -> f64 {
         let typical = typical.as_micros() as f64;
-        let typical = (typical * self.slowness(now, spell)).max(self.open_for(now));
-        let ahead = self.ahead(now);
-        let slots = f64::from(self.slots);
-        let queued = (ahead + 1.0 - slots).max(0.0) / slots;
+        let open_for = self.open_for(now).as_micros() as f64;
+        let typical = (typical * self.slowness(now, spell)).max(open_for);
+        let queued = self.queued(now);
         // Work that runs but does not queue still tells which of two idle servers to take.
-        let busy = 0.1 * ahead / slots;
+        let busy = 0.1 * self.ahead(now) / f64::from(self.slots);
         let avoided = if self.is_avoided(now) { AVOIDED } else { 0.0 };
         let refused = REFUSAL_COST * self.refusals * self.fading(now);
         avoided + typical * (1.0 + queued + busy + refused) + distance.cost_us()
     }
 
-    /// How long the oldest call that runs on it has been open, in microseconds: an answer takes at
-    /// least as long.
-    fn open_for(&self, now: Moment) -> f64 {
-        let oldest = self.started.first().filter(|_| self.mechanisms.has(Mechanism::OpenCalls));
-        oldest.map_or(0.0, |started| now.since(*started).as_micros() as f64)
+    /// How many times as long as its work a call made now would wait for a slot.
+    fn queued(&self, now: Moment) -> f64 {
+        let slots = f64::from(self.slots);
+        (self.ahead(now) + 1.0 - slots).max(0.0) / slots
+    }
+
+    /// How long the oldest call that runs on it has been open: an answer takes at least as long.
+    fn open_for(&self, now: Moment) -> Duration {
+        let oldest = self.calls.first().filter(|_| self.mechanisms.has(Mechanism::OpenCalls));
+        oldest.map_or(Duration::ZERO, |call| now.since(call.started))
     }
 
     /// Notes that a call starts.
     pub fn start(&mut self, now: Moment) {
-        self.started.push(now);
+        self.calls.push(OpenCall { started: now, usual: None, has_waited: false });
+    }
+
+    /// Notes that a call starts that would usually take so long; its time is measured.
+    pub fn start_measured(&mut self, now: Moment, typical: Duration) {
+        let queued = self.queued(now);
+        let usual = Some(typical.mul_f64(1.0 + queued));
+        self.calls.push(OpenCall { started: now, usual, has_waited: queued > 0.0 });
+    }
+
+    /// Learns from how long a call took that ended.
+    fn measure(&mut self, now: Moment, call: OpenCall, sample: CallSample, spell: Duration) {
+        let Some(usual) = call.usual.filter(|usual| !usual.is_zero()) else { return };
+        let ratio = now.since(call.started).as_secs_f64() / usual.as_secs_f64();
+        let work = WorkSample { started: call.started, ratio, has_waited: call.has_waited };
+        match sample {
+            CallSample::Answered => {
+                self.work.weigh_word(self.pace.stretch(now, spell), ratio);
+                self.work.learn(now, work, spell);
+            }
+            // It would have taken longer still.
+            CallSample::Abandoned => self.work.learn_slow(now, work, spell),
+            CallSample::Full | CallSample::Failed => {}
+        }
     }
 
     /// Notes that a call that started at a moment has waited longer than usual. If nothing was
@@ -219,10 +308,19 @@
         self.sampled = now;
     }
 
+    /// Notes how a call ended that started at a moment, where `spell` is how long servers stay slow.
+    pub fn finish_measured(&mut self, now: Moment, started: Moment, sample: CallSample, spell: Duration) {
+        let call = self.calls.iter().find(|open| open.started == started).copied();
+        self.finish(now, started, sample);
+        if let Some(call) = call {
+            self.measure(now, call, sample, spell);
+        }
+    }
+
     /// Notes how a call ended that started at a moment.
     pub fn finish(&mut self, now: Moment, started: Moment, sample: CallSample) {
-        if let Some(position) = self.started.iter().position(|open| *open == started) {
-            self.started.remove(position);
+        if let Some(position) = self.calls.iter().position(|open| open.started == started) {
+            self.calls.remove(position);
         }
         match sample {
             CallSample::Answered => {
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -244,7 +244,8 @@
     }
 
     fn call(&self, position: usize, server: Arc<Server>, mark: SentMark) -> PendingCall {
-        let running = call::run(self.router.clone(), server, self.request.clone(), self.is_once(), mark);
+        let typical = self.times.typical(server.distance, self.route.target_latency);
+        let running = call::run(self.router.clone(), server, self.request.clone(), self.is_once(), mark, typical);
         let clock = self.router.clock;
         let started = self.now();
         let timed = async move {
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -102,8 +102,8 @@
 }
 
 impl<'a> CallRecord<'a> {
-    fn start(router: &'a Router, server: &'a Server, started: Moment) -> Self {
-        server.state().start(started);
+    fn start(router: &'a Router, server: &'a Server, started: Moment, typical: Duration) -> Self {
+        server.state().start_measured(started, typical);
         Self { server, started, sample: CallSample::Abandoned, router }
     }
 }
@@ -111,21 +111,22 @@
 impl Drop for CallRecord<'_> {
     fn drop(&mut self) {
         let now = self.router.clock.now();
-        self.server.state().finish(now, self.started, self.sample);
+        self.server.note_end(now, self.started, self.sample);
     }
 }
 
-/// Sends a request to a server and reads its answer; `is_once` tells that it must not run twice, and
-/// `mark` is set before anything goes out.
+/// Sends a request to a server and reads its answer; `is_once` tells that it must not run twice, `mark` is
+/// set before anything goes out, and `typical` is how long such a call usually takes.
 pub async fn run(
     router: Arc<Router>,
     server: Arc<Server>,
     request: Arc<CallerRequest>,
     is_once: bool,
     mark: SentMark,
+    typical: Duration,
 ) -> EndedCall {
     let started = router.clock.now();
-    let mut record = CallRecord::start(&router, &server, started);
+    let mut record = CallRecord::start(&router, &server, started, typical);
     let left = request.deadline.since(started);
     let result = match tokio::time::timeout(left, exchange(&router, &server, &request, is_once, &mark)).await {
         Ok(result) => result,
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -18,6 +18,8 @@
 use crate::settings::ColdCallSettings;
 use crate::times::CallTimes;
 
+/// Servers of a service from which on the measured pace chooses among them: between two a second call tells as much.
+const MIN_COMPARED: usize = 3;
 /// Nodes counted on while none is known.
 const ASSUMED_NODES: usize = 8;
 
@@ -134,6 +136,10 @@
     /// Tells each server how many connections this node may have to it, and how many calls it may make
     /// while the server is cold.
     pub(crate) fn share_out(&self, node: &NodeId, cold_calls: Option<ColdCallSettings>) {
+        for service in self.services.values() {
+            let is_compared = service.servers.len() >= MIN_COMPARED;
+            service.servers.iter().for_each(|server| server.state().set_compared(is_compared));
+        }
         for server in self.services.values().flat_map(|service| &service.servers) {
             server.set_share(self.connection_share(server));
             server.set_cold_share(cold_calls.and_then(|cold| self.cold_share(server, node, cold)));
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -9,7 +9,7 @@
 use streamfold_policy::cold_limit::ColdCalls;
 use streamfold_policy::crash_book::CrashSuspect;
 use streamfold_policy::recent_work::RecentWork;
-use streamfold_policy::replica::{Distance, ReplicaState};
+use streamfold_policy::replica::{CallSample, Distance, ReplicaState};
 use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
 use streamfold_policy::{MechanismSet, Moment};
 
@@ -170,6 +170,27 @@
         self.state().cost(now, self.distance, typical, self.spells.spell())
     }
 
+    /// The time from now until a call made now is answered, where `typical` is the time such a call usually
+    /// takes; none where nothing is known of it.
+    pub fn expected(&self, now: Moment, typical: Duration) -> Option<Duration> {
+        self.state().expected(now, typical, self.spells.spell())
+    }
+
+    /// Whether it is no good server now: far slower than usual, or not expected to answer.
+    pub fn is_slow(&self, now: Moment) -> bool {
+        self.state().is_slow(now, self.spells.spell())
+    }
+
+    /// The pace that calls of this node have shown, and when.
+    pub fn measured_pace(&self, now: Moment) -> Option<(f64, Moment)> {
+        self.state().measured_pace(now, self.spells.spell())
+    }
+
+    /// Notes how a call ended that started at a moment.
+    pub fn note_end(&self, now: Moment, started: Moment, sample: CallSample) {
+        self.state().finish_measured(now, started, sample, self.spells.spell());
+    }
+
     /// Notes how many times as long as usual work takes there by its own word.
     pub fn learn_pace(&self, now: Moment, pace: f64) {
         let sample = self.state().learn_pace(now, pace);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -93,7 +93,9 @@
 impl RouterSettings {
     /// The mechanisms of decision in use.
     pub fn mechanisms(&self) -> MechanismSet {
-        MechanismSet::without(&self.without)
+        let unasked = (!self.scheduling.by_pace).then_some(Mechanism::MeasuredPace);
+        let without: Vec<Mechanism> = self.without.iter().copied().chain(unasked).collect();
+        MechanismSet::without(&without)
     }
 
     /// The processor this node has, if the settings tell.
