Paces are told between nodes, and services that have few good servers are known

Cause: each shard is called twice a second by each of some twenty nodes, and each of them had to find a slow server by itself, again and again: its belief faded in a second while the spell lasted eight.

Change: spells that are seen by measuring count for how long spells last. A reply to a batch tells up to four paces from three times the usual on; the asking node places shards where a good server is. A service keeps being compared when some of three servers leave. Where one good server is left, half of the bound on second calls is kept for the most urgent.

Ruled out: forgetting a single event in a quarter of a second, as first built: nodes that call a server twice a second never come to a second event.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod server;
 pub mod server_bound;
 pub mod server_scope;
+pub mod shard_health;
 pub mod split_rule;
 pub mod usage_credit;
 pub mod work_pace;
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -274,19 +274,24 @@
         self.calls.push(OpenCall { started: now, usual, has_waited: queued > 0.0 });
     }
 
-    /// Learns from how long a call took that ended.
-    fn measure(&mut self, now: Moment, call: OpenCall, sample: CallSample, spell: Duration) {
-        let Some(usual) = call.usual.filter(|usual| !usual.is_zero()) else { return };
+    /// Learns from how long a call took that ended; what became of the slow spell that was known of.
+    fn measure(&mut self, now: Moment, call: OpenCall, sample: CallSample, spell: Duration) -> Option<SpellSample> {
+        let usual = call.usual.filter(|usual| !usual.is_zero())?;
         let ratio = now.since(call.started).as_secs_f64() / usual.as_secs_f64();
         let work = WorkSample { started: call.started, ratio, has_waited: call.has_waited };
         match sample {
             CallSample::Answered => {
+                let followed = self.work.follow_spell(now, ratio).filter(|_| self.is_measured());
                 self.work.weigh_word(self.pace.stretch(now, spell), ratio);
                 self.work.learn(now, work, spell);
+                followed
             }
             // It would have taken longer still.
-            CallSample::Abandoned => self.work.learn_slow(now, work, spell),
-            CallSample::Full | CallSample::Failed => {}
+            CallSample::Abandoned => {
+                self.work.learn_slow(now, work, spell);
+                None
+            }
+            CallSample::Full | CallSample::Failed => None,
         }
     }
 
@@ -309,12 +314,17 @@
     }
 
     /// Notes how a call ended that started at a moment, where `spell` is how long servers stay slow.
-    pub fn finish_measured(&mut self, now: Moment, started: Moment, sample: CallSample, spell: Duration) {
+    /// What became of its slow spell, if it was in one and that is known by measuring.
+    pub fn finish_measured(
+        &mut self,
+        now: Moment,
+        started: Moment,
+        sample: CallSample,
+        spell: Duration,
+    ) -> Option<SpellSample> {
         let call = self.calls.iter().find(|open| open.started == started).copied();
         self.finish(now, started, sample);
-        if let Some(call) = call {
-            self.measure(now, call, sample, spell);
-        }
+        self.measure(now, call?, sample, spell)
     }
 
     /// Notes how a call ended that started at a moment.
--- /dev/null
+++ b/crates/policy/src/shard_health.rs
@@ -0,0 +1,69 @@
+//! Which services have too few good servers, and what that means for second calls.
+//!
+//! The load pattern: of three servers of a shard one is slow for seconds and one is leaving. All requests over shards need
+//! the one that is left, and each second call to the slow one is work in vain.
+
+use std::collections::BTreeSet;
+
+use streamfold_model::ServiceName;
+
+/// A service with so many good servers has none to spare: should it pause, nobody answers.
+const FEWEST_GOOD: usize = 1;
+/// Share of the bound on second calls that others may use while a service is short; the rest is kept for the most urgent.
+const SHARE_OF_OTHERS: f64 = 0.5;
+/// Services that a log line names at most.
+const MAX_NAMED: usize = 5;
+
+/// The servers of a service as a node sees them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceStanding {
+    /// Servers that it is known with.
+    pub servers: usize,
+    /// Those that may be asked and are not known to be slow.
+    pub good: usize,
+}
+
+impl ServiceStanding {
+    /// Whether its good servers are few.
+    pub fn is_short(self) -> bool {
+        self.good <= FEWEST_GOOD && self.good < self.servers
+    }
+
+    /// The share of the bound on second calls that a request may use.
+    pub fn extra_share(self, is_most_urgent: bool) -> f64 {
+        if self.is_short() && !is_most_urgent { SHARE_OF_OTHERS } else { 1.0 }
+    }
+}
+
+/// What changed between two looks at all services.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ShortageChange {
+    /// Services that became short, and a few of them by name.
+    pub began: (usize, Vec<ServiceName>),
+    /// Services that are short no more, and a few of them by name.
+    pub ended: (usize, Vec<ServiceName>),
+}
+
+/// The services that were short at the last look.
+#[derive(Debug, Default)]
+pub struct ShortageList {
+    short: BTreeSet<ServiceName>,
+}
+
+impl ShortageList {
+    /// How many are short.
+    pub fn count(&self) -> usize {
+        self.short.len()
+    }
+
+    /// Notes which services are short now; what changed by it.
+    pub fn replace(&mut self, short: BTreeSet<ServiceName>) -> ShortageChange {
+        let name = |from: &BTreeSet<ServiceName>, to: &BTreeSet<ServiceName>| {
+            let fresh: Vec<&ServiceName> = to.difference(from).collect();
+            (fresh.len(), fresh.into_iter().take(MAX_NAMED).cloned().collect())
+        };
+        let change = ShortageChange { began: name(&self.short, &short), ended: name(&short, &self.short) };
+        self.short = short;
+        change
+    }
+}
--- a/crates/policy/src/work_pace.rs
+++ b/crates/policy/src/work_pace.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::moment::Moment;
+use crate::pace::SpellSample;
 
 /// A call that takes so many times as long as it should is far slower than the spread of work explains.
 const FAR_SLOWER: f64 = 3.0;
@@ -25,8 +26,9 @@
 const FAR_SLOWER_GAIN: f64 = 0.75;
 /// The present pace counts once it differs so many times from the lasting one: less is the spread of a few answers.
 const PRESENT_MARGIN: f64 = 1.35;
-/// Slowness that only one event has shown is half forgotten in this time: servers pause for about as long.
-const PAUSE_HALF_LIFE: Duration = Duration::from_millis(250);
+/// Slowness that only one event has shown is half forgotten in this time: twice as long as servers pause. It costs little
+/// to go round one that has paused, and a node that calls it twice a second must not forget from call to call.
+const PAUSE_HALF_LIFE: Duration = Duration::from_millis(500);
 /// What a call that had to wait says, against one that did not: the waiting is an estimate.
 const WAITED_SHARE: f64 = 0.5;
 /// What another node told counts for so much of what was seen here, in powers.
@@ -124,7 +126,7 @@
         if is_same_event {
             return;
         }
-        let has_shown_before = self.slow_seen.is_some_and(|seen| now.since(seen) < spell.max(PAUSE_HALF_LIFE * 4));
+        let has_shown_before = self.slow_seen.is_some_and(|seen| now.since(seen) < spell.max(PAUSE_HALF_LIFE * 2));
         self.fade(now, spell);
         let share = if sample.has_waited { WAITED_SHARE } else { 1.0 };
         let gain = FAR_SLOWER_GAIN * share;
@@ -202,6 +204,12 @@
         bounded((seen + share * (told.ln_pace - seen)).exp())
     }
 
+    /// How a spell of slowness went on that is known of, where a call shows such a ratio now.
+    pub fn follow_spell(&self, now: Moment, ratio: f64) -> Option<SpellSample> {
+        let since = self.sampled.filter(|_| self.is_confirmed)?;
+        Some(SpellSample { span: now.since(since), is_on: ratio >= FAR_SLOWER })
+    }
+
     /// Whether anything is known that has not faded away.
     pub fn is_known(&self, now: Moment) -> bool {
         let sampled = self.sampled.max(self.told.map(|told| told.measured));
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -88,7 +88,8 @@
 
     fn publish(&self, parts: &ClusterParts) {
         self.generation.fetch_add(1, Ordering::Relaxed);
-        let view = parts.build_view(&self.place);
+        let mut view = parts.build_view(&self.place);
+        view.compare_servers(&self.view.load());
         view.share_out(&self.place.node, self.place.cold_calls);
         self.view.store(Arc::new(view));
     }
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -11,6 +11,7 @@
 use streamfold_policy::owner::{CallerKind, CallingNodes, divide_connections};
 use streamfold_policy::replica::Distance;
 use streamfold_policy::server_scope::ServerBar;
+use streamfold_policy::shard_health::ServiceStanding;
 use streamfold_policy::split_rule::SplitTurns;
 
 use crate::peers::PeerNode;
@@ -32,13 +33,15 @@
     domains: BTreeSet<FailureDomain>,
     /// Whether it is a shard of a route.
     is_shard: bool,
+    /// Whether it has, or had until some left, enough servers to choose among them by their measured pace.
+    is_compared: bool,
     budget: Arc<Mutex<ExtraBudget>>,
 }
 
 impl Service {
     /// A service without servers, with what was spent on it.
     pub(crate) fn new(name: ServiceName, is_shard: bool, budget: Arc<Mutex<ExtraBudget>>) -> Self {
-        Self { name, servers: Vec::new(), domains: BTreeSet::new(), is_shard, budget }
+        Self { name, servers: Vec::new(), domains: BTreeSet::new(), is_shard, is_compared: false, budget }
     }
 
     pub(crate) fn add(&mut self, server: Arc<Server>) {
@@ -53,6 +56,22 @@
         self.servers.iter().filter(move |server| server.find_bar(now, homes).is_none())
     }
 
+    /// Its servers, whatever bars them.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.servers.iter()
+    }
+
+    /// Whether it has, or had until some left, enough servers to choose among them by their measured pace.
+    pub(crate) fn is_compared(&self) -> bool {
+        self.is_compared
+    }
+
+    /// How many of its servers are good ones now.
+    pub(crate) fn standing(&self, now: Moment) -> ServiceStanding {
+        let is_good = |server: &&Arc<Server>| !server.is_doubtful() && !server.is_dark(now) && !server.is_slow(now);
+        ServiceStanding { servers: self.servers.len(), good: self.servers.iter().filter(is_good).count() }
+    }
+
     /// How many of its servers each bar keeps requests with these homes from, for the log.
     pub fn count_bars(&self, now: Moment, homes: &HomeRegions) -> BTreeMap<ServerBar, usize> {
         let mut counts = BTreeMap::new();
@@ -133,12 +152,21 @@
         divide_allowance(allowance, service.name.as_str(), nodes, node)
     }
 
+    /// Finds the services that are, or were in the view before, wide enough to choose by measured pace: the servers that
+    /// are left when others go must be told apart most of all.
+    pub(crate) fn compare_servers(&mut self, before: &Self) {
+        for (name, service) in &mut self.services {
+            let was_compared = before.services.get(name).is_some_and(|service| service.is_compared);
+            let staying = service.servers.iter().filter(|server| !server.is_doubtful()).count();
+            service.is_compared = was_compared || staying >= MIN_COMPARED;
+        }
+    }
+
     /// Tells each server how many connections this node may have to it, and how many calls it may make
     /// while the server is cold.
     pub(crate) fn share_out(&self, node: &NodeId, cold_calls: Option<ColdCallSettings>) {
         for service in self.services.values() {
-            let is_compared = service.servers.len() >= MIN_COMPARED;
-            service.servers.iter().for_each(|server| server.state().set_compared(is_compared));
+            service.servers.iter().for_each(|server| server.state().set_compared(service.is_compared));
         }
         for server in self.services.values().flat_map(|service| &service.servers) {
             server.set_share(self.connection_share(server));
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -10,6 +10,7 @@
 use crate::delegate::{BatchOrder, PlannedBatch, read_on};
 use crate::fold::ShardPart;
 use crate::gather::GatherRound;
+use crate::pace_report::take_paces;
 use crate::peers::{BatchNews, PendingBatch};
 use crate::quarantine;
 
@@ -177,6 +178,7 @@
         let batch = &self.batches[number];
         self.context.router.note_version(reply.version);
         quarantine::note_told(&self.context.router, self.context.request.suspect, &reply.crashed);
+        take_paces(self.context, &self.slots, &batch.positions, &reply.report.paces);
         if reply.is_stopping {
             batch.peer.mark_stopping();
         }
--- /dev/null
+++ b/crates/router/src/pace_report.rs
@@ -0,0 +1,56 @@
+//! Paces of servers that one node tells another with its replies to batches.
+
+use std::time::Duration;
+
+use streamfold_policy::Moment;
+use streamfold_policy::replica::Distance;
+
+use crate::attempt_context::AttemptContext;
+use crate::batch::ServerPace;
+use crate::cluster_view::Service;
+use crate::gather::ShardSlot;
+use crate::server::Server;
+
+/// Paces told in a reply at most: bytes between regions are paid for.
+const MAX_TOLD: usize = 4;
+/// A pace is told if work takes so many times as long as usual: less makes no difference to whom to ask across regions.
+const FAR_FROM_USUAL: f64 = 3.0;
+/// An older measurement is not told: the asking node would not believe it.
+const TOLD_FOR: Duration = Duration::from_secs(2);
+
+/// Paces far from the usual one of servers near this node, among those of some shards; the newest first.
+pub(crate) fn tell_paces(context: &AttemptContext, slots: &[ShardSlot]) -> Vec<ServerPace> {
+    let now = context.now();
+    let services = slots.iter().filter_map(|slot| context.view.services.get(&slot.attempts.service));
+    let near = services.flat_map(Service::all).filter(|server| server.distance == Distance::Domain);
+    let mut told: Vec<ServerPace> = near.filter_map(|server| tell_pace(now, server)).collect();
+    told.sort_by_key(|pace| pace.age_us);
+    told.truncate(MAX_TOLD);
+    told
+}
+
+fn tell_pace(now: Moment, server: &Server) -> Option<ServerPace> {
+    let (pace, measured) = server.measured_pace(now)?;
+    let age = now.since(measured);
+    let is_told = pace >= FAR_FROM_USUAL && age < TOLD_FOR;
+    let make = || ServerPace { server: server.run(), thousandths: (pace * 1e3) as u32, age_us: age.as_micros() as u64 };
+    is_told.then(make)
+}
+
+/// Takes what another node told of servers of some shards. What it tells of others, or of another run, is left out.
+pub(crate) fn take_paces(context: &AttemptContext, slots: &[ShardSlot], positions: &[usize], told: &[ServerPace]) {
+    if told.is_empty() {
+        return;
+    }
+    let now = context.now();
+    let slots = positions.iter().filter_map(|position| slots.get(*position));
+    let services = slots.filter_map(|slot| context.view.services.get(&slot.attempts.service));
+    let servers: Vec<_> = services.flat_map(Service::all).collect();
+    for pace in told {
+        let Some(server) = servers.iter().find(|server| server.run() == pace.server) else { continue };
+        let stretch = f64::from(pace.thousandths) / 1e3;
+        server.state().learn_measured(now, stretch, Duration::from_micros(pace.age_us));
+        tracing::debug!(event = "pace_told", server = %server.id, thousandths = pace.thousandths, age_us = pace.age_us);
+        metrics::counter!("streamfold_told_paces_total").increment(1);
+    }
+}
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -10,6 +10,7 @@
 use crate::batch::{BatchMode, DomainReport, FoldedShard, MissingShard, ShardBatch, ShardReply};
 use crate::fold::cut_records;
 use crate::gather::GatherRound;
+use crate::pace_report::tell_paces;
 
 /// The shards of a batch, asked for another node.
 pub struct PeerGather<'a> {
@@ -74,6 +75,7 @@
             BatchMode::Each { .. } => Vec::new(),
         };
         let crashed = self.context.router.cluster.quarantine.crashed(self.context.request.suspect.content);
-        ShardReply { version, is_stopping: false, shards, missing, records, crashed, report: DomainReport::default() }
+        let report = DomainReport { paces: tell_paces(self.context, &self.slots), ..DomainReport::default() };
+        ShardReply { version, is_stopping: false, shards, missing, records, crashed, report }
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -21,6 +21,7 @@
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
+use crate::shortage::ShortageWatch;
 use crate::store_turn::StoreTurn;
 use crate::usage::UsageLedger;
 
@@ -85,6 +86,8 @@
     pub outlet: RelayOutlet,
     /// Credit of teams whose requests are limited.
     pub(crate) usage: UsageLedger,
+    /// Services with few good servers.
+    pub(crate) shortage: ShortageWatch,
     feeds: [FeedState; FeedTopic::ALL.len()],
     started: Moment,
 }
@@ -166,6 +169,7 @@
             store_turn: StoreTurn::default(),
             outlet: RelayOutlet::default(),
             usage: UsageLedger::default(),
+            shortage: ShortageWatch::default(),
             feeds: Default::default(),
             settings,
         }
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -11,7 +11,7 @@
 use crate::router::{Router, RunningRouter};
 use crate::settings::RouterSettings;
 use crate::task::NodeTasks;
-use crate::{feed, front, knowledge, look_around, node_sweep, peer_service, peers, ready, relay, signs};
+use crate::{feed, front, knowledge, look_around, node_sweep, peer_service, peers, ready, relay, shortage, signs};
 
 /// How often doubtful servers and resting connections are looked at.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
@@ -114,6 +114,7 @@
         tokio::time::sleep(SWEEP_EVERY).await;
         note_suspension(&router);
         router.cluster.sweep(router.clock.now());
+        shortage::look(&router);
     }
 }
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -188,7 +188,10 @@
 
     /// Notes how a call ended that started at a moment.
     pub fn note_end(&self, now: Moment, started: Moment, sample: CallSample) {
-        self.state().finish_measured(now, started, sample, self.spells.spell());
+        let followed = self.state().finish_measured(now, started, sample, self.spells.spell());
+        if let Some(followed) = followed {
+            self.spells.note(followed);
+        }
     }
 
     /// Notes how many times as long as usual work takes there by its own word.
