--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -178,7 +178,8 @@
         let batch = &self.batches[number];
         self.context.router.note_version(reply.version);
         quarantine::note_told(&self.context.router, self.context.request.suspect, &reply.crashed);
-        take_paces(self.context, &self.slots, &batch.positions, &reply.report.paces);
+        let services = batch.positions.iter().map(|position| &self.slots[*position].attempts.service);
+        take_paces(self.context.now(), &self.context.view, services, &reply.report.paces);
         if reply.is_stopping {
             batch.peer.mark_stopping();
         }
--- a/crates/router/src/pace_report.rs
+++ b/crates/router/src/pace_report.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
+use streamfold_model::ServiceName;
 use streamfold_policy::Moment;
 use streamfold_policy::replica::Distance;
 
-use crate::attempt_context::AttemptContext;
 use crate::batch::ServerPace;
-use crate::cluster_view::Service;
-use crate::gather::ShardSlot;
+use crate::cluster_view::{ClusterView, Service};
 use crate::server::Server;
 
 /// Paces told in a reply at most: bytes between regions are paid for.
@@ -18,11 +17,14 @@
 /// An older measurement is not told: the asking node would not believe it.
 const TOLD_FOR: Duration = Duration::from_secs(2);
 
-/// Paces far from the usual one of servers near this node, among those of some shards; the newest first.
-pub(crate) fn tell_paces(context: &AttemptContext, slots: &[ShardSlot]) -> Vec<ServerPace> {
-    let now = context.now();
-    let services = slots.iter().filter_map(|slot| context.view.services.get(&slot.attempts.service));
-    let near = services.flat_map(Service::all).filter(|server| server.distance == Distance::Domain);
+/// Paces far from the usual one of servers near this node, among those of some services; the newest first.
+pub fn tell_paces<'a>(
+    now: Moment,
+    view: &'a ClusterView,
+    services: impl Iterator<Item = &'a ServiceName>,
+) -> Vec<ServerPace> {
+    let servers = services.filter_map(|name| view.services.get(name)).flat_map(Service::all);
+    let near = servers.filter(|server| server.distance == Distance::Domain);
     let mut told: Vec<ServerPace> = near.filter_map(|server| tell_pace(now, server)).collect();
     told.sort_by_key(|pace| pace.age_us);
     told.truncate(MAX_TOLD);
@@ -37,16 +39,19 @@
     is_told.then(make)
 }
 
-/// Takes what another node told of servers of some shards. What it tells of others, or of another run, is left out.
-pub(crate) fn take_paces(context: &AttemptContext, slots: &[ShardSlot], positions: &[usize], told: &[ServerPace]) {
+/// Takes what another node told of servers of some services. What it tells of others, or of another run, is left out.
+pub fn take_paces<'a>(
+    now: Moment,
+    view: &'a ClusterView,
+    services: impl Iterator<Item = &'a ServiceName>,
+    told: &[ServerPace],
+) {
     if told.is_empty() {
         return;
     }
-    let now = context.now();
-    let slots = positions.iter().filter_map(|position| slots.get(*position));
-    let services = slots.filter_map(|slot| context.view.services.get(&slot.attempts.service));
-    let servers: Vec<_> = services.flat_map(Service::all).collect();
-    for pace in told {
+    let servers: Vec<_> = services.filter_map(|name| view.services.get(name)).flat_map(Service::all).collect();
+    // More than a node tells is not taken either.
+    for pace in told.iter().take(MAX_TOLD) {
         let Some(server) = servers.iter().find(|server| server.run() == pace.server) else { continue };
         let stretch = f64::from(pace.thousandths) / 1e3;
         server.state().learn_measured(now, stretch, Duration::from_micros(pace.age_us));
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -7,7 +7,7 @@
 use streamfold_policy::server_bound::ServerRights;
 
 use crate::attempt_context::AttemptContext;
-use crate::batch::{BatchMode, DomainReport, FoldedShard, MissingShard, ShardBatch, ShardReply};
+use crate::batch::{BatchMode, DomainReport, FoldedShard, MissingShard, ServerPace, ShardBatch, ShardReply};
 use crate::fold::cut_records;
 use crate::gather::GatherRound;
 use crate::pace_report::tell_paces;
@@ -75,7 +75,12 @@
             BatchMode::Each { .. } => Vec::new(),
         };
         let crashed = self.context.router.cluster.quarantine.crashed(self.context.request.suspect.content);
-        let report = DomainReport { paces: tell_paces(self.context, &self.slots), ..DomainReport::default() };
+        let report = DomainReport { paces: self.tell_paces(), ..DomainReport::default() };
         ShardReply { version, is_stopping: false, shards, missing, records, crashed, report }
     }
+
+    fn tell_paces(&self) -> Vec<ServerPace> {
+        let services = self.slots.iter().map(|slot| &slot.attempts.service);
+        tell_paces(self.context.now(), &self.context.view, services)
+    }
 }
