--- a/crates/policy/src/extra_budget.rs
+++ b/crates/policy/src/extra_budget.rs
@@ -20,14 +20,6 @@
     pub allowance: f64,
 }
 
-impl ExtraLimits {
-    /// A share of the bounds.
-    #[must_use]
-    pub fn shared(self, share: f64) -> Self {
-        Self { ratio: self.ratio * share, allowance: self.allowance * share, ..self }
-    }
-}
-
 #[derive(Debug, Clone, Copy, Default)]
 struct CountBucket {
     number: u64,
--- a/crates/policy/src/shard_health.rs
+++ b/crates/policy/src/shard_health.rs
@@ -1,7 +1,7 @@
-//! Which services have too few good servers, and what that means for second calls.
+//! Which services have too few good servers.
 //!
 //! The load pattern: of three servers of a shard one is slow for seconds and one is leaving. All requests over shards need
-//! the one that is left, and each second call to the slow one is work in vain.
+//! the one that is left, and an operator must see which shards bind the answers.
 
 use std::collections::BTreeSet;
 
@@ -9,8 +9,6 @@
 
 /// A service with so many good servers has none to spare: should it pause, nobody answers.
 const FEWEST_GOOD: usize = 1;
-/// Share of the bound on second calls that others may use while a service is short; the rest is kept for the most urgent.
-const SHARE_OF_OTHERS: f64 = 0.5;
 /// Services that a log line names at most.
 const MAX_NAMED: usize = 5;
 
@@ -28,11 +26,6 @@
     pub fn is_short(self) -> bool {
         self.good <= FEWEST_GOOD && self.good < self.servers
     }
-
-    /// The share of the bound on second calls that a request may use.
-    pub fn extra_share(self, is_most_urgent: bool) -> f64 {
-        if self.is_short() && !is_most_urgent { SHARE_OF_OTHERS } else { 1.0 }
-    }
 }
 
 /// What changed between two looks at all services.
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -240,19 +240,7 @@
             budget.note_request(now, &limits, self.request_share);
         }
         let is_extra = attempts.has_arrived || attempts.is_calling();
-        !is_extra || budget.spend(now, &limits.shared(self.extra_share(service)))
-    }
-
-    /// The share of the bound on extra calls that the request may use: where good servers are few, some is kept for
-    /// the most urgent ones.
-    fn extra_share(&self, service: &Service) -> f64 {
-        if !self.router.has(Mechanism::MeasuredPace) || !service.is_compared() {
-            return 1.0;
-        }
-        let table = self.view.table.as_ref();
-        let most_urgent = table.and_then(|table| table.routes().iter().map(|route| route.priority).min());
-        let is_most_urgent = most_urgent.is_none_or(|most_urgent| self.priority <= most_urgent);
-        service.standing(self.now()).extra_share(is_most_urgent)
+        !is_extra || budget.spend(now, &limits)
     }
 
     fn call(&self, position: usize, server: Arc<Server>, mark: SentMark) -> PendingCall {
--- a/crates/router/src/delegate.rs
+++ b/crates/router/src/delegate.rs
@@ -18,10 +18,8 @@
 
 use crate::attempt_context::AttemptContext;
 use crate::batch::{BatchMode, BatchShard, ShardBatch};
-use crate::cluster_view::Service;
 use crate::gather::ShardSlot;
 use crate::peers::{BatchNews, PeerNode, PendingBatch};
-use crate::server::Server;
 
 /// Fewer shards than this are asked for directly: a second node would not save anything.
 const MIN_BATCH: usize = 2;
@@ -130,9 +128,7 @@
             }
             let Some(service) = self.view.services.get(&slot.attempts.service) else { continue };
             let usable = service.usable(now, &self.homes).filter(|server| !server.state().is_avoided(now));
-            let mut usable: Vec<&Arc<Server>> = usable.collect();
-            self.prefer_good(service, &mut usable);
-            for server in usable.into_iter().filter(|server| server.distance != Distance::Domain) {
+            for server in usable.filter(|server| server.distance != Distance::Domain) {
                 let domain = (server.distance, server.domain.clone());
                 by_domain.entry(domain).or_default().insert(position);
             }
@@ -156,15 +152,6 @@
         placed.into_iter().flat_map(split).collect()
     }
 
-    /// Leaves out servers that are far slower than usual, if others are left: the node near them would have to ask those.
-    fn prefer_good(&self, service: &Service, servers: &mut Vec<&Arc<Server>>) {
-        let now = self.now();
-        let is_judged = self.router.has(Mechanism::MeasuredPace) && service.is_compared();
-        if is_judged && servers.iter().any(|server| !server.is_slow(now)) {
-            servers.retain(|server| !server.is_slow(now));
-        }
-    }
-
     /// Whether shards near this node are handed to stronger nodes near it.
     fn hands_near(&self, near_peers: &[Arc<PeerNode>], shards: usize) -> bool {
         let (Some(group), Some(power)) = (find_group(near_peers), self.router.settings.power()) else {
