Servers of services that answer alone are not compared by measured pace

Cause: of a service that answers alone a node makes less than a call a second to each server, and its work spreads by half: luck was taken for a pace, and calls went to other regions for it.

Change: only the servers of shards are compared.

--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -19,7 +19,8 @@
 use crate::settings::ColdCallSettings;
 use crate::times::CallTimes;
 
-/// Servers of a service from which on the measured pace chooses among them: between two a second call tells as much.
+/// Servers of a shard from which on the measured pace chooses among them: between two a second call tells as much. A
+/// node calls a service that answers alone too seldom, and its work spreads too widely, to tell a pace from luck.
 const MIN_COMPARED: usize = 3;
 /// Nodes counted on while none is known.
 const ASSUMED_NODES: usize = 8;
@@ -158,7 +159,7 @@
         for (name, service) in &mut self.services {
             let was_compared = before.services.get(name).is_some_and(|service| service.is_compared);
             let staying = service.servers.iter().filter(|server| !server.is_doubtful()).count();
-            service.is_compared = was_compared || staying >= MIN_COMPARED;
+            service.is_compared = service.is_shard && (was_compared || staying >= MIN_COMPARED);
         }
     }
 
--- a/crates/router/tests/measured_pace.rs
+++ b/crates/router/tests/measured_pace.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use streamfold_model::{HomeRegions, ServerEntry, ServerRun, ServerStart, ServiceName};
+use streamfold_model::{
+    CallerLimits, HomeRegions, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget, ServerEntry, ServerRun,
+    ServerStart, ServiceName, ShardFold, TableVersion, WeightedService,
+};
 use streamfold_policy::replica::CallSample;
 use streamfold_policy::{Mechanism, MechanismSet, Moment};
 use streamfold_router::batch::ServerPace;
@@ -24,7 +27,39 @@
     "shard".parse().expect("a name")
 }
 
+/// A route to the service, as a shard or alone.
+fn make_table(is_shard: bool) -> RouteTable {
+    let fold = ShardFold { shards: vec![name()], top: 5, min_coverage: 0.5 };
+    let lone = WeightedService { service: name(), weight: 1.0 };
+    let route = RouteSpec {
+        name: "route".parse().expect("a name"),
+        host: "shop.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        max_attempts: 2,
+        priority: Priority(0),
+        homes: HomeRegions::Everywhere,
+        is_open: false,
+        target: if is_shard { RouteTarget::All(fold) } else { RouteTarget::One(vec![lone]) },
+    };
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        header_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    RouteTable::build(TableVersion(1), vec![route], Vec::new(), limits).expect("a table")
+}
+
 fn make_cluster(domain: &str, without: &[Mechanism]) -> Cluster {
+    let cluster = make_empty_cluster(domain, without);
+    cluster.offer_table(make_table(true), NewsOrigin::Store);
+    cluster
+}
+
+fn make_empty_cluster(domain: &str, without: &[Mechanism]) -> Cluster {
     Cluster::new(ClusterPlace {
         node: "own".parse().expect("a name"),
         domain: domain.parse().expect("a failure domain"),
@@ -105,6 +140,15 @@
     assert!(dearness(&cluster, ms(300)) > 4.0);
 }
 
+#[test]
+fn servers_of_a_service_that_answers_alone_are_not_compared() {
+    let cluster = make_empty_cluster("zone-a", &[]);
+    cluster.offer_table(make_table(false), NewsOrigin::Store);
+    ["i-1", "i-2", "i-3"].iter().for_each(|id| tell(&cluster, id, 1, false));
+    make_slow_calls(&find(&cluster, "i-1"));
+    assert!((dearness(&cluster, ms(300)) - 1.0).abs() < 1e-6);
+}
+
 #[test]
 fn without_the_mechanism_nothing_is_judged_or_told() {
     let cluster = slow_cluster("zone-a", &[Mechanism::MeasuredPace]);
