--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,8 +39,10 @@
 pub mod server;
 pub mod server_bound;
 pub mod server_scope;
+pub mod shard_health;
 pub mod split_rule;
 pub mod usage_credit;
+pub mod work_pace;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
 pub use budget::TokenBudget;
