Refused callers of a team are dealt places, and given back credit keeps the bound

Cause: callers of a team that were refused within one moment were all told when there is credit for one of them.

Change: `turn_book` deals out places, one after the other by the rate that the giver really has; credit in hand is kept for places that fall due while lent credit lasts. `give_back` goes where credit does not outlive its source.

Ruled out: newcomers taking a place while the pool was asked on the way (who comes before a place's time plus a shortest return takes none); a spread by dice over places that differ already.

--- a/crates/policy/src/come_back.rs
+++ b/crates/policy/src/come_back.rs
@@ -20,6 +20,13 @@
 /// Callers come back between so much earlier and later, by dice.
 const EARLIEST_SHARE: f64 = 0.8;
 const LATEST_SHARE: f64 = 1.5;
+/// Callers with a place of their own come back so much later at most, by dice: the next place may be a few
+/// milliseconds away.
+const PLACE_SPREAD: Duration = Duration::from_millis(1);
+/// Callers heed a time to come back up to this share of the time that they have left.
+const HEEDED_SHARE: f64 = 1.0 / 3.0;
+/// What a refusal's way back takes of it.
+const REFUSAL_WAY: Duration = Duration::from_millis(5);
 
 /// Why a caller is turned away though its request is proper.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +43,11 @@
         /// Until there is credit for one request more.
         wait: Duration,
     },
+    /// Its team is over its limit, and callers return one after the other.
+    Place {
+        /// Until the time of its place.
+        wait: Duration,
+    },
     /// What it asks for ends servers, so no server gets it.
     Quarantined {
         /// Until it may be tried again.
@@ -45,13 +57,20 @@
 
 /// When the caller may come back; `dice` is 0 to 1.
 pub fn come_back_after(reason: TurnReason, dice: f64) -> Duration {
+    let dice = dice.clamp(0.0, 1.0);
     let wait = match reason {
         TurnReason::RoutesUnknown { uptime } if uptime < START_TIME => (START_TIME - uptime).max(SHORTEST),
         TurnReason::RoutesUnknown { .. } => WITHOUT_STORE,
         TurnReason::NoServer => AFTER_SERVERS,
         TurnReason::OverLimit { wait } => wait.max(SHORTEST),
+        TurnReason::Place { wait } => return wait + PLACE_SPREAD.mul_f64(dice),
         // Another request may be the one that is tried, and its outcome is known a second later.
         TurnReason::Quarantined { left } => left.max(AFTER_TRIAL),
     };
-    wait.mul_f64(EARLIEST_SHARE + (LATEST_SHARE - EARLIEST_SHARE) * dice.clamp(0.0, 1.0))
+    wait.mul_f64(EARLIEST_SHARE + (LATEST_SHARE - EARLIEST_SHARE) * dice)
+}
+
+/// The longest place that a caller can be told which has so much time left.
+pub fn usable_wait(left: Duration) -> Duration {
+    left.mul_f64(HEEDED_SHARE).saturating_sub(PLACE_SPREAD + REFUSAL_WAY)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod server_bound;
 pub mod server_scope;
 pub mod split_rule;
+pub mod turn_book;
 pub mod usage_credit;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
--- a/crates/policy/src/usage_credit.rs
+++ b/crates/policy/src/usage_credit.rs
@@ -17,6 +17,7 @@
 
 use crate::moment::Moment;
 use crate::owner::choose_owners;
+use crate::turn_book::{PlaceCounts, PlaceOffer, TurnBook};
 
 /// The part of a rate that is divided among the failure domains. Teams send some 0.6 of their rate on usual days, so
 /// a pool that is away leaves most of that, and a pool that is there can nearly double what a failure domain has.
@@ -32,6 +33,14 @@
 const LENT_FOR: Duration = Duration::from_millis(500);
 /// How fast the demand of a failure domain is forgotten: a few requests of a team that sends some a second.
 const DEMAND_MEMORY: Duration = Duration::from_secs(1);
+/// How fast it is forgotten what the pool has lent: some places' time of a team that sends some requests a second.
+const LOAN_MEMORY: Duration = Duration::from_secs(2);
+/// The share of what the pool has lent lately that is promised to places: other failure domains ask it too.
+const PROMISED_SHARE: f64 = 0.8;
+/// The first place is no sooner: a caller's way back.
+const SHORTEST_PLACE: Duration = Duration::from_millis(5);
+/// Fewer requests than this of the pool within its memory tell no rate.
+const FEW_LENT: f64 = 0.5;
 /// A pool without credit is asked again after this at the latest: another failure domain may have given some back.
 const MAX_POOL_WAIT: Duration = Duration::from_millis(500);
 
@@ -84,6 +93,12 @@
         if has_room { DIVIDED_PART / domains } else { 0.0 }
     }
 
+    /// What one failure domain may save. One without a part of the rate saves nothing either: of many failure domains
+    /// that would be more than a window may see.
+    fn domain_most(self) -> f64 {
+        if self.domain_part() > 0.0 { DOMAIN_MOST } else { 0.0 }
+    }
+
     /// The part of a rate that the pool has.
     fn pool_part(self) -> f64 {
         1.0 - self.domain_part() * self.domains.max(1) as f64
@@ -129,6 +144,19 @@
     AskPool(u32),
     /// There is none; so long until there may be some.
     Refused(Duration),
+    /// There is none; a caller that can wait comes back at its place.
+    Place(PlaceOffer),
+}
+
+/// How credit is asked for by a caller that returns at its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnAsk {
+    /// How long it can wait to return.
+    pub usable: Duration,
+    /// When it came; the pool may have been asked since.
+    pub came: Moment,
+    /// Whether the pool was asked already.
+    pub is_last: bool,
 }
 
 /// What the pool gives.
@@ -144,12 +172,20 @@
 #[derive(Debug, Clone)]
 struct DomainCredit {
     own: CreditBucket,
+    /// What it may save.
+    own_most: f64,
     lent: u32,
     lent_until: Moment,
     pool_again: Moment,
     /// Requests a second, lately.
     demand: f64,
     asked: Moment,
+    /// Requests a second that the pool has lent, as of when it last did.
+    lent_rate: f64,
+    loaned: Moment,
+    /// When the pool has credit by its own word.
+    pool_has: Option<Moment>,
+    places: TurnBook,
 }
 
 impl DomainCredit {
@@ -158,11 +194,16 @@
         let earned = now.since(Moment::default()).as_secs_f64() * rate;
         Self {
             own: CreditBucket { credit: earned.min(1.0), filled: now },
+            own_most: 0.0,
             lent: 0,
             lent_until: now,
             pool_again: now,
             demand: 0.0,
             asked: now,
+            lent_rate: 0.0,
+            loaned: now,
+            pool_has: None,
+            places: TurnBook::default(),
         }
     }
 
@@ -173,14 +214,79 @@
         self.asked = now;
     }
 
-    fn take_lent(&mut self, now: Moment) -> bool {
+    fn drop_lapsed(&mut self, now: Moment) {
         if now >= self.lent_until {
             self.lent = 0;
         }
+    }
+
+    fn take_lent(&mut self, now: Moment) -> bool {
+        self.drop_lapsed(now);
         let is_there = self.lent > 0;
         self.lent = self.lent.saturating_sub(1);
         is_there
     }
+
+    /// Takes one back: into the failure domain's own where it may save, else into what was lent and ends with that.
+    fn take_back(&mut self) {
+        if self.own_most > 0.0 {
+            self.own.credit = (self.own.credit + 1.0).min(self.own_most);
+        } else {
+            self.lent += 1;
+        }
+    }
+
+    /// Requests that could run now.
+    fn in_hand(&self) -> usize {
+        self.own.credit as usize + self.lent as usize
+    }
+
+    /// Takes credit for a caller at its place, or beyond what is kept for places. What falls due while credit that is
+    /// lent now would last counts as kept.
+    fn take_in_turn(&mut self, now: Moment, came: Moment) -> bool {
+        let (in_hand, kept) = (self.in_hand(), self.places.count_due(now, LENT_FOR));
+        let is_free = in_hand > kept;
+        let is_granted = in_hand > 0 && (self.places.take_due(came) || is_free);
+        is_granted && (self.take_lent(now) || self.own.take())
+    }
+
+    /// How many to ask the pool for: so many as callers are about to use, or places are about to need.
+    fn wanted(&self, now: Moment) -> u32 {
+        let kept = self.places.count_due(now, LENT_FOR);
+        let soon = if kept > 0 { kept + 1 - self.in_hand().min(kept) } else { self.soon() };
+        u32::try_from(soon).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Requests that are about to come.
+    fn soon(&self) -> usize {
+        (self.demand * LENT_FOR.as_secs_f64()) as usize
+    }
+
+    /// Requests a second that the pool lends.
+    fn pool_rate(&self, now: Moment) -> f64 {
+        let age = now.since(self.loaned).as_secs_f64() / LOAN_MEMORY.as_secs_f64();
+        self.lent_rate * (-age).exp()
+    }
+
+    fn note_lent(&mut self, now: Moment, requests: u32) {
+        self.lent_rate = self.pool_rate(now) + f64::from(requests) / LOAN_MEMORY.as_secs_f64();
+        self.loaned = now;
+    }
+
+    /// The next place of a caller that is refused.
+    fn offer_place(&mut self, now: Moment, own_rate: f64, ask: TurnAsk) -> PlaceOffer {
+        // Somebody came for it, and it was in vain.
+        self.places.miss_due(ask.came);
+        let pool_rate = self.pool_rate(now);
+        let rate = own_rate + pool_rate * PROMISED_SHARE;
+        let missing = (1.0 - self.own.credit).max(0.0);
+        let own_first = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
+        // The pool's word is for all failure domains; it is taken where no others seem to ask.
+        let is_quiet = pool_rate * LOAN_MEMORY.as_secs_f64() < FEW_LENT;
+        let pool_first = self.pool_has.filter(|_| is_quiet).map(|at| at.since(now));
+        let first = pool_first.map_or(own_first, |pool| pool.min(own_first));
+        self.places.offer(now, first.max(SHORTEST_PLACE), rate, ask.usable)
+    }
 }
 
 /// Credit that one node deals out in its failure domain.
@@ -201,8 +307,7 @@
         is_last: bool,
     ) -> CreditAnswer {
         let rate = allowance.rate(limit) * allowance.domain_part();
-        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now, rate));
-        credit.own.fill(now, rate, DOMAIN_MOST);
+        let credit = self.fill(now, team, rate, allowance);
         if !is_last {
             credit.note_demand(now);
         }
@@ -210,18 +315,57 @@
             return CreditAnswer::Granted;
         }
         if !is_last && now >= credit.pool_again {
-            let soon = credit.demand * LENT_FOR.as_secs_f64();
-            return CreditAnswer::AskPool((soon as u32).max(1));
+            return CreditAnswer::AskPool(credit.wanted(now));
         }
         let pool_wait = credit.pool_again.since(now);
         CreditAnswer::Refused(credit.own.wait(rate).min(pool_wait.max(Duration::from_millis(1))))
     }
 
+    /// Asks for one request of a team whose refused callers return in turn.
+    pub fn take_in_turn(
+        &mut self,
+        now: Moment,
+        team: &TeamName,
+        limit: UsageLimit,
+        allowance: UsageAllowance,
+        ask: TurnAsk,
+    ) -> CreditAnswer {
+        let rate = allowance.rate(limit) * allowance.domain_part();
+        let credit = self.fill(now, team, rate, allowance);
+        credit.drop_lapsed(now);
+        credit.places.release(now);
+        if !ask.is_last {
+            credit.note_demand(now);
+        }
+        if credit.take_in_turn(now, ask.came) {
+            return CreditAnswer::Granted;
+        }
+        if !ask.is_last && now >= credit.pool_again {
+            return CreditAnswer::AskPool(credit.wanted(now));
+        }
+        CreditAnswer::Place(credit.offer_place(now, rate, ask))
+    }
+
+    /// What became of a team's places since this was last called.
+    pub fn take_place_counts(&mut self, team: &TeamName) -> PlaceCounts {
+        self.teams.get_mut(team).map(|credit| credit.places.take_counts()).unwrap_or_default()
+    }
+
+    /// A team's credit, with what it has earned by now.
+    fn fill(&mut self, now: Moment, team: &TeamName, rate: f64, allowance: UsageAllowance) -> &mut DomainCredit {
+        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now, rate));
+        credit.own_most = allowance.domain_most();
+        credit.own.fill(now, rate, credit.own_most);
+        credit
+    }
+
     /// Takes what the pool has lent; `None` where it could not be asked.
     pub fn note_loan(&mut self, now: Moment, team: &TeamName, loan: Option<PoolLoan>) {
         let Some(credit) = self.teams.get_mut(team) else { return };
+        credit.pool_has = loan.map(|loan| now.plus(loan.wait));
         let loan = loan.unwrap_or(PoolLoan { requests: 0, wait: MAX_POOL_WAIT });
         if loan.requests > 0 {
+            credit.note_lent(now, loan.requests);
             let left = if now < credit.lent_until { credit.lent } else { 0 };
             credit.lent = left + loan.requests;
             credit.lent_until = now.plus(LENT_FOR);
@@ -233,7 +377,7 @@
     /// Takes back the credit of a request that reached no server.
     pub fn give_back(&mut self, team: &TeamName) {
         if let Some(credit) = self.teams.get_mut(team) {
-            credit.own.credit += 1.0;
+            credit.take_back();
         }
     }
 }
