Nodes that deal out credit tell refused callers their places

Cause: the places of `policy::turn_book` need to know how long a caller can wait, which only its entry node knows.

Change: a request for credit carries the wait that its caller can use, the reply whether its time is a place; the form of the path is /2/credit. In use where `scheduling.by_team` is on and teams have limits, unless `return_turns` is left out. `over_limit` tells turn and usable wait; `streamfold_return_turns_total` counts what became of places.

Ruled out: remembering callers, and tokens that they would show.

--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -46,9 +46,9 @@
         Self::Quarantined(come_back_after(TurnReason::Quarantined { left }, rand::random()))
     }
 
-    /// A refusal of a request whose team has credit again after so long.
-    pub fn over_limit(wait: Duration) -> Self {
-        Self::OverLimit(come_back_after(TurnReason::OverLimit { wait }, rand::random()))
+    /// A refusal of a request whose team is over its limit.
+    pub fn over_limit(reason: TurnReason) -> Self {
+        Self::OverLimit(come_back_after(reason, rand::random()))
     }
 
     /// Whether it is certain that the request reached no server.
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -8,20 +8,22 @@
 use bincode::{Decode, Encode};
 use streamfold_link::PeerLink;
 use streamfold_model::{FailureDomain, NodeEntry, NodeId, TeamName, TeamSpec, UsageLimit};
-use streamfold_policy::Moment;
-use streamfold_policy::come_back::TurnReason;
+use streamfold_policy::come_back::{TurnReason, usable_wait};
 use streamfold_policy::owner::choose_owners;
+use streamfold_policy::turn_book::{PlaceCounts, PlaceOffer};
 use streamfold_policy::usage_credit::{
-    CreditAnswer, CreditDomains, CreditPools, DomainCredits, PoolLoan, UsageAllowance,
+    CreditAnswer, CreditDomains, CreditPools, DomainCredits, PoolLoan, TurnAsk, UsageAllowance,
 };
+use streamfold_policy::{Mechanism, Moment};
 
 use crate::answer::RefusalKind;
 use crate::border::FeedTopic;
 use crate::cluster_view::ClusterView;
+use crate::request::CallerRequest;
 use crate::router::Router;
 
 /// Path of a request for credit, with the form of the messages.
-pub const PATH_CREDIT: &str = "/1/credit";
+pub const PATH_CREDIT: &str = "/2/credit";
 /// Nodes of each failure domain that give credit: so many links lead there from any node.
 const LENDERS: usize = 4;
 /// Links that are kept while nodes come and go; beyond them those without a connection are dropped.
@@ -58,6 +60,30 @@
     pub team: TeamName,
     /// What for.
     pub ask: CreditAsk,
+    /// How long its caller can wait to come back, in microseconds; zero where nobody waits for it.
+    pub usable_us: u64,
+}
+
+impl CreditRequest {
+    /// A request that no caller waits for.
+    fn between_nodes(team: TeamName, ask: CreditAsk) -> Self {
+        Self { team, ask, usable_us: 0 }
+    }
+
+    fn usable(&self) -> Duration {
+        Duration::from_micros(self.usable_us)
+    }
+}
+
+/// What a caller that is refused is told of its return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub enum ReturnTurn {
+    /// When there may be credit; callers of the team return as they like.
+    Anytime,
+    /// The time of its place.
+    Given,
+    /// The time of the next place, which is further away than it can wait.
+    TooFar,
 }
 
 /// What a node gives.
@@ -67,6 +93,32 @@
     pub requests: u32,
     /// How long until there is more, in microseconds.
     pub wait_us: u64,
+    /// What that is for a caller.
+    pub turn: ReturnTurn,
+}
+
+impl CreditReply {
+    fn granted(requests: u32) -> Self {
+        Self { requests, wait_us: 0, turn: ReturnTurn::Anytime }
+    }
+
+    fn refused(wait: Duration) -> Self {
+        Self { wait_us: wait.as_micros() as u64, ..Self::granted(0) }
+    }
+
+    fn place(offer: PlaceOffer) -> Self {
+        let turn = if offer.is_given { ReturnTurn::Given } else { ReturnTurn::TooFar };
+        Self { turn, ..Self::refused(offer.wait) }
+    }
+
+    /// Why a caller is refused, and when it may come back.
+    fn reason(&self) -> TurnReason {
+        let wait = Duration::from_micros(self.wait_us);
+        match self.turn {
+            ReturnTurn::Anytime => TurnReason::OverLimit { wait },
+            ReturnTurn::Given | ReturnTurn::TooFar => TurnReason::Place { wait },
+        }
+    }
 }
 
 /// The credit that this node gives, and its links to other nodes that do.
@@ -179,37 +231,45 @@
 ///
 /// # Errors
 /// The team is over its limit, or nobody who could say so can be asked.
-pub async fn admit(router: &Router, view: &ClusterView, team: &TeamSpec, request: &str) -> Result<(), RefusalKind> {
+pub async fn admit(
+    router: &Router,
+    view: &ClusterView,
+    team: &TeamSpec,
+    request: &CallerRequest,
+) -> Result<(), RefusalKind> {
     let Some(limit) = team.limit else { return Ok(()) };
+    let usable = usable_wait(request.deadline.since(router.clock.now()));
+    let usable_us = usable.as_micros() as u64;
+    let ask = CreditRequest { team: team.name.clone(), ask: CreditAsk::Take, usable_us };
     let lenders = view.lenders.get(&router.settings.failure_domain).map_or(&[][..], Vec::as_slice);
     for entry in rank_lenders(lenders, &team.name, MAX_ASKED) {
         let reply = if entry.node == router.settings.node {
-            Some(deal(router, view, &team.name).await)
+            Some(deal(router, view, &ask).await)
         } else {
-            let ask = CreditRequest { team: team.name.clone(), ask: CreditAsk::Take };
             call(router, entry, &ask, DEAL_WITHIN).await
         };
         match reply {
             Some(reply) if reply.requests > 0 => return Ok(()),
             Some(reply) => {
-                let wait = Duration::from_micros(reply.wait_us);
                 metrics::counter!("streamfold_over_limit_total").increment(1);
                 tracing::info!(
                     event = "over_limit",
-                    request,
+                    request = request.id_text(),
                     team = %team.name,
                     rate = limit.rate,
                     burst = limit.burst,
                     lender = %entry.node,
-                    wait_ms = wait.as_millis() as u64
+                    wait_ms = reply.wait_us / 1_000,
+                    turn = ?reply.turn,
+                    usable_ms = usable_us / 1_000
                 );
-                return Err(RefusalKind::over_limit(wait));
+                return Err(RefusalKind::over_limit(reply.reason()));
             }
             None => {}
         }
     }
     metrics::counter!("streamfold_credit_unknown_total").increment(1);
-    tracing::warn!(event = "credit_unknown", request, team = %team.name, lenders = lenders.len());
+    tracing::warn!(event = "credit_unknown", request = request.id_text(), team = %team.name, lenders = lenders.len());
     Err(RefusalKind::not_run(TurnReason::NoServer))
 }
 
@@ -225,7 +285,7 @@
         if entry.node == router.settings.node {
             return lock(&router.usage.domain).give_back(&team);
         }
-        let ask = CreditRequest { team, ask: CreditAsk::GiveBack };
+        let ask = CreditRequest::between_nodes(team, CreditAsk::GiveBack);
         // What is not given back is lost to the team, and a line says so.
         call(&router, entry, &ask, DEAL_WITHIN).await;
     });
@@ -235,22 +295,37 @@
 pub async fn serve(router: &Router, request: &CreditRequest) -> CreditReply {
     let view = router.cluster.view();
     match request.ask {
-        CreditAsk::Take => deal(router, &view, &request.team).await,
+        CreditAsk::Take => deal(router, &view, request).await,
         CreditAsk::GiveBack => {
             lock(&router.usage.domain).give_back(&request.team);
-            CreditReply { requests: 0, wait_us: 0 }
+            CreditReply::granted(0)
         }
         CreditAsk::Lend(wanted) => lend(router, &view, &request.team, wanted),
     }
 }
 
+/// Whether callers of one team that are refused return in turn.
+fn has_turns(router: &Router) -> bool {
+    router.settings.scheduling.by_team && router.has(Mechanism::ReturnTurns)
+}
+
 /// Deals out one request of a team in this failure domain.
-async fn deal(router: &Router, view: &ClusterView, team: &TeamName) -> CreditReply {
-    let granted = CreditReply { requests: 1, wait_us: 0 };
+async fn deal(router: &Router, view: &ClusterView, request: &CreditRequest) -> CreditReply {
+    let team = &request.team;
     // By the routes in force here there is no limit.
-    let Some(limit) = find_limit(view, team) else { return granted };
+    let Some(limit) = find_limit(view, team) else { return CreditReply::granted(1) };
     let allowance = allowance(router, view);
-    let take = |is_last: bool| lock(&router.usage.domain).take(router.clock.now(), team, limit, allowance, is_last);
+    let came = router.clock.now();
+    let take = |is_last: bool| {
+        let (now, mut credits) = (router.clock.now(), lock(&router.usage.domain));
+        if !has_turns(router) {
+            return credits.take(now, team, limit, allowance, is_last);
+        }
+        let ask = TurnAsk { usable: request.usable(), came, is_last };
+        let answer = credits.take_in_turn(now, team, limit, allowance, ask);
+        count_places(credits.take_place_counts(team));
+        answer
+    };
     let mut answer = take(false);
     if let CreditAnswer::AskPool(wanted) = answer {
         let loan = ask_pool(router, view, team, wanted).await;
@@ -258,9 +333,24 @@
         answer = take(true);
     }
     match answer {
-        CreditAnswer::Granted => granted,
-        CreditAnswer::Refused(wait) => CreditReply { requests: 0, wait_us: wait.as_micros() as u64 },
-        CreditAnswer::AskPool(_) => CreditReply { requests: 0, wait_us: 0 },
+        CreditAnswer::Granted => CreditReply::granted(1),
+        CreditAnswer::Refused(wait) => CreditReply::refused(wait),
+        CreditAnswer::Place(offer) => CreditReply::place(offer),
+        CreditAnswer::AskPool(_) => CreditReply::refused(Duration::ZERO),
+    }
+}
+
+/// Counts what became of places.
+fn count_places(counts: PlaceCounts) {
+    let outcomes = [
+        ("given", counts.given),
+        ("taken", counts.taken),
+        ("released", counts.released),
+        ("missed", counts.missed),
+        ("too_far", counts.too_far),
+    ];
+    for (outcome, count) in outcomes.into_iter().filter(|(_, count)| *count > 0) {
+        metrics::counter!("streamfold_return_turns_total", "outcome" => outcome).increment(u64::from(count));
     }
 }
 
@@ -269,7 +359,7 @@
     let reply = if entry.node == router.settings.node {
         lend(router, view, team, wanted)
     } else {
-        let ask = CreditRequest { team: team.clone(), ask: CreditAsk::Lend(wanted) };
+        let ask = CreditRequest::between_nodes(team.clone(), CreditAsk::Lend(wanted));
         call(router, entry, &ask, LEND_WITHIN).await?
     };
     Some(PoolLoan { requests: reply.requests, wait: Duration::from_micros(reply.wait_us) })
@@ -277,7 +367,7 @@
 
 /// Lends from the pool of a team.
 fn lend(router: &Router, view: &ClusterView, team: &TeamName, wanted: u32) -> CreditReply {
-    let Some(limit) = find_limit(view, team) else { return CreditReply { requests: wanted, wait_us: 0 } };
+    let Some(limit) = find_limit(view, team) else { return CreditReply::granted(wanted) };
     let loan = lock(&router.usage.pools).lend(router.clock.now(), team, limit, allowance(router, view), wanted);
-    CreditReply { requests: loan.requests, wait_us: loan.wait.as_micros() as u64 }
+    CreditReply { requests: loan.requests, ..CreditReply::refused(loan.wait) }
 }
