No place beyond a caller's target

Cause: with a team at four times its rate for ten seconds a place that is kept takes its credit from a newcomer, which could be served in time.

Change: a place is given where it is within the request's target as well as within a third of its time left. Callers without a place are told the true time or up to half more, spread by dice.

--- a/crates/policy/src/come_back.rs
+++ b/crates/policy/src/come_back.rs
@@ -48,6 +48,11 @@
         /// Until the time of its place.
         wait: Duration,
     },
+    /// Its team is over its limit, and the next place is further away than it can use.
+    NoPlace {
+        /// Until the time of that place.
+        wait: Duration,
+    },
     /// What it asks for ends servers, so no server gets it.
     Quarantined {
         /// Until it may be tried again.
@@ -64,13 +69,15 @@
         TurnReason::NoServer => AFTER_SERVERS,
         TurnReason::OverLimit { wait } => wait.max(SHORTEST),
         TurnReason::Place { wait } => return wait + PLACE_SPREAD.mul_f64(dice),
+        TurnReason::NoPlace { wait } => return wait.max(SHORTEST).mul_f64(1.0 + (LATEST_SHARE - 1.0) * dice),
         // Another request may be the one that is tried, and its outcome is known a second later.
         TurnReason::Quarantined { left } => left.max(AFTER_TRIAL),
     };
     wait.mul_f64(EARLIEST_SHARE + (LATEST_SHARE - EARLIEST_SHARE) * dice)
 }
 
-/// The longest place that a caller can be told which has so much time left.
-pub fn usable_wait(left: Duration) -> Duration {
-    left.mul_f64(HEEDED_SHARE).saturating_sub(PLACE_SPREAD + REFUSAL_WAY)
+/// The longest wait until its place that is of use to a caller that has so much time left, and so much until its target.
+/// A place beyond the target would cost a newcomer, which could be served at once, an answer in time.
+pub fn usable_wait(left: Duration, target_left: Duration) -> Duration {
+    left.mul_f64(HEEDED_SHARE).min(target_left).saturating_sub(PLACE_SPREAD + REFUSAL_WAY)
 }
--- a/crates/policy/tests/turn_book.rs
+++ b/crates/policy/tests/turn_book.rs
@@ -117,7 +117,7 @@
     }
 
     fn caller(&self) -> Caller {
-        Caller { number: self.number, usable: usable_wait(self.gives_up.since(self.at)) }
+        Caller { number: self.number, usable: usable_wait(self.gives_up.since(self.at), self.gives_up.since(self.at)) }
     }
 }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -265,7 +265,7 @@
 /// Takes credit of the request's team, if it has one. Last, since what is refused for another reason uses none.
 async fn take_credit(context: &AttemptContext) -> Result<(), RefusalKind> {
     let Some(team) = &context.team else { return Ok(()) };
-    usage::admit(&context.router, &context.view, team, &context.request).await
+    usage::admit(&context.router, &context.view, team, &context.request, context.route.target_latency).await
 }
 
 async fn run(router: &Arc<Router>, mut context: AttemptContext) -> CallerAnswer {
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -127,7 +127,8 @@
         let wait = Duration::from_micros(self.wait_us);
         match self.turn {
             ReturnTurn::Anytime => TurnReason::OverLimit { wait },
-            ReturnTurn::Given | ReturnTurn::TooFar => TurnReason::Place { wait },
+            ReturnTurn::Given => TurnReason::Place { wait },
+            ReturnTurn::TooFar => TurnReason::NoPlace { wait },
         }
     }
 }
@@ -238,7 +239,7 @@
     }
 }
 
-/// Takes credit for one request of a team.
+/// Takes credit for one request of a team, which is to be answered within a target.
 ///
 /// # Errors
 /// The team is over its limit, or nobody who could say so can be asked.
@@ -247,9 +248,11 @@
     view: &ClusterView,
     team: &TeamSpec,
     request: &CallerRequest,
+    target: Duration,
 ) -> Result<(), RefusalKind> {
     let Some(limit) = team.limit else { return Ok(()) };
-    let usable = usable_wait(request.deadline.since(router.clock.now()));
+    let now = router.clock.now();
+    let usable = usable_wait(request.deadline.since(now), request.started.plus(target).since(now));
     let caller = ReturningCaller { content: request.suspect.content, usable_us: usable.as_micros() as u64 };
     let ask = CreditRequest { team: team.name.clone(), ask: CreditAsk::Take, caller: Some(caller) };
     let lenders = view.lenders.get(&router.settings.failure_domain).map_or(&[][..], Vec::as_slice);
