Callers return in turn only where the settings say so

Change: `return_turns` in the settings, off without it; the deployment's settings do not have it. The fleet of the test has.

Ruled out: `without: [return_turns]` in the deployment's settings, since fleets of the tests add their own.

--- a/crates/lab/tests/routes_teams.rs
+++ b/crates/lab/tests/routes_teams.rs
@@ -236,8 +236,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_over_the_limit_return_one_after_the_other_and_are_served() {
-    let fleet = start(vec![write_team("blue", &[bare(BLUE)], Some((20.0, 4.0)))]).await;
-    let fleet = &fleet;
+    let teams = vec![write_team("blue", &[bare(BLUE)], Some((20.0, 4.0)))];
+    let plan = RouteFleetPlan { settings: "return_turns: true\n", ..plan(teams) };
+    let fleet = &RouteFleet::start(plan).await.expect("a fleet");
     let calls = (0..60).map(|number| async move {
         let first = get(fleet, 0, "/any/x", &format!("first-{number}"), &[(names::KEY, BLUE)]).await;
         if first.status == StatusCode::OK {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -77,6 +77,10 @@
     /// Decisions of a deployment whose callers compete for room; without it none is made.
     #[serde(default)]
     pub scheduling: SchedulingSettings,
+    /// Whether refused callers of a team return in turn, where scheduling is by team: for teams that are over their
+    /// limits for a moment. One that is for seconds has newcomers refused for callers that are late already.
+    #[serde(default)]
+    pub return_turns: bool,
     /// Mechanisms of decision that are not used, so that what each is worth can be measured.
     #[serde(default, deserialize_with = "read_mechanisms")]
     pub without: Vec<Mechanism>,
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -320,7 +320,8 @@
 
 /// Whether callers of one team that are refused return in turn.
 fn has_turns(router: &Router) -> bool {
-    router.settings.scheduling.by_team && router.has(Mechanism::ReturnTurns)
+    let settings = &router.settings;
+    settings.scheduling.by_team && settings.return_turns && router.has(Mechanism::ReturnTurns)
 }
 
 /// Deals out one request of a team in this failure domain.
