--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod cold_limit;
 pub mod come_back;
 pub mod crash_book;
+mod domain_credit;
 pub mod domain_reach;
 pub mod entry_gate;
 pub mod extra_budget;
@@ -41,6 +42,7 @@
 pub mod server_scope;
 pub mod shard_health;
 pub mod split_rule;
+pub mod turn_book;
 pub mod usage_credit;
 pub mod work_pace;
 
--- a/crates/policy/src/usage_credit.rs
+++ b/crates/policy/src/usage_credit.rs
@@ -15,8 +15,10 @@
 
 use streamfold_model::{TeamName, UsageLimit};
 
+use crate::domain_credit::{CreditBucket, DomainCredit};
 use crate::moment::Moment;
 use crate::owner::choose_owners;
+use crate::turn_book::{PlaceCounts, PlaceOffer, TurnAsk};
 
 /// The part of a rate that is divided among the failure domains. Teams send some 0.6 of their rate on usual days, so
 /// a pool that is away leaves most of that, and a pool that is there can nearly double what a failure domain has.
@@ -27,14 +29,6 @@
 const SAVED_SHARE: f64 = 0.6;
 /// The share of the allowance that the pool may save. The rest is for one that starts again.
 const POOL_SHARE: f64 = 0.25;
-/// How long credit that was lent may be used. The pool earns as much again meanwhile, so it adds to what a window
-/// may see.
-const LENT_FOR: Duration = Duration::from_millis(500);
-/// How fast the demand of a failure domain is forgotten: a few requests of a team that sends some a second.
-const DEMAND_MEMORY: Duration = Duration::from_secs(1);
-/// A pool without credit is asked again after this at the latest: another failure domain may have given some back.
-const MAX_POOL_WAIT: Duration = Duration::from_millis(500);
-
 /// What the requests of a team may be beyond its rate and burst, from all nodes together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct UsageAllowance {
@@ -84,42 +78,18 @@
         if has_room { DIVIDED_PART / domains } else { 0.0 }
     }
 
+    /// What one failure domain may save. One without a part of the rate saves nothing either: of many failure domains
+    /// that would be more than a window may see.
+    fn domain_most(self) -> f64 {
+        if self.domain_part() > 0.0 { DOMAIN_MOST } else { 0.0 }
+    }
+
     /// The part of a rate that the pool has.
     fn pool_part(self) -> f64 {
         1.0 - self.domain_part() * self.domains.max(1) as f64
     }
 }
 
-/// Credit that grows by a rate up to a most.
-#[derive(Debug, Clone, Copy)]
-struct CreditBucket {
-    credit: f64,
-    filled: Moment,
-}
-
-impl CreditBucket {
-    fn fill(&mut self, now: Moment, rate: f64, most: f64) {
-        let earned = now.since(self.filled).as_secs_f64() * rate;
-        self.credit = (self.credit + earned).min(most);
-        self.filled = self.filled.max(now);
-    }
-
-    /// Takes one if it is there.
-    fn take(&mut self) -> bool {
-        let is_there = self.credit >= 1.0;
-        if is_there {
-            self.credit -= 1.0;
-        }
-        is_there
-    }
-
-    /// How long until there is one.
-    fn wait(&self, rate: f64) -> Duration {
-        let missing = (1.0 - self.credit).max(0.0);
-        Duration::try_from_secs_f64(missing / rate).unwrap_or(MAX_POOL_WAIT)
-    }
-}
-
 /// What becomes of a request for credit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CreditAnswer {
@@ -129,6 +99,8 @@
     AskPool(u32),
     /// There is none; so long until there may be some.
     Refused(Duration),
+    /// There is none; a caller that can wait comes back at its place.
+    Place(PlaceOffer),
 }
 
 /// What the pool gives.
@@ -140,49 +112,6 @@
     pub wait: Duration,
 }
 
-/// A team's credit in one failure domain.
-#[derive(Debug, Clone)]
-struct DomainCredit {
-    own: CreditBucket,
-    lent: u32,
-    lent_until: Moment,
-    pool_again: Moment,
-    /// Requests a second, lately.
-    demand: f64,
-    asked: Moment,
-}
-
-impl DomainCredit {
-    /// Credit since the node's start; no more than one, since another node may have dealt it out until now.
-    fn new(now: Moment, rate: f64) -> Self {
-        let earned = now.since(Moment::default()).as_secs_f64() * rate;
-        Self {
-            own: CreditBucket { credit: earned.min(1.0), filled: now },
-            lent: 0,
-            lent_until: now,
-            pool_again: now,
-            demand: 0.0,
-            asked: now,
-        }
-    }
-
-    fn note_demand(&mut self, now: Moment) {
-        let memory = DEMAND_MEMORY.as_secs_f64();
-        let kept = (-now.since(self.asked).as_secs_f64() / memory).exp();
-        self.demand = self.demand * kept + 1.0 / memory;
-        self.asked = now;
-    }
-
-    fn take_lent(&mut self, now: Moment) -> bool {
-        if now >= self.lent_until {
-            self.lent = 0;
-        }
-        let is_there = self.lent > 0;
-        self.lent = self.lent.saturating_sub(1);
-        is_there
-    }
-}
-
 /// Credit that one node deals out in its failure domain.
 #[derive(Debug, Default)]
 pub struct DomainCredits {
@@ -201,39 +130,65 @@
         is_last: bool,
     ) -> CreditAnswer {
         let rate = allowance.rate(limit) * allowance.domain_part();
-        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now, rate));
-        credit.own.fill(now, rate, DOMAIN_MOST);
+        let credit = self.fill(now, team, rate, allowance);
         if !is_last {
             credit.note_demand(now);
         }
-        if credit.take_lent(now) || credit.own.take() {
+        if credit.take(now) {
             return CreditAnswer::Granted;
         }
-        if !is_last && now >= credit.pool_again {
-            let soon = credit.demand * LENT_FOR.as_secs_f64();
-            return CreditAnswer::AskPool((soon as u32).max(1));
+        if !is_last && credit.may_ask_pool(now) {
+            return CreditAnswer::AskPool(credit.wanted(now));
         }
-        let pool_wait = credit.pool_again.since(now);
-        CreditAnswer::Refused(credit.own.wait(rate).min(pool_wait.max(Duration::from_millis(1))))
+        CreditAnswer::Refused(credit.wait(now, rate))
+    }
+
+    /// Asks for one request of a team whose refused callers return in turn.
+    pub fn take_in_turn(
+        &mut self,
+        now: Moment,
+        team: &TeamName,
+        limit: UsageLimit,
+        allowance: UsageAllowance,
+        ask: &TurnAsk,
+    ) -> CreditAnswer {
+        let rate = allowance.rate(limit) * allowance.domain_part();
+        let credit = self.fill(now, team, rate, allowance);
+        credit.release_places(now);
+        if !ask.is_last {
+            credit.note_demand(now);
+        }
+        if credit.take_in_turn(now, ask.content) {
+            return CreditAnswer::Granted;
+        }
+        if !ask.is_last && credit.may_ask_pool(now) {
+            return CreditAnswer::AskPool(credit.wanted(now));
+        }
+        CreditAnswer::Place(credit.offer_place(now, rate, ask))
+    }
+
+    /// What became of a team's places since this was last called.
+    pub fn take_place_counts(&mut self, team: &TeamName) -> PlaceCounts {
+        self.teams.get_mut(team).map(DomainCredit::take_place_counts).unwrap_or_default()
+    }
+
+    /// A team's credit, with what it has earned by now.
+    fn fill(&mut self, now: Moment, team: &TeamName, rate: f64, allowance: UsageAllowance) -> &mut DomainCredit {
+        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now, rate));
+        credit.fill(now, rate, allowance.domain_most());
+        credit
     }
 
     /// Takes what the pool has lent; `None` where it could not be asked.
     pub fn note_loan(&mut self, now: Moment, team: &TeamName, loan: Option<PoolLoan>) {
         let Some(credit) = self.teams.get_mut(team) else { return };
-        let loan = loan.unwrap_or(PoolLoan { requests: 0, wait: MAX_POOL_WAIT });
-        if loan.requests > 0 {
-            let left = if now < credit.lent_until { credit.lent } else { 0 };
-            credit.lent = left + loan.requests;
-            credit.lent_until = now.plus(LENT_FOR);
-        } else {
-            credit.pool_again = now.plus(loan.wait.min(MAX_POOL_WAIT));
-        }
+        credit.note_loan(now, loan);
     }
 
     /// Takes back the credit of a request that reached no server.
     pub fn give_back(&mut self, team: &TeamName) {
         if let Some(credit) = self.teams.get_mut(team) {
-            credit.own.credit += 1.0;
+            credit.take_back();
         }
     }
 }
@@ -258,11 +213,10 @@
         let most = (allowance.requests * POOL_SHARE).max(1.0);
         // What was lent before this node's start is past after a window.
         let known = now.since(Moment::default()).as_secs_f64() / allowance.window.as_secs_f64().max(1.0);
-        let make = || CreditBucket { credit: most * known.min(1.0), filled: now };
+        let make = || CreditBucket::new(now, most * known.min(1.0));
         let bucket = self.teams.entry(team.clone()).or_insert_with(make);
         bucket.fill(now, rate, most);
-        let requests = (bucket.credit as u32).min(wanted);
-        bucket.credit -= f64::from(requests);
+        let requests = bucket.take_some(wanted);
         PoolLoan { requests, wait: bucket.wait(rate) }
     }
 }
