Requests over shards that cannot be answered in time are not begun

A request over shards was always begun if enough shards had any server. While servers of a shard are silent for longer than it may be held, it used a slot of each other shard for nothing and its caller waited for a refusal until the deadline.

Now the entry node asks before credit is taken and before anything is sent: when enough shards are expected to have answered by what is known (told pace and load, silences), and how long calls of each priority wait as nodes tell it. Effective where settings and routes (or teams) of different priority at one service call for it; without: entry_gate.

Ruled out: waits in the expected finish of single requests, since the last wait does not bound the next one; a probe request within a silence, since at few requests a second a node it would be most of them.

--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -177,6 +177,8 @@
     services: HashMap<ServiceName, ServiceSpec>,
     /// The teams that may call; without any nobody needs a key.
     teams: Option<TeamDirectory>,
+    /// Whether requests of different priority use one service.
+    has_mixed_priorities: bool,
     /// What callers may send.
     pub limits: CallerLimits,
 }
@@ -206,13 +208,40 @@
         }
         let routes = routes.into_iter().map(Arc::new).collect();
         let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Ok(Self { version, routes, by_host, services, teams: None, limits })
+        let table = Self { version, routes, by_host, services, teams: None, has_mixed_priorities: false, limits };
+        Ok(table.with_priorities())
+    }
+
+    /// The same, with what is computed once for each table of the priorities in it.
+    fn with_priorities(mut self) -> Self {
+        let mut by_service: HashMap<&ServiceName, HashSet<Priority>> = HashMap::new();
+        for route in &self.routes {
+            let priorities = self.priorities(route);
+            for service in route.services() {
+                by_service.entry(service).or_default().extend(&priorities);
+            }
+        }
+        self.has_mixed_priorities = by_service.values().any(|priorities| priorities.len() > 1);
+        self
+    }
+
+    /// The priorities that requests of a route may have.
+    fn priorities(&self, route: &RouteSpec) -> HashSet<Priority> {
+        let Some(teams) = &self.teams else { return HashSet::from([route.priority]) };
+        let of_teams = teams.teams().map(|team| team.priority.unwrap_or(route.priority));
+        let of_others = route.is_open.then_some(route.priority);
+        of_teams.chain(of_others).collect()
     }
 
     /// The same routes, for which callers need a key of one of some teams.
     #[must_use]
     pub fn with_teams(self, teams: TeamDirectory) -> Self {
-        Self { teams: Some(teams), ..self }
+        Self { teams: Some(teams), ..self }.with_priorities()
+    }
+
+    /// Whether requests of different priority use one service, by their routes or their teams.
+    pub fn has_mixed_priorities(&self) -> bool {
+        self.has_mixed_priorities
     }
 
     /// The teams that may call; `None` where nobody needs a key.
--- /dev/null
+++ b/crates/model/tests/routing.rs
@@ -0,0 +1,66 @@
+//! What is computed once for each table of routes.
+
+use std::time::Duration;
+
+use streamfold_model::routing::{CallerLimits, HomeRegions, RouteKind, RouteSpec, RouteTable, RouteTarget, ShardFold};
+use streamfold_model::team::{TeamDirectory, TeamKeys, TeamSpec};
+use streamfold_model::{Priority, TableVersion};
+
+const LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 1 << 14,
+    body_bytes: 1 << 16,
+    header_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(15),
+};
+
+fn route(name: &str, priority: u32, shards: &[&str]) -> RouteSpec {
+    RouteSpec {
+        name: name.parse().expect("a name"),
+        host: "shop.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind: RouteKind::Repeatable,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        max_attempts: 3,
+        priority: Priority(priority),
+        homes: HomeRegions::Everywhere,
+        is_open: false,
+        target: RouteTarget::All(ShardFold {
+            shards: shards.iter().map(|shard| shard.parse().expect("a name")).collect(),
+            top: 10,
+            min_coverage: 0.5,
+        }),
+    }
+}
+
+fn table(routes: Vec<RouteSpec>) -> RouteTable {
+    RouteTable::build(TableVersion(1), routes, Vec::new(), LIMITS).expect("a table")
+}
+
+fn teams(priorities: &[Option<u32>]) -> TeamDirectory {
+    let team = |(number, priority): (usize, &Option<u32>)| {
+        let name = format!("team-{number}").parse().expect("a name");
+        let team = TeamSpec { name, priority: priority.map(Priority), homes: HomeRegions::Everywhere, limit: None };
+        TeamKeys { team, keys: Vec::new() }
+    };
+    TeamDirectory::build(priorities.iter().enumerate().map(team).collect()).expect("teams")
+}
+
+#[test]
+fn priorities_are_mixed_only_where_they_meet_at_a_service() {
+    assert!(!table(vec![route("a", 0, &["x", "y"]), route("b", 1, &["z"])]).has_mixed_priorities());
+    assert!(!table(vec![route("a", 1, &["x", "y"]), route("b", 1, &["y"])]).has_mixed_priorities());
+    assert!(table(vec![route("a", 0, &["x", "y"]), route("b", 1, &["y"])]).has_mixed_priorities());
+}
+
+#[test]
+fn teams_mix_priorities_or_make_them_one() {
+    let mixed = || table(vec![route("a", 0, &["x"]), route("b", 1, &["x"])]);
+    let even = || table(vec![route("a", 1, &["x"])]);
+    assert!(!mixed().with_teams(teams(&[Some(2), Some(2)])).has_mixed_priorities());
+    assert!(mixed().with_teams(teams(&[Some(2), None])).has_mixed_priorities());
+    assert!(even().with_teams(teams(&[Some(2), Some(1)])).has_mixed_priorities());
+    assert!(!even().with_teams(teams(&[Some(1), None])).has_mixed_priorities());
+    let open = RouteSpec { is_open: true, ..route("a", 1, &["x"]) };
+    assert!(table(vec![open]).with_teams(teams(&[Some(2)])).has_mixed_priorities());
+}
--- a/crates/policy/src/come_back.rs
+++ b/crates/policy/src/come_back.rs
@@ -36,6 +36,11 @@
         /// Until there is credit for one request more.
         wait: Duration,
     },
+    /// It cannot be answered within its time, or more urgent requests need the room.
+    Overload {
+        /// Until that may be otherwise.
+        wait: Duration,
+    },
     /// What it asks for ends servers, so no server gets it.
     Quarantined {
         /// Until it may be tried again.
@@ -50,6 +55,8 @@
         TurnReason::RoutesUnknown { .. } => WITHOUT_STORE,
         TurnReason::NoServer => AFTER_SERVERS,
         TurnReason::OverLimit { wait } => wait.max(SHORTEST),
+        // Before that time it would be turned away again, whatever the dice say.
+        TurnReason::Overload { wait } => wait.max(SHORTEST).div_f64(EARLIEST_SHARE),
         // Another request may be the one that is tried, and its outcome is known a second later.
         TurnReason::Quarantined { left } => left.max(AFTER_TRIAL),
     };
--- a/crates/policy/src/entry_gate.rs
+++ b/crates/policy/src/entry_gate.rs
@@ -8,6 +8,7 @@
 use streamfold_model::Priority;
 
 use crate::moment::Moment;
+use crate::priority_level::PriorityLevel;
 
 /// What is known when a request arrives.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -56,3 +57,30 @@
         EntryStep::Begin
     }
 }
+
+/// Turns away what cannot be answered in time, and what must give way to more urgent requests.
+#[derive(Debug, Clone, Default)]
+pub struct EntryGate {
+    level: PriorityLevel,
+}
+
+impl EntryGate {
+    /// The priorities that are let in.
+    pub fn level(&self) -> &PriorityLevel {
+        &self.level
+    }
+}
+
+impl EntryRule for EntryGate {
+    fn decide(&mut self, now: Moment, ask: &EntryAsk) -> EntryStep {
+        self.level.note(now, ask.priority, ask.target, ask.waited);
+        if let Some(expected) = ask.expected.filter(|expected| *expected > ask.left) {
+            // Then it would be answered within its target.
+            return EntryStep::Hopeless { wait: expected.saturating_sub(ask.target) };
+        }
+        if self.level.is_closed(ask.priority) {
+            return EntryStep::GiveWay { wait: self.level.time_to_open(now, ask.priority) };
+        }
+        EntryStep::Begin
+    }
+}
--- a/crates/policy/src/fold_rule.rs
+++ b/crates/policy/src/fold_rule.rs
@@ -33,6 +33,11 @@
         answered > 0 && answered as f64 >= self.min_coverage * self.shards as f64 - 1e-9
     }
 
+    /// The fewest shards that make an answer; more than there are if none do.
+    pub fn least_answers(&self) -> usize {
+        (1..=self.shards).find(|count| self.is_enough(*count)).unwrap_or(self.shards + 1)
+    }
+
     /// What to do with `answered` shards there and `pending` still expected. An answer is
     /// worth the square of its share of shards; a late one is worth a tenth of a timely one, so
     /// a part in time goes before the whole late. Once late, the first answer that may be
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -5,6 +5,7 @@
 use crate::mechanism::{Mechanism, MechanismSet};
 use crate::moment::Moment;
 use crate::pace::{PaceBelief, SpellSample};
+use crate::server_outlook::{FinishOutlook, ServerOutlook};
 
 /// What is remembered of refusals and failures fades by half in this time without a new call.
 const REFUSAL_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -263,3 +264,35 @@
         }
     }
 }
+
+impl ReplicaState {
+    /// How much longer it is gone round because it fell silent and has answered nothing since, also where the last of
+    /// its calls failed for want of an answer. A server that only refuses calls is none of these: it is back at once.
+    fn silent_for(&self, now: Moment) -> Duration {
+        let is_silent = self.silences > 0 && self.mechanisms.has(Mechanism::SilenceRouting);
+        let until = self.silent_until.filter(|_| is_silent);
+        until.map_or(Duration::ZERO, |until| until.max(self.resting_until).since(now))
+    }
+}
+
+impl FinishOutlook for ReplicaState {
+    fn outlook(&self, now: Moment, typical: Duration, spell: Duration) -> ServerOutlook {
+        let work = typical.mul_f64(self.slowness(now, spell));
+        let told = self.load.filter(|(_, told)| now.since(*told) < LOAD_LIFE);
+        // What waited when it was told has been worked on since.
+        let queued = told.map_or(Duration::ZERO, |(load, told)| {
+            // Those that ran may have been about to end.
+            let rounds = ((load + 1.0) / f64::from(self.slots) - 2.0).max(0.0);
+            work.mul_f64(rounds).saturating_sub(now.since(told))
+        });
+        let is_slow = work > typical || !queued.is_zero();
+        let silent = self.silent_for(now);
+        let silences = self.silences + self.failures;
+        // One that fell silent says nothing of its pace; what it said before may be over by the time it is back.
+        match silent.is_zero() {
+            true if !is_slow => ServerOutlook::UNKNOWN,
+            true => ServerOutlook { finish: work + queued, words: 1 },
+            false => ServerOutlook { finish: silent, words: silences },
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/server_outlook.rs
@@ -0,0 +1,78 @@
+//! When the servers of a request's shards are expected to have answered, by what is known of them.
+//!
+//! The load pattern: servers of some shards are slow for many seconds, or silent, and a request that needs them is
+//! begun, holds its caller until its deadline, and has used servers of all other shards for nothing. What is known
+//! may be old or wrong, so every figure here is the earliest that it allows.
+
+use std::time::Duration;
+
+use crate::moment::Moment;
+
+/// A server's finish counts as solid from so many words on that say the same. One may be mistaken or old.
+const SOLID_WORDS: u32 = 2;
+
+/// When a server is expected to have answered a call that goes to it now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerOutlook {
+    /// The earliest by what is known.
+    pub finish: Duration,
+    /// How many words support that: an answer that told of it, a call that was not answered.
+    pub words: u32,
+}
+
+impl ServerOutlook {
+    /// That of a server of which nothing is known: it is expected in time.
+    pub const UNKNOWN: Self = Self { finish: Duration::ZERO, words: 0 };
+
+    /// Whether it holds without any one word.
+    pub fn is_solid(self) -> bool {
+        self.words >= SOLID_WORDS
+    }
+}
+
+/// What is known of when a server answers.
+pub trait FinishOutlook {
+    /// When a call that goes to it now is expected to be answered, where such calls usually take `typical` and
+    /// servers stay slow for `spell`.
+    fn outlook(&self, now: Moment, typical: Duration, spell: Duration) -> ServerOutlook;
+}
+
+/// When a shard is expected to have answered: as soon as its best server has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardOutlook {
+    /// The earliest; none where no server may be asked.
+    pub finish: Option<Duration>,
+    /// Whether that holds without any one word.
+    pub is_solid: bool,
+}
+
+impl ShardOutlook {
+    /// That of a shard with some servers, of which no further one is looked at once one is expected within a time.
+    pub fn of(servers: impl Iterator<Item = ServerOutlook>, within: Duration) -> Self {
+        let mut shard = Self { finish: None, is_solid: true };
+        for server in servers {
+            shard.is_solid &= server.is_solid();
+            shard.finish = Some(shard.finish.map_or(server.finish, |finish| finish.min(server.finish)));
+            if server.finish <= within {
+                break;
+            }
+        }
+        shard
+    }
+}
+
+/// When `needed` of some shards are expected to have answered, whichever word is left out; none where too few
+/// have a server at all.
+pub fn expect_answers(shards: &[ShardOutlook], needed: usize) -> Option<Duration> {
+    let mut finishes: Vec<Duration> = shards.iter().filter_map(|shard| shard.finish).collect();
+    let fragile = shards.iter().filter(|shard| !shard.is_solid).filter_map(|shard| shard.finish).max();
+    finishes.sort_unstable();
+    let last = *finishes.get(needed.checked_sub(1)?)?;
+    // Without one word, the shard that it speaks of may be in time, and each other one is needed a place earlier.
+    match fragile {
+        Some(fragile) if fragile >= last => {
+            Some(needed.checked_sub(2).map_or(Duration::ZERO, |before| finishes[before]))
+        }
+        _ => Some(last),
+    }
+}
--- /dev/null
+++ b/crates/router/src/entry.rs
@@ -0,0 +1,136 @@
+//! Turns requests over shards away before anything is sent: those that cannot be answered in time, and those that
+//! give way to more urgent ones. The rules are in `policy::entry_gate`; they are asked once, at the entry node.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use streamfold_model::{FailureDomain, NodeId, Priority, RouteTarget, ServiceName, ShardFold};
+use streamfold_policy::come_back::TurnReason;
+use streamfold_policy::entry_gate::{EntryAsk, EntryGate, EntryRule, EntryStep};
+use streamfold_policy::server_outlook::{ShardOutlook, expect_answers};
+use streamfold_policy::wait_book::{AgreedWait, WaitBook};
+use streamfold_policy::{Mechanism, Moment};
+
+use crate::answer::RefusalKind;
+use crate::attempt_context::AttemptContext;
+use crate::batch::DomainReport;
+use crate::gather::fold_rule;
+
+/// What the node knows for its decisions on requests that arrive.
+#[derive(Default)]
+pub struct EntryDesk {
+    gate: Mutex<EntryGate>,
+    waits: Mutex<WaitBook>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl EntryDesk {
+    /// Notes what a node, this one or another, tells now of how long calls wait there.
+    pub fn note_report(&self, now: Moment, domain: &FailureDomain, node: &NodeId, report: &DomainReport) {
+        let waits = report.waits.iter().map(|told| (told.priority, Duration::from_micros(told.wait_us)));
+        lock(&self.waits).note(now, domain, node, waits);
+    }
+
+    fn wait(&self, now: Moment, priority: Priority) -> AgreedWait {
+        lock(&self.waits).wait(now, priority)
+    }
+
+    /// What becomes of a request; tells the level if it has changed.
+    fn decide(&self, now: Moment, ask: &EntryAsk) -> EntryStep {
+        let mut gate = lock(&self.gate);
+        let before = gate.level().closed();
+        let step = gate.decide(now, ask);
+        let level = gate.level();
+        if level.closed() != before {
+            metrics::gauge!("streamfold_closed_priorities").set(level.closed() as f64);
+            tracing::info!(
+                event = "priority_level",
+                level = level.lowest_open().map(tracing::field::display),
+                closed = level.closed(),
+                before,
+                priority = %ask.priority,
+                wait_ms = ask.waited.as_millis() as u64,
+                target_ms = ask.target.as_millis() as u64
+            );
+        }
+        step
+    }
+
+    /// The least urgent priority that is let in, if any is closed.
+    fn level(&self) -> Option<Priority> {
+        lock(&self.gate).level().lowest_open()
+    }
+}
+
+/// Lets a request over shards in, where the settings and the routes in force call for that.
+///
+/// # Errors
+/// It is turned away and has reached no server.
+pub(crate) fn check(context: &AttemptContext) -> Result<(), RefusalKind> {
+    let RouteTarget::All(fold) = &context.route.target else { return Ok(()) };
+    if !is_used(context) {
+        return Ok(());
+    }
+    let now = context.now();
+    let desk = &context.router.entry;
+    let told = desk.wait(now, context.priority);
+    let left = context.request.deadline.since(now);
+    let ask = EntryAsk {
+        priority: context.priority,
+        target: context.route.target_latency,
+        left,
+        expected: expect(context, fold, now, left),
+        waited: told.wait,
+    };
+    let (reason, wait) = match desk.decide(now, &ask) {
+        EntryStep::Begin => return Ok(()),
+        EntryStep::Hopeless { wait } => ("hopeless", wait),
+        EntryStep::GiveWay { wait } => ("give_way", wait),
+    };
+    note_turned_away(context, &ask, told, reason);
+    Err(RefusalKind::not_run(TurnReason::Overload { wait }))
+}
+
+/// Whether requests are turned away at all: only where some are more urgent than others.
+fn is_used(context: &AttemptContext) -> bool {
+    let is_mixed = context.view.table.as_ref().is_some_and(|table| table.has_mixed_priorities());
+    is_mixed && context.router.settings.scheduling.by_priority && context.router.has(Mechanism::EntryGate)
+}
+
+/// When enough shards of a request are expected to have answered.
+fn expect(context: &AttemptContext, fold: &ShardFold, now: Moment, left: Duration) -> Option<Duration> {
+    let outlooks: Vec<ShardOutlook> = fold.shards.iter().map(|shard| foresee(context, shard, now, left)).collect();
+    expect_answers(&outlooks, fold_rule(context, fold).least_answers())
+}
+
+/// What is known of a shard's servers; of no further ones once one is expected in time.
+fn foresee(context: &AttemptContext, shard: &ServiceName, now: Moment, left: Duration) -> ShardOutlook {
+    let service = context.view.services.get(shard);
+    let usable = service.into_iter().flat_map(|service| service.usable(now, &context.homes));
+    let outlooks = usable.map(|server| {
+        let typical = context.times.typical(server.distance, context.route.target_latency);
+        server.outlook(now, typical)
+    });
+    ShardOutlook::of(outlooks, left)
+}
+
+fn note_turned_away(context: &AttemptContext, ask: &EntryAsk, told: AgreedWait, reason: &'static str) {
+    let labels = [("reason", reason.to_owned()), ("priority", ask.priority.to_string())];
+    metrics::counter!("streamfold_requests_turned_away_total", &labels).increment(1);
+    tracing::info!(
+        event = "request_turned_away",
+        request = context.request.id_text(),
+        route = %context.route.name,
+        priority = %ask.priority,
+        team = context.team.as_ref().map(|team| team.name.as_str()),
+        reason,
+        expected_ms = ask.expected.map(|expected| expected.as_millis() as u64),
+        left_ms = ask.left.as_millis() as u64,
+        level = context.router.entry.level().map(tracing::field::display),
+        wait_ms = told.wait.as_millis() as u64,
+        wait_age_ms = told.age.as_millis() as u64
+    );
+}
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -31,7 +31,7 @@
 use crate::cluster_view::ClusterView;
 use crate::request::{CallerRequest, RequestArrival};
 use crate::router::{LiveCount, Router, RouterPhase};
-use crate::{gather, quarantine, single, task, usage};
+use crate::{entry, gather, quarantine, single, task, usage};
 
 /// Pause after a failed accept, such as with no descriptor left.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -247,6 +247,7 @@
 
 /// Lets a request in: at once, as the one that tries again what ended servers, or not at all.
 async fn admit(context: &mut AttemptContext) -> Result<(), RefusalKind> {
+    entry::check(context)?;
     let router = &context.router;
     let content = context.request.suspect.content;
     let left = match router.cluster.quarantine.standing(context.now(), content) {
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -75,16 +75,20 @@
     pub missing: String,
 }
 
-/// Asks every shard and folds the answers.
-pub async fn run(context: &AttemptContext, fold: &ShardFold) -> GatherEnd {
+/// When a request over shards is answered.
+pub(crate) fn fold_rule(context: &AttemptContext, fold: &ShardFold) -> FoldRule {
     let margin = answer_margin(fold.shards.len(), context.router.settings.power());
-    let rule = FoldRule {
+    FoldRule {
         target: context.route.target_latency.saturating_sub(margin),
         limit: context.request.deadline.since(context.request.started),
         min_coverage: fold.min_coverage,
         shards: fold.shards.len(),
-    };
-    let mut round = GatherRound::new(context, fold, rule);
+    }
+}
+
+/// Asks every shard and folds the answers.
+pub async fn run(context: &AttemptContext, fold: &ShardFold) -> GatherEnd {
+    let mut round = GatherRound::new(context, fold, fold_rule(context, fold));
     let step = if round.is_reachable() {
         round.delegate();
         round.start_rest();
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -176,6 +176,8 @@
     pub(crate) fn read_reply(&self, number: usize, reply: &ShardReply) -> Option<Vec<(usize, HeaderValue)>> {
         let batch = &self.batches[number];
         self.context.router.note_version(reply.version);
+        let (domain, node) = (&batch.peer.entry.domain, &batch.peer.entry.node);
+        self.context.router.entry.note_report(self.context.now(), domain, node, &reply.report);
         quarantine::note_told(&self.context.router, self.context.request.suspect, &reply.crashed);
         if reply.is_stopping {
             batch.peer.mark_stopping();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod crash_check;
 pub mod delegate;
 pub mod domain;
+pub mod entry;
 pub mod error;
 pub mod evacuation;
 pub mod feed;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,6 +18,7 @@
 use crate::cluster::Cluster;
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::{ClusterView, Service};
+use crate::entry::EntryDesk;
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
@@ -85,6 +86,8 @@
     pub outlet: RelayOutlet,
     /// Credit of teams whose requests are limited.
     pub(crate) usage: UsageLedger,
+    /// Turns requests away that cannot be answered in time, or must give way.
+    pub(crate) entry: EntryDesk,
     feeds: [FeedState; FeedTopic::ALL.len()],
     started: Moment,
 }
@@ -166,6 +169,7 @@
             store_turn: StoreTurn::default(),
             outlet: RelayOutlet::default(),
             usage: UsageLedger::default(),
+            entry: EntryDesk::default(),
             feeds: Default::default(),
             settings,
         }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -10,6 +10,7 @@
 use streamfold_policy::crash_book::CrashSuspect;
 use streamfold_policy::recent_work::RecentWork;
 use streamfold_policy::replica::{Distance, ReplicaState};
+use streamfold_policy::server_outlook::{FinishOutlook, ServerOutlook};
 use streamfold_policy::server_scope::{ServerBar, ServerStanding, find_bar};
 use streamfold_policy::{MechanismSet, Moment};
 
@@ -170,6 +171,11 @@
         self.state().cost(now, self.distance, typical, self.spells.spell())
     }
 
+    /// When a call that goes to it now is expected to be answered, where such calls usually take `typical`.
+    pub fn outlook(&self, now: Moment, typical: Duration) -> ServerOutlook {
+        self.state().outlook(now, typical, self.spells.spell())
+    }
+
     /// Notes how many times as long as usual work takes there by its own word.
     pub fn learn_pace(&self, now: Moment, pace: f64) {
         let sample = self.state().learn_pace(now, pace);
