--- a/crates/policy/src/come_back.rs
+++ b/crates/policy/src/come_back.rs
@@ -53,6 +53,11 @@
         /// Until the time of that place.
         wait: Duration,
     },
+    /// It cannot be answered within its time, or more urgent requests need the room.
+    Overload {
+        /// Until that may be otherwise.
+        wait: Duration,
+    },
     /// What it asks for ends servers, so no server gets it.
     Quarantined {
         /// Until it may be tried again.
@@ -70,6 +75,8 @@
         TurnReason::OverLimit { wait } => wait.max(SHORTEST),
         TurnReason::Place { wait } => return wait + PLACE_SPREAD.mul_f64(dice),
         TurnReason::NoPlace { wait } => return wait.max(SHORTEST).mul_f64(1.0 + (LATEST_SHARE - 1.0) * dice),
+        // Before that time it would be turned away again, whatever the dice say.
+        TurnReason::Overload { wait } => wait.max(SHORTEST).div_f64(EARLIEST_SHARE),
         // Another request may be the one that is tried, and its outcome is known a second later.
         TurnReason::Quarantined { left } => left.max(AFTER_TRIAL),
     };
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,6 +18,7 @@
 use crate::cluster::Cluster;
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::{ClusterView, Service};
+use crate::entry::EntryDesk;
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
@@ -88,6 +89,8 @@
     pub(crate) usage: UsageLedger,
     /// Services with few good servers.
     pub(crate) shortage: ShortageWatch,
+    /// Turns requests away that cannot be answered in time, or must give way.
+    pub(crate) entry: EntryDesk,
     feeds: [FeedState; FeedTopic::ALL.len()],
     started: Moment,
 }
@@ -170,6 +173,7 @@
             outlet: RelayOutlet::default(),
             usage: UsageLedger::default(),
             shortage: ShortageWatch::default(),
+            entry: EntryDesk::default(),
             feeds: Default::default(),
             settings,
         }
