One line of waiting work; calls that wait at the node for a server, first whole version

Cause: in routing mode every call goes at once into a server's own queue, first come first served, so that the most urgent lookup stands behind listings that came a moment before. CallRank is dynamic: is_kept stands before the priority in place of a raised priority, since an age in seconds says nothing of the share that a priority gets. Not measured yet.

--- a/crates/model/src/team.rs
+++ b/crates/model/src/team.rs
@@ -108,6 +108,11 @@
         self.teams.iter().find(|team| team.name == *name)
     }
 
+    /// All teams.
+    pub fn teams(&self) -> &[Arc<TeamSpec>] {
+        &self.teams
+    }
+
     /// Whether any team's requests are limited.
     pub fn has_limits(&self) -> bool {
         self.teams.iter().any(|team| team.limit.is_some())
--- a/crates/policy/src/call_order.rs
+++ b/crates/policy/src/call_order.rs
@@ -3,17 +3,27 @@
 //! The load pattern: calls for a shard whose servers are all at work, of routes and teams that differ in priority,
 //! rate and target latency.
 
-use streamfold_model::{Priority, TeamName};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use streamfold_model::Priority;
 
 use crate::moment::Moment;
+use crate::team_turns::{TeamShare, TeamTurns};
+
+/// The part of its share of calls first come first served that every priority keeps. A little over a half, of which
+/// calls that leave the line take some.
+const KEPT_SHARE: f64 = 0.55;
+/// What calls of each priority asked for and got counts half after this time: some bursts of callers.
+const SHARE_HALF_LIFE: Duration = Duration::from_secs(5);
 
 /// A call that waits for a server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct WaitingCall {
     /// The rank of its request.
     pub priority: Priority,
     /// The team of its request, where callers have keys.
-    pub team: Option<TeamName>,
+    pub team: Option<TeamShare>,
     /// When it began to wait.
     pub joined: Moment,
     /// The latest start that still makes its target latency.
@@ -25,7 +35,9 @@
 /// The place of a waiting call: the least goes first. The fields count in their order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallRank {
-    /// Its priority, raised by age.
+    /// Whether its priority is not behind what it keeps at least; one that is goes before all others.
+    pub is_kept: bool,
+    /// Its priority.
     pub priority: Priority,
     /// The turn of its team.
     pub turn: u64,
@@ -35,9 +47,102 @@
 
 /// Gives waiting calls their places.
 pub trait CallOrder: Send {
-    /// The place of a call that begins to wait, or waits still.
-    fn rank(&mut self, now: Moment, call: &WaitingCall) -> CallRank;
+    /// Notes that a call begins to wait.
+    fn note_joined(&mut self, now: Moment, call: &WaitingCall);
+
+    /// The place of a call that waits.
+    fn rank(&self, call: &WaitingCall) -> CallRank;
 
     /// Notes that a call was made, so that its team's next one has a later turn.
     fn note_made(&mut self, now: Moment, call: &WaitingCall);
 }
+
+/// First come, first served: what the others are measured against.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ArrivalOrder;
+
+impl CallOrder for ArrivalOrder {
+    fn note_joined(&mut self, _now: Moment, _call: &WaitingCall) {}
+
+    fn rank(&self, call: &WaitingCall) -> CallRank {
+        CallRank { is_kept: true, priority: Priority(0), turn: 0, latest_start: call.joined }
+    }
+
+    fn note_made(&mut self, _now: Moment, _call: &WaitingCall) {}
+}
+
+/// Calls of one priority, or of all; they fade.
+#[derive(Debug, Clone, Copy, Default)]
+struct FadingCount {
+    joined: f64,
+    made: f64,
+}
+
+impl FadingCount {
+    fn fade(&mut self, factor: f64) {
+        self.joined *= factor;
+        self.made *= factor;
+    }
+}
+
+/// By priority, and then by the latest start, or before that by the turn of the team. A priority that got less than it
+/// keeps goes first until it has that much, so that the least urgent do not starve.
+#[derive(Debug, Default)]
+pub struct PriorityOrder {
+    by_priority: BTreeMap<Priority, FadingCount>,
+    all: FadingCount,
+    faded: Moment,
+    turns: Option<TeamTurns>,
+}
+
+impl PriorityOrder {
+    /// With turns of teams.
+    #[must_use]
+    pub fn with_turns(self) -> Self {
+        Self { turns: Some(TeamTurns::default()), ..self }
+    }
+
+    fn count(&mut self, now: Moment, priority: Priority, add: impl Fn(&mut FadingCount)) {
+        let age = now.since(self.faded).as_secs_f64() / SHARE_HALF_LIFE.as_secs_f64();
+        self.faded = now;
+        let factor = 0.5f64.powf(age);
+        self.by_priority.values_mut().for_each(|count| count.fade(factor));
+        self.all.fade(factor);
+        add(self.by_priority.entry(priority).or_default());
+        add(&mut self.all);
+    }
+
+    /// Whether calls of a priority got as many turns as it keeps at least.
+    fn is_kept(&self, priority: Priority) -> bool {
+        let Some(count) = self.by_priority.get(&priority) else { return true };
+        let share = count.joined / self.all.joined.max(f64::MIN_POSITIVE);
+        // A whole call behind, or the first one of a priority would go before all others.
+        count.made + 1.0 > KEPT_SHARE * share * self.all.made
+    }
+}
+
+impl CallOrder for PriorityOrder {
+    fn note_joined(&mut self, now: Moment, call: &WaitingCall) {
+        self.count(now, call.priority, |count| count.joined += 1.0);
+    }
+
+    fn rank(&self, call: &WaitingCall) -> CallRank {
+        let turn = match (&self.turns, &call.team) {
+            (Some(turns), Some(share)) => turns.turn(share),
+            _ => 0,
+        };
+        CallRank {
+            is_kept: self.is_kept(call.priority),
+            priority: call.priority,
+            turn,
+            latest_start: call.latest_start,
+        }
+    }
+
+    fn note_made(&mut self, now: Moment, call: &WaitingCall) {
+        self.count(now, call.priority, |count| count.made += 1.0);
+        if let (Some(turns), Some(share)) = (&mut self.turns, &call.team) {
+            turns.note_made(share);
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,9 +38,12 @@
 pub mod rules;
 pub mod server;
 pub mod server_bound;
+pub mod server_room;
 pub mod server_scope;
 pub mod split_rule;
+pub mod team_turns;
 pub mod usage_credit;
+pub mod wait_line;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
 pub use budget::TokenBudget;
@@ -53,3 +56,4 @@
 pub use queue::{QueueSubmission, StartedWork, UpstreamQueue, WorkItem};
 pub use rules::{AdaptiveRules, AttemptRules, BaselineRules, HedgeChoice};
 pub use server::{CallReport, ServerState};
+pub use wait_line::WaitPlace;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,7 +1,6 @@
 //! The queue an owner keeps for one upstream. Work is bound to a server only when a slot
 //! frees (late binding), the earliest deadline first; expired work is dropped.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use crate::retry::RetryBudget;
 use crate::rules::AttemptRules;
 use crate::server::{CallReport, ServerState};
+use crate::wait_line::{WaitLine, WaitPlace};
 
 /// Hedges a quiet upstream may make at once.
 const HEDGE_RESERVE: f64 = 3.0;
@@ -42,8 +42,8 @@
 pub enum QueueSubmission<T> {
     /// It starts now on this server.
     Started(usize, T),
-    /// It waits under this number, to be given to [`UpstreamQueue::cancel`].
-    Waiting(u64),
+    /// It waits in this place, to be given to [`UpstreamQueue::cancel`].
+    Waiting(WaitPlace),
     /// No server holds the version any more.
     VersionGone(T),
     /// Every server is leaving.
@@ -59,7 +59,7 @@
     pub tag: T,
 }
 
-struct WaitingWork<T> {
+struct QueuedWork<T> {
     item: WorkItem,
     tag: T,
 }
@@ -68,9 +68,8 @@
 pub struct UpstreamQueue<T> {
     rules: Arc<dyn AttemptRules>,
     servers: Vec<ServerState>,
-    waiting: BTreeMap<(Moment, u64), WaitingWork<T>>,
-    deadlines: BTreeMap<u64, Moment>,
-    next_number: u64,
+    /// The earliest deadline first.
+    waiting: WaitLine<Moment, QueuedWork<T>>,
     track: LatencyTrack,
     hedging: Box<dyn HedgeRule>,
     hedges: TokenBudget,
@@ -85,9 +84,7 @@
         Self {
             rules,
             servers,
-            waiting: BTreeMap::new(),
-            deadlines: BTreeMap::new(),
-            next_number: 0,
+            waiting: WaitLine::default(),
             track: LatencyTrack::default(),
             hedging,
             hedges: TokenBudget::new(HEDGE_RESERVE),
@@ -166,11 +163,8 @@
             self.servers[server].start();
             return QueueSubmission::Started(server, tag);
         }
-        let number = self.next_number;
-        self.next_number += 1;
-        self.deadlines.insert(number, item.deadline);
-        self.waiting.insert((item.deadline, number), WaitingWork { item, tag });
-        QueueSubmission::Waiting(number)
+        let deadline = item.deadline;
+        QueueSubmission::Waiting(self.waiting.join(deadline, deadline, QueuedWork { item, tag }))
     }
 
     /// Starts a second attempt on another server than `first`, if the budget and a free
@@ -249,29 +243,23 @@
     pub fn start_waiting(&mut self, now: Moment, dice: &mut dyn RngCore) -> Vec<StartedWork<T>> {
         let mut started = Vec::new();
         let mut passed = Vec::new();
-        while let Some((key, work)) = self.waiting.pop_first() {
-            if key.0 <= now {
-                self.deadlines.remove(&key.1);
-                continue;
-            }
-            let Some(server) = self.pick(&work.item, now, dice) else {
-                passed.push((key, work));
+        while let Some(work) = self.waiting.next(now) {
+            let Some(server) = self.pick(&work.item.item, now, dice) else {
+                passed.push(work);
                 if !self.servers.iter().any(ServerState::has_slot) {
                     break;
                 }
                 continue;
             };
-            self.deadlines.remove(&key.1);
             self.servers[server].start();
-            started.push(StartedWork { server, tag: work.tag });
+            started.push(StartedWork { server, tag: work.item.tag });
         }
-        self.waiting.extend(passed);
+        passed.into_iter().for_each(|work| self.waiting.rejoin(work));
         started
     }
 
     /// Takes waiting work out again; false if it already started or expired.
-    pub fn cancel(&mut self, number: u64) -> bool {
-        let Some(deadline) = self.deadlines.remove(&number) else { return false };
-        self.waiting.remove(&(deadline, number)).is_some()
+    pub fn cancel(&mut self, place: WaitPlace) -> bool {
+        self.waiting.leave(place).is_some()
     }
 }
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -5,6 +5,7 @@
 use crate::mechanism::{Mechanism, MechanismSet};
 use crate::moment::Moment;
 use crate::pace::{PaceBelief, SpellSample};
+use crate::server_room::{OthersLoad, server_room};
 
 /// What is remembered of refusals and failures fades by half in this time without a new call.
 const REFUSAL_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -84,6 +85,7 @@
     answered: Moment,
     resting_until: Moment,
     load: Option<(f64, Moment)>,
+    others: Option<OthersLoad>,
     pace: PaceBelief,
     mechanisms: MechanismSet,
 }
@@ -103,6 +105,7 @@
             answered: Moment::default(),
             resting_until: Moment::default(),
             load: None,
+            others: None,
             pace: PaceBelief::default(),
             mechanisms: MechanismSet::default(),
         }
@@ -155,6 +158,11 @@
         self.ahead(now) > f64::from(self.slots)
     }
 
+    /// Whether this node may have one more call out there, where calls wait at the node.
+    pub fn has_room(&self, now: Moment) -> bool {
+        self.running() < server_room(now, self.slots, self.others)
+    }
+
     /// Work that it runs or holds waiting.
     fn ahead(&self, now: Moment) -> f64 {
         let told = self.load.filter(|(_, told)| now.since(*told) < LOAD_LIFE).map_or(0.0, |(load, _)| load);
@@ -260,6 +268,7 @@
     pub fn learn_load(&mut self, now: Moment, running: u32, waiting: u32) {
         if self.mechanisms.has(Mechanism::ToldLoad) {
             self.load = Some((f64::from(running + waiting), now));
+            self.others = Some(OthersLoad::learn(now, running + waiting, self.running()));
         }
     }
 }
--- /dev/null
+++ b/crates/policy/src/team_turns.rs
@@ -0,0 +1,70 @@
+//! Whose turn it is among teams: start-time fair queueing, weighted by their declared rates.
+//!
+//! The load pattern: one team sends many times its rate beside others that keep to theirs, or all send more than servers
+//! can do. Teams below their part get all they ask for, and the others share what is left by their rates.
+
+use std::collections::HashMap;
+
+use streamfold_model::TeamName;
+
+/// What a call of a team with a rate of one a second counts, so that the turns of the fastest teams differ too.
+const TURN_UNIT: f64 = 1e6;
+/// The least rate that counts, a second: one that is declared as nothing still gets a turn.
+const LEAST_RATE: f64 = 1e-3;
+/// Teams remembered; of more, those are forgotten first whose turn is past.
+const MAX_TEAMS: usize = 1_024;
+
+/// A team and the rate by which it shares.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamShare {
+    /// The team.
+    pub team: TeamName,
+    /// Its declared rate, in requests a second; `None` for one without a limit, which counts as the mean of the others.
+    pub rate: Option<f64>,
+}
+
+/// The turns of teams that wait for one service.
+#[derive(Debug, Default)]
+pub struct TeamTurns {
+    /// The turn of the call that was made last: nobody's next turn is before it, so that who asked for little while it
+    /// was quiet has no claims later.
+    present: u64,
+    /// The next turn of teams that have had one, where it is not past.
+    next: HashMap<TeamName, u64>,
+    /// The mean of the rates seen.
+    mean_rate: f64,
+    rates: u32,
+}
+
+impl TeamTurns {
+    /// The turn of a team's next call; the least goes first.
+    pub fn turn(&self, share: &TeamShare) -> u64 {
+        self.next.get(&share.team).copied().unwrap_or_default().max(self.present)
+    }
+
+    /// Notes that a team's call was made.
+    pub fn note_made(&mut self, share: &TeamShare) {
+        let turn = self.turn(share);
+        self.present = turn;
+        let rate = self.weigh(share).max(LEAST_RATE);
+        let step = (TURN_UNIT / rate).max(1.0) as u64;
+        if self.next.len() >= MAX_TEAMS {
+            self.next.retain(|_, next| *next > turn);
+        }
+        if self.next.len() < MAX_TEAMS || self.next.contains_key(&share.team) {
+            self.next.insert(share.team.clone(), turn.saturating_add(step));
+        }
+    }
+
+    fn weigh(&mut self, share: &TeamShare) -> f64 {
+        let Some(rate) = share.rate else { return if self.rates == 0 { 1.0 } else { self.mean_rate } };
+        self.rates = (self.rates + 1).min(MAX_TEAMS as u32);
+        self.mean_rate += (rate - self.mean_rate) / f64::from(self.rates);
+        rate
+    }
+
+    /// Teams that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.next.len()
+    }
+}
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -14,9 +14,11 @@
 
 use crate::attempts::{AttemptStop, ServiceAttempts};
 use crate::call::{self, EndedCall, SentMark};
+use crate::call_line::CallPlace;
 use crate::canary::CanaryCall;
 use crate::cluster_view::{ClusterView, RouteTimes, Service};
 use crate::hedge::FarHedge;
+use crate::line_choice::{CallRoom, ServerChoice};
 use crate::quarantine;
 use crate::request::CallerRequest;
 use crate::router::Router;
@@ -75,8 +77,16 @@
     pub canary: CanaryCall,
 }
 
-/// A call in flight; it resolves to the position of its service among the request's.
-pub type PendingCall = BoxFuture<'static, (usize, Duration, EndedCall)>;
+/// What became of a call.
+pub enum CallNews {
+    /// It ended after so long.
+    Ended(Duration, EndedCall),
+    /// It has waited and is called up; without a place it has waited too long.
+    CalledUp(Option<CallPlace>),
+}
+
+/// A call in flight, or one that waits; it resolves to the position of its service among the request's.
+pub type PendingCall = BoxFuture<'static, (usize, CallNews)>;
 
 /// The calls in flight of one request.
 pub type PendingCalls = FuturesUnordered<PendingCall>;
@@ -106,25 +116,35 @@
 
     /// The server to try next: the one believed to answer soonest that was not tried yet.
     fn choose(&self, attempts: &ServiceAttempts, service: &Service) -> Option<Arc<Server>> {
+        self.find_cheapest(self.candidates(attempts, service).iter())
+    }
+
+    /// The servers that may be tried next.
+    pub(crate) fn candidates(&self, attempts: &ServiceAttempts, service: &Service) -> Vec<Arc<Server>> {
         let untried = |server: &&Arc<Server>| !attempts.tried.iter().any(|tried| Arc::ptr_eq(tried, server));
         let candidates = service.usable(self.now(), &self.homes).filter(untried);
         let candidates = candidates.filter(|server| attempts.allow(server, self.route.max_attempts));
         let is_near = |server: &&Arc<Server>| server.distance == Distance::Domain;
         let candidates = candidates.filter(|server| self.asker != RequestAsker::Hedger || is_near(server));
         let tries_doubtful = self.router.has(Mechanism::DoubtfulServers);
-        self.find_cheapest(candidates.filter(|server| tries_doubtful || !server.is_doubtful()))
+        candidates.filter(|server| tries_doubtful || !server.is_doubtful()).cloned().collect()
+    }
+
+    /// What a call at a server would cost, in microseconds.
+    pub(crate) fn cost(&self, server: &Server) -> f64 {
+        let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
+        server.cost(self.now(), self.typical(server)) + doubt
+    }
+
+    /// How long a call at a server usually takes.
+    pub(crate) fn typical(&self, server: &Server) -> Duration {
+        self.times.typical(server.distance, self.route.target_latency)
     }
 
     /// The server that is believed to answer soonest.
-    fn find_cheapest<'a>(&self, candidates: impl Iterator<Item = &'a Arc<Server>>) -> Option<Arc<Server>> {
-        let now = self.now();
-        let cost = |server: &Arc<Server>| {
-            let typical = self.times.typical(server.distance, self.route.target_latency);
-            let doubt = if server.is_doubtful() { DOUBT_COST_US } else { 0.0 };
-            let cost = server.cost(now, typical) + doubt;
-            // Equal servers share the load.
-            cost * rand::random_range(0.95..1.05)
-        };
+    pub(crate) fn find_cheapest<'a>(&self, candidates: impl Iterator<Item = &'a Arc<Server>>) -> Option<Arc<Server>> {
+        // Equal servers share the load.
+        let cost = |server: &Arc<Server>| self.cost(server) * rand::random_range(0.95..1.05);
         let costed = candidates.map(|server| (cost(server), server));
         costed.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, server)| server.clone())
     }
@@ -132,13 +152,17 @@
     /// Starts the next attempt.
     ///
     /// # Errors
-    /// There is no server, or a bound allows none.
+    /// There is no server, or a bound allows none, or the call waits for one.
     pub fn start(
         &self,
         position: usize,
         attempts: &mut ServiceAttempts,
         calls: &PendingCalls,
     ) -> Result<(), AttemptStop> {
+        if attempts.is_waiting {
+            return Err(AttemptStop::Waiting);
+        }
+        let place = attempts.place.take();
         let service = self.view.services.get(&attempts.service).ok_or(AttemptStop::NoneLeft)?;
         if let Some(stop) = self.find_bound(attempts) {
             return Err(stop);
@@ -153,7 +177,16 @@
             }
             CallRight::Never => return Err(AttemptStop::Quarantined),
         }
-        let server = self.choose(attempts, service).ok_or(AttemptStop::NoneLeft)?;
+        let choice = self.choose_now(attempts, service, place).ok_or(AttemptStop::NoneLeft)?;
+        let (server, place) = match choice {
+            ServerChoice::Now(server, place) => (server, place),
+            ServerChoice::Wait(None) => return Err(AttemptStop::Waiting),
+            ServerChoice::Wait(Some(place)) => {
+                attempts.is_waiting = true;
+                calls.push(async move { (position, CallNews::CalledUp(place.wait().await)) }.boxed());
+                return Err(AttemptStop::Waiting);
+            }
+        };
         if !self.charge(attempts, service) {
             metrics::counter!("streamfold_extra_calls_refused_total").increment(1);
             return Err(AttemptStop::Budget);
@@ -172,24 +205,31 @@
         let patience = self.times.patience(server.distance, self.route.target_latency);
         attempts.hedge_at = (!self.is_once()).then(|| attempts.started.plus(patience));
         calls.push(self.call(position, server, mark));
+        if let Some(place) = place {
+            place.note_sent();
+        }
         Ok(())
     }
 
     /// Starts the first attempt of this node, or tells in the log why there is none.
     pub fn start_first(&self, position: usize, attempts: &mut ServiceAttempts, calls: &PendingCalls) {
         if let Err(stop) = self.start(position, attempts, calls)
-            && stop != AttemptStop::Canary
+            && !matches!(stop, AttemptStop::Canary | AttemptStop::Waiting)
         {
-            tracing::info!(
-                event = "call_not_made",
-                request = self.request.id_text(),
-                service = %attempts.service,
-                %stop,
-                barred = self.name_bars(&attempts.service)
-            );
+            self.log_not_made(attempts, stop);
         }
     }
 
+    pub(crate) fn log_not_made(&self, attempts: &ServiceAttempts, stop: AttemptStop) {
+        tracing::info!(
+            event = "call_not_made",
+            request = self.request.id_text(),
+            service = %attempts.service,
+            %stop,
+            barred = self.name_bars(&attempts.service)
+        );
+    }
+
     /// What keeps the request from servers of a service, with their number, for the log; `None` where
     /// nothing does.
     pub(crate) fn name_bars(&self, service: &ServiceName) -> Option<String> {
@@ -244,12 +284,14 @@
     }
 
     fn call(&self, position: usize, server: Arc<Server>, mark: SentMark) -> PendingCall {
+        let line = self.view.services.get(&server.service).and_then(Service::line).cloned();
         let running = call::run(self.router.clone(), server, self.request.clone(), self.is_once(), mark);
         let clock = self.router.clock;
         let started = self.now();
         let timed = async move {
+            let _room = line.map(|line| CallRoom { line, clock });
             let ended = running.await;
-            (position, clock.now().since(started), ended)
+            (position, CallNews::Ended(clock.now().since(started), ended))
         };
         timed.boxed()
     }
@@ -260,7 +302,9 @@
         let failed = attempts.tried.last().map(|server| server.id.to_string());
         let waited = self.now().since(attempts.started);
         let stop = self.start(position, attempts, calls).err();
-        if stop.is_some_and(|stop| !matches!(stop, AttemptStop::Canary | AttemptStop::Quarantined)) {
+        if stop
+            .is_some_and(|stop| !matches!(stop, AttemptStop::Canary | AttemptStop::Quarantined | AttemptStop::Waiting))
+        {
             self.pause(attempts);
         }
         tracing::info!(
@@ -280,7 +324,7 @@
 
     /// Plans to try servers again that did not take the request, if there are any, there is
     /// time and the request may run on one more.
-    fn pause(&self, attempts: &mut ServiceAttempts) {
+    pub(crate) fn pause(&self, attempts: &mut ServiceAttempts) {
         let pause = (FIRST_PAUSE * 2u32.pow(attempts.pauses.min(4))).min(MAX_PAUSE);
         let again = self.now().plus(pause.mul_f64(rand::random_range(0.8..1.2)));
         let is_possible = self.router.has(Mechanism::RetryPauses) && !attempts.passed.is_empty();
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -12,6 +12,7 @@
 use streamfold_policy::server_bound::ServerRights;
 
 use crate::call::{CallFailure, SentMark};
+use crate::call_line::CallPlace;
 use crate::server::Server;
 
 /// Why no further server is asked.
@@ -27,6 +28,8 @@
     Budget,
     /// What the request asks for ends servers.
     Quarantined,
+    /// It waits for a server.
+    Waiting,
     /// Another call of the request goes first, since what it asks for may end servers.
     Canary,
 }
@@ -39,6 +42,7 @@
             Self::NoneLeft => "none_left",
             Self::Budget => "budget",
             Self::Quarantined => "quarantined",
+            Self::Waiting => "waiting",
             Self::Canary => "canary",
         })
     }
@@ -78,6 +82,10 @@
     pub retry_at: Option<Moment>,
     /// When it is looked whether the call of the request that goes first was answered.
     pub(crate) canary_at: Option<Moment>,
+    /// Whether a call waits for a server; it counts as none until it is sent.
+    pub(crate) is_waiting: bool,
+    /// The place of a call that is called up.
+    pub(crate) place: Option<CallPlace>,
     /// When the newest call started.
     pub(crate) started: Moment,
     /// When the newest call counts as overdue, or a hedge is looked at again.
@@ -112,6 +120,8 @@
             pauses: 0,
             retry_at: None,
             canary_at: None,
+            is_waiting: false,
+            place: None,
             started: Moment::default(),
             hedge_at: None,
             silence: None,
@@ -186,7 +196,7 @@
     /// Whether nothing was done for the shard yet, so that it may be lent to another node: this one
     /// uses no server but the one then kept.
     pub fn is_untouched(&self) -> bool {
-        self.tried.is_empty() && self.rights == ServerRights::Any && self.sent_elsewhere == 0
+        self.tried.is_empty() && !self.is_waiting && self.rights == ServerRights::Any && self.sent_elsewhere == 0
     }
 
     /// Whether the request may go to a server, where it may run on `most`.
@@ -242,9 +252,9 @@
         self.is_calling() || self.is_planned()
     }
 
-    /// Whether a call is to be made after a pause.
+    /// Whether a call is to be made after a pause, or once a server has room.
     fn is_planned(&self) -> bool {
-        self.retry_at.is_some() || self.canary_at.is_some()
+        self.retry_at.is_some() || self.canary_at.is_some() || self.is_waiting
     }
 
     /// Whether an answer may still come, as far as is known: not where every server asked is in a
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -94,21 +94,21 @@
 }
 
 /// Tells the server's state how a call ended, also when the call is dropped.
-struct CallRecord<'a> {
-    server: &'a Server,
+struct CallRecord {
+    server: Arc<Server>,
     started: Moment,
     sample: CallSample,
-    router: &'a Router,
+    router: Arc<Router>,
 }
 
-impl<'a> CallRecord<'a> {
-    fn start(router: &'a Router, server: &'a Server, started: Moment) -> Self {
+impl CallRecord {
+    fn start(router: Arc<Router>, server: Arc<Server>, started: Moment) -> Self {
         server.state().start(started);
         Self { server, started, sample: CallSample::Abandoned, router }
     }
 }
 
-impl Drop for CallRecord<'_> {
+impl Drop for CallRecord {
     fn drop(&mut self) {
         let now = self.router.clock.now();
         self.server.state().finish(now, self.started, self.sample);
@@ -116,17 +116,22 @@
 }
 
 /// Sends a request to a server and reads its answer; `is_once` tells that it must not run twice, and
-/// `mark` is set before anything goes out.
-pub async fn run(
+/// `mark` is set before anything goes out. The server counts the call as running from now on.
+pub fn run(
     router: Arc<Router>,
     server: Arc<Server>,
     request: Arc<CallerRequest>,
     is_once: bool,
     mark: SentMark,
-) -> EndedCall {
+) -> impl Future<Output = EndedCall> {
     let started = router.clock.now();
-    let mut record = CallRecord::start(&router, &server, started);
-    let left = request.deadline.since(started);
+    let record = CallRecord::start(router, server, started);
+    run_recorded(record, request, is_once, mark)
+}
+
+async fn run_recorded(mut record: CallRecord, request: Arc<CallerRequest>, is_once: bool, mark: SentMark) -> EndedCall {
+    let (router, server) = (record.router.clone(), record.server.clone());
+    let left = request.deadline.since(record.started);
     let result = match tokio::time::timeout(left, exchange(&router, &server, &request, is_once, &mark)).await {
         Ok(result) => result,
         Err(_) if mark.is_set() => Err(CallFailure::Unknown),
--- /dev/null
+++ b/crates/router/src/call_line.rs
@@ -0,0 +1,284 @@
+//! Calls that wait at this node for a server of one service, and which of them is called up when one may be free.
+//!
+//! One call at a time is called up: it takes a server, or goes back to its place, and then the next one is. A call
+//! that comes meanwhile joins the line, so that nobody takes the server that a waiting call was called up for.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use streamfold_model::{Priority, ServiceName};
+use streamfold_policy::call_order::{CallOrder, WaitingCall};
+use streamfold_policy::wait_line::{WaitLine, WaitingWork};
+use streamfold_policy::{Moment, WaitPlace};
+use tokio::sync::Notify;
+
+use crate::call_waits::{CallWaits, priority_label};
+use crate::clock::NodeClock;
+use crate::contention::LineRule;
+
+/// How often waiting calls look for room although no call has ended, since what servers told fades; and how long one
+/// that is called up may take. Its request is usually woken within a fraction of a millisecond.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// Calls that may find no server they can use after one has ended, until the next one ends: each costs a wakeup.
+const MAX_PASSED: u32 = 4;
+
+/// A call in the line.
+struct LineEntry {
+    call: WaitingCall,
+    wake: Arc<Notify>,
+    /// The round in which it last looked for room.
+    looked_in: u64,
+}
+
+type LineWork = WaitingWork<Moment, LineEntry>;
+
+struct LineState {
+    rule: LineRule,
+    order: Box<dyn CallOrder>,
+    /// The latest start first; the order goes before that.
+    line: WaitLine<Moment, LineEntry>,
+    /// The call that is called up, and since when.
+    called: Option<(LineWork, Moment)>,
+    /// Counts the moments at which there may have been room anew.
+    round: u64,
+    passed: u32,
+    newest: Moment,
+}
+
+/// Calls that wait for a service.
+pub struct CallLine {
+    service: ServiceName,
+    waits: Arc<CallWaits>,
+    state: Mutex<LineState>,
+}
+
+impl LineState {
+    fn is_busy(&self) -> bool {
+        self.called.is_some() || !self.line.is_empty()
+    }
+
+    /// Notes that there may be room.
+    fn note_room(&mut self, now: Moment) {
+        self.round += 1;
+        self.passed = 0;
+        self.newest = now;
+        self.call_up(now);
+    }
+
+    /// Calls up the first call that has not looked in this round, if none is called up.
+    fn call_up(&mut self, now: Moment) {
+        if self.called.as_ref().is_some_and(|(_, since)| now.since(*since) < LOOK_AGAIN) {
+            return;
+        }
+        if let Some((late, _)) = self.called.take() {
+            self.line.rejoin(late);
+        }
+        self.line.expire(now);
+        if self.passed > MAX_PASSED {
+            return;
+        }
+        let waiting = self.line.iter().filter(|work| work.item.looked_in < self.round);
+        let first = waiting.min_by_key(|work| self.order.rank(&work.item.call)).map(|work| work.place);
+        let Some(mut work) = first.and_then(|place| self.line.leave(place)) else { return };
+        work.item.looked_in = self.round;
+        work.item.wake.notify_one();
+        self.called = Some((work, now));
+    }
+
+    /// Takes out the call that is called up, if it is the one of a place.
+    fn take_called(&mut self, place: WaitPlace) -> Option<LineWork> {
+        let (work, _) = self.called.take_if(|(work, _)| work.place == place)?;
+        Some(work)
+    }
+}
+
+impl CallLine {
+    /// A line in which nothing waits.
+    pub fn new(service: ServiceName, rule: LineRule, waits: Arc<CallWaits>) -> Arc<Self> {
+        let state = LineState {
+            rule,
+            order: rule.order(),
+            line: WaitLine::default(),
+            called: None,
+            round: 1,
+            passed: 0,
+            newest: Moment::default(),
+        };
+        Arc::new(Self { service, waits, state: Mutex::new(state) })
+    }
+
+    fn state(&self) -> MutexGuard<'_, LineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts another rule in force; calls keep their places.
+    pub fn set_rule(&self, rule: LineRule) {
+        let mut state = self.state();
+        if state.rule != rule {
+            state.rule = rule;
+            state.order = rule.order();
+        }
+    }
+
+    /// Whether any call waits.
+    pub fn is_busy(&self) -> bool {
+        self.state().is_busy()
+    }
+
+    /// Calls that wait.
+    pub fn len(&self) -> usize {
+        let state = self.state();
+        state.line.len() + usize::from(state.called.is_some())
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The present round, which a call that looks for room tells when it joins: what became free meanwhile is not
+    /// missed.
+    pub fn round(&self) -> u64 {
+        self.state().round
+    }
+
+    /// Notes that there may be room for a call.
+    pub fn note_room(&self, now: Moment) {
+        self.state().note_room(now);
+    }
+
+    /// Notes that a call began without waiting.
+    pub fn note_at_once(&self, now: Moment, priority: Priority) {
+        self.waits.note(now, priority, Duration::ZERO);
+    }
+
+    /// Puts a call into the line that has looked for room in a round; 0 if it has not looked.
+    pub fn join(self: &Arc<Self>, clock: NodeClock, call: WaitingCall, looked_in: u64, request: &str) -> CallPlace {
+        let now = clock.now();
+        let wake = Arc::new(Notify::new());
+        let entry = LineEntry { call: call.clone(), wake: wake.clone(), looked_in };
+        let mut state = self.state();
+        let ahead = state.line.len() + usize::from(state.called.is_some());
+        state.order.note_joined(now, &call);
+        let place = state.line.join(call.latest_start, call.expires, entry);
+        state.call_up(now);
+        drop(state);
+        metrics::gauge!("streamfold_waiting_calls").increment(1.0);
+        CallPlace { line: self.clone(), clock, place, wake, call, ahead, request: request.to_owned(), outcome: None }
+    }
+
+    /// Lets waiting calls look for room if none has for a while.
+    fn look_again(&self, now: Moment) {
+        let mut state = self.state();
+        if now.since(state.newest) >= LOOK_AGAIN {
+            state.note_room(now);
+        }
+    }
+}
+
+/// How a call's wait ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WaitOutcome {
+    Sent,
+    Expired,
+}
+
+/// A call's place in the line, which is given up when this is dropped.
+pub struct CallPlace {
+    line: Arc<CallLine>,
+    clock: NodeClock,
+    place: WaitPlace,
+    wake: Arc<Notify>,
+    call: WaitingCall,
+    ahead: usize,
+    request: String,
+    outcome: Option<WaitOutcome>,
+}
+
+impl CallPlace {
+    /// Waits until it is called up; `None` if it expired before.
+    pub async fn wait(mut self) -> Option<Self> {
+        loop {
+            if self.is_called() {
+                return Some(self);
+            }
+            let now = self.clock.now();
+            if self.call.expires <= now {
+                self.outcome = Some(WaitOutcome::Expired);
+                return None;
+            }
+            let until = now.plus(LOOK_AGAIN).min(self.call.expires);
+            tokio::select! {
+                () = self.wake.notified() => {}
+                () = tokio::time::sleep_until(self.clock.instant(until)) => self.line.look_again(self.clock.now()),
+            }
+        }
+    }
+
+    /// Whether it is called up; one that took too long is not any more.
+    pub fn is_called(&self) -> bool {
+        let state = self.line.state();
+        state.called.as_ref().is_some_and(|(work, _)| work.place == self.place)
+    }
+
+    /// Notes that its call is made, and calls up the next one.
+    pub fn note_sent(mut self) {
+        let now = self.clock.now();
+        self.outcome = Some(WaitOutcome::Sent);
+        let mut state = self.line.state();
+        if state.take_called(self.place).is_some() {
+            state.order.note_made(now, &self.call);
+        }
+        state.call_up(now);
+    }
+
+    /// Goes back to its place, since there is no server that it can use; `has_room` tells whether there may be one for
+    /// another call.
+    pub fn rejoin(&self, has_room: bool) {
+        let mut state = self.line.state();
+        if let Some(work) = state.take_called(self.place) {
+            state.line.rejoin(work);
+        }
+        state.passed += 1;
+        if has_room {
+            state.call_up(self.clock.now());
+        }
+    }
+
+    fn log(&self, waited: Duration) {
+        let outcome = match self.outcome {
+            Some(WaitOutcome::Sent) => "sent",
+            Some(WaitOutcome::Expired) => "expired",
+            None => "left",
+        };
+        tracing::info!(
+            event = "call_waited",
+            request = self.request,
+            service = %self.line.service,
+            priority = %self.call.priority,
+            team = self.call.team.as_ref().map(|share| share.team.as_str()),
+            waited_ms = waited.as_millis() as u64,
+            ahead = self.ahead,
+            outcome
+        );
+    }
+}
+
+impl Drop for CallPlace {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let waited = now.since(self.call.joined);
+        let mut state = self.line.state();
+        let was_called = state.take_called(self.place).is_some();
+        state.line.leave(self.place);
+        if was_called {
+            state.call_up(now);
+        }
+        drop(state);
+        self.line.waits.note(now, self.call.priority, waited);
+        metrics::gauge!("streamfold_waiting_calls").decrement(1.0);
+        let label = priority_label(self.call.priority);
+        metrics::histogram!("streamfold_call_wait_seconds", "priority" => label).record(waited.as_secs_f64());
+        self.log(waited);
+    }
+}
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -104,6 +104,7 @@
         metrics::gauge!("streamfold_routes_version").set(table.version.0 as f64);
         parts.keep_times(&table);
         parts.keep_turns(&table);
+        parts.keep_lines(&table, &self.place);
         parts.table = Some(Arc::new(table));
         self.publish(&parts);
         true
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -14,8 +14,11 @@
 use streamfold_policy::placement;
 use streamfold_policy::split_rule::SplitTurns;
 
+use crate::call_line::CallLine;
+use crate::call_waits::CallWaits;
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::{ClusterView, NodeCount, RouteTimes, Service};
+use crate::contention::find_contended;
 use crate::domain::DomainState;
 use crate::evacuation::EvacuationList;
 use crate::peers::PeerNode;
@@ -36,6 +39,9 @@
     pub(crate) doubtful: HashMap<ServerId, Moment>,
     /// Extra calls spent, by service.
     pub(crate) budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
+    /// Calls that wait, by service, where calls do.
+    lines: HashMap<ServiceName, Arc<CallLine>>,
+    waits: Arc<CallWaits>,
     times: HashMap<RouteName, RouteTimes>,
     turns: HashMap<RouteName, Arc<SplitTurns>>,
     /// How long servers stay slow.
@@ -182,6 +188,18 @@
         self.turns = splits.map(|route| (route.name.clone(), keep(&route.name))).collect();
     }
 
+    /// Goes on with the lines of services whose calls wait in the new version too. Calls in another line go on
+    /// waiting there, and look for room by themselves.
+    pub(crate) fn keep_lines(&mut self, table: &RouteTable, place: &ClusterPlace) {
+        let mut old = std::mem::take(&mut self.lines);
+        for (service, rule) in find_contended(table, place) {
+            let make = || CallLine::new(service.clone(), rule, self.waits.clone());
+            let line = old.remove(&service).unwrap_or_else(make);
+            line.set_rule(rule);
+            self.lines.insert(service, line);
+        }
+    }
+
     fn count_nodes(&self) -> HashMap<FailureDomain, NodeCount> {
         let strongest = self.find_strongest();
         let gone = self.gone_nodes.iter().map(|(entry, _)| entry);
@@ -240,13 +258,15 @@
             let make = || {
                 let name = server.service.clone();
                 let (is_shard, budget) = (shards.contains(&name), self.budgets.get(&name).cloned());
-                Service::new(name, is_shard, budget.unwrap_or_default())
+                let line = self.lines.get(&name).cloned();
+                Service::new(name, is_shard, budget.unwrap_or_default(), line)
             };
             services.entry(server.service.clone()).or_insert_with(make).add(server.clone());
         }
         ClusterView {
             table: self.table.clone(),
             services,
+            waits: self.waits.clone(),
             times: self.times.clone(),
             turns: self.turns.clone(),
             nodes: self.count_nodes(),
--- a/crates/router/src/cluster_place.rs
+++ b/crates/router/src/cluster_place.rs
@@ -7,7 +7,7 @@
 use streamfold_policy::MechanismSet;
 use streamfold_policy::replica::Distance;
 
-use crate::settings::ColdCallSettings;
+use crate::settings::{ColdCallSettings, SchedulingSettings};
 
 /// Where a node stands among failure domains.
 pub struct ClusterPlace {
@@ -22,6 +22,8 @@
     pub spent_for: Duration,
     /// The bound on calls to cold servers, if there is one.
     pub cold_calls: Option<ColdCallSettings>,
+    /// Decisions where callers compete for room.
+    pub scheduling: SchedulingSettings,
     /// The mechanisms by which servers are judged.
     pub mechanisms: MechanismSet,
 }
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -13,6 +13,8 @@
 use streamfold_policy::server_scope::ServerBar;
 use streamfold_policy::split_rule::SplitTurns;
 
+use crate::call_line::CallLine;
+use crate::call_waits::CallWaits;
 use crate::peers::PeerNode;
 use crate::server::Server;
 use crate::settings::ColdCallSettings;
@@ -31,12 +33,18 @@
     /// Whether it is a shard of a route.
     is_shard: bool,
     budget: Arc<Mutex<ExtraBudget>>,
+    line: Option<Arc<CallLine>>,
 }
 
 impl Service {
     /// A service without servers, with what was spent on it.
-    pub(crate) fn new(name: ServiceName, is_shard: bool, budget: Arc<Mutex<ExtraBudget>>) -> Self {
-        Self { name, servers: Vec::new(), domains: BTreeSet::new(), is_shard, budget }
+    pub(crate) fn new(
+        name: ServiceName,
+        is_shard: bool,
+        budget: Arc<Mutex<ExtraBudget>>,
+        line: Option<Arc<CallLine>>,
+    ) -> Self {
+        Self { name, servers: Vec::new(), domains: BTreeSet::new(), is_shard, budget, line }
     }
 
     pub(crate) fn add(&mut self, server: Arc<Server>) {
@@ -51,6 +59,17 @@
         self.servers.iter().filter(move |server| server.find_bar(now, homes).is_none())
     }
 
+    /// Where its calls wait, if they do.
+    pub fn line(&self) -> Option<&Arc<CallLine>> {
+        self.line.as_ref()
+    }
+
+    /// Whether a call of some request may find room at one of its servers.
+    pub fn has_room(&self, now: Moment) -> bool {
+        let live = self.servers.iter().filter(|server| !server.is_leaving() && !server.is_dark(now));
+        live.map(|server| server.state()).any(|state| !state.is_avoided(now) && state.has_room(now))
+    }
+
     /// How many of its servers each bar keeps requests with these homes from, for the log.
     pub fn count_bars(&self, now: Moment, homes: &HomeRegions) -> BTreeMap<ServerBar, usize> {
         let mut counts = BTreeMap::new();
@@ -84,6 +103,8 @@
     pub table: Option<Arc<RouteTable>>,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
+    /// How long calls waited lately.
+    pub waits: Arc<CallWaits>,
     /// Latencies by route.
     pub times: HashMap<RouteName, RouteTimes>,
     /// Turns of the services of a route, by route.
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -16,7 +16,7 @@
 use tokio::time::Sleep;
 
 use crate::answer::{CallerAnswer, RefusalKind};
-use crate::attempt_context::{AttemptContext, PendingCalls, RequestAsker};
+use crate::attempt_context::{AttemptContext, CallNews, PendingCalls, RequestAsker};
 use crate::attempts::ServiceAttempts;
 use crate::call::EndedCall;
 use crate::delegate::{BatchSlot, PendingBatches};
@@ -205,7 +205,7 @@
     async fn wait_event(&mut self, timer: Pin<&mut Sleep>) {
         tokio::select! {
             biased;
-            Some((position, took, ended)) = self.calls.next() => self.note_end(position, took, ended),
+            Some((position, news)) = self.calls.next() => self.note_call(position, news),
             Some((number, pending, news)) = self.pending_batches.next() => {
                 self.note_batch(number, news);
                 self.keep_reading(number, pending);
@@ -231,6 +231,17 @@
         }
     }
 
+    fn note_call(&mut self, position: usize, news: CallNews) {
+        match news {
+            CallNews::Ended(took, ended) => self.note_end(position, took, ended),
+            CallNews::CalledUp(place) => {
+                let slot = &mut self.slots[position];
+                let place = place.filter(|_| slot.part.is_none());
+                self.context.resume(position, &mut slot.attempts, &self.calls, place);
+            }
+        }
+    }
+
     fn note_end(&mut self, position: usize, took: Duration, ended: EndedCall) {
         self.context.note_ended(&ended);
         let slot = &mut self.slots[position];
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt_context::{AttemptContext, PendingCalls};
 use crate::attempts::ServiceAttempts;
+use crate::cluster_view::Service;
 use crate::peers::PeerNode;
 use crate::server::Server;
 
@@ -42,7 +43,9 @@
         if is_news && !attempts.is_handed {
             self.note_overdue(&late, attempts.started);
         }
-        let next = self.best_server(attempts).filter(|server| self.is_free() && self.may_hedge(server));
+        let next = self
+            .best_server(attempts)
+            .filter(|server| self.is_free() && self.may_hedge(server) && !self.is_line_busy(attempts));
         let via = next.as_ref().filter(|_| far.is_some()).and_then(|server| self.find_node_near(server));
         let has_started = match (&next, &via) {
             (None, _) => false,
@@ -70,6 +73,12 @@
         self.router.has(mechanism) && !server.state().is_busy(self.now())
     }
 
+    /// Whether calls wait for the service: they go before second calls.
+    fn is_line_busy(&self, attempts: &ServiceAttempts) -> bool {
+        let line = self.view.services.get(&attempts.service).and_then(Service::line);
+        line.is_some_and(|line| line.is_busy())
+    }
+
     /// Looks for a free server again after a pause, while there is time and one may be asked.
     fn look_again(&self, attempts: &mut ServiceAttempts) {
         let again = self.now().plus(HEDGE_PAUSE);
--- /dev/null
+++ b/crates/router/src/line_choice.rs
@@ -0,0 +1,121 @@
+//! Whether a call goes to a server now or waits for one at this node.
+
+use std::sync::Arc;
+
+use streamfold_policy::call_order::WaitingCall;
+use streamfold_policy::team_turns::TeamShare;
+
+use crate::attempt_context::{AttemptContext, PendingCalls};
+use crate::attempts::{AttemptStop, ServiceAttempts};
+use crate::call_line::{CallLine, CallPlace};
+use crate::clock::NodeClock;
+use crate::cluster_view::Service;
+use crate::server::Server;
+
+/// Tells a line, when it is dropped with its call, that there may be room.
+pub(crate) struct CallRoom {
+    pub(crate) line: Arc<CallLine>,
+    pub(crate) clock: NodeClock,
+}
+
+impl Drop for CallRoom {
+    fn drop(&mut self) {
+        self.line.note_room(self.clock.now());
+    }
+}
+
+/// Where a call goes.
+pub(crate) enum ServerChoice {
+    /// To a server now; it gives up the place it had.
+    Now(Arc<Server>, Option<CallPlace>),
+    /// Nowhere yet: it waits in a place, or is a second call, which does not wait.
+    Wait(Option<CallPlace>),
+}
+
+impl AttemptContext {
+    /// The server to try next, or the place in which the call waits for one; `None` where no server is left. A call
+    /// that was called up has a place already.
+    pub(crate) fn choose_now(
+        &self,
+        attempts: &ServiceAttempts,
+        service: &Service,
+        place: Option<CallPlace>,
+    ) -> Option<ServerChoice> {
+        let candidates = self.candidates(attempts, service);
+        let cheapest = self.find_cheapest(candidates.iter())?;
+        let Some(line) = service.line() else { return Some(ServerChoice::Now(cheapest, None)) };
+        if place.as_ref().is_some_and(|place| !place.is_called()) {
+            return Some(ServerChoice::Wait(place));
+        }
+        // Read before room is looked for, so that what is freed meanwhile is not missed.
+        let round = line.round();
+        let must_wait = place.is_none() && line.is_busy();
+        let roomy = if must_wait { None } else { self.choose_roomy(line, &candidates, cheapest) };
+        if let Some(server) = roomy {
+            if place.is_none() {
+                line.note_at_once(self.now(), self.priority);
+            }
+            return Some(ServerChoice::Now(server, place));
+        }
+        if let Some(place) = place {
+            place.rejoin(service.has_room(self.now()));
+            return Some(ServerChoice::Wait(Some(place)));
+        }
+        // A second call would wait behind first ones.
+        if attempts.is_calling() {
+            return Some(ServerChoice::Wait(None));
+        }
+        let looked_in = if must_wait { 0 } else { round };
+        let call = self.waiting_call(&candidates);
+        Some(ServerChoice::Wait(Some(line.join(self.router.clock, call, looked_in, self.request.id_text()))))
+    }
+
+    /// The cheapest server with room, unless waiting for the cheapest of all is cheaper still: one that is far, slow
+    /// or resting is no better for being free.
+    fn choose_roomy(&self, line: &CallLine, candidates: &[Arc<Server>], cheapest: Arc<Server>) -> Option<Arc<Server>> {
+        let now = self.now();
+        if cheapest.state().has_room(now) {
+            return Some(cheapest);
+        }
+        let roomy = self.find_cheapest(candidates.iter().filter(|server| server.state().has_room(now)))?;
+        let ahead = line.len() as f64 / f64::from(cheapest.slots().max(1));
+        let waiting = self.typical(&cheapest).as_micros() as f64 * ahead;
+        (self.cost(&roomy) <= self.cost(&cheapest) + waiting).then_some(roomy)
+    }
+
+    fn waiting_call(&self, candidates: &[Arc<Server>]) -> WaitingCall {
+        let typical = candidates.iter().map(|server| self.typical(server)).min().unwrap_or_default();
+        let target = self.request.started.plus(self.route.target_latency);
+        let share = |team: &Arc<streamfold_model::TeamSpec>| TeamShare {
+            team: team.name.clone(),
+            rate: team.limit.map(|limit| limit.rate),
+        };
+        WaitingCall {
+            priority: self.priority,
+            team: self.team.as_ref().map(share),
+            joined: self.now(),
+            latest_start: target.minus(typical),
+            expires: self.request.deadline,
+        }
+    }
+
+    /// Goes on with a call that has waited: it is called up, or without a place given up.
+    pub(crate) fn resume(
+        &self,
+        position: usize,
+        attempts: &mut ServiceAttempts,
+        calls: &PendingCalls,
+        place: Option<CallPlace>,
+    ) {
+        attempts.is_waiting = false;
+        let Some(place) = place else { return };
+        attempts.place = Some(place);
+        let Err(stop) = self.start(position, attempts, calls) else { return };
+        if !matches!(stop, AttemptStop::Waiting | AttemptStop::Canary) {
+            self.log_not_made(attempts, stop);
+        }
+        if !attempts.is_open() {
+            self.pause(attempts);
+        }
+    }
+}
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -73,7 +73,9 @@
             BatchMode::Folded => self.fold().to_vec(),
             BatchMode::Each { .. } => Vec::new(),
         };
+        let waits = self.context.view.waits.report(self.context.now());
+        let report = DomainReport { waits, ..DomainReport::default() };
         let crashed = self.context.router.cluster.quarantine.crashed(self.context.request.suspect.content);
-        ShardReply { version, is_stopping: false, shards, missing, records, crashed, report: DomainReport::default() }
+        ShardReply { version, is_stopping: false, shards, missing, records, crashed, report }
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -142,6 +142,7 @@
             regions: settings.regions.clone(),
             spent_for: settings.extra_calls.window.0,
             cold_calls: settings.cold_calls,
+            scheduling: settings.scheduling,
             mechanisms: settings.mechanisms(),
         };
         Self {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Requests it works on at the same time.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// What is believed of it.
     pub fn state(&self) -> MutexGuard<'_, ReplicaState> {
         lock(&self.state)
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -11,7 +11,7 @@
 use streamfold_policy::split_rule::{SplitTurns, choose_part};
 
 use crate::answer::{CallerAnswer, RefusalKind};
-use crate::attempt_context::{AttemptContext, PendingCalls};
+use crate::attempt_context::{AttemptContext, CallNews, PendingCalls};
 use crate::attempts::ServiceAttempts;
 use crate::call::{EndedCall, ServerReply};
 use crate::request::drop_hop_headers;
@@ -73,8 +73,8 @@
             timer.as_mut().reset(clock.instant(wake));
             tokio::select! {
                 biased;
-                Some((_, took, ended)) = self.calls.next() => {
-                    if let Some(reply) = self.note_end(took, ended) {
+                Some((_, news)) = self.calls.next() => {
+                    if let Some(reply) = self.note_call(news) {
                         return Some(reply);
                     }
                 }
@@ -88,6 +88,16 @@
         None
     }
 
+    fn note_call(&mut self, news: CallNews) -> Option<ServerReply> {
+        match news {
+            CallNews::Ended(took, ended) => self.note_end(took, ended),
+            CallNews::CalledUp(place) => {
+                self.context.resume(0, &mut self.attempts, &self.calls, place);
+                None
+            }
+        }
+    }
+
     /// The answer to pass on, if this is one.
     fn note_end(&mut self, took: Duration, ended: EndedCall) -> Option<ServerReply> {
         self.context.note_ended(&ended);
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -11,6 +11,7 @@
 use streamfold_router::border::{FeedChange, FeedItem, FeedTopic};
 use streamfold_router::cluster::{Cluster, NewsOrigin};
 use streamfold_router::cluster_place::ClusterPlace;
+use streamfold_router::settings::SchedulingSettings;
 
 fn entry(name: &str, incarnation: u64) -> NodeEntry {
     NodeEntry {
@@ -29,6 +30,7 @@
         regions: HashMap::new(),
         spent_for: Duration::from_secs(10),
         cold_calls: None,
+        scheduling: SchedulingSettings::default(),
         mechanisms: MechanismSet::default(),
     })
 }
