--- a/crates/policy/src/call_order.rs
+++ b/crates/policy/src/call_order.rs
@@ -41,6 +41,9 @@
     pub priority: Priority,
     /// The turn of its team.
     pub turn: u64,
+    /// Whether it misses its target latency whenever it starts: what can still make it goes first, or under
+    /// overload all would be made late.
+    pub is_late: bool,
     /// The latest start that still makes its target latency.
     pub latest_start: Moment,
 }
@@ -51,7 +54,7 @@
     fn note_joined(&mut self, now: Moment, call: &WaitingCall);
 
     /// The place of a call that waits.
-    fn rank(&self, call: &WaitingCall) -> CallRank;
+    fn rank(&self, now: Moment, call: &WaitingCall) -> CallRank;
 
     /// Notes that a call was made, so that its team's next one has a later turn.
     fn note_made(&mut self, now: Moment, call: &WaitingCall);
@@ -64,8 +67,8 @@
 impl CallOrder for ArrivalOrder {
     fn note_joined(&mut self, _now: Moment, _call: &WaitingCall) {}
 
-    fn rank(&self, call: &WaitingCall) -> CallRank {
-        CallRank { is_kept: true, priority: Priority(0), turn: 0, latest_start: call.joined }
+    fn rank(&self, _now: Moment, call: &WaitingCall) -> CallRank {
+        CallRank { is_kept: true, priority: Priority(0), turn: 0, is_late: false, latest_start: call.joined }
     }
 
     fn note_made(&mut self, _now: Moment, _call: &WaitingCall) {}
@@ -126,7 +129,7 @@
         self.count(now, call.priority, |count| count.joined += 1.0);
     }
 
-    fn rank(&self, call: &WaitingCall) -> CallRank {
+    fn rank(&self, now: Moment, call: &WaitingCall) -> CallRank {
         let turn = match (&self.turns, &call.team) {
             (Some(turns), Some(share)) => turns.turn(share),
             _ => 0,
@@ -135,6 +138,7 @@
             is_kept: self.is_kept(call.priority),
             priority: call.priority,
             turn,
+            is_late: call.latest_start < now,
             latest_start: call.latest_start,
         }
     }
--- a/crates/router/src/call_line.rs
+++ b/crates/router/src/call_line.rs
@@ -78,7 +78,7 @@
             return;
         }
         let waiting = self.line.iter().filter(|work| work.item.looked_in < self.round);
-        let first = waiting.min_by_key(|work| self.order.rank(&work.item.call)).map(|work| work.place);
+        let first = waiting.min_by_key(|work| self.order.rank(now, &work.item.call)).map(|work| work.place);
         let Some(mut work) = first.and_then(|place| self.line.leave(place)) else { return };
         work.item.looked_in = self.round;
         work.item.wake.notify_one();
