Waiting calls with real processes: a lookup goes first, who leaves is out, a server or owner that dies loses none

Cause: failures of calls that wait were untested. Change: 5 tests with stand-in servers: a lookup is read right after the nine calls that were out when it came; a caller whose time is over is told that it has not run, and no server read it; calls waiting for a server that crashes go to the other; an owner killed with work waiting; without call_lines nothing waits. A node also counts a server's connections that it may have as room: a call without one would wait in the pool instead.

--- /dev/null
+++ b/crates/lab/tests/routes_lines.rs
@@ -0,0 +1,154 @@
+//! Calls that wait at a node for a server: the most urgent goes first, whoever leaves is out, and what a server or an
+//! owner leaves behind when it dies is done by others. With real processes.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Method;
+use serde_json::{Value, json};
+use streamfold_lab::fleet::send_signal;
+use streamfold_lab::route_checks::{get, near};
+use streamfold_lab::route_fleet::{HOST, RouteFleet, RouteFleetPlan, write_route};
+use streamfold_lab::wait::wait_for;
+use streamfold_standin::names;
+use streamfold_standin::server::RouteServerPlan;
+
+/// Requests that a server of the fleet says it works on at once, and the one more that a node has out there.
+const ROOM: usize = 9;
+/// How long a request takes, so that others wait meanwhile.
+const WORK_MS: u64 = 400;
+
+fn to_cart(priority: u32) -> Value {
+    json!({ "service": "cart", "priority": priority })
+}
+
+fn routes() -> Vec<Value> {
+    vec![write_route("lookup", "/lookup/", &to_cart(0)), write_route("listing", "/listing/", &to_cart(2))]
+}
+
+async fn start(servers: Vec<RouteServerPlan>, settings: &'static str) -> RouteFleet {
+    let plan = RouteFleetPlan { nodes: [1, 0], servers, routes: routes(), settings, ..RouteFleetPlan::default() };
+    RouteFleet::start(plan).await.expect("a fleet")
+}
+
+fn set_work(fleet: &RouteFleet, millis: u64) {
+    let servers = fleet.servers.iter();
+    servers.for_each(|server| server.state.switches.work_ms.store(millis, Ordering::Relaxed));
+}
+
+/// The ids that the first server has read, in their order.
+fn read_ids(fleet: &RouteFleet) -> Vec<String> {
+    fleet.servers[0].state.calls().iter().map(|call| call.id().to_owned()).collect()
+}
+
+/// Listings under way, as many as the first server takes and some more.
+async fn wait_for_line(fleet: &RouteFleet) {
+    wait_for("a full server", async || read_ids(fleet).len() >= ROOM).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_goes_before_listings_that_came_first() {
+    let fleet = start(vec![near("i-0", "cart")], "").await;
+    set_work(&fleet, WORK_MS);
+    let ids: Vec<String> = (0..3 * ROOM).map(|number| format!("r-listing-{number}")).collect();
+    let listings = join_all(ids.iter().map(|id| get(&fleet, "/listing/x", id)));
+    let lookup = async {
+        wait_for_line(&fleet).await;
+        get(&fleet, "/lookup/x", "r-lookup").await
+    };
+    let (listings, lookup) = tokio::join!(listings, lookup);
+    assert_eq!(lookup.status, 200, "{lookup:?}");
+    listings.iter().for_each(|listing| assert_eq!(listing.status, 200, "{listing:?}"));
+    let place = read_ids(&fleet).iter().position(|id| id == "r-lookup").expect("a call");
+    assert_eq!(place, ROOM, "right after those that were out already");
+    let waited = fleet.nodes[0].logged(&["event=call_waited", "outcome=sent"]);
+    assert_eq!(waited.len(), 2 * ROOM + 1, "{waited:?}");
+    assert_eq!(fleet.nodes[0].logged(&["event=call_waited", "request=r-lookup", "priority=0"]).len(), 1);
+    assert!(ids.iter().all(|id| fleet.count_runs(id) == 1), "each runs once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_lines_calls_go_out_at_once() {
+    let fleet = start(vec![near("i-0", "cart")], "without: [call_lines]\n").await;
+    set_work(&fleet, WORK_MS);
+    let ids: Vec<String> = (0..3 * ROOM).map(|number| format!("r-listing-{number}")).collect();
+    let answers = join_all(ids.iter().map(|id| get(&fleet, "/listing/x", id))).await;
+    answers.iter().for_each(|answer| assert_eq!(answer.status, 200, "{answer:?}"));
+    assert!(fleet.nodes[0].logged(&["event=call_waited"]).is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_takes_its_waiting_call_along() {
+    let fleet = start(vec![near("i-0", "cart")], "").await;
+    set_work(&fleet, WORK_MS);
+    let ids: Vec<String> = (0..2 * ROOM).map(|number| format!("r-listing-{number}")).collect();
+    let listings = join_all(ids.iter().map(|id| get(&fleet, "/listing/x", id)));
+    let leaver = async {
+        wait_for_line(&fleet).await;
+        let headers = [("host", HOST), (names::REQUEST_ID, "r-left"), (names::DEADLINE_MS, "100")];
+        let callers = fleet.nodes[0].addresses.callers;
+        let within = Duration::from_secs(10);
+        fleet.client.call(Method::GET, callers, "/listing/y", &headers, Bytes::new(), within).await.expect("an answer")
+    };
+    let (listings, left) = tokio::join!(listings, leaver);
+    // Its time was over before a server was free, and it was never sent.
+    assert_eq!(left.body, Bytes::from_static(b"{\"error\":\"not_run\"}"), "{left:?}");
+    listings.iter().for_each(|listing| assert_eq!(listing.status, 200, "{listing:?}"));
+    assert_eq!(fleet.count_calls("r-left"), 0);
+    wait_for("the end of its wait", async || {
+        !fleet.nodes[0].logged(&["event=call_waited", "request=r-left"]).is_empty()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_wait_for_a_server_that_dies_go_to_another() {
+    let fleet = start(vec![near("i-0", "cart"), near("i-1", "cart")], "").await;
+    set_work(&fleet, WORK_MS);
+    let ids: Vec<String> = (0..4 * ROOM).map(|number| format!("r-listing-{number}")).collect();
+    let listings = join_all(ids.iter().map(|id| get(&fleet, "/listing/x", id)));
+    let death = async {
+        wait_for_line(&fleet).await;
+        fleet.servers[0].state.switches.refuse.store(true, Ordering::Relaxed);
+        fleet.servers[0].state.crash();
+    };
+    let (listings, ()) = tokio::join!(listings, death);
+    listings.iter().for_each(|listing| assert_eq!(listing.status, 200, "{listing:?}"));
+    assert!(ids.iter().all(|id| fleet.count_runs(id) <= 3), "none runs on more servers than its route allows");
+}
+
+/// Shards with a server each near both nodes: a weak one, which callers ask, and a strong one, which asks the shards.
+const SHARDS: usize = 6;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_waits_at_an_owner_that_is_killed_is_taken_back() {
+    let shards: Vec<String> = (0..SHARDS).map(|shard| format!("s-{shard}")).collect();
+    let servers = shards.iter().map(|shard| near(&format!("i-{shard}"), shard)).collect();
+    let gather = |priority: u32| json!({ "gather": shards, "topK": 7, "minCoverage": 1.0, "priority": priority, "targetLatencyMs": 4_000 });
+    let routes = vec![write_route("all", "/all/", &gather(0)), write_route("list", "/list/", &gather(2))];
+    let cpu_shares = HashMap::from([("zone-a-0", 0.1)]);
+    let plan = RouteFleetPlan { nodes: [2, 0], servers, routes, cpu_shares, ..RouteFleetPlan::default() };
+    let fleet = RouteFleet::start(plan).await.expect("a fleet");
+    wait_for("shards at the strong node", async || {
+        get(&fleet, "/all/x", &format!("r-{}", fleet.nodes[0].logged(&["event=request "]).len())).await;
+        !fleet.nodes[0].logged(&["event=request ", &format!("delegated={SHARDS}")]).is_empty()
+    })
+    .await;
+    set_work(&fleet, WORK_MS);
+    let ids: Vec<String> = (0..2 * ROOM).map(|number| format!("r-list-{number}")).collect();
+    let answers = join_all(ids.iter().map(|id| get(&fleet, "/list/x", id)));
+    let death = async {
+        wait_for("a full server", async || {
+            read_ids(&fleet).iter().filter(|id| id.starts_with("r-list")).count() >= ROOM
+        })
+        .await;
+        send_signal(&fleet.nodes[1].process, "KILL").await;
+    };
+    let (answers, ()) = tokio::join!(answers, death);
+    answers.iter().for_each(|answer| assert_eq!(answer.status, 200, "{answer:?}"));
+    let most = ids.iter().map(|id| fleet.count_runs(id)).max().expect("requests");
+    assert!(most <= 3 * SHARDS, "{most}: none runs on more servers than its route allows");
+}
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -67,7 +67,7 @@
     /// Whether a call of some request may find room at one of its servers.
     pub fn has_room(&self, now: Moment) -> bool {
         let live = self.servers.iter().filter(|server| !server.is_leaving() && !server.is_dark(now));
-        live.map(|server| server.state()).any(|state| !state.is_avoided(now) && state.has_room(now))
+        live.filter(|server| server.has_room(now)).any(|server| !server.state().is_avoided(now))
     }
 
     /// How many of its servers each bar keeps requests with these homes from, for the log.
--- a/crates/router/src/connection_pool.rs
+++ b/crates/router/src/connection_pool.rs
@@ -81,6 +81,11 @@
         self.count.share.store(share, Ordering::Relaxed);
     }
 
+    /// How many connections there may be, at least one.
+    pub fn share(&self) -> u32 {
+        self.count.share.load(Ordering::Relaxed).max(1)
+    }
+
     /// Takes a resting connection that the server has not closed; one that rested long is
     /// passed over where `is_once` is set.
     async fn take_resting(&self, now: Moment, is_once: bool) -> Option<LeasedConnection> {
--- a/crates/router/src/line_choice.rs
+++ b/crates/router/src/line_choice.rs
@@ -74,10 +74,10 @@
     /// or resting is no better for being free.
     fn choose_roomy(&self, line: &CallLine, candidates: &[Arc<Server>], cheapest: Arc<Server>) -> Option<Arc<Server>> {
         let now = self.now();
-        if cheapest.state().has_room(now) {
+        if cheapest.has_room(now) {
             return Some(cheapest);
         }
-        let roomy = self.find_cheapest(candidates.iter().filter(|server| server.state().has_room(now)))?;
+        let roomy = self.find_cheapest(candidates.iter().filter(|server| server.has_room(now)))?;
         let ahead = line.len() as f64 / f64::from(cheapest.slots().max(1));
         let waiting = self.typical(&cheapest).as_micros() as f64 * ahead;
         (self.cost(&roomy) <= self.cost(&cheapest) + waiting).then_some(roomy)
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -252,6 +252,13 @@
         self.cold_part(now).is_none_or(|part| lock(&self.cold_calls).take(now, part))
     }
 
+    /// Whether this node may have one more call out there, where calls wait at the node: one without a connection
+    /// would only wait in another place.
+    pub fn has_room(&self, now: Moment) -> bool {
+        let state = self.state();
+        state.running() < self.pool.share() && state.has_room(now)
+    }
+
     /// Sets how many connections this node may have to it.
     pub fn set_share(&self, share: u32) {
         self.pool.set_share(share);
