A call that has waited long goes to a farther server rather than waiting on

Change: how long a call has waited counts as what it will wait, so that a free server farther away is taken after a while.

--- a/crates/router/src/call_line.rs
+++ b/crates/router/src/call_line.rs
@@ -221,6 +221,11 @@
         state.called.as_ref().is_some_and(|(work, _)| work.place == self.place)
     }
 
+    /// How long its call has waited.
+    pub fn waited(&self) -> Duration {
+        self.clock.now().since(self.call.joined)
+    }
+
     /// Notes that its call is made, and calls up the next one.
     pub fn note_sent(mut self) {
         let now = self.clock.now();
--- a/crates/router/src/line_choice.rs
+++ b/crates/router/src/line_choice.rs
@@ -1,6 +1,7 @@
 //! Whether a call goes to a server now or waits for one at this node.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use streamfold_policy::call_order::WaitingCall;
 use streamfold_policy::team_turns::TeamShare;
@@ -49,8 +50,9 @@
         }
         // Read before room is looked for, so that what is freed meanwhile is not missed.
         let round = line.round();
+        let waited = place.as_ref().map_or(Duration::ZERO, |place| place.waited());
         let must_wait = place.is_none() && line.is_busy();
-        let roomy = if must_wait { None } else { self.choose_roomy(line, &candidates, cheapest) };
+        let roomy = if must_wait { None } else { self.choose_roomy(line, &candidates, cheapest, waited) };
         if let Some(server) = roomy {
             if place.is_none() {
                 line.note_at_once(self.now(), self.priority);
@@ -71,15 +73,21 @@
     }
 
     /// The cheapest server with room, unless waiting for the cheapest of all is cheaper still: one that is far, slow
-    /// or resting is no better for being free.
-    fn choose_roomy(&self, line: &CallLine, candidates: &[Arc<Server>], cheapest: Arc<Server>) -> Option<Arc<Server>> {
+    /// or resting is no better for being free. Who has waited for long is taken to wait as long again.
+    fn choose_roomy(
+        &self,
+        line: &CallLine,
+        candidates: &[Arc<Server>],
+        cheapest: Arc<Server>,
+        waited: Duration,
+    ) -> Option<Arc<Server>> {
         let now = self.now();
         if cheapest.has_room(now) {
             return Some(cheapest);
         }
         let roomy = self.find_cheapest(candidates.iter().filter(|server| server.has_room(now)))?;
         let ahead = line.len() as f64 / f64::from(cheapest.slots().max(1));
-        let waiting = self.typical(&cheapest).as_micros() as f64 * ahead;
+        let waiting = self.typical(&cheapest).mul_f64(ahead).max(waited).as_micros() as f64;
         (self.cost(&roomy) <= self.cost(&cheapest) + waiting).then_some(roomy)
     }
 
