A called-up call whose request sleeps is passed over until it wakes

Cause: found by reading: a request that is busy elsewhere, say with sending a reply over a slow link, does not act when its call is called up; it was passed over after 25 ms and then, as the first in line, called up again each time, so that the line stood still. Change: it is marked as asleep until it does anything again. 6 tests of the line without a network or servers; without the mark the one of the sleeper does not end (broken off after 60 s).

--- a/crates/policy/src/wait_line.rs
+++ b/crates/policy/src/wait_line.rs
@@ -68,6 +68,12 @@
         self.works.insert((work.key, work.place), work);
     }
 
+    /// Waiting work by its place.
+    pub fn get_mut(&mut self, place: WaitPlace) -> Option<&mut T> {
+        let key = self.keys.get(&place)?;
+        self.works.get_mut(&(*key, place)).map(|work| &mut work.item)
+    }
+
     /// Takes work out by its place, if it is still there.
     pub fn leave(&mut self, place: WaitPlace) -> Option<WaitingWork<K, T>> {
         let key = self.keys.remove(&place)?;
--- a/crates/router/src/call_line.rs
+++ b/crates/router/src/call_line.rs
@@ -28,6 +28,8 @@
     wake: Arc<Notify>,
     /// The round in which it last looked for room.
     looked_in: u64,
+    /// Whether it was called up and did not act; it is passed over until its request does anything again.
+    is_asleep: bool,
 }
 
 type LineWork = WaitingWork<Moment, LineEntry>;
@@ -70,14 +72,15 @@
         if self.called.as_ref().is_some_and(|(_, since)| now.since(*since) < LOOK_AGAIN) {
             return;
         }
-        if let Some((late, _)) = self.called.take() {
+        if let Some((mut late, _)) = self.called.take() {
+            late.item.is_asleep = true;
             self.line.rejoin(late);
         }
         self.line.expire(now);
         if self.passed > MAX_PASSED {
             return;
         }
-        let waiting = self.line.iter().filter(|work| work.item.looked_in < self.round);
+        let waiting = self.line.iter().filter(|work| work.item.looked_in < self.round && !work.item.is_asleep);
         let first = waiting.min_by_key(|work| self.order.rank(now, &work.item.call)).map(|work| work.place);
         let Some(mut work) = first.and_then(|place| self.line.leave(place)) else { return };
         work.item.looked_in = self.round;
@@ -156,7 +159,7 @@
     pub fn join(self: &Arc<Self>, clock: NodeClock, call: WaitingCall, looked_in: u64, request: &str) -> CallPlace {
         let now = clock.now();
         let wake = Arc::new(Notify::new());
-        let entry = LineEntry { call: call.clone(), wake: wake.clone(), looked_in };
+        let entry = LineEntry { call: call.clone(), wake: wake.clone(), looked_in, is_asleep: false };
         let mut state = self.state();
         let ahead = state.line.len() + usize::from(state.called.is_some());
         state.order.note_joined(now, &call);
@@ -199,7 +202,7 @@
     /// Waits until it is called up; `None` if it expired before.
     pub async fn wait(mut self) -> Option<Self> {
         loop {
-            if self.is_called() {
+            if self.note_awake() {
                 return Some(self);
             }
             let now = self.clock.now();
@@ -215,6 +218,16 @@
         }
     }
 
+    /// Notes that its request does something, and tells whether it is called up.
+    fn note_awake(&self) -> bool {
+        let mut state = self.line.state();
+        if let Some(entry) = state.line.get_mut(self.place) {
+            entry.is_asleep = false;
+        }
+        drop(state);
+        self.is_called()
+    }
+
     /// Whether it is called up; one that took too long is not any more.
     pub fn is_called(&self) -> bool {
         let state = self.line.state();
--- a/crates/router/src/line_choice.rs
+++ b/crates/router/src/line_choice.rs
@@ -73,7 +73,8 @@
     }
 
     /// The cheapest server with room, unless waiting for the cheapest of all is cheaper still: one that is far, slow
-    /// or resting is no better for being free. Who has waited for long is taken to wait as long again.
+    /// or resting is no better for being free. The longer the line, and the longer the call has waited, the farther it
+    /// may go: that leaves what frees here to those behind it.
     fn choose_roomy(
         &self,
         line: &CallLine,
@@ -86,8 +87,8 @@
             return Some(cheapest);
         }
         let roomy = self.find_cheapest(candidates.iter().filter(|server| server.has_room(now)))?;
-        let ahead = line.len() as f64 / f64::from(cheapest.slots().max(1));
-        let waiting = self.typical(&cheapest).mul_f64(ahead).max(waited).as_micros() as f64;
+        let turns = line.len() as f64 / f64::from(cheapest.slots().max(1));
+        let waiting = self.typical(&cheapest).mul_f64(turns).max(waited).as_micros() as f64;
         (self.cost(&roomy) <= self.cost(&cheapest) + waiting).then_some(roomy)
     }
 
--- /dev/null
+++ b/crates/router/tests/call_line.rs
@@ -0,0 +1,117 @@
+//! Calls in a line: who is called up, and what becomes of those that leave, find nothing or fall asleep.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use streamfold_model::Priority;
+use streamfold_policy::Moment;
+use streamfold_policy::call_order::WaitingCall;
+use streamfold_router::call_line::{CallLine, CallPlace};
+use streamfold_router::call_waits::CallWaits;
+use streamfold_router::clock::NodeClock;
+use streamfold_router::contention::LineRule;
+
+struct Scene {
+    line: Arc<CallLine>,
+    waits: Arc<CallWaits>,
+    clock: NodeClock,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let waits = Arc::new(CallWaits::default());
+        let line = CallLine::new("cart".parse().expect("a name"), LineRule { by_team: false }, waits.clone());
+        Self { line, waits, clock: NodeClock::start() }
+    }
+
+    /// A call that has found no server with room.
+    fn join(&self, priority: u32, expires: Moment) -> CallPlace {
+        let joined = self.clock.now();
+        let call = WaitingCall { priority: Priority(priority), team: None, joined, latest_start: joined, expires };
+        self.line.join(self.clock, call, self.line.round(), "r-1")
+    }
+
+    fn note_room(&self) {
+        self.line.note_room(self.clock.now());
+    }
+}
+
+const NEVER: Moment = Moment(u64::MAX / 4);
+
+#[tokio::test]
+async fn the_most_urgent_is_called_up_and_then_the_next() {
+    let scene = Scene::new();
+    let (late, urgent) = (scene.join(2, NEVER), scene.join(0, NEVER));
+    scene.note_room();
+    assert!(urgent.is_called() && !late.is_called());
+    urgent.note_sent();
+    let late = late.wait().await.expect("it does not expire");
+    assert_eq!(scene.line.len(), 1);
+    late.note_sent();
+    assert!(scene.line.is_empty());
+}
+
+#[tokio::test]
+async fn who_leaves_while_called_up_gives_the_turn_to_the_next() {
+    let scene = Scene::new();
+    let (first, second, third) = (scene.join(0, NEVER), scene.join(0, NEVER), scene.join(0, NEVER));
+    drop(second);
+    scene.note_room();
+    assert!(first.is_called());
+    drop(first);
+    assert!(third.is_called());
+    assert_eq!(scene.line.len(), 1);
+}
+
+#[tokio::test]
+async fn who_finds_no_server_keeps_its_place_and_the_next_may_look() {
+    let scene = Scene::new();
+    let (first, second) = (scene.join(0, NEVER), scene.join(1, NEVER));
+    scene.note_room();
+    first.rejoin(true);
+    assert!(second.is_called(), "another call may be able to use what the first cannot");
+    second.rejoin(true);
+    assert!(!first.is_called() && !second.is_called(), "both have looked");
+    scene.note_room();
+    assert!(first.is_called(), "it has its old place");
+}
+
+#[tokio::test]
+async fn room_that_came_between_looking_and_joining_is_not_missed() {
+    let scene = Scene::new();
+    let round = scene.line.round();
+    scene.note_room();
+    let joined = scene.clock.now();
+    let call = WaitingCall { priority: Priority(0), team: None, joined, latest_start: joined, expires: NEVER };
+    let place = scene.line.join(scene.clock, call, round, "r-1");
+    assert!(place.is_called());
+}
+
+#[tokio::test]
+async fn who_is_called_up_and_sleeps_is_passed_over_until_it_wakes() {
+    let scene = Scene::new();
+    let (asleep, awake) = (scene.join(0, NEVER), scene.join(1, NEVER));
+    scene.note_room();
+    assert!(asleep.is_called());
+    let awake = awake.wait().await.expect("its turn comes though the first one never acts");
+    scene.note_room();
+    assert!(!asleep.is_called());
+    awake.note_sent();
+    let woken = asleep.wait().await.expect("its turn comes once it acts again");
+    assert!(woken.is_called());
+}
+
+#[tokio::test]
+async fn who_waits_too_long_is_dropped_and_its_wait_is_told() {
+    let scene = Scene::new();
+    let mut place = Some(scene.join(1, scene.clock.now().plus(Duration::from_millis(40))));
+    while let Some(waiting) = place {
+        // It is called up now and then, for what servers told fades, and finds none.
+        waiting.rejoin(false);
+        place = waiting.wait().await;
+    }
+    assert!(scene.line.is_empty());
+    let told = scene.waits.report(scene.clock.now());
+    assert_eq!(told.iter().map(|wait| wait.priority).collect::<Vec<_>>(), [Priority(1)]);
+    assert!(told[0].wait_us >= 40_000, "{told:?}");
+}
