--- a/crates/router/src/line_choice.rs
+++ b/crates/router/src/line_choice.rs
@@ -50,7 +50,7 @@
         }
         // Read before room is looked for, so that what is freed meanwhile is not missed.
         let round = line.round();
-        let waited = place.as_ref().map_or(Duration::ZERO, |place| place.waited());
+        let waited = place.as_ref().map_or(Duration::ZERO, CallPlace::waited);
         let must_wait = place.is_none() && line.is_busy();
         let roomy = if must_wait { None } else { self.choose_roomy(line, &candidates, cheapest, waited) };
         if let Some(server) = roomy {
