--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -6,6 +6,7 @@
 use crate::moment::Moment;
 use crate::pace::{PaceBelief, SpellSample};
 use crate::server_outlook::{FinishOutlook, ServerOutlook};
+use crate::server_room::{OthersLoad, server_room};
 use crate::work_pace::{WorkPace, WorkSample};
 
 /// What is remembered of refusals and failures fades by half in this time without a new call.
@@ -97,6 +98,7 @@
     answered: Moment,
     resting_until: Moment,
     load: Option<(f64, Moment)>,
+    others: Option<OthersLoad>,
     pace: PaceBelief,
     work: WorkPace,
     /// Whether its service has enough servers to choose among them by their measured pace.
@@ -119,6 +121,7 @@
             answered: Moment::default(),
             resting_until: Moment::default(),
             load: None,
+            others: None,
             pace: PaceBelief::default(),
             work: WorkPace::default(),
             is_compared: false,
@@ -209,6 +212,11 @@
         self.ahead(now) > f64::from(self.slots)
     }
 
+    /// Whether this node may have one more call out there, where calls wait at the node.
+    pub fn has_room(&self, now: Moment) -> bool {
+        self.running() < server_room(now, self.slots, self.others)
+    }
+
     /// Work that it runs or holds waiting.
     fn ahead(&self, now: Moment) -> f64 {
         let told = self.load.filter(|(_, told)| now.since(*told) < LOAD_LIFE).map_or(0.0, |(load, _)| load);
@@ -360,6 +368,7 @@
     pub fn learn_load(&mut self, now: Moment, running: u32, waiting: u32) {
         if self.mechanisms.has(Mechanism::ToldLoad) {
             self.load = Some((f64::from(running + waiting), now));
+            self.others = Some(OthersLoad::learn(now, running + waiting, self.running()));
         }
     }
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -76,6 +76,7 @@
     }
     let now = context.now();
     let desk = &context.router.entry;
+    note_own(context, now);
     let told = desk.wait(now, context.priority);
     let left = context.request.deadline.since(now);
     let ask = EntryAsk {
@@ -94,6 +95,13 @@
     Err(RefusalKind::not_run(TurnReason::Overload { wait }))
 }
 
+/// Notes how long calls wait at this node: it hears of the others by their replies.
+fn note_own(context: &AttemptContext, now: Moment) {
+    let settings = &context.router.settings;
+    let own = DomainReport { waits: context.view.waits.report(now), ..DomainReport::default() };
+    context.router.entry.note_report(now, &settings.failure_domain, &settings.node, &own);
+}
+
 /// Whether requests are turned away at all: only where some are more urgent than others.
 fn is_used(context: &AttemptContext) -> bool {
     let is_mixed = context.view.table.as_ref().is_some_and(|table| table.has_mixed_priorities());
--- a/crates/router/src/peer_gather.rs
+++ b/crates/router/src/peer_gather.rs
@@ -75,7 +75,8 @@
             BatchMode::Each { .. } => Vec::new(),
         };
         let crashed = self.context.router.cluster.quarantine.crashed(self.context.request.suspect.content);
-        let report = DomainReport { paces: self.tell_paces(), ..DomainReport::default() };
+        let waits = self.context.view.waits.report(self.context.now());
+        let report = DomainReport { waits, paces: self.tell_paces() };
         ShardReply { version, is_stopping: false, shards, missing, records, crashed, report }
     }
 
--- a/crates/router/tests/measured_pace.rs
+++ b/crates/router/tests/measured_pace.rs
@@ -16,6 +16,7 @@
 use streamfold_router::cluster_place::ClusterPlace;
 use streamfold_router::pace_report::{take_paces, tell_paces};
 use streamfold_router::server::Server;
+use streamfold_router::settings::SchedulingSettings;
 
 const USUAL: Duration = Duration::from_millis(10);
 
@@ -67,6 +68,7 @@
         spent_for: Duration::from_secs(10),
         cold_calls: None,
         mechanisms: MechanismSet::without(without),
+        scheduling: SchedulingSettings::default(),
     })
 }
 
