While the store is away a node asks it by one call at a time, later ranks less often

Change: a broken connection is a refusal; one call goes first when a watch breaks or the reader is lost; pauses grow with the node's rank (policy/store_pause.rs), and a refused node looks for a reader twice a second. Routes and evacuations are watched for 30 s and renewed when the store's own numbers tell that something changed (policy/watch_rule.rs). Calls are counted and logged by reason.

Ruled out: only the first ranks ask (they may be the ones turned away); watches of 30 s that rely on all connections falling silent together; stale listings of nodes.

--- a/crates/policy/src/feed_rule.rs
+++ b/crates/policy/src/feed_rule.rs
@@ -53,13 +53,16 @@
     pub patience: Duration,
     /// How long it waits then for one that says that it is about to begin.
     pub starting_patience: Duration,
+    /// Its rank among those that share a reader, 0 for the first and where nobody does.
+    pub rank: usize,
 }
 
 /// The nodes from which `own` may take the news of the store. The nodes form a tree by rank, the
 /// strong ones first, of which only the root follows the store. Weak nodes follow strong ones. A node only ever follows nodes of a
 /// higher rank, so no two follow each other, whatever each of them knows.
 pub fn choose_readers<'a>(own: &str, domain: &str, nodes: &[FeedNode<'a>]) -> ReaderChoice<'a> {
-    let alone = ReaderChoice { readers: Vec::new(), patience: Duration::ZERO, starting_patience: Duration::ZERO };
+    let alone =
+        ReaderChoice { readers: Vec::new(), patience: Duration::ZERO, starting_patience: Duration::ZERO, rank: 0 };
     if nodes.len() < MIN_SHARING {
         return alone;
     }
@@ -83,6 +86,7 @@
         readers,
         patience: patience.min(MAX_PATIENCE),
         starting_patience: patience.min(MAX_STARTING_PATIENCE),
+        rank,
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,7 +40,9 @@
 pub mod server_bound;
 pub mod server_scope;
 pub mod split_rule;
+pub mod store_pause;
 pub mod usage_credit;
+pub mod watch_rule;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
 pub use budget::TokenBudget;
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -144,15 +144,22 @@
     pub const ALL: [Self; 5] = [Self::Routes, Self::Servers, Self::Nodes, Self::Evacuations, Self::Crashes];
 }
 
-impl std::fmt::Display for FeedTopic {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
+impl FeedTopic {
+    /// Its name in counters and logs.
+    pub fn name(self) -> &'static str {
+        match self {
             Self::Routes => "routes",
             Self::Servers => "servers",
             Self::Nodes => "nodes",
             Self::Evacuations => "evacuations",
             Self::Crashes => "crashes",
-        })
+        }
+    }
+}
+
+impl std::fmt::Display for FeedTopic {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.name())
     }
 }
 
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use streamfold_policy::watch_rule::{self, WatchAsk};
 use streamfold_store::StoreError;
 
 use crate::border::{FeedChanges, FeedList, FeedPosition, FeedTopic, ListAge};
@@ -11,12 +12,9 @@
 use crate::listing::{KnownEntries, RelayListing};
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
-use crate::store_turn::choose_pause;
+use crate::store_call::{self, CallReason};
+use crate::store_turn::{choose_pause, is_refused_by};
 
-/// How long a watch of nodes or crashes waits in the store: about the longest that it allows. Nodes matter
-/// little from one second to the next, and for crashes another watch tells that connections fell silent. The
-/// other watches wait as long as the settings say.
-const LONG_WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Pauses after changes, in which more of them may come that one call then brings. A server
 /// that leaves must get no request 3 s after; nodes matter little from one second to the next.
 const SERVERS_PAUSE: Duration = Duration::from_millis(200);
@@ -33,6 +31,8 @@
     failures: u32,
     /// Whether the next listing may be stale: the history that a stale one needs may be gone.
     may_be_stale: bool,
+    /// Why the topic is listed next.
+    list_reason: CallReason,
 }
 
 /// Follows a topic in the store until the node ends, whenever no other node is followed.
@@ -46,6 +46,7 @@
             position: None,
             failures: 0,
             may_be_stale: topic == FeedTopic::Crashes,
+            list_reason: CallReason::Begin,
         };
         tokio::select! {
             () = follower.run() => {}
@@ -85,7 +86,8 @@
             continue;
         }
         tracing::info!(event = "routes_behind", version = %router.cluster.version());
-        match router.feed.list(FeedTopic::Routes, ListAge::Fresh).await {
+        let list = router.feed.list(FeedTopic::Routes, ListAge::Fresh);
+        match store_call::make(FeedTopic::Routes, CallReason::Behind, list).await {
             Ok(list) => {
                 router.cluster.replace(router.clock.now(), list.items.clone(), FeedTopic::Routes, NewsOrigin::Store);
                 // Who follows this node would not hear of them: what it has, its own reader leaves out.
@@ -105,6 +107,7 @@
                     tracing::info!(event = "feed_history_gone", topic = %self.topic);
                     self.position = None;
                     self.may_be_stale = false;
+                    self.list_reason = CallReason::HistoryGone;
                 }
                 Err(error) => self.note_failure(&error).await,
             }
@@ -114,7 +117,11 @@
     async fn step(&self) -> Result<FeedPosition, StoreError> {
         let Some(position) = self.position else { return self.list().await };
         let router = &self.router;
-        let news = router.feed.watch(self.topic, position, self.watch_wait()).await?;
+        let watch = router.feed.watch(self.topic, position, self.watch_wait(position));
+        let news = tokio::select! {
+            news = store_call::make(self.topic, CallReason::Watch, watch) => news?,
+            () = self.wait_overdue(position) => return Ok(position),
+        };
         if news.changes.is_empty() {
             return Ok(news.position);
         }
@@ -170,11 +177,36 @@
         if self.may_be_stale { ListAge::MayBeStale } else { ListAge::Fresh }
     }
 
-    fn watch_wait(&self) -> Duration {
+    /// How long a watch waits in the store. Nodes matter little from one second to the next, and for crashes the watch
+    /// of servers tells that connections fell silent. That one is renewed as often as the settings say; routes and
+    /// evacuations rely on what it tells.
+    fn watch_wait(&self, position: FeedPosition) -> Duration {
         match self.topic {
-            FeedTopic::Routes | FeedTopic::Servers | FeedTopic::Evacuations => self.router.settings.silence_within.0,
-            FeedTopic::Nodes | FeedTopic::Crashes => LONG_WATCH_WAIT,
+            FeedTopic::Servers => self.router.settings.silence_within.0,
+            FeedTopic::Routes | FeedTopic::Evacuations => watch_rule::choose_wait(&self.watch_ask(position)),
+            FeedTopic::Nodes | FeedTopic::Crashes => watch_rule::LONGEST_WAIT,
+        }
+    }
+
+    fn watch_ask(&self, position: FeedPosition) -> WatchAsk {
+        let told = self.router.told_position.borrow().0;
+        WatchAsk { known: position.0, told, silence_within: self.router.settings.silence_within.0 }
+    }
+
+    /// Waits until a watch that has just begun is to be begun anew, since its connection may have fallen silent.
+    async fn wait_overdue(&self, position: FeedPosition) {
+        let relies = matches!(self.topic, FeedTopic::Routes | FeedTopic::Evacuations);
+        let ask = self.watch_ask(position);
+        // A short one ends by itself.
+        if !relies || watch_rule::choose_wait(&ask) <= ask.silence_within {
+            return std::future::pending().await;
         }
+        tokio::time::sleep(ask.silence_within).await;
+        let mut told = self.router.told_position.subscribe();
+        let is_overdue =
+            |told: &FeedPosition| watch_rule::is_overdue(&WatchAsk { told: told.0, ..ask }, ask.silence_within);
+        // The sender lives as long as the router.
+        let _ = told.wait_for(is_overdue).await;
     }
 
     fn pause(&self) -> Duration {
@@ -187,7 +219,8 @@
 
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
-        let list = router.store_turn.call(router.feed.list(self.topic, self.list_age())).await?;
+        let list = router.feed.list(self.topic, self.list_age());
+        let list = router.store_turn.call(store_call::make(self.topic, self.list_reason, list)).await?;
         let position = list.position;
         self.take_list(list);
         Ok(position)
@@ -199,6 +232,7 @@
         }
         self.failures = 0;
         self.position = Some(position);
+        self.router.note_told(position);
         self.router.set_followed(self.topic, true);
     }
 
@@ -211,9 +245,12 @@
         // What changed while a watch was cut may be hidden from the next one, so everything is
         // listed again.
         self.position = None;
+        self.list_reason = CallReason::AfterFailure;
         self.failures += 1;
-        // A refused one waits for its turn.
-        if !matches!(error, StoreError::Unavailable(_) | StoreError::Unreachable) {
+        if is_refused_by(error) {
+            // The next call waits for its turn, also where this one was a watch.
+            self.router.store_turn.doubt();
+        } else {
             tokio::time::sleep(choose_pause(self.failures - 1)).await;
         }
     }
@@ -224,7 +261,8 @@
     let entry = router.own_entry();
     let mut failures = 0;
     let is_listed = router.cluster.has_node(&entry.node);
-    while let Err(error) = router.store_turn.call(router.feed.announce(&entry, is_listed)).await {
+    let register = || store_call::make(FeedTopic::Nodes, CallReason::Register, router.feed.announce(&entry, is_listed));
+    while let Err(error) = router.store_turn.call(register()).await {
         if failures == 0 {
             tracing::warn!(event = "announce_failed", %error);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod signs;
 pub mod single;
 pub mod spell_book;
+pub mod store_call;
 pub mod store_turn;
 pub mod task;
 pub mod times;
--- a/crates/router/src/look_around.rs
+++ b/crates/router/src/look_around.rs
@@ -6,6 +6,7 @@
 use crate::cluster::NewsOrigin;
 use crate::knowledge;
 use crate::router::Router;
+use crate::store_call::{self, CallReason};
 
 /// The pause before nodes that were not up yet, or knew nothing yet, are asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
@@ -38,7 +39,7 @@
         return;
     }
     let age = if is_first { ListAge::Fresh } else { ListAge::MayBeStale };
-    match router.feed.list(FeedTopic::Nodes, age).await {
+    match store_call::make(FeedTopic::Nodes, CallReason::LookAround, router.feed.list(FeedTopic::Nodes, age)).await {
         Ok(list) => take_nodes(router, list),
         Err(error) => tracing::info!(event = "nodes_unknown", %error),
     }
@@ -46,7 +47,7 @@
 
 /// Learns the nodes from the store if they fit in one answer; false where they are more.
 async fn learn_few(router: &Router) -> bool {
-    match router.feed.list_few(FeedTopic::Nodes).await {
+    match store_call::make(FeedTopic::Nodes, CallReason::LookAround, router.feed.list_few(FeedTopic::Nodes)).await {
         Ok(Some(list)) => {
             take_nodes(router, list);
             true
--- a/crates/router/src/node_sweep.rs
+++ b/crates/router/src/node_sweep.rs
@@ -13,6 +13,7 @@
 use crate::quarantine;
 use crate::relay::FeedSource;
 use crate::router::{Router, RouterPhase};
+use crate::store_call::{self, CallReason};
 
 /// Looks at the other nodes of the failure domain in the time until one counts as gone.
 const LOOKS: u32 = 6;
@@ -61,7 +62,7 @@
 }
 
 async fn remove(router: &Router, entry: &NodeEntry, absent: Duration) {
-    match router.feed.withdraw(entry).await {
+    match store_call::make(FeedTopic::Nodes, CallReason::Sweep, router.feed.withdraw(entry)).await {
         Ok(()) => tracing::warn!(
             event = "node_entry_removed",
             node = %entry.node,
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -10,11 +10,12 @@
 use streamfold_policy::crash_book::{ContentStanding, CrashBook, CrashSuspect, LEAST_CRASHES, SETTLE_AFTER};
 use streamfold_store::StoreError;
 
-use crate::border::EntryRevision;
+use crate::border::{EntryRevision, FeedTopic};
 use crate::cluster::NewsOrigin;
 use crate::crash_check;
 use crate::router::Router;
 use crate::server::Server;
+use crate::store_call::{self, CallReason};
 use crate::store_turn::choose_pause;
 
 /// How long a node tries to tell the others of a content: the store is away at most for seconds, and a
@@ -151,6 +152,11 @@
     }
 }
 
+/// Makes a call of the quarantine.
+async fn ask<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+    store_call::make(FeedTopic::Crashes, CallReason::Quarantine, call).await
+}
+
 fn join(servers: &[ServerRun]) -> String {
     servers.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
 }
@@ -165,11 +171,11 @@
             return entry;
         }
         let replaces = known.as_ref().map(|(_, revision)| *revision);
-        let written = router.store_turn.call(router.feed.write_crash(&entry, replaces)).await;
+        let written = router.store_turn.call(ask(router.feed.write_crash(&entry, replaces))).await;
         let error = match written {
             Ok(()) => return entry,
             Err(StoreError::Conflict | StoreError::BadStatus(404)) => {
-                match router.store_turn.call(router.feed.read_crash(own.content)).await {
+                match router.store_turn.call(ask(router.feed.read_crash(own.content))).await {
                     Ok(held) => {
                         known = held;
                         continue;
@@ -213,12 +219,12 @@
 
 /// Counts one more trial in the store, unless another node has done so.
 async fn raise_trials(router: &Router, known: &CrashEntry) -> Result<Option<CrashEntry>, StoreError> {
-    let Some((mut entry, revision)) = router.feed.read_crash(known.content).await? else { return Ok(None) };
+    let Some((mut entry, revision)) = ask(router.feed.read_crash(known.content)).await? else { return Ok(None) };
     if entry.trials != known.trials {
         return Ok(None);
     }
     entry.trials += 1;
-    match router.feed.write_crash(&entry, Some(revision)).await {
+    match ask(router.feed.write_crash(&entry, Some(revision))).await {
         Ok(()) => Ok(Some(entry)),
         Err(StoreError::Conflict | StoreError::BadStatus(404)) => Ok(None),
         Err(error) => Err(error),
@@ -228,7 +234,7 @@
 /// Gives a content free whose trial did no harm.
 pub(crate) async fn release(router: &Router, content: ContentId) {
     let is_shared = router.cluster.quarantine.book().shared_entry(content).is_some();
-    if is_shared && let Err(error) = router.store_turn.call(router.feed.remove_crash(content)).await {
+    if is_shared && let Err(error) = router.store_turn.call(ask(router.feed.remove_crash(content))).await {
         // It stays held off, and is tried again.
         tracing::warn!(event = "content_not_released", %content, %error);
         return;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::evacuation::EvacuationList;
 use crate::feed;
 use crate::listing::{KnownDigest, KnownEntries, RelayListing};
+use crate::relay_service::known_entries;
 use crate::router::Router;
 
 /// Path of a subscription to the news of the store, with the form of the messages.
@@ -39,6 +40,9 @@
 /// how often at least: many nodes that lost their reader together follow the store for a moment.
 const FIRST_LOOK: Duration = Duration::from_millis(500);
 const LOOK_EVERY: Duration = Duration::from_secs(3);
+/// How often at least while the store refuses calls: a node that comes later in its failure domain asks the store itself
+/// less often then, and those before it may have been answered.
+const LOOK_WHILE_REFUSED: Duration = Duration::from_millis(500);
 /// How often a node that waits for a reader which is about to begin looks whether that still says so.
 const START_LOOK: Duration = Duration::from_millis(100);
 /// Where a node has its news of the store from.
@@ -128,12 +132,15 @@
                 let error = subscription.run(&router).await;
                 tracing::warn!(event = "reader_lost", reader = %subscription.reader, %error);
                 lost = Some(subscription.reader);
+                // It may have lost the store.
+                router.store_turn.doubt();
                 looks = 0;
             }
             None => {
                 router.set_source(FeedSource::Store);
                 lost = None;
-                let pause = (FIRST_LOOK * 2u32.pow(looks)).min(LOOK_EVERY);
+                let longest = if router.store_turn.is_refused() { LOOK_WHILE_REFUSED } else { LOOK_EVERY };
+                let pause = (FIRST_LOOK * 2u32.pow(looks)).min(longest);
                 looks = (looks + 1).min(8);
                 tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
             }
@@ -221,6 +228,7 @@
     let nodes: Vec<FeedNode> =
         neighbours.iter().map(|entry| FeedNode { name: entry.node.as_str(), power: entry.power }).collect();
     let choice = choose_readers(place.node.as_str(), place.domain.as_str(), &nodes);
+    router.store_turn.set_rank(choice.rank);
     let find = |name: &str| neighbours.iter().find(|entry| entry.node.as_str() == name).cloned();
     OwnReaders {
         readers: choice.readers.into_iter().filter_map(find).collect(),
@@ -250,7 +258,7 @@
 impl RelaySubscription {
     async fn open(router: &Router, entry: &NodeEntry, starting: Option<&AtomicBool>) -> Result<Self, RelayError> {
         let link = PeerLink::new(entry.peer_address);
-        let known = KnownEntries::of(router).digest(router.cluster.version());
+        let known = known_entries(router).digest(router.cluster.version());
         let request = RelayRequest { node: router.settings.node.clone(), known };
         let begin = async {
             let mut frames = link.stream(PATH_RELAY, &request).await?;
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -157,7 +157,8 @@
     encode_frame(&RelayFrame::Begin(Box::new(listing)))
 }
 
-fn known_entries(router: &Router) -> Arc<KnownEntries> {
+/// What this node knows now.
+pub(crate) fn known_entries(router: &Router) -> Arc<KnownEntries> {
     let generation = router.cluster.generation();
     let mut known = router.outlet.known.lock().unwrap_or_else(PoisonError::into_inner);
     if let Some((_, entries)) = known.as_ref().filter(|(made, _)| *made == generation) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use crate::border::{CallFormat, ClusterFeed, FeedTopic};
+use crate::border::{CallFormat, ClusterFeed, FeedPosition, FeedTopic};
 use crate::clock::{NodeClock, wall_ms};
 use crate::cluster::Cluster;
 use crate::cluster_place::ClusterPlace;
@@ -69,6 +69,8 @@
     pub newer_routes: Notify,
     /// How long the machine was suspended when this node last looked; what it knew before is old then.
     pub(crate) woken: watch::Sender<Duration>,
+    /// The position in the store's history that any of its answers told last.
+    pub(crate) told_position: watch::Sender<FeedPosition>,
     /// Told when nodes were listed, so that links to them are made.
     pub nodes_learnt: Notify,
     /// The newest version of the routes that another node was heard to have.
@@ -159,6 +161,7 @@
             newer_routes: Notify::new(),
             nodes_learnt: Notify::new(),
             woken: watch::Sender::new(Duration::ZERO),
+            told_position: watch::Sender::new(FeedPosition::default()),
             heard_version: AtomicU64::new(0),
             source: watch::Sender::new(FeedSource::Undecided),
             feed_changed: watch::Sender::new(()),
@@ -259,6 +262,15 @@
         }
     }
 
+    /// Notes the position that an answer of the store told.
+    pub(crate) fn note_told(&self, position: FeedPosition) {
+        self.told_position.send_if_modified(|told| {
+            let is_newer = position > *told;
+            *told = position.max(*told);
+            is_newer
+        });
+    }
+
     /// Whether another node was heard to have newer routes than are in force here.
     pub fn is_behind(&self) -> bool {
         self.heard_version.load(Ordering::Relaxed) > self.cluster.version().0
--- a/crates/router/src/router_stop.rs
+++ b/crates/router/src/router_stop.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::border::FeedTopic;
 use crate::router::{Router, RouterPhase, RunningRouter};
+use crate::store_call::{self, CallReason};
 
 /// A stopping node still takes requests for so long: the balancer asks each second and takes a
 /// node out after two answers that say no.
@@ -19,7 +21,11 @@
     /// Removes this node's entry, unless a later run of it has written its own.
     async fn withdraw(&self) {
         let entry = self.own_entry();
-        let withdrawn = tokio::time::timeout(WITHDRAW_WITHIN, self.feed.withdraw(&entry)).await;
+        let withdrawn = tokio::time::timeout(
+            WITHDRAW_WITHIN,
+            store_call::make(FeedTopic::Nodes, CallReason::Withdraw, self.feed.withdraw(&entry)),
+        )
+        .await;
         match withdrawn {
             Ok(Ok(())) => tracing::info!(event = "withdrawn", node = %self.settings.node),
             Ok(Err(error)) => tracing::warn!(event = "withdraw_failed", %error),
--- a/crates/router/src/store_turn.rs
+++ b/crates/router/src/store_turn.rs
@@ -1,23 +1,22 @@
-//! Turns at the platform's store. While it refuses calls, as when it turns some nodes away, one of
-//! this node's asks at a time whether it takes them again, and the others wait: every refused call
+//! Turns at the platform's store. While it refuses calls or breaks their connections, as when it turns some nodes
+//! away, one of this node's asks at a time whether it takes them again, and the others wait: every refused call
 //! costs the platform as much as an answered one.
 
 use std::future::Future;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use streamfold_policy::store_pause;
 use streamfold_store::StoreError;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
-/// Pauses after a refused call: the first, doubled with each further one, and the longest. The
-/// store's rates bear all nodes asking at the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-const MAX_PAUSE: Duration = Duration::from_millis(800);
-
 /// The pause after so many failed calls in a row, spread so that nodes do not ask together.
 pub(crate) fn choose_pause(failures: u32) -> Duration {
-    let pause = (FIRST_PAUSE * 2u32.pow(failures.min(6))).min(MAX_PAUSE);
+    spread(store_pause::choose_pause(failures, 0))
+}
+
+fn spread(pause: Duration) -> Duration {
     pause.mul_f64(rand::random_range(0.5..1.0))
 }
 
@@ -25,6 +24,10 @@
 #[derive(Debug, Default)]
 pub struct StoreTurn {
     is_refused: AtomicBool,
+    /// Whether it is not known that the store takes calls.
+    is_doubtful: AtomicBool,
+    /// The rank of this node among those of its failure domain that ask the store.
+    rank: AtomicUsize,
     refusals: Mutex<RefusalRecord>,
 }
 
@@ -41,19 +44,31 @@
         self.is_refused.load(Ordering::Relaxed)
     }
 
+    /// Lets one call find out whether the store takes calls before others are made: what told of the store has
+    /// broken off.
+    pub fn doubt(&self) {
+        self.is_doubtful.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes the rank of this node in its failure domain: those before it ask a store that refuses more often.
+    pub fn set_rank(&self, rank: usize) {
+        self.rank.store(rank, Ordering::Relaxed);
+    }
+
     /// Makes a call, in its turn while calls are refused.
     ///
     /// # Errors
     /// Those of the call.
     pub async fn call<T>(&self, call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
-        if !self.is_refused.load(Ordering::Relaxed) {
-            let result = call.await;
-            if is_refusal(&result) {
-                self.note_refusal(&mut *self.refusals.lock().await);
-            }
-            return result;
+        if !self.is_needed() {
+            return self.call_at_once(call).await;
         }
         let mut refusals = self.refusals.lock().await;
+        if !self.is_needed() {
+            // The call before it found that the store takes calls.
+            drop(refusals);
+            return self.call_at_once(call).await;
+        }
         if let Some(again_at) = refusals.again_at {
             tokio::time::sleep_until(again_at).await;
         }
@@ -64,18 +79,38 @@
             false => {
                 *refusals = RefusalRecord::default();
                 self.is_refused.store(false, Ordering::Relaxed);
+                self.is_doubtful.store(false, Ordering::Relaxed);
             }
         }
         result
     }
 
+    /// Whether calls go one at a time.
+    fn is_needed(&self) -> bool {
+        self.is_refused.load(Ordering::Relaxed) || self.is_doubtful.load(Ordering::Relaxed)
+    }
+
+    async fn call_at_once<T>(&self, call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+        let result = call.await;
+        if is_refusal(&result) {
+            self.note_refusal(&mut *self.refusals.lock().await);
+        }
+        result
+    }
+
     fn note_refusal(&self, refusals: &mut RefusalRecord) {
-        refusals.again_at = Some(Instant::now() + choose_pause(refusals.count));
+        let rank = self.rank.load(Ordering::Relaxed);
+        refusals.again_at = Some(Instant::now() + spread(store_pause::choose_pause(refusals.count, rank)));
         refusals.count += 1;
         self.is_refused.store(true, Ordering::Relaxed);
     }
 }
 
 fn is_refusal<T>(result: &Result<T, StoreError>) -> bool {
-    matches!(result, Err(StoreError::Unavailable(_) | StoreError::Unreachable))
+    result.as_ref().is_err_and(is_refused_by)
+}
+
+/// Whether a failure tells that the store takes no calls now. Where an answer is only late others may be answered.
+pub(crate) fn is_refused_by(error: &StoreError) -> bool {
+    matches!(error, StoreError::Unavailable(_) | StoreError::Unreachable | StoreError::ConnectionBroken)
 }
--- a/crates/router/tests/store_turn.rs
+++ b/crates/router/tests/store_turn.rs
@@ -58,3 +58,49 @@
     let results = tokio::join!(ask(&turn, &asked, first), ask(&turn, &asked, second), steps);
     assert_eq!((results.0, results.1), (true, true));
 }
+
+/// Makes two calls of which the first is answered when the test says so; whether the second waited for it.
+async fn second_waits(turn: &StoreTurn) -> bool {
+    let asked = AtomicUsize::new(0);
+    let (tell_first, first) = oneshot::channel();
+    let (tell_second, second) = oneshot::channel();
+    let mut asked_at_once = 0;
+    let steps = async {
+        while asked.load(Ordering::SeqCst) == 0 {
+            tokio::task::yield_now().await;
+        }
+        for _ in 0..1_000 {
+            tokio::task::yield_now().await;
+        }
+        asked_at_once = asked.load(Ordering::SeqCst);
+        tell_first.send(true).expect("the first call");
+        tell_second.send(true).expect("the second call");
+    };
+    let results = tokio::join!(ask(turn, &asked, first), ask(turn, &asked, second), steps);
+    assert_eq!((results.0, results.1), (true, true));
+    asked_at_once == 1
+}
+
+/// A store that broke every connection for six seconds was asked by each node for five topics by themselves.
+#[tokio::test]
+async fn calls_whose_connection_broke_ask_again_one_at_a_time() {
+    let turn = StoreTurn::default();
+    assert!(turn.call(async { Err::<(), _>(StoreError::ConnectionBroken) }).await.is_err());
+    assert!(second_waits(&turn).await);
+}
+
+#[tokio::test]
+async fn calls_of_which_one_answer_was_late_go_together() {
+    let turn = StoreTurn::default();
+    assert!(turn.call(async { Err::<(), _>(StoreError::AnswerLost) }).await.is_err());
+    assert!(!second_waits(&turn).await);
+}
+
+#[tokio::test]
+async fn one_call_finds_out_whether_a_store_in_doubt_takes_calls() {
+    let turn = StoreTurn::default();
+    turn.doubt();
+    assert!(!turn.is_refused(), "nobody was refused");
+    assert!(second_waits(&turn).await);
+    assert!(!second_waits(&turn).await, "it does");
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -52,6 +52,9 @@
     /// The answer was lost: a write may or may not have taken effect.
     #[error("the platform's answer was lost")]
     AnswerLost,
+    /// The connection broke before an answer: a write may or may not have taken effect.
+    #[error("the connection to the platform broke")]
+    ConnectionBroken,
     /// The value is over [`MAX_OBJECT_LEN`]; nothing was written.
     #[error("the value of {0} bytes is larger than the platform holds")]
     TooLarge(usize),
@@ -69,7 +72,7 @@
 impl StoreError {
     /// Whether a write that failed so may have taken effect all the same.
     pub fn may_have_written(&self) -> bool {
-        matches!(self, Self::AnswerLost | Self::BadStatus(_) | Self::Malformed(_))
+        matches!(self, Self::AnswerLost | Self::ConnectionBroken | Self::BadStatus(_) | Self::Malformed(_))
     }
 }
 
