--- a/crates/router/src/store_turn.rs
+++ b/crates/router/src/store_turn.rs
@@ -8,9 +8,13 @@
 
 use streamfold_policy::store_pause;
 use streamfold_store::StoreError;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, MutexGuard};
 use tokio::time::Instant;
 
+/// How long calls wait for the one that finds out whether the store takes calls: one that is turned away knows within a
+/// few milliseconds, and a slow store is not to be waited for twice.
+const DOUBT_WITHIN: Duration = Duration::from_millis(200);
+
 /// The pause after so many failed calls in a row, spread so that nodes do not ask together.
 pub(crate) fn choose_pause(failures: u32) -> Duration {
     spread(store_pause::choose_pause(failures, 0))
@@ -63,12 +67,7 @@
         if !self.is_needed() {
             return self.call_at_once(call).await;
         }
-        let mut refusals = self.refusals.lock().await;
-        if !self.is_needed() {
-            // The call before it found that the store takes calls.
-            drop(refusals);
-            return self.call_at_once(call).await;
-        }
+        let Some(mut refusals) = self.wait_turn().await else { return self.call_at_once(call).await };
         if let Some(again_at) = refusals.again_at {
             tokio::time::sleep_until(again_at).await;
         }
@@ -85,6 +84,19 @@
         result
     }
 
+    /// Waits for the turn of a call; none if it need not, or no longer.
+    async fn wait_turn(&self) -> Option<MutexGuard<'_, RefusalRecord>> {
+        let soon = tokio::time::timeout(DOUBT_WITHIN, self.refusals.lock()).await;
+        let turn = match soon {
+            Ok(turn) => turn,
+            Err(_) if self.is_refused() => self.refusals.lock().await,
+            // The store is slow.
+            Err(_) => return None,
+        };
+        // The call before it may have found that the store takes calls.
+        self.is_needed().then_some(turn)
+    }
+
     /// Whether calls go one at a time.
     fn is_needed(&self) -> bool {
         self.is_refused.load(Ordering::Relaxed) || self.is_doubtful.load(Ordering::Relaxed)
--- a/crates/router/tests/store_turn.rs
+++ b/crates/router/tests/store_turn.rs
@@ -104,3 +104,22 @@
     assert!(second_waits(&turn).await);
     assert!(!second_waits(&turn).await, "it does");
 }
+
+#[tokio::test]
+async fn a_call_does_not_wait_for_one_that_a_slow_store_keeps_waiting() {
+    let turn = StoreTurn::default();
+    turn.doubt();
+    let asked = AtomicUsize::new(0);
+    let (tell_first, first) = oneshot::channel();
+    let (tell_second, second) = oneshot::channel();
+    tell_second.send(true).expect("the second call");
+    let second = async {
+        while asked.load(Ordering::SeqCst) == 0 {
+            tokio::task::yield_now().await;
+        }
+        let is_taken = ask(&turn, &asked, second).await;
+        tell_first.send(true).expect("the first call");
+        is_taken
+    };
+    assert_eq!(tokio::join!(ask(&turn, &asked, first), second), (true, true));
+}
