--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,11 +45,13 @@
 pub mod server_scope;
 pub mod shard_health;
 pub mod split_rule;
+pub mod store_pause;
 pub mod team_turns;
 pub mod turn_book;
 pub mod usage_credit;
 pub mod wait_book;
 pub mod wait_line;
+pub mod watch_rule;
 pub mod work_pace;
 
 pub use admission::{Admission, AdmissionAsk, AdmissionGate, AdmissionRefusal, RateGate, WorkReport};
