--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -52,6 +52,13 @@
         check_range("cold_calls.excess", cold.excess, cold.excess >= 0.0, "0 or more");
         check_range("cold_calls.allowance", cold.allowance, cold.allowance >= 0.0, "0 or more");
     }
+    let has_turns = !settings.return_turns || settings.scheduling.by_team;
+    check_range(
+        "return_turns",
+        f64::from(u8::from(settings.return_turns)),
+        has_turns,
+        "off without scheduling.by_team",
+    );
     if let Some(way) = settings.caller_way {
         check_range("caller_way", way.0.as_secs_f64(), way.0 <= MAX_CALLER_WAY, "1s at most");
     }
--- a/crates/lab/src/route_checks.rs
+++ b/crates/lab/src/route_checks.rs
@@ -1,5 +1,7 @@
 //! Small fleets of routers, calls to them and checks of their answers, as tests use them.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Method;
 use serde_json::{Value, json};
@@ -10,6 +12,9 @@
 use crate::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, write_route};
 use crate::wait::wait_for;
 
+/// How long a node may take to tell its counters.
+const METRICS_WITHIN: Duration = Duration::from_secs(10);
+
 /// A server of a service in the first failure domain.
 pub fn near(id: &str, service: &str) -> RouteServerPlan {
     RouteServerPlan::new(id, service, DOMAINS[0])
@@ -72,6 +77,15 @@
     .await;
 }
 
+/// What a node counts under a name, over all labels; nothing if it counts nothing of it yet.
+pub async fn read_metric(fleet: &RouteFleet, node: usize, name: &str) -> f64 {
+    let address = fleet.nodes[node].addresses.metrics;
+    let answer = fleet.client.call(Method::GET, address, "/metrics", &[], Bytes::new(), METRICS_WITHIN).await;
+    let text = String::from_utf8_lossy(&answer.expect("counters").body).into_owned();
+    let lines = text.lines().filter(|line| line.split(['{', ' ']).next() == Some(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
 /// A header of an answer as text.
 pub fn header<'a>(answer: &'a CallAnswer, name: &str) -> Option<&'a str> {
     answer.headers.get(name).map(|value| value.to_str().expect("a text"))
--- a/crates/lab/tests/routes_lines.rs
+++ b/crates/lab/tests/routes_lines.rs
@@ -10,16 +10,20 @@
 use http::Method;
 use serde_json::{Value, json};
 use streamfold_lab::fleet::send_signal;
-use streamfold_lab::route_checks::{get, near};
+use streamfold_lab::route_checks::{get, near, read_metric};
 use streamfold_lab::route_fleet::{HOST, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::wait_for;
 use streamfold_standin::names;
 use streamfold_standin::server::RouteServerPlan;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Requests that a server of the fleet says it works on at once, and the one more that a node has out there.
 const ROOM: usize = 9;
-/// How long a request takes, so that others wait meanwhile.
-const WORK_MS: u64 = 400;
+/// How long a request takes, so that others wait meanwhile, beside other work too.
+const WORK_MS: u64 = 1_000;
+/// The same where a call must wait until its caller is gone.
+const LONG_WORK_MS: u64 = 4_000;
 
 fn to_cart(priority: u32) -> Value {
     json!({ "service": "cart", "priority": priority })
@@ -81,29 +85,53 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_caller_that_leaves_takes_its_waiting_call_along() {
+async fn a_call_whose_time_is_over_is_never_sent() {
     let fleet = start(vec![near("i-0", "cart")], "").await;
     set_work(&fleet, WORK_MS);
     let ids: Vec<String> = (0..2 * ROOM).map(|number| format!("r-listing-{number}")).collect();
     let listings = join_all(ids.iter().map(|id| get(&fleet, "/listing/x", id)));
-    let leaver = async {
+    let late = async {
         wait_for_line(&fleet).await;
-        let headers = [("host", HOST), (names::REQUEST_ID, "r-left"), (names::DEADLINE_MS, "100")];
+        let headers = [("host", HOST), (names::REQUEST_ID, "r-late"), (names::DEADLINE_MS, "100")];
         let callers = fleet.nodes[0].addresses.callers;
         let within = Duration::from_secs(10);
         fleet.client.call(Method::GET, callers, "/listing/y", &headers, Bytes::new(), within).await.expect("an answer")
     };
-    let (listings, left) = tokio::join!(listings, leaver);
+    let (listings, late) = tokio::join!(listings, late);
     // Its time was over before a server was free, and it was never sent.
-    assert_eq!(left.body, Bytes::from_static(b"{\"error\":\"not_run\"}"), "{left:?}");
+    assert_eq!(late.body, Bytes::from_static(b"{\"error\":\"not_run\"}"), "{late:?}");
     listings.iter().for_each(|listing| assert_eq!(listing.status, 200, "{listing:?}"));
-    assert_eq!(fleet.count_calls("r-left"), 0);
+    assert_eq!(fleet.count_calls("r-late"), 0);
     wait_for("the end of its wait", async || {
-        !fleet.nodes[0].logged(&["event=call_waited", "request=r-left"]).is_empty()
+        !fleet.nodes[0].logged(&["event=call_waited", "request=r-late", "outcome=expired"]).is_empty()
     })
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_closes_its_connection_takes_its_waiting_call_along() {
+    let fleet = start(vec![near("i-0", "cart")], "").await;
+    set_work(&fleet, LONG_WORK_MS);
+    let ids: Vec<String> = (0..ROOM).map(|number| format!("r-listing-{number}")).collect();
+    let listings = join_all(ids.iter().map(|id| get(&fleet, "/listing/x", id)));
+    let leaver = async {
+        wait_for_line(&fleet).await;
+        let mut caller = TcpStream::connect(fleet.nodes[0].addresses.callers).await.expect("a connection");
+        let id = names::REQUEST_ID;
+        let head = format!("GET /listing/y HTTP/1.1\r\nhost: {HOST}\r\n{id}: r-left\r\n\r\n");
+        caller.write_all(head.as_bytes()).await.expect("a sent request");
+        wait_for("a waiting call", async || read_metric(&fleet, 0, "streamfold_waiting_calls").await >= 1.0).await;
+        drop(caller);
+        wait_for("the end of its wait", async || {
+            !fleet.nodes[0].logged(&["event=call_waited", "request=r-left", "outcome=left"]).is_empty()
+        })
+        .await;
+    };
+    let (listings, ()) = tokio::join!(listings, leaver);
+    listings.iter().for_each(|listing| assert_eq!(listing.status, 200, "{listing:?}"));
+    assert_eq!(fleet.count_calls("r-left"), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_that_wait_for_a_server_that_dies_go_to_another() {
     let fleet = start(vec![near("i-0", "cart"), near("i-1", "cart")], "").await;
@@ -117,6 +145,7 @@
     };
     let (listings, ()) = tokio::join!(listings, death);
     listings.iter().for_each(|listing| assert_eq!(listing.status, 200, "{listing:?}"));
+    assert!(!fleet.nodes[0].logged(&["event=call_waited", "outcome=sent"]).is_empty(), "some have waited");
     assert!(ids.iter().all(|id| fleet.count_runs(id) <= 3), "none runs on more servers than its route allows");
 }
 
@@ -141,14 +170,15 @@
     let ids: Vec<String> = (0..2 * ROOM).map(|number| format!("r-list-{number}")).collect();
     let answers = join_all(ids.iter().map(|id| get(&fleet, "/list/x", id)));
     let death = async {
-        wait_for("a full server", async || {
-            read_ids(&fleet).iter().filter(|id| id.starts_with("r-list")).count() >= ROOM
-        })
-        .await;
+        wait_for("work that waits", async || read_metric(&fleet, 1, "streamfold_waiting_calls").await >= 1.0).await;
         send_signal(&fleet.nodes[1].process, "KILL").await;
     };
     let (answers, ()) = tokio::join!(answers, death);
     answers.iter().for_each(|answer| assert_eq!(answer.status, 200, "{answer:?}"));
-    let most = ids.iter().map(|id| fleet.count_runs(id)).max().expect("requests");
-    assert!(most <= 3 * SHARDS, "{most}: none runs on more servers than its route allows");
+    for server in &fleet.servers {
+        let runs = server.state.runs();
+        let count = |id: &String| runs.iter().filter(|run| run.request.id() == id).count();
+        let most = ids.iter().map(count).max().expect("requests");
+        assert!(most <= 3, "{most} times at one shard: none is sent more often than its route allows");
+    }
 }
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -177,8 +177,6 @@
     services: HashMap<ServiceName, ServiceSpec>,
     /// The teams that may call; without any nobody needs a key.
     teams: Option<TeamDirectory>,
-    /// Whether requests of different priority use one service.
-    has_mixed_priorities: bool,
     /// What callers may send.
     pub limits: CallerLimits,
 }
@@ -208,12 +206,11 @@
         }
         let routes = routes.into_iter().map(Arc::new).collect();
         let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        let table = Self { version, routes, by_host, services, teams: None, has_mixed_priorities: false, limits };
-        Ok(table.with_priorities())
+        Ok(Self { version, routes, by_host, services, teams: None, limits })
     }
 
-    /// The same, with what is computed once for each table of the priorities in it.
-    fn with_priorities(mut self) -> Self {
+    /// The services that requests of different priority use, by their routes or their teams.
+    pub fn mixed_services(&self) -> HashSet<ServiceName> {
         let mut by_service: HashMap<&ServiceName, HashSet<Priority>> = HashMap::new();
         for route in &self.routes {
             let priorities = self.priorities(route);
@@ -221,8 +218,8 @@
                 by_service.entry(service).or_default().extend(&priorities);
             }
         }
-        self.has_mixed_priorities = by_service.values().any(|priorities| priorities.len() > 1);
-        self
+        let mixed = by_service.into_iter().filter(|(_, priorities)| priorities.len() > 1);
+        mixed.map(|(service, _)| service.clone()).collect()
     }
 
     /// The priorities that requests of a route may have.
@@ -236,12 +233,7 @@
     /// The same routes, for which callers need a key of one of some teams.
     #[must_use]
     pub fn with_teams(self, teams: TeamDirectory) -> Self {
-        Self { teams: Some(teams), ..self }.with_priorities()
-    }
-
-    /// Whether requests of different priority use one service, by their routes or their teams.
-    pub fn has_mixed_priorities(&self) -> bool {
-        self.has_mixed_priorities
+        Self { teams: Some(teams), ..self }
     }
 
     /// The teams that may call; `None` where nobody needs a key.
--- a/crates/model/tests/routing.rs
+++ b/crates/model/tests/routing.rs
@@ -1,5 +1,6 @@
-//! What is computed once for each table of routes.
+//! Which services requests of different priority use.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use streamfold_model::routing::{CallerLimits, HomeRegions, RouteKind, RouteSpec, RouteTable, RouteTarget, ShardFold};
@@ -37,6 +38,10 @@
     RouteTable::build(TableVersion(1), routes, Vec::new(), LIMITS).expect("a table")
 }
 
+fn is_mixed(table: &RouteTable) -> bool {
+    !table.mixed_services().is_empty()
+}
+
 fn teams(priorities: &[Option<u32>]) -> TeamDirectory {
     let team = |(number, priority): (usize, &Option<u32>)| {
         let name = format!("team-{number}").parse().expect("a name");
@@ -48,19 +53,24 @@
 
 #[test]
 fn priorities_are_mixed_only_where_they_meet_at_a_service() {
-    assert!(!table(vec![route("a", 0, &["x", "y"]), route("b", 1, &["z"])]).has_mixed_priorities());
-    assert!(!table(vec![route("a", 1, &["x", "y"]), route("b", 1, &["y"])]).has_mixed_priorities());
-    assert!(table(vec![route("a", 0, &["x", "y"]), route("b", 1, &["y"])]).has_mixed_priorities());
+    assert!(!is_mixed(&table(vec![route("a", 0, &["x", "y"]), route("b", 1, &["z"])])));
+    assert!(!is_mixed(&table(vec![route("a", 1, &["x", "y"]), route("b", 1, &["y"])])));
+    let table = table(vec![route("a", 0, &["x", "y"]), route("b", 1, &["y"])]);
+    assert_eq!(
+        table.mixed_services(),
+        HashSet::from(["y".parse().expect("a name")]),
+        "and not the others of the route"
+    );
 }
 
 #[test]
 fn teams_mix_priorities_or_make_them_one() {
     let mixed = || table(vec![route("a", 0, &["x"]), route("b", 1, &["x"])]);
     let even = || table(vec![route("a", 1, &["x"])]);
-    assert!(!mixed().with_teams(teams(&[Some(2), Some(2)])).has_mixed_priorities());
-    assert!(mixed().with_teams(teams(&[Some(2), None])).has_mixed_priorities());
-    assert!(even().with_teams(teams(&[Some(2), Some(1)])).has_mixed_priorities());
-    assert!(!even().with_teams(teams(&[Some(1), None])).has_mixed_priorities());
+    assert!(!is_mixed(&mixed().with_teams(teams(&[Some(2), Some(2)]))));
+    assert!(is_mixed(&mixed().with_teams(teams(&[Some(2), None]))));
+    assert!(is_mixed(&even().with_teams(teams(&[Some(2), Some(1)]))));
+    assert!(!is_mixed(&even().with_teams(teams(&[Some(1), None]))));
     let open = RouteSpec { is_open: true, ..route("a", 1, &["x"]) };
-    assert!(table(vec![open]).with_teams(teams(&[Some(2)])).has_mixed_priorities());
+    assert!(is_mixed(&table(vec![open]).with_teams(teams(&[Some(2)]))));
 }
--- a/crates/policy/src/call_order.rs
+++ b/crates/policy/src/call_order.rs
@@ -14,6 +14,8 @@
 /// The part of its share of calls first come first served that every priority keeps. A little over a half, of which
 /// calls that leave the line take some.
 const KEPT_SHARE: f64 = 0.55;
+/// Less than this is left of a priority whose calls came many half-lives ago: routes of it may be gone.
+const FORGOTTEN: f64 = 1e-3;
 /// What calls of each priority asked for and got counts half after this time: some bursts of callers.
 const SHARE_HALF_LIFE: Duration = Duration::from_secs(5);
 
@@ -32,6 +34,16 @@
     pub expires: Moment,
 }
 
+/// By what calls take their turns whose callers have no team.
+const NAMELESS: TeamShare = TeamShare { team: None, rate: None };
+
+impl WaitingCall {
+    /// By what it takes its turn.
+    fn share(&self) -> &TeamShare {
+        self.team.as_ref().unwrap_or(&NAMELESS)
+    }
+}
+
 /// The place of a waiting call: the least goes first. The fields count in their order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallRank {
@@ -110,6 +122,7 @@
         self.faded = now;
         let factor = 0.5f64.powf(age);
         self.by_priority.values_mut().for_each(|count| count.fade(factor));
+        self.by_priority.retain(|_, count| count.joined > FORGOTTEN);
         self.all.fade(factor);
         add(self.by_priority.entry(priority).or_default());
         add(&mut self.all);
@@ -130,10 +143,7 @@
     }
 
     fn rank(&self, now: Moment, call: &WaitingCall) -> CallRank {
-        let turn = match (&self.turns, &call.team) {
-            (Some(turns), Some(share)) => turns.turn(share),
-            _ => 0,
-        };
+        let turn = self.turns.as_ref().map_or(0, |turns| turns.turn(call.share()));
         CallRank {
             is_kept: self.is_kept(call.priority),
             priority: call.priority,
@@ -145,8 +155,8 @@
 
     fn note_made(&mut self, now: Moment, call: &WaitingCall) {
         self.count(now, call.priority, |count| count.made += 1.0);
-        if let (Some(turns), Some(share)) = (&mut self.turns, &call.team) {
-            turns.note_made(share);
+        if let Some(turns) = &mut self.turns {
+            turns.note_made(call.share());
         }
     }
 }
--- a/crates/policy/src/priority_level.rs
+++ b/crates/policy/src/priority_level.rs
@@ -37,6 +37,8 @@
     asks: u32,
     /// How long they were at its beginning.
     wait: Duration,
+    /// The target that they are too long for.
+    target: Duration,
 }
 
 /// The priorities that are let in, by how long calls wait.
@@ -72,7 +74,11 @@
             self.closed += 1;
         }
         let spell = self.spells.entry(priority).or_default();
-        *spell = (wait > target.mul_f64(LONG_SHARE)).then(|| extend(*spell, now, wait));
+        *spell = match wait > target.mul_f64(LONG_SHARE) {
+            true => Some(extend(*spell, now, wait, target)),
+            // What is short for a long target may still be long for the one that the spell is of.
+            false => spell.filter(|spell| spell.target < target),
+        };
         if wait > target.mul_f64(SHORT_SHARE) && !self.is_closed(priority) {
             self.short_since = now;
         }
@@ -141,8 +147,8 @@
 
 /// A spell of long waits with one request more that found it so. It begins anew where nobody saw it for as long as
 /// it takes to close a level, and where waits have become shorter.
-fn extend(spell: Option<LongSpell>, now: Moment, wait: Duration) -> LongSpell {
+fn extend(spell: Option<LongSpell>, now: Moment, wait: Duration, target: Duration) -> LongSpell {
     let lasts = |spell: &LongSpell| now.since(spell.last) < CLOSE_AFTER && wait > spell.wait.mul_f64(RELIEF_SHARE);
-    let begun = spell.filter(lasts).unwrap_or(LongSpell { since: now, last: now, asks: 0, wait });
-    LongSpell { last: now, asks: begun.asks + 1, ..begun }
+    let begun = spell.filter(lasts).unwrap_or(LongSpell { since: now, last: now, asks: 0, wait, target });
+    LongSpell { last: now, asks: begun.asks + 1, target: begun.target.min(target), ..begun }
 }
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -367,8 +367,9 @@
     /// Notes the load it told: requests it runs and holds waiting, from everybody.
     pub fn learn_load(&mut self, now: Moment, running: u32, waiting: u32) {
         if self.mechanisms.has(Mechanism::ToldLoad) {
-            self.load = Some((f64::from(running + waiting), now));
-            self.others = Some(OthersLoad::learn(now, running + waiting, self.running()));
+            let requests = running.saturating_add(waiting);
+            self.load = Some((f64::from(requests), now));
+            self.others = Some(OthersLoad::learn(now, requests, self.running()));
         }
     }
 }
--- a/crates/policy/src/server_room.rs
+++ b/crates/policy/src/server_room.rs
@@ -39,5 +39,5 @@
 /// wrongly, or long ago, shuts nobody out.
 pub fn server_room(now: Moment, slots: u32, others: Option<OthersLoad>) -> u32 {
     let others = others.map_or(0, |others| others.left(now));
-    (slots + LEAD).saturating_sub(others).max(1)
+    slots.saturating_add(LEAD).saturating_sub(others).max(1)
 }
--- a/crates/policy/src/team_turns.rs
+++ b/crates/policy/src/team_turns.rs
@@ -15,10 +15,10 @@
 const MAX_TEAMS: usize = 1_024;
 
 /// A team and the rate by which it shares.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct TeamShare {
-    /// The team.
-    pub team: TeamName,
+    /// The team; `None` for all callers without one, who share as one team does.
+    pub team: Option<TeamName>,
     /// Its declared rate, in requests a second; `None` for one without a limit, which counts as the mean of the others.
     pub rate: Option<f64>,
 }
@@ -30,7 +30,7 @@
     /// was quiet has no claims later.
     present: u64,
     /// The next turn of teams that have had one, where it is not past.
-    next: HashMap<TeamName, u64>,
+    next: HashMap<Option<TeamName>, u64>,
     /// The mean of the rates seen.
     mean_rate: f64,
     rates: u32,
--- a/crates/policy/tests/call_order.rs
+++ b/crates/policy/tests/call_order.rs
@@ -19,7 +19,7 @@
 }
 
 fn team(number: usize, rate: f64) -> TeamShare {
-    TeamShare { team: format!("team-{number}").parse().expect("a name"), rate: Some(rate) }
+    TeamShare { team: format!("team-{number}").parse().ok(), rate: Some(rate) }
 }
 
 fn call(priority: Priority, team: Option<TeamShare>, joined: Moment, target: Duration, held: Duration) -> WaitingCall {
@@ -141,7 +141,7 @@
 
 /// The share of each team's calls that began within a time.
 fn served(made: &[MadeCall], calls: &[WaitingCall], within: Duration) -> BTreeMap<TeamName, f64> {
-    let name = |call: &WaitingCall| call.team.as_ref().map(|share| share.team.clone()).expect("a team");
+    let name = |call: &WaitingCall| call.team.as_ref().and_then(|share| share.team.clone()).expect("a team");
     let mut asked: BTreeMap<TeamName, f64> = BTreeMap::new();
     calls.iter().for_each(|call| *asked.entry(name(call)).or_default() += 1.0);
     let in_time = made.iter().filter(|made| made.waited() <= within);
@@ -207,7 +207,7 @@
 #[test]
 fn a_team_without_a_limit_counts_as_the_mean_of_the_others() {
     let mut turns = TeamTurns::default();
-    let free = TeamShare { team: "free".parse().expect("a name"), rate: None };
+    let free = TeamShare { team: "free".parse().ok(), rate: None };
     for _ in 0..20 {
         turns.note_made(&team(0, 4.0));
     }
@@ -215,3 +215,20 @@
     turns.note_made(&free);
     assert_eq!(turns.turn(&free) - before, 250_000);
 }
+
+#[test]
+fn callers_without_a_team_share_as_one_team_does() {
+    let mut order = PriorityOrder::default().with_turns();
+    let at = Moment(1_000_000);
+    let hold = Duration::from_secs(1);
+    let waiting = |team| call(Priority(1), team, at, hold, hold);
+    let (nameless, blue) = (waiting(None), waiting(Some(team(0, 1.0))));
+    let mut made = (0, 0);
+    for _ in 0..100 {
+        let is_nameless = order.rank(at, &nameless) < order.rank(at, &blue);
+        let next = if is_nameless { &nameless } else { &blue };
+        order.note_made(at, next);
+        made = if is_nameless { (made.0 + 1, made.1) } else { (made.0, made.1 + 1) };
+    }
+    assert!(made.0 >= 45 && made.1 >= 45, "{made:?}");
+}
--- a/crates/policy/tests/entry_gate.rs
+++ b/crates/policy/tests/entry_gate.rs
@@ -155,6 +155,7 @@
     let without = Model::new(30, 28, ms(150), slow).replay(&mut OpenGate, 400, ms(12));
     insta::assert_snapshot!(format!("with: {with:?}\nwithout: {without:?}"));
     assert_eq!((with.wrongly, with.in_time), (0, without.in_time));
+    assert!(with.refused > 0 && without.refused == 0, "{with:?} {without:?}");
 }
 
 #[test]
--- a/crates/policy/tests/priority_level.rs
+++ b/crates/policy/tests/priority_level.rs
@@ -59,6 +59,20 @@
     insta::assert_snapshot!(replay.changes.join("\n"));
 }
 
+#[test]
+fn a_route_with_a_long_target_does_not_hide_that_another_misses_its_own() {
+    let mut gate = EntryGate::default();
+    let mut now = Moment::default().plus(ms(1_000));
+    for _ in 0..200 {
+        for (priority, target) in [(0, TARGET), (0, ms(2_000)), (2, ms(2_000))] {
+            let priority = Priority(priority);
+            gate.decide(now, &EntryAsk { priority, target, left: ms(4_000), expected: None, waited: ms(90) });
+        }
+        now = now.plus(EVERY);
+    }
+    assert_eq!(gate.level().closed(), 1);
+}
+
 #[test]
 fn a_pause_of_servers_closes_nothing() {
     let mut replay = Replay::new();
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -289,8 +289,9 @@
         let running = call::run(self.router.clone(), server, self.request.clone(), self.is_once(), mark, typical);
         let clock = self.router.clock;
         let started = self.now();
+        let room = line.map(|line| CallRoom { line, clock });
         let timed = async move {
-            let _room = line.map(|line| CallRoom { line, clock });
+            let _room = room;
             let ended = running.await;
             (position, CallNews::Ended(clock.now().since(started), ended))
         };
--- a/crates/router/src/border.rs
+++ b/crates/router/src/border.rs
@@ -145,6 +145,11 @@
 }
 
 impl FeedTopic {
+    /// Whether its watch waits for so long that the one of servers must tell that connections fell silent.
+    pub fn relies_on_servers(self) -> bool {
+        matches!(self, Self::Routes | Self::Evacuations | Self::Crashes)
+    }
+
     /// Its name in counters and logs.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/router/src/call_line.rs
+++ b/crates/router/src/call_line.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{Priority, ServiceName};
+use streamfold_model::{Priority, ServiceName, TeamName};
 use streamfold_policy::call_order::{CallOrder, WaitingCall};
 use streamfold_policy::wait_line::{WaitLine, WaitingWork};
 use streamfold_policy::{Moment, WaitPlace};
@@ -81,7 +81,13 @@
             return;
         }
         let waiting = self.line.iter().filter(|work| work.item.looked_in < self.round && !work.item.is_asleep);
-        let first = waiting.min_by_key(|work| self.order.rank(now, &work.item.call)).map(|work| work.place);
+        // The last one that may look is the one that has not for longest: the first in line may all be in need of the
+        // same servers, and nobody behind them would ever look.
+        let first = match self.passed < MAX_PASSED {
+            true => waiting.min_by_key(|work| self.order.rank(now, &work.item.call)),
+            false => waiting.min_by_key(|work| work.item.looked_in),
+        };
+        let first = first.map(|work| work.place);
         let Some(mut work) = first.and_then(|place| self.line.leave(place)) else { return };
         work.item.looked_in = self.round;
         work.item.wake.notify_one();
@@ -164,6 +170,7 @@
         let ahead = state.line.len() + usize::from(state.called.is_some());
         state.order.note_joined(now, &call);
         let place = state.line.join(call.latest_start, call.expires, entry);
+        self.waits.note_joined(call.priority, call.joined);
         state.call_up(now);
         drop(state);
         metrics::gauge!("streamfold_waiting_calls").increment(1.0);
@@ -244,9 +251,10 @@
         let now = self.clock.now();
         self.outcome = Some(WaitOutcome::Sent);
         let mut state = self.line.state();
-        if state.take_called(self.place).is_some() {
-            state.order.note_made(now, &self.call);
-        }
+        // It may have been called up for so long that another one is by now.
+        state.take_called(self.place);
+        state.line.leave(self.place);
+        state.order.note_made(now, &self.call);
         state.call_up(now);
     }
 
@@ -254,11 +262,11 @@
     /// another call.
     pub fn rejoin(&self, has_room: bool) {
         let mut state = self.line.state();
-        if let Some(work) = state.take_called(self.place) {
-            state.line.rejoin(work);
-        }
+        let Some(work) = state.take_called(self.place) else { return };
+        let is_room_new = work.item.looked_in < state.round;
+        state.line.rejoin(work);
         state.passed += 1;
-        if has_room {
+        if has_room || is_room_new {
             state.call_up(self.clock.now());
         }
     }
@@ -274,7 +282,7 @@
             request = self.request,
             service = %self.line.service,
             priority = %self.call.priority,
-            team = self.call.team.as_ref().map(|share| share.team.as_str()),
+            team = self.call.team.as_ref().and_then(|share| share.team.as_ref()).map(TeamName::as_str),
             waited_ms = waited.as_millis() as u64,
             ahead = self.ahead,
             outcome
@@ -293,6 +301,7 @@
             state.call_up(now);
         }
         drop(state);
+        self.line.waits.note_left(self.call.priority, self.call.joined);
         self.line.waits.note(now, self.call.priority, waited);
         metrics::gauge!("streamfold_waiting_calls").decrement(1.0);
         let label = priority_label(self.call.priority);
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -42,6 +42,8 @@
     /// Calls that wait, by service, where calls do.
     lines: HashMap<ServiceName, Arc<CallLine>>,
     waits: Arc<CallWaits>,
+    /// Services that requests of different priority use.
+    mixed: Arc<HashSet<ServiceName>>,
     times: HashMap<RouteName, RouteTimes>,
     turns: HashMap<RouteName, Arc<SplitTurns>>,
     /// How long servers stay slow.
@@ -192,7 +194,8 @@
     /// waiting there, and look for room by themselves.
     pub(crate) fn keep_lines(&mut self, table: &RouteTable, place: &ClusterPlace) {
         let mut old = std::mem::take(&mut self.lines);
-        for (service, rule) in find_contended(table, place) {
+        self.mixed = Arc::new(table.mixed_services());
+        for (service, rule) in find_contended(table, &self.mixed, place) {
             let make = || CallLine::new(service.clone(), rule, self.waits.clone());
             let line = old.remove(&service).unwrap_or_else(make);
             line.set_rule(rule);
@@ -267,6 +270,7 @@
             table: self.table.clone(),
             services,
             waits: self.waits.clone(),
+            mixed: self.mixed.clone(),
             times: self.times.clone(),
             turns: self.turns.clone(),
             nodes: self.count_nodes(),
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -1,6 +1,6 @@
 //! What one request works with: the routes in force and the servers and nodes known then.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use streamfold_model::{FailureDomain, HomeRegions, NodeEntry, NodeId, RouteName, RouteTable, ServiceName};
@@ -127,6 +127,8 @@
     pub services: HashMap<ServiceName, Service>,
     /// How long calls waited lately.
     pub waits: Arc<CallWaits>,
+    /// Services that requests of different priority use.
+    pub(crate) mixed: Arc<HashSet<ServiceName>>,
     /// Latencies by route.
     pub times: HashMap<RouteName, RouteTimes>,
     /// Turns of the services of a route, by route.
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -14,11 +14,15 @@
 use crate::answer::RefusalKind;
 use crate::attempt_context::AttemptContext;
 use crate::batch::DomainReport;
+use crate::call_waits::priority_label;
 use crate::gather::fold_rule;
 
+/// Priorities of one report that are heard: routes have a few.
+const MAX_WAITS: usize = 16;
+
 /// What the node knows for its decisions on requests that arrive.
 #[derive(Default)]
-pub struct EntryDesk {
+pub struct EntryControl {
     gate: Mutex<EntryGate>,
     waits: Mutex<WaitBook>,
 }
@@ -27,10 +31,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl EntryDesk {
+impl EntryControl {
     /// Notes what a node, this one or another, tells now of how long calls wait there.
     pub fn note_report(&self, now: Moment, domain: &FailureDomain, node: &NodeId, report: &DomainReport) {
-        let waits = report.waits.iter().map(|told| (told.priority, Duration::from_micros(told.wait_us)));
+        let waits =
+            report.waits.iter().take(MAX_WAITS).map(|told| (told.priority, Duration::from_micros(told.wait_us)));
         lock(&self.waits).note(now, domain, node, waits);
     }
 
@@ -71,7 +76,7 @@
 /// It is turned away and has reached no server.
 pub(crate) fn check(context: &AttemptContext) -> Result<(), RefusalKind> {
     let RouteTarget::All(fold) = &context.route.target else { return Ok(()) };
-    if !is_used(context) {
+    if !is_used(context, fold) {
         return Ok(());
     }
     let now = context.now();
@@ -102,9 +107,9 @@
     context.router.entry.note_report(now, &settings.failure_domain, &settings.node, &own);
 }
 
-/// Whether requests are turned away at all: only where some are more urgent than others.
-fn is_used(context: &AttemptContext) -> bool {
-    let is_mixed = context.view.table.as_ref().is_some_and(|table| table.has_mixed_priorities());
+/// Whether requests of a route are turned away at all: only where others at its shards are more or less urgent.
+fn is_used(context: &AttemptContext, fold: &ShardFold) -> bool {
+    let is_mixed = fold.shards.iter().any(|shard| context.view.mixed.contains(shard));
     is_mixed && context.router.settings.scheduling.by_priority && context.router.has(Mechanism::EntryGate)
 }
 
@@ -126,7 +131,7 @@
 }
 
 fn note_turned_away(context: &AttemptContext, ask: &EntryAsk, told: AgreedWait, reason: &'static str) {
-    let labels = [("reason", reason.to_owned()), ("priority", ask.priority.to_string())];
+    let labels = [("reason", reason.to_owned()), ("priority", priority_label(ask.priority))];
     metrics::counter!("streamfold_requests_turned_away_total", &labels).increment(1);
     tracing::info!(
         event = "request_turned_away",
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -52,7 +52,7 @@
             () = follower.run() => {}
             () = wait_woken(&router) => router.set_followed(topic, false),
             // What makes one connection to the store fall silent does so to all of them.
-            () = wait_servers_lost(&router), if topic == FeedTopic::Crashes => {}
+            () = wait_servers_lost(&router), if topic.relies_on_servers() => {}
             _ = source.wait_for(|source| *source != FeedSource::Store) => {}
         }
     }
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -181,7 +181,8 @@
         self.context.router.entry.note_report(self.context.now(), domain, node, &reply.report);
         quarantine::note_told(&self.context.router, self.context.request.suspect, &reply.crashed);
         let services = batch.positions.iter().map(|position| &self.slots[*position].attempts.service);
-        take_paces(self.context.now(), &self.context.view, services, &reply.report.paces);
+        let domain = &batch.peer.entry.domain;
+        take_paces(self.context.now(), &self.context.view, domain, services, &reply.report.paces);
         if reply.is_stopping {
             batch.peer.mark_stopping();
         }
--- a/crates/router/src/line_choice.rs
+++ b/crates/router/src/line_choice.rs
@@ -6,7 +6,7 @@
 use streamfold_policy::call_order::WaitingCall;
 use streamfold_policy::team_turns::TeamShare;
 
-use crate::attempt_context::{AttemptContext, PendingCalls};
+use crate::attempt_context::{AttemptContext, PendingCalls, RequestAsker};
 use crate::attempts::{AttemptStop, ServiceAttempts};
 use crate::call_line::{CallLine, CallPlace};
 use crate::clock::NodeClock;
@@ -43,7 +43,9 @@
         place: Option<CallPlace>,
     ) -> Option<ServerChoice> {
         let candidates = self.candidates(attempts, service);
-        let cheapest = self.find_cheapest(candidates.iter())?;
+        let Some(cheapest) = self.find_cheapest(candidates.iter()) else {
+            return self.wait_for_any(attempts, place);
+        };
         let Some(line) = service.line() else { return Some(ServerChoice::Now(cheapest, None)) };
         if place.as_ref().is_some_and(|place| !place.is_called()) {
             return Some(ServerChoice::Wait(place));
@@ -64,7 +66,7 @@
             return Some(ServerChoice::Wait(Some(place)));
         }
         // A second call would wait behind first ones.
-        if attempts.is_calling() {
+        if attempts.is_calling() || self.asker == RequestAsker::Hedger {
             return Some(ServerChoice::Wait(None));
         }
         let looked_in = if must_wait { 0 } else { round };
@@ -72,6 +74,14 @@
         Some(ServerChoice::Wait(Some(line.join(self.router.clock, call, looked_in, self.request.id_text()))))
     }
 
+    /// Lets a call wait on that was called up at a moment without any usable server: the only one may be leaving, and
+    /// the next one not be known yet.
+    fn wait_for_any(&self, attempts: &ServiceAttempts, place: Option<CallPlace>) -> Option<ServerChoice> {
+        let place = place.filter(|_| attempts.tried.is_empty() && self.now() < self.retry_until)?;
+        place.rejoin(false);
+        Some(ServerChoice::Wait(Some(place)))
+    }
+
     /// The cheapest server with room, unless waiting for the cheapest of all is cheaper still: one that is far, slow
     /// or resting is no better for being free. The longer the line, and the longer the call has waited, the farther it
     /// may go: that leaves what frees here to those behind it.
@@ -96,7 +106,7 @@
         let typical = candidates.iter().map(|server| self.typical(server)).min().unwrap_or_default();
         let target = self.request.started.plus(self.route.target_latency);
         let share = |team: &Arc<streamfold_model::TeamSpec>| TeamShare {
-            team: team.name.clone(),
+            team: Some(team.name.clone()),
             rate: team.limit.map(|limit| limit.rate),
         };
         WaitingCall {
--- a/crates/router/src/pace_report.rs
+++ b/crates/router/src/pace_report.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use streamfold_model::ServiceName;
+use streamfold_model::{FailureDomain, ServiceName};
 use streamfold_policy::Moment;
 use streamfold_policy::replica::Distance;
 
@@ -39,17 +39,20 @@
     is_told.then(make)
 }
 
-/// Takes what another node told of servers of some services. What it tells of others, or of another run, is left out.
+/// Takes what a node told of servers of some services in its failure domain. What it tells of others, or of another run,
+/// is left out.
 pub fn take_paces<'a>(
     now: Moment,
     view: &'a ClusterView,
+    domain: &FailureDomain,
     services: impl Iterator<Item = &'a ServiceName>,
     told: &[ServerPace],
 ) {
     if told.is_empty() {
         return;
     }
-    let servers: Vec<_> = services.filter_map(|name| view.services.get(name)).flat_map(Service::all).collect();
+    let servers = services.filter_map(|name| view.services.get(name)).flat_map(Service::all);
+    let servers: Vec<_> = servers.filter(|server| server.domain == *domain).collect();
     // More than a node tells is not taken either.
     for pace in told.iter().take(MAX_TOLD) {
         let Some(server) = servers.iter().find(|server| server.run() == pace.server) else { continue };
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,7 +18,7 @@
 use crate::cluster::Cluster;
 use crate::cluster_place::ClusterPlace;
 use crate::cluster_view::{ClusterView, Service};
-use crate::entry::EntryDesk;
+use crate::entry::EntryControl;
 use crate::relay::FeedSource;
 use crate::relay_service::RelayOutlet;
 use crate::settings::RouterSettings;
@@ -92,7 +92,7 @@
     /// Services with few good servers.
     pub(crate) shortage: ShortageWatch,
     /// Turns requests away that cannot be answered in time, or must give way.
-    pub(crate) entry: EntryDesk,
+    pub(crate) entry: EntryControl,
     feeds: [FeedState; FeedTopic::ALL.len()],
     started: Moment,
 }
@@ -177,7 +177,7 @@
             outlet: RelayOutlet::default(),
             usage: UsageLedger::default(),
             shortage: ShortageWatch::default(),
-            entry: EntryDesk::default(),
+            entry: EntryControl::default(),
             feeds: Default::default(),
             settings,
         }
--- a/crates/router/tests/call_line.rs
+++ b/crates/router/tests/call_line.rs
@@ -115,3 +115,47 @@
     assert_eq!(told.iter().map(|wait| wait.priority).collect::<Vec<_>>(), [Priority(1)]);
     assert!(told[0].wait_us >= 40_000, "{told:?}");
 }
+
+#[tokio::test]
+async fn calls_that_all_need_the_same_servers_do_not_keep_others_from_looking() {
+    let scene = Scene::new();
+    let stuck: Vec<CallPlace> = (0..6).map(|_| scene.join(0, NEVER)).collect();
+    let other = scene.join(2, NEVER);
+    // Each round is one in which some server may be free; none of the urgent calls can use it.
+    let rounds = (0..20).find(|_| {
+        scene.note_room();
+        for place in &stuck {
+            place.rejoin(true);
+        }
+        other.is_called()
+    });
+    assert!(rounds.is_some(), "the last in line never looks");
+}
+
+#[tokio::test]
+async fn a_call_that_is_made_late_counts_as_made_and_leaves_the_line() {
+    let scene = Scene::new();
+    let (late, next) = (scene.join(0, NEVER), scene.join(1, NEVER));
+    scene.note_room();
+    assert!(late.is_called());
+    let next = next.wait().await.expect("it is called up in place of the first one, which does not act");
+    late.note_sent();
+    assert!(next.is_called());
+    next.note_sent();
+    assert!(scene.line.is_empty());
+}
+
+#[tokio::test]
+async fn calls_that_wait_still_are_told_too() {
+    let scene = Scene::new();
+    assert_eq!(scene.waits.report(scene.clock.now()), []);
+    let place = scene.join(1, NEVER);
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let told = scene.waits.report(scene.clock.now());
+    assert!(told.len() == 1 && told[0].wait_us >= 5_000, "{told:?}");
+    drop(place);
+    // Its wait has ended and counts for a while, and grows no more.
+    let ended = scene.waits.report(scene.clock.now());
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    assert_eq!(scene.waits.report(scene.clock.now()), ended);
+}
--- a/crates/router/tests/measured_pace.rs
+++ b/crates/router/tests/measured_pace.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use streamfold_model::{
-    CallerLimits, HomeRegions, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget, ServerEntry, ServerRun,
-    ServerStart, ServiceName, ShardFold, TableVersion, WeightedService,
+    CallerLimits, FailureDomain, HomeRegions, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget, ServerEntry,
+    ServerRun, ServerStart, ServiceName, ShardFold, TableVersion, WeightedService,
 };
 use streamfold_policy::replica::CallSample;
 use streamfold_policy::{Mechanism, MechanismSet, Moment};
@@ -96,6 +96,11 @@
     servers(cluster, ms(0)).into_iter().find(|server| server.id.as_str() == id).expect("the server")
 }
 
+/// The failure domain of all servers.
+fn near() -> FailureDomain {
+    "zone-a".parse().expect("a failure domain")
+}
+
 /// Two calls that took ten times as long as usual, one after the other.
 fn make_slow_calls(server: &Server) {
     for started in [ms(0), ms(200)] {
@@ -174,7 +179,7 @@
     );
     let asking = make_cluster("zone-b", &[]);
     ["i-1", "i-2", "i-3"].iter().for_each(|id| tell(&asking, id, 1, false));
-    take_paces(ms(1_000), &asking.view(), [name()].iter(), &report);
+    take_paces(ms(1_000), &asking.view(), &near(), [name()].iter(), &report);
     let slowness = |now| stretch(&find(&asking, "i-1"), now);
     let slow: Vec<f64> = [1_000, 2_000, 8_000].iter().map(|at| slowness(ms(*at))).collect();
     assert!(slow[0] > 2.0 && slow[0] > slow[1] && slow[1] > slow[2] && slow[2] < 1.1, "{slow:?}");
@@ -192,7 +197,7 @@
     };
     let mut report = vec![pace("i-1", 1), pace("i-9", 2), pace("i-2", 2), pace("i-2", 2)];
     report.extend((0..1_000).map(|_| pace("i-3", 2)));
-    take_paces(ms(300), &asking.view(), [name()].iter(), &report);
+    take_paces(ms(300), &asking.view(), &near(), [name()].iter(), &report);
     let is_slower = |id| stretch(&find(&asking, id), ms(300)) > 1.0;
     assert_eq!(["i-1", "i-2", "i-3"].map(is_slower), [false, true, false]);
 }
