A node looks for a reader before it asks again a store that refused its call

Cause: nodes of later ranks whose turn came just after the store was back were answered beside a reader that followed it already, and each listed and watched five topics (10 calls). Looks for a reader stayed as rare as in calm times after many in vain: a node followed the store for 3 s more.

Change: who waited for its turn and is not the first of its failure domain has a reader looked for first, and waits 0.1 s at most for it; looks begin anew when the store takes calls again.

Ruled out: longer pauses, watches that begin only after a look (changes of that moment would be known later).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod placement;
 pub mod priority_level;
 pub mod queue;
+pub mod reader_look;
 pub mod recent_work;
 pub mod replica;
 pub mod retry;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -11,6 +11,7 @@
 use streamfold_model::{NodeEntry, NodeId};
 use streamfold_policy::Mechanism;
 use streamfold_policy::feed_rule::{FeedNode, choose_readers};
+use streamfold_policy::reader_look::LookPlan;
 
 use crate::border::{FeedChange, FeedItem, FeedTopic};
 use crate::cluster::NewsOrigin;
@@ -36,13 +37,6 @@
 const NEXT_AFTER: Duration = Duration::from_millis(100);
 /// The pause before a node that has just been started asks readers again that were not up yet.
 const START_PAUSE: Duration = Duration::from_millis(50);
-/// How soon a node that follows the store looks for a reader, doubled with each look in vain, and
-/// how often at least: many nodes that lost their reader together follow the store for a moment.
-const FIRST_LOOK: Duration = Duration::from_millis(500);
-const LOOK_EVERY: Duration = Duration::from_secs(3);
-/// How often at least while the store refuses calls: a node that comes later in its failure domain asks the store itself
-/// less often then, and those before it may have been answered.
-const LOOK_WHILE_REFUSED: Duration = Duration::from_millis(500);
 /// How often a node that waits for a reader which is about to begin looks whether that still says so.
 const START_LOOK: Duration = Duration::from_millis(100);
 /// Where a node has its news of the store from.
@@ -124,7 +118,7 @@
 /// ends. Where none can, the store is followed.
 pub async fn follow(router: Arc<Router>) {
     let mut lost: Option<NodeId>;
-    let mut looks = 0;
+    let mut plan = LookPlan::default();
     let mut reader = await_reader(&router).await;
     loop {
         match reader {
@@ -134,18 +128,22 @@
                 lost = Some(subscription.reader);
                 // It may have lost the store.
                 router.store_turn.doubt();
-                looks = 0;
+                plan = LookPlan::default();
             }
             None => {
                 router.set_source(FeedSource::Store);
                 lost = None;
-                let longest = if router.store_turn.is_refused() { LOOK_WHILE_REFUSED } else { LOOK_EVERY };
-                let pause = (FIRST_LOOK * 2u32.pow(looks)).min(longest);
-                looks = (looks + 1).min(8);
-                tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
+                let pause = plan.next_pause(router.store_turn.is_refused());
+                tokio::select! {
+                    () = tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))) => {}
+                    () = router.store_turn.wait_look_wanted() => {}
+                }
             }
         }
         reader = find_reader(&router, lost.as_ref(), SWITCH_WITHIN).await;
+        if reader.is_none() {
+            router.store_turn.note_looked_in_vain();
+        }
     }
 }
 
--- a/crates/router/src/store_turn.rs
+++ b/crates/router/src/store_turn.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use streamfold_policy::store_pause;
+use streamfold_policy::{reader_look, store_pause};
 use streamfold_store::StoreError;
-use tokio::sync::{Mutex, MutexGuard};
+use tokio::sync::{Mutex, MutexGuard, Notify};
 use tokio::time::Instant;
 
 /// How long calls wait for the one that finds out whether the store takes calls: one that is turned away knows within a
@@ -33,6 +33,10 @@
     /// The rank of this node among those of its failure domain that ask the store.
     rank: AtomicUsize,
     refusals: Mutex<RefusalRecord>,
+    /// A call that was refused is about to be made again, and a reader is to be looked for first.
+    look_wanted: Notify,
+    /// A reader was looked for in vain.
+    looked_in_vain: Notify,
 }
 
 /// Calls refused in a row.
@@ -68,8 +72,9 @@
             return self.call_at_once(call).await;
         }
         let Some(mut refusals) = self.wait_turn().await else { return self.call_at_once(call).await };
-        if let Some(again_at) = refusals.again_at {
+        if let Some(again_at) = refusals.again_at.filter(|at| *at > Instant::now()) {
             tokio::time::sleep_until(again_at).await;
+            self.look_first().await;
         }
         let result = call.await;
         match is_refusal(&result) {
@@ -84,6 +89,30 @@
         result
     }
 
+    /// Waits until a look for a reader is wanted.
+    pub async fn wait_look_wanted(&self) {
+        self.look_wanted.notified().await;
+    }
+
+    /// Takes that no reader was found. After one that was, what waits here is dropped: it follows that reader.
+    pub fn note_looked_in_vain(&self) {
+        self.looked_in_vain.notify_waiters();
+    }
+
+    /// Has a reader looked for, where those before this node may follow the store again.
+    async fn look_first(&self) {
+        let rank = self.rank.load(Ordering::Relaxed);
+        if !reader_look::is_before_asking(rank) {
+            return;
+        }
+        let mut in_vain = std::pin::pin!(self.looked_in_vain.notified());
+        in_vain.as_mut().enable();
+        self.look_wanted.notify_one();
+        // Readers that are silent are not waited for.
+        let is_in_vain = tokio::time::timeout(reader_look::LOOK_WITHIN, in_vain).await.is_ok();
+        tracing::debug!(event = "reader_looked_for", rank, is_in_vain);
+    }
+
     /// Waits for the turn of a call; none if it need not, or no longer.
     async fn wait_turn(&self) -> Option<MutexGuard<'_, RefusalRecord>> {
         let soon = tokio::time::timeout(DOUBT_WITHIN, self.refusals.lock()).await;
