A node that takes over a team's credit begins with none of it

Cause: a node that lived on while the giver of a team changed to it and back gave what it had saved each time, a full pool and up to two requests in each failure domain, beside what the other one had given in the same window. Change: where the lenders of its view change, a node keeps the credit only of teams that it gave it of before and after; one that stands in saves nothing. Which nodes give credit moved into a module of its own. The calm test of refusals below the limit holds unchanged. Not measured: what is refused below the limit after takeovers.

--- a/crates/policy/src/domain_credit.rs
+++ b/crates/policy/src/domain_credit.rs
@@ -47,6 +47,11 @@
         self.filled = self.filled.max(now);
     }
 
+    /// Whether nobody has asked for so long.
+    pub(crate) fn is_idle(&self, now: Moment, gap: Duration) -> bool {
+        now.since(self.filled) >= gap
+    }
+
     /// Takes one if it is there.
     fn take(&mut self) -> bool {
         let is_there = self.credit >= 1.0;
@@ -91,9 +96,9 @@
 }
 
 impl DomainCredit {
-    /// Credit since the node's start; no more than one, since another node may have dealt it out until now.
-    pub(crate) fn new(now: Moment, rate: f64) -> Self {
-        let earned = now.since(Moment::default()).as_secs_f64() * rate;
+    /// Credit since this node may have dealt it out; no more than one, since another node may have until now.
+    pub(crate) fn new(now: Moment, since: Moment, rate: f64) -> Self {
+        let earned = now.since(since).as_secs_f64() * rate;
         Self {
             own: CreditBucket::new(now, earned.min(1.0)),
             own_most: 0.0,
@@ -109,6 +114,11 @@
         }
     }
 
+    /// Whether nobody has asked for so long.
+    pub(crate) fn is_idle(&self, now: Moment, gap: Duration) -> bool {
+        self.own.is_idle(now, gap)
+    }
+
     pub(crate) fn note_demand(&mut self, now: Moment) {
         let memory = DEMAND_MEMORY.as_secs_f64();
         let kept = (-now.since(self.asked).as_secs_f64() / memory).exp();
--- a/crates/policy/src/usage_credit.rs
+++ b/crates/policy/src/usage_credit.rs
@@ -29,6 +29,10 @@
 const SAVED_SHARE: f64 = 0.6;
 /// The share of the allowance that the pool may save. The rest is for one that starts again.
 const POOL_SHARE: f64 = 0.25;
+/// A node that stood in for another one and was not asked for so long does so anew: about what a process takes to
+/// start again.
+const STAND_IN_GAP: Duration = Duration::from_millis(500);
+
 /// What the requests of a team may be beyond its rate and burst, from all nodes together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct UsageAllowance {
@@ -116,9 +120,26 @@
 #[derive(Debug, Default)]
 pub struct DomainCredits {
     teams: HashMap<TeamName, DomainCredit>,
+    /// Credit of teams that are new here counts from then on.
+    since: Moment,
 }
 
 impl DomainCredits {
+    /// The nodes that give credit have changed. Teams that this node gave credit of, and still does, keep what they
+    /// have; any other one begins with nothing, since what it may use in a window another node may have given.
+    pub fn change_lenders(&mut self, now: Moment, keeps: impl Fn(&TeamName) -> bool) {
+        self.since = now;
+        self.teams.retain(|team, _| keeps(team));
+    }
+
+    /// This node is asked in place of the one that gives the team's credit, which may be there again at any time: it
+    /// has what it earns while it is asked, and saves nothing from one time to the next.
+    pub fn stand_in(&mut self, now: Moment, team: &TeamName) {
+        if self.teams.get(team).is_none_or(|credit| credit.is_idle(now, STAND_IN_GAP)) {
+            self.teams.insert(team.clone(), DomainCredit::new(now, now, 0.0));
+        }
+    }
+
     /// Asks for one request of a team; `is_last` tells that the pool was asked already. Moments count from the start
     /// of the node.
     pub fn take(
@@ -174,7 +195,8 @@
 
     /// A team's credit, with what it has earned by now.
     fn fill(&mut self, now: Moment, team: &TeamName, rate: f64, allowance: UsageAllowance) -> &mut DomainCredit {
-        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now, rate));
+        let since = self.since;
+        let credit = self.teams.entry(team.clone()).or_insert_with(|| DomainCredit::new(now, since, rate));
         credit.fill(now, rate, allowance.domain_most());
         credit
     }
@@ -197,9 +219,24 @@
 #[derive(Debug, Default)]
 pub struct CreditPools {
     teams: HashMap<TeamName, CreditBucket>,
+    /// Credit of teams that are new here counts from then on.
+    since: Moment,
 }
 
 impl CreditPools {
+    /// The nodes that give credit have changed; as [`DomainCredits::change_lenders`].
+    pub fn change_lenders(&mut self, now: Moment, keeps: impl Fn(&TeamName) -> bool) {
+        self.since = now;
+        self.teams.retain(|team, _| keeps(team));
+    }
+
+    /// This node is asked in place of the one that lends; as [`DomainCredits::stand_in`].
+    pub fn stand_in(&mut self, now: Moment, team: &TeamName) {
+        if self.teams.get(team).is_none_or(|bucket| bucket.is_idle(now, STAND_IN_GAP)) {
+            self.teams.insert(team.clone(), CreditBucket::new(now, 0.0));
+        }
+    }
+
     /// Lends at most so many requests of a team; moments count from the start of the node.
     pub fn lend(
         &mut self,
@@ -211,8 +248,8 @@
     ) -> PoolLoan {
         let rate = allowance.rate(limit) * allowance.pool_part();
         let most = (allowance.requests * POOL_SHARE).max(1.0);
-        // What was lent before this node's start is past after a window.
-        let known = now.since(Moment::default()).as_secs_f64() / allowance.window.as_secs_f64().max(1.0);
+        // What was lent before this node's start, or by another node before the lenders changed, is past after a window.
+        let known = now.since(self.since).as_secs_f64() / allowance.window.as_secs_f64().max(1.0);
         let make = || CreditBucket::new(now, most * known.min(1.0));
         let bucket = self.teams.entry(team.clone()).or_insert_with(make);
         bucket.fill(now, rate, most);
--- a/crates/policy/tests/credit_failover.rs
+++ b/crates/policy/tests/credit_failover.rs
@@ -134,13 +134,26 @@
             let found = self.history.iter().rev().find(|(since, _)| *since <= before);
             let seen = found.map_or_else(|| vec![true; names.len()], |(_, seen)| seen.clone());
             if seen != self.lenders[number].seen {
-                self.change_view(now, number, &names, seen);
+                self.change_view(now, number, &names, &seen);
             }
         }
     }
 
-    fn change_view(&mut self, _now: Moment, number: usize, _names: &[String], seen: Vec<bool>) {
-        self.lenders[number].seen = seen;
+    fn change_view(&mut self, now: Moment, number: usize, names: &[String], seen: &[bool]) {
+        let before = std::mem::replace(&mut self.lenders[number].seen, seen.to_vec());
+        let deals = |seen: &[bool]| self.deals(names, seen, number);
+        let keeps_credit = deals(&before) && deals(seen);
+        let lends = |seen: &[bool]| self.find_pool(names, seen) == Some(number);
+        let keeps_pool = lends(&before) && lends(seen);
+        let lender = &mut self.lenders[number];
+        let own = lender.own_time(now.max(lender.started));
+        lender.credits.change_lenders(own, |_| keeps_credit);
+        lender.pools.change_lenders(own, |_| keeps_pool);
+    }
+
+    /// Whether a node deals out credit in its failure domain where these are alive.
+    fn deals(&self, names: &[String], seen: &[bool], number: usize) -> bool {
+        rank(names, seen, number / LENDERS, "blue", 1).first() == Some(&number)
     }
 
     fn find_pool(&self, names: &[String], seen: &[bool]) -> Option<usize> {
@@ -158,14 +171,21 @@
         let (names, allowance, limit) = (self.names(), self.allowance(), self.limit);
         let pool = self.find_pool(&names, &self.lenders[dealer].seen)?;
         let team = self.team.clone();
+        let lends = self.find_pool(&names, &self.lenders[pool].seen) == Some(pool);
         let lender = self.lenders.get_mut(pool).filter(|lender| lender.is_up(now))?;
         let own = lender.own_time(now);
+        if !lends {
+            lender.pools.stand_in(own, &team);
+        }
         Some(lender.pools.lend(own, &team, limit, allowance, wanted))
     }
 
     fn deal(&mut self, now: Moment, dealer: usize) -> bool {
         let (team, limit, allowance) = (self.team.clone(), self.limit, self.allowance());
         let own = self.lenders[dealer].own_time(now);
+        if !self.deals(&self.names(), &self.lenders[dealer].seen, dealer) {
+            self.lenders[dealer].credits.stand_in(own, &team);
+        }
         let answer = self.lenders[dealer].credits.take(own, &team, limit, allowance, false);
         let CreditAnswer::AskPool(wanted) = answer else { return answer == CreditAnswer::Granted };
         let loan = self.lend(now.plus(WAY), dealer, wanted);
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -21,10 +21,10 @@
 use crate::contention::find_contended;
 use crate::domain::DomainState;
 use crate::evacuation::EvacuationList;
+use crate::lenders::choose_lenders;
 use crate::peers::PeerNode;
 use crate::server::{Server, ServerShared};
 use crate::spell_book::SpellBook;
-use crate::usage::choose_lenders;
 
 /// Nodes of each other failure domain that a node keeps links to.
 const PEERS_PER_DOMAIN: usize = 4;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod gather_hedge;
 pub mod hedge;
 pub mod knowledge;
+mod lenders;
 mod line_choice;
 pub mod listing;
 mod look_around;
--- a/crates/router/src/usage.rs
+++ b/crates/router/src/usage.rs
@@ -7,29 +7,22 @@
 
 use bincode::{Decode, Encode};
 use streamfold_link::PeerLink;
-use streamfold_model::{ContentId, FailureDomain, NodeEntry, NodeId, TeamName, TeamSpec, UsageLimit};
+use streamfold_model::{ContentId, NodeEntry, NodeId, TeamName, TeamSpec, UsageLimit};
 use streamfold_policy::come_back::{TurnReason, usable_wait};
-use streamfold_policy::owner::choose_owners;
 use streamfold_policy::turn_book::{PlaceCounts, PlaceOffer, TurnAsk};
-use streamfold_policy::usage_credit::{
-    CreditAnswer, CreditDomains, CreditPools, DomainCredits, PoolLoan, UsageAllowance,
-};
+use streamfold_policy::usage_credit::{CreditAnswer, CreditPools, DomainCredits, PoolLoan, UsageAllowance};
 use streamfold_policy::{Mechanism, Moment};
 
 use crate::answer::RefusalKind;
-use crate::border::FeedTopic;
 use crate::cluster_view::ClusterView;
+use crate::lenders::{LenderMap, credit_domains, find_pool, is_dealer, is_pool, known_domains, rank_lenders};
 use crate::request::CallerRequest;
 use crate::router::Router;
 
 /// Path of a request for credit, with the form of the messages.
 pub const PATH_CREDIT: &str = "/2/credit";
-/// Nodes of each failure domain that give credit: so many links lead there from any node.
-const LENDERS: usize = 4;
 /// Links that are kept while nodes come and go; beyond them those without a connection are dropped.
 const MAX_LINKS: usize = 128;
-/// By what they are chosen.
-const LENDERS_KEY: &str = "credit";
 /// How long the node that deals out credit in this failure domain may take: some way of a millisecond, and its
 /// processor.
 const DEAL_WITHIN: Duration = Duration::from_millis(60);
@@ -139,6 +132,8 @@
     domain: Mutex<DomainCredits>,
     pools: Mutex<CreditPools>,
     links: Mutex<HashMap<NodeId, LenderLink>>,
+    /// The nodes that gave credit when this one was last asked, once it was.
+    lenders: Mutex<Option<LenderMap>>,
 }
 
 /// The link to a node that gives credit.
@@ -174,44 +169,12 @@
     }
 }
 
-/// The nodes of a failure domain that give credit, of all that could.
-pub(crate) fn choose_lenders(nodes: &[&NodeEntry]) -> Vec<NodeEntry> {
-    let names = nodes.iter().map(|entry| entry.node.as_str());
-    let chosen = choose_owners(names, LENDERS_KEY, LENDERS);
-    nodes.iter().filter(|entry| chosen.contains(&entry.node.as_str())).map(|entry| (*entry).clone()).collect()
-}
-
-/// Some nodes by their turn for a team.
-fn rank_lenders<'a>(lenders: &'a [NodeEntry], team: &TeamName, count: usize) -> Vec<&'a NodeEntry> {
-    let names = lenders.iter().map(|entry| entry.node.as_str());
-    let ranked = choose_owners(names, team.as_str(), count);
-    let find = |name: &str| lenders.iter().find(|entry| entry.node.as_str() == name);
-    ranked.into_iter().filter_map(find).collect()
-}
-
-/// The failure domains that have nodes which give credit.
-fn known_domains(view: &ClusterView) -> Vec<&str> {
-    view.lenders.keys().map(FailureDomain::as_str).collect()
-}
-
-fn credit_domains<'a>(router: &Router, known: &'a [&'a str]) -> CreditDomains<'a> {
-    CreditDomains { known, named: router.settings.regions.len(), are_all_heard: router.is_listed(FeedTopic::Nodes) }
-}
-
-/// The node that lends from the pool of a team.
-fn find_pool<'a>(router: &Router, view: &'a ClusterView, team: &TeamName) -> Option<&'a NodeEntry> {
-    let known = known_domains(view);
-    let home = credit_domains(router, &known).find_pool(team)?.to_owned();
-    let lenders = view.lenders.iter().find(|(domain, _)| domain.as_str() == home);
-    rank_lenders(lenders?.1, team, 1).first().copied()
-}
-
 fn allowance(router: &Router, view: &ClusterView) -> UsageAllowance {
     let usage = router.settings.usage;
     UsageAllowance {
         requests: usage.map_or(0.0, |usage| usage.allowance),
         window: usage.map_or(ASSUMED_WINDOW, |usage| usage.window.0),
-        domains: credit_domains(router, &known_domains(view)).count(),
+        domains: credit_domains(router, &known_domains(&view.lenders)).count(),
     }
 }
 
@@ -331,6 +294,23 @@
     Some(reply)
 }
 
+/// Gives up credit that other nodes give from now on, or gave until now, by this node's view.
+fn note_lenders(router: &Router, view: &ClusterView) {
+    let mut known = lock(&router.usage.lenders);
+    if known.as_ref() == Some(&view.lenders) {
+        return;
+    }
+    let Some(before) = known.replace(view.lenders.clone()) else { return };
+    let now = router.clock.now();
+    let both = [&before, &view.lenders];
+    let deals = |team: &TeamName| both.iter().all(|lenders| is_dealer(router, lenders, team));
+    let lends = |team: &TeamName| both.iter().all(|lenders| is_pool(router, lenders, team));
+    lock(&router.usage.domain).change_lenders(now, deals);
+    lock(&router.usage.pools).change_lenders(now, lends);
+    let domains = view.lenders.len();
+    tracing::info!(event = "lenders_changed", domains, lenders = view.lenders.values().map(Vec::len).sum::<usize>());
+}
+
 /// Whether callers of one team that are refused return in turn.
 fn has_turns(router: &Router) -> bool {
     let settings = &router.settings;
@@ -342,6 +322,10 @@
     let team = &request.team;
     // By the routes in force here there is no limit.
     let Some(limit) = find_limit(view, team) else { return CreditReply::granted(1) };
+    note_lenders(router, view);
+    if !is_dealer(router, &view.lenders, team) {
+        lock(&router.usage.domain).stand_in(router.clock.now(), team);
+    }
     let allowance = allowance(router, view);
     let take = |is_last: bool| {
         let (now, mut credits) = (router.clock.now(), lock(&router.usage.domain));
@@ -381,7 +365,7 @@
 }
 
 async fn ask_pool(router: &Router, view: &ClusterView, team: &TeamName, wanted: u32) -> Option<PoolLoan> {
-    let entry = find_pool(router, view, team)?;
+    let entry = find_pool(router, &view.lenders, team)?;
     let reply = if entry.node == router.settings.node {
         lend(router, view, team, wanted)
     } else {
@@ -394,6 +378,11 @@
 /// Lends from the pool of a team.
 fn lend(router: &Router, view: &ClusterView, team: &TeamName, wanted: u32) -> CreditReply {
     let Some(limit) = find_limit(view, team) else { return CreditReply::granted(wanted) };
-    let loan = lock(&router.usage.pools).lend(router.clock.now(), team, limit, allowance(router, view), wanted);
+    note_lenders(router, view);
+    let (now, mut pools) = (router.clock.now(), lock(&router.usage.pools));
+    if !is_pool(router, &view.lenders, team) {
+        pools.stand_in(now, team);
+    }
+    let loan = pools.lend(now, team, limit, allowance(router, view), wanted);
     CreditReply { requests: loan.requests, ..CreditReply::refused(loan.wait) }
 }
