--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -400,8 +400,8 @@
         // One that fell silent says nothing of its pace; what it said before may be over by the time it is back.
         match silent.is_zero() {
             true if !is_slow => ServerOutlook::UNKNOWN,
-            true => ServerOutlook { finish: work + queued, words: 1 },
-            false => ServerOutlook { finish: silent, words: silences },
+            true => ServerOutlook { finish: work + queued, evidence: 1 },
+            false => ServerOutlook { finish: silent, evidence: silences },
         }
     }
 }
--- a/crates/policy/src/server_outlook.rs
+++ b/crates/policy/src/server_outlook.rs
@@ -8,25 +8,25 @@
 
 use crate::moment::Moment;
 
-/// A server's finish counts as solid from so many words on that say the same. One may be mistaken or old.
-const SOLID_WORDS: u32 = 2;
+/// A server's finish counts as solid from so many observations on that say the same. One may be mistaken or old.
+const SOLID_EVIDENCE: u32 = 2;
 
 /// When a server is expected to have answered a call that goes to it now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerOutlook {
     /// The earliest by what is known.
     pub finish: Duration,
-    /// How many words support that: an answer that told of it, a call that was not answered.
-    pub words: u32,
+    /// How many observations support that: an answer that told of it, a call that was not answered.
+    pub evidence: u32,
 }
 
 impl ServerOutlook {
     /// That of a server of which nothing is known: it is expected in time.
-    pub const UNKNOWN: Self = Self { finish: Duration::ZERO, words: 0 };
+    pub const UNKNOWN: Self = Self { finish: Duration::ZERO, evidence: 0 };
 
-    /// Whether it holds without any one word.
+    /// Whether it holds without any one observation.
     pub fn is_solid(self) -> bool {
-        self.words >= SOLID_WORDS
+        self.evidence >= SOLID_EVIDENCE
     }
 }
 
@@ -42,7 +42,7 @@
 pub struct ShardOutlook {
     /// The earliest; none where no server may be asked.
     pub finish: Option<Duration>,
-    /// Whether that holds without any one word.
+    /// Whether that holds without any one observation.
     pub is_solid: bool,
 }
 
@@ -61,14 +61,14 @@
     }
 }
 
-/// When `needed` of some shards are expected to have answered, whichever word is left out; none where too few
+/// When `needed` of some shards are expected to have answered, whichever observation is left out; none where too few
 /// have a server at all.
 pub fn expect_answers(shards: &[ShardOutlook], needed: usize) -> Option<Duration> {
     let mut finishes: Vec<Duration> = shards.iter().filter_map(|shard| shard.finish).collect();
     let fragile = shards.iter().filter(|shard| !shard.is_solid).filter_map(|shard| shard.finish).max();
     finishes.sort_unstable();
     let last = *finishes.get(needed.checked_sub(1)?)?;
-    // Without one word, the shard that it speaks of may be in time, and each other one is needed a place earlier.
+    // Without one observation, the shard that it is of may be in time, and each other one is needed a place earlier.
     match fragile {
         Some(fragile) if fragile >= last => {
             Some(needed.checked_sub(2).map_or(Duration::ZERO, |before| finishes[before]))
--- a/crates/policy/tests/entry_gate.rs
+++ b/crates/policy/tests/entry_gate.rs
@@ -189,7 +189,7 @@
         belief.note_overdue(now, begun);
         belief.finish(now, begun, CallSample::Abandoned);
         let outlook = belief.outlook(now, WORK, SPELL);
-        told.push(format!("{:?} words {}", outlook.finish, outlook.words));
+        told.push(format!("{:?} words {}", outlook.finish, outlook.evidence));
         now = now.plus(outlook.finish);
         assert_eq!(belief.outlook(now, WORK, SPELL), ServerOutlook::UNKNOWN);
     }
@@ -210,7 +210,7 @@
     belief.note_overdue(later, later);
     let later = later.plus(ms(600));
     belief.finish(later, later, CallSample::Failed);
-    assert_eq!(belief.outlook(later, WORK, SPELL), ServerOutlook { finish: ms(2_000), words: 7 });
+    assert_eq!(belief.outlook(later, WORK, SPELL), ServerOutlook { finish: ms(2_000), evidence: 7 });
     belief.finish(later, later, CallSample::Answered);
     assert_eq!(belief.outlook(later, WORK, SPELL), ServerOutlook::UNKNOWN);
 }
@@ -229,7 +229,7 @@
 fn outlooks(shards: &[Vec<(u8, u8)>]) -> Vec<Vec<ServerOutlook>> {
     let server = |(finish, words): &(u8, u8)| ServerOutlook {
         finish: ms(u64::from(*finish) * 10 * u64::from(*words % 4 > 0)),
-        words: u32::from(*words % 4),
+        evidence: u32::from(*words % 4),
     };
     shards.iter().map(|servers| servers.iter().map(server).collect()).collect()
 }
@@ -255,9 +255,9 @@
             for server in 0..servers[shard].len() {
                 let mut others = servers.clone();
                 let known = others[shard][server];
-                others[shard][server] = match known.words {
+                others[shard][server] = match known.evidence {
                     0 | 1 => ServerOutlook::UNKNOWN,
-                    words => ServerOutlook { words: words - 1, ..known },
+                    words => ServerOutlook { evidence: words - 1, ..known },
                 };
                 let shards: Vec<ShardOutlook> =
                     others.iter().map(|shard| ShardOutlook::of(shard.iter().copied(), left)).collect();
