What a newcomer stumbled on: comments that said something else than the code, and names

No behaviour is changed. Open, as seen by reading: requests with views from before and after a change of lenders may alternate at one node, and each flip drops what it had saved for some teams.

--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -14,7 +14,8 @@
 
 /// How often the settings file is looked at without a signal.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
-/// No way on earth takes longer; a longer one is a slip of the pen, and would give up requests that were just read.
+/// The longest `caller_way` that is accepted: no network path takes longer. A longer one is a mistake in the settings,
+/// and requests would be given up as soon as they are read.
 const MAX_CALLER_WAY: Duration = Duration::from_secs(1);
 
 /// Reads and checks the settings that the arguments name.
@@ -52,11 +53,11 @@
         check_range("cold_calls.excess", cold.excess, cold.excess >= 0.0, "0 or more");
         check_range("cold_calls.allowance", cold.allowance, cold.allowance >= 0.0, "0 or more");
     }
-    let has_turns = !settings.return_turns || settings.scheduling.by_team;
+    let turns_allowed = !settings.return_turns || settings.scheduling.by_team;
     check_range(
         "return_turns",
         f64::from(u8::from(settings.return_turns)),
-        has_turns,
+        turns_allowed,
         "off without scheduling.by_team",
     );
     if let Some(way) = settings.caller_way {
--- a/crates/policy/src/call_order.rs
+++ b/crates/policy/src/call_order.rs
@@ -11,12 +11,12 @@
 use crate::moment::Moment;
 use crate::team_turns::{TeamShare, TeamTurns};
 
-/// The part of its share of calls first come first served that every priority keeps. A little over a half, of which
-/// calls that leave the line take some.
+/// The kept share, as a part of the share that a priority would get if calls were made first come, first served: a
+/// little over a half, of which calls that leave the line take some.
 const KEPT_SHARE: f64 = 0.55;
 /// Less than this is left of a priority whose calls came many half-lives ago: routes of it may be gone.
 const FORGOTTEN: f64 = 1e-3;
-/// What calls of each priority asked for and got counts half after this time: some bursts of callers.
+/// How many calls of each priority joined and were made counts half after this time.
 const SHARE_HALF_LIFE: Duration = Duration::from_secs(5);
 
 /// A call that waits for a server.
@@ -47,7 +47,7 @@
 /// The place of a waiting call: the least goes first. The fields count in their order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallRank {
-    /// Whether its priority is not behind what it keeps at least; one that is goes before all others.
+    /// Whether its priority has had its kept share; calls of one that has not go before all others.
     pub is_kept: bool,
     /// Its priority.
     pub priority: Priority,
@@ -128,7 +128,7 @@
         add(&mut self.all);
     }
 
-    /// Whether calls of a priority got as many turns as it keeps at least.
+    /// Whether as many calls of a priority were made as its kept share, to within one call.
     fn is_kept(&self, priority: Priority) -> bool {
         let Some(count) = self.by_priority.get(&priority) else { return true };
         let share = count.joined / self.all.joined.max(f64::MIN_POSITIVE);
--- a/crates/policy/src/caller_way.rs
+++ b/crates/policy/src/caller_way.rs
@@ -8,8 +8,8 @@
 
 use crate::moment::Moment;
 
-/// A request read so long after its connection was accepted was not what the connection was opened for at once: the
-/// caller keeps connections ready, and has waited for nothing.
+/// A first request that is read later than this after its connection was accepted did not wait for the connection: the
+/// caller had opened it beforehand.
 const FIRST_WITHIN: Duration = Duration::from_millis(50);
 
 /// When a request began that was read at a moment; `accepted` is the moment at which its connection was accepted, if
--- a/crates/policy/src/come_back.rs
+++ b/crates/policy/src/come_back.rs
@@ -25,7 +25,7 @@
 const PLACE_SPREAD: Duration = Duration::from_millis(1);
 /// Callers heed a time to come back up to this share of the time that they have left.
 const HEEDED_SHARE: f64 = 1.0 / 3.0;
-/// What a refusal's way back takes of it.
+/// How long a refusal takes to reach its caller, who can wait so much less.
 const REFUSAL_WAY: Duration = Duration::from_millis(5);
 
 /// Why a caller is turned away though its request is proper.
--- a/crates/policy/src/entry_gate.rs
+++ b/crates/policy/src/entry_gate.rs
@@ -19,7 +19,8 @@
     pub target: Duration,
     /// The time it has left.
     pub left: Duration,
-    /// When enough of its shards are expected to have answered, from now; none if that is not known.
+    /// How long until enough of its shards are expected to have answered; none where too few have a server that may be
+    /// asked. Such a request is not refused as hopeless.
     pub expected: Option<Duration>,
     /// How long calls of its priority wait for a server.
     pub waited: Duration,
--- a/crates/policy/src/priority_level.rs
+++ b/crates/policy/src/priority_level.rs
@@ -120,7 +120,8 @@
         lasts && lowest.is_some_and(|lowest| lowest > priority)
     }
 
-    /// Closes the least urgent priority that is let in. The next one takes as long again.
+    /// Closes the least urgent priority that is let in. All spells begin anew, so the next one is closed
+    /// [`CLOSE_AFTER`] later at the earliest.
     fn close(&mut self, now: Moment) {
         let is_soon = self.opened.is_some_and(|opened| now.since(opened) < self.open_after);
         self.open_after = if is_soon { (self.open_after * 2).min(MAX_OPEN_AFTER) } else { self.base_open_after() };
@@ -130,7 +131,8 @@
         self.spells.values_mut().for_each(|spell| *spell = None);
     }
 
-    /// What stays between two levels that are closed one after the other.
+    /// How long waits must be short before a level that is closed now is opened again, if none was opened just before:
+    /// as for those that are closed already, or the shortest where none is.
     fn base_open_after(&self) -> Duration {
         if self.closed > 0 { self.open_after } else { OPEN_AFTER }
     }
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -376,7 +376,8 @@
 
 impl ReplicaState {
     /// How much longer it is gone round because it fell silent and has answered nothing since, also where the last of
-    /// its calls failed for want of an answer. A server that only refuses calls is none of these: it is back at once.
+    /// its calls failed for want of an answer. Zero for a server that only refuses calls: it may take the
+    /// next one.
     fn silent_for(&self, now: Moment) -> Duration {
         let is_silent = self.silences > 0 && self.mechanisms.has(Mechanism::SilenceRouting);
         let until = self.silent_until.filter(|_| is_silent);
--- a/crates/policy/src/shard_health.rs
+++ b/crates/policy/src/shard_health.rs
@@ -7,8 +7,8 @@
 
 use streamfold_model::ServiceName;
 
-/// A service with so many good servers has none to spare: should it pause, nobody answers.
-const FEWEST_GOOD: usize = 1;
+/// A service with at most so many good servers is short: should that one pause, nobody answers.
+const MOST_GOOD_IF_SHORT: usize = 1;
 /// Services that a log line names at most.
 const MAX_NAMED: usize = 5;
 
@@ -22,9 +22,9 @@
 }
 
 impl ServiceStanding {
-    /// Whether its good servers are few.
+    /// Whether it is short: its good servers are one or none, of more.
     pub fn is_short(self) -> bool {
-        self.good <= FEWEST_GOOD && self.good < self.servers
+        self.good <= MOST_GOOD_IF_SHORT && self.good < self.servers
     }
 }
 
--- a/crates/policy/src/store_pause.rs
+++ b/crates/policy/src/store_pause.rs
@@ -9,8 +9,8 @@
 /// store back within a second is soon enough.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// So much longer the first and the longest pause of each next node are: those before it ask for all, and it looks for
-/// them twice a second.
+/// By so much the first and the longest pause grow with each rank: nodes before this one ask for all, and it looks for a
+/// reader among them meanwhile.
 const FIRST_STEP: Duration = Duration::from_millis(400);
 const LONGEST_STEP: Duration = Duration::from_millis(600);
 /// The longest pause of any node, which may be the only one that the store does not turn away.
--- a/crates/policy/src/team_turns.rs
+++ b/crates/policy/src/team_turns.rs
@@ -11,7 +11,8 @@
 const TURN_UNIT: f64 = 1e6;
 /// The least rate that counts, a second: one that is declared as nothing still gets a turn.
 const LEAST_RATE: f64 = 1e-3;
-/// Teams remembered; of more, those are forgotten first whose turn is past.
+/// Teams remembered at most. When there are so many, those whose turn is past are forgotten; if that frees none, a
+/// further team is not remembered, and its next call goes as if it had had no turn.
 const MAX_TEAMS: usize = 1_024;
 
 /// A team and the rate by which it shares.
@@ -19,7 +20,8 @@
 pub struct TeamShare {
     /// The team; `None` for all callers without one, who share as one team does.
     pub team: Option<TeamName>,
-    /// Its declared rate, in requests a second; `None` for one without a limit, which counts as the mean of the others.
+    /// Its declared rate, in requests a second; `None` for one without a limit, which counts with the mean
+    /// rate of the calls that were made of teams with one.
     pub rate: Option<f64>,
 }
 
@@ -31,9 +33,10 @@
     present: u64,
     /// The next turn of teams that have had one, where it is not past.
     next: HashMap<Option<TeamName>, u64>,
-    /// The mean of the rates seen.
+    /// The mean declared rate of calls made, in requests a second; the newest calls count most.
     mean_rate: f64,
-    rates: u32,
+    /// How many calls that rests on, up to [`MAX_TEAMS`].
+    rated_calls: u32,
 }
 
 impl TeamTurns {
@@ -57,9 +60,9 @@
     }
 
     fn weigh(&mut self, share: &TeamShare) -> f64 {
-        let Some(rate) = share.rate else { return if self.rates == 0 { 1.0 } else { self.mean_rate } };
-        self.rates = (self.rates + 1).min(MAX_TEAMS as u32);
-        self.mean_rate += (rate - self.mean_rate) / f64::from(self.rates);
+        let Some(rate) = share.rate else { return if self.rated_calls == 0 { 1.0 } else { self.mean_rate } };
+        self.rated_calls = (self.rated_calls + 1).min(MAX_TEAMS as u32);
+        self.mean_rate += (rate - self.mean_rate) / f64::from(self.rated_calls);
         rate
     }
 
--- a/crates/policy/src/turn_book.rs
+++ b/crates/policy/src/turn_book.rs
@@ -53,7 +53,7 @@
     pub released: u32,
     /// Met by somebody when there was no credit, since less came in than was expected.
     pub missed: u32,
-    /// Not handed out, since the caller cannot wait so long.
+    /// Not handed out, since the caller cannot wait so long, or too many places are kept already.
     pub too_far: u32,
 }
 
--- a/crates/policy/src/wait_book.rs
+++ b/crates/policy/src/wait_book.rs
@@ -41,7 +41,7 @@
 /// How long calls of a priority wait.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AgreedWait {
-    /// What at least half of the failure domains agree on.
+    /// The least wait that at least half of the failure domains do not exceed.
     pub wait: Duration,
     /// The age of the oldest report that it rests on.
     pub age: Duration,
@@ -87,8 +87,8 @@
     }
 }
 
-/// The greatest wait that at least half of some views do not exceed, so that one that is longer than all others
-/// never counts; none without a view.
+/// The least wait that at least half of some views do not exceed (the lower median), so that of several views the
+/// longest alone never counts; none without a view.
 fn agree(mut views: Vec<AgreedWait>) -> Option<AgreedWait> {
     views.sort_unstable_by_key(|view| view.wait);
     let age = views.iter().map(|view| view.age).max()?;
--- a/crates/policy/src/work_pace.rs
+++ b/crates/policy/src/work_pace.rs
@@ -16,7 +16,7 @@
 const STEADY_CLIP: f64 = 2.0;
 /// So many answers of a usual server are taken for granted before the first one.
 const STEADY_PRIOR: f64 = 8.0;
-/// Answers that count for the lasting pace at most, so that a server that changes is seen to.
+/// Answers that count for the lasting pace at most, so that a lasting change of a server shows.
 const STEADY_WEIGHT: f64 = 40.0;
 /// Without answers the lasting pace is half forgotten in this time: machines get other neighbours.
 const STEADY_HALF_LIFE: Duration = Duration::from_secs(20);
@@ -31,7 +31,8 @@
 const PAUSE_HALF_LIFE: Duration = Duration::from_millis(500);
 /// What a call that had to wait says, against one that did not: the waiting is an estimate.
 const WAITED_SHARE: f64 = 0.5;
-/// What another node told counts for so much of what was seen here, in powers.
+/// The share of what another node has just told in the expected pace, on the logarithmic scale; the rest is what was
+/// seen here.
 const TOLD_SHARE: f64 = 0.7;
 /// Bounds on any pace.
 const MIN_PACE: f64 = 0.5;
@@ -210,12 +211,6 @@
         Some(SpellSample { span: now.since(since), is_on: ratio >= FAR_SLOWER })
     }
 
-    /// Whether anything is known that has not faded away.
-    pub fn is_known(&self, now: Moment) -> bool {
-        let sampled = self.sampled.max(self.told.map(|told| told.measured));
-        sampled.is_some_and(|sampled| now.since(sampled) < STEADY_HALF_LIFE)
-    }
-
     /// When a call last showed something.
     pub fn sampled(&self) -> Option<Moment> {
         self.sampled
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -131,7 +131,7 @@
 pub struct PriorityWait {
     /// The rank of the calls.
     pub priority: Priority,
-    /// How long the last of them waited, in microseconds.
+    /// How long the last of them waited, or the first that still waits has so far: the longer one, in microseconds.
     pub wait_us: u64,
 }
 
@@ -151,7 +151,7 @@
 pub struct DomainReport {
     /// How long calls wait, for each priority of which any waited lately.
     pub waits: Vec<PriorityWait>,
-    /// Paces of servers that are far from the usual one; a few, the newest first.
+    /// Paces of servers that are far slower than usual; a few, the newest first.
     pub paces: Vec<ServerPace>,
 }
 
--- a/crates/router/src/call_line.rs
+++ b/crates/router/src/call_line.rs
@@ -19,7 +19,8 @@
 /// How often waiting calls look for room although no call has ended, since what servers told fades; and how long one
 /// that is called up may take. Its request is usually woken within a fraction of a millisecond.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
-/// Calls that may find no server they can use after one has ended, until the next one ends: each costs a wakeup.
+/// After so many calls of one round found no server they can use, one more may look, and then none until the next
+/// round: each look costs a wakeup.
 const MAX_PASSED: u32 = 4;
 
 /// A call in the line.
@@ -44,7 +45,8 @@
     /// Counts the moments at which there may have been room anew.
     round: u64,
     passed: u32,
-    newest: Moment,
+    /// When the present round began.
+    round_began: Moment,
 }
 
 /// Calls that wait for a service.
@@ -63,7 +65,7 @@
     fn note_room(&mut self, now: Moment) {
         self.round += 1;
         self.passed = 0;
-        self.newest = now;
+        self.round_began = now;
         self.call_up(now);
     }
 
@@ -111,7 +113,7 @@
             called: None,
             round: 1,
             passed: 0,
-            newest: Moment::default(),
+            round_began: Moment::default(),
         };
         Arc::new(Self { service, waits, state: Mutex::new(state) })
     }
@@ -180,7 +182,7 @@
     /// Lets waiting calls look for room if none has for a while.
     fn look_again(&self, now: Moment) {
         let mut state = self.state();
-        if now.since(state.newest) >= LOOK_AGAIN {
+        if now.since(state.round_began) >= LOOK_AGAIN {
             state.note_room(now);
         }
     }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -80,9 +80,9 @@
         return Ok(());
     }
     let now = context.now();
-    let desk = &context.router.entry;
+    let control = &context.router.entry;
     note_own(context, now);
-    let told = desk.wait(now, context.priority);
+    let told = control.wait(now, context.priority);
     let left = context.request.deadline.since(now);
     let ask = EntryAsk {
         priority: context.priority,
@@ -91,7 +91,7 @@
         expected: expect(context, fold, now, left),
         waited: told.wait,
     };
-    let (reason, wait) = match desk.decide(now, &ask) {
+    let (reason, wait) = match control.decide(now, &ask) {
         EntryStep::Begin => return Ok(()),
         EntryStep::Hopeless { wait } => ("hopeless", wait),
         EntryStep::GiveWay { wait } => ("give_way", wait),
--- a/crates/router/src/lenders.rs
+++ b/crates/router/src/lenders.rs
@@ -11,7 +11,7 @@
 
 /// Nodes of each failure domain that give credit: so many links lead there from any node.
 const LENDERS: usize = 4;
-/// By what they are chosen.
+/// The key by which they are chosen, the same for all teams (rendezvous hashing).
 const LENDERS_KEY: &str = "credit";
 
 /// The nodes of each failure domain that give credit.
@@ -24,7 +24,7 @@
     nodes.iter().filter(|entry| chosen.contains(&entry.node.as_str())).map(|entry| (*entry).clone()).collect()
 }
 
-/// Some nodes by their turn for a team.
+/// At most `count` of the nodes that give credit, in the order in which a team's credit is asked of them.
 pub(crate) fn rank_lenders<'a>(lenders: &'a [NodeEntry], team: &TeamName, count: usize) -> Vec<&'a NodeEntry> {
     let names = lenders.iter().map(|entry| entry.node.as_str());
     let ranked = choose_owners(names, team.as_str(), count);
--- a/crates/router/src/pace_report.rs
+++ b/crates/router/src/pace_report.rs
@@ -14,10 +14,10 @@
 const MAX_TOLD: usize = 4;
 /// A pace is told if work takes so many times as long as usual: less makes no difference to whom to ask across regions.
 const FAR_FROM_USUAL: f64 = 3.0;
-/// An older measurement is not told: the asking node would not believe it.
+/// An older measurement is not told: the asking node lets it fade, and it would count for little.
 const TOLD_FOR: Duration = Duration::from_secs(2);
 
-/// Paces far from the usual one of servers near this node, among those of some services; the newest first.
+/// Paces of servers near this node that are far slower than usual, among those of some services; the newest first.
 pub fn tell_paces<'a>(
     now: Moment,
     view: &'a ClusterView,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -70,8 +70,8 @@
     /// they are declared.
     #[serde(default)]
     pub usage: Option<UsageSettings>,
-    /// The longest way of a caller's bytes to this node, one way. Without it a request counts as begun when it was
-    /// read.
+    /// The longest time that bytes take from a caller to this node, one way. The first request on a new connection
+    /// counts as begun twice that long before the connection was accepted; without it, when it was read.
     #[serde(default)]
     pub caller_way: Option<TimeSpan>,
     /// Decisions of a deployment whose callers compete for room; without it none is made.
@@ -126,7 +126,7 @@
     /// By team, where teams have limits.
     #[serde(default)]
     pub by_team: bool,
-    /// By the measured pace of servers, where a service has several.
+    /// By the measured pace of servers, at shards that have, or had until some left, at least three.
     #[serde(default)]
     pub by_pace: bool,
 }
