The first request of a content that ends servers takes half of a service at most, also where its caller asks again elsewhere

Ruled out: that several contents are guilty; that servers fall over by themselves (none ends that did not run it).

Change: a request that nobody answered in the time calls usually take, under which three servers ended, is held off at once; its calls are cancelled and the nodes in reach told before its caller is answered. Two hedges at most before any answer. Servers that ended under what is held off speak against nothing else. Trials are told too.

--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -4,7 +4,9 @@
 //! where one server would have shown what it does. One that is suspect without reason loses the time of one
 //! call. Which request did it cannot be known the first time, so one over shards that lost a call sends nothing
 //! more until it is known what became of the server, and nothing at all if several ended and nobody has answered
-//! it: the other server of each shard lives on.
+//! it: the other server of each shard lives on. Once its calls have been out for as long as calls usually take, and
+//! still nobody has answered, it is to blame: a request that only ran beside it has answers by then. Until somebody has
+//! answered, few second calls go out.
 
 use std::time::Duration;
 
@@ -16,6 +18,13 @@
 /// How long after a request lost several calls it waits until it is known whether servers ended: a look
 /// 5 ms later, and the way to a region 12 ms away and back.
 pub const VERDICT_WITHIN: Duration = Duration::from_millis(30);
+/// The same for a request over shards that lost several calls while nobody has answered it: servers that run the same
+/// end up to 90 ms after one another.
+const LONG_VERDICT_WITHIN: Duration = Duration::from_millis(90);
+
+/// Second calls of a request over shards while no server has answered it: with as many the first ones would show
+/// whether it ends servers, and a few that pause at once are gone round.
+const MAX_BLIND_HEDGES: usize = LEAST_CRASHES - 1;
 
 /// How far the call that goes first has come.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -44,6 +53,17 @@
     Never,
 }
 
+/// What becomes of a request whose calls are under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestFate {
+    /// It goes on.
+    GoesOn,
+    /// What it asks for is held off by now, and no server has answered it: its calls are cancelled.
+    GivenUp,
+    /// It is what ended the servers: what it asks for is held off from now on, and its calls are cancelled.
+    Blamed,
+}
+
 /// How the call that goes first ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CanaryEnd {
@@ -70,6 +90,8 @@
     /// Whether calls were sent while nothing spoke against it.
     was_free: bool,
     is_answered: bool,
+    /// Second calls sent before any answer.
+    blind_hedges: usize,
 }
 
 impl CanaryRecord {
@@ -103,7 +125,8 @@
     /// Whether it has lost so many calls that it must first be known what became of the servers.
     fn awaits_verdict(&self, now: Moment) -> bool {
         let least = if self.is_over_shards { 1 } else { LEAST_CRASHES };
-        self.lost >= least && now.since(self.lost_at) < VERDICT_WITHIN
+        let within = if self.lost > 1 && self.is_likely() { LONG_VERDICT_WITHIN } else { VERDICT_WITHIN };
+        self.lost >= least && now.since(self.lost_at) < within
     }
 
     /// Whether it is likely to be what ended the servers: it was sent before they did, and nobody has answered.
@@ -111,11 +134,39 @@
         self.is_over_shards && self.was_free && !self.is_answered
     }
 
-    /// Notes that a call is sent while nothing speaks against it.
+    /// Whether another request may yet turn out to be what ended the servers, so that this one may send calls again.
+    pub fn is_undecided(&self, standing: ContentStanding) -> bool {
+        standing == ContentStanding::Suspect && self.first == CanaryState::NotSent && self.is_likely()
+    }
+
+    /// What becomes of the calls under way of a request that was begun `age` ago, where calls take `usual`.
+    pub fn fate(&self, standing: ContentStanding, age: Duration, usual: Duration) -> RequestFate {
+        if self.is_trial || !self.is_likely() {
+            return RequestFate::GoesOn;
+        }
+        match standing {
+            ContentStanding::Suspect if age >= usual => RequestFate::Blamed,
+            ContentStanding::Clear | ContentStanding::Suspect => RequestFate::GoesOn,
+            ContentStanding::Held { .. } | ContentStanding::TrialDue => RequestFate::GivenUp,
+        }
+    }
+
+    /// Notes that a call is sent while nothing speaks against the request.
     pub fn note_free(&mut self) {
         self.was_free = true;
     }
 
+    /// Whether a second call may go round one that is overdue. Where all are, and nobody has answered, what it asks for
+    /// may be the cause, and second calls for all shards end the other server of each.
+    pub fn may_hedge(&self) -> bool {
+        !self.is_over_shards || self.is_answered || self.blind_hedges < MAX_BLIND_HEDGES
+    }
+
+    /// Notes that a second call is sent.
+    pub fn note_hedge(&mut self) {
+        self.blind_hedges += usize::from(!self.is_answered);
+    }
+
     /// Notes that a server answered it.
     pub fn note_answered(&mut self) {
         self.is_answered = true;
--- a/crates/policy/src/crash_book.rs
+++ b/crates/policy/src/crash_book.rs
@@ -4,7 +4,8 @@
 //! node. Beside it run requests that only lose their calls with the servers, and now and then servers end
 //! for reasons of their own. So crashes under a content make it suspect, and what is suspect is tried at one
 //! server before the others; it is held off everywhere only if it ended three servers and none that ran it
-//! lived on. Who is held off by mistake is tried again soon.
+//! lived on. Servers that ended under a content that is held off speak against no other one. Who is held off by
+//! mistake is tried again soon.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -126,7 +127,6 @@
     pub fn standing(&self, now: Moment, content: ContentId) -> ContentStanding {
         let case = self.cases.get(&content).filter(|case| !case.is_over(now));
         let shared = self.shared.get(&content);
-        let crashes = self.crashed(content).len();
         let held = match (shared, case.and_then(|case| Some((case.held_since?, case.trials)))) {
             (Some(shared), _) if shared.entry.crashed.len() >= LEAST_CRASHES => {
                 Some((shared.since, shared.entry.trials))
@@ -137,11 +137,54 @@
             let until = since.plus(trial_wait(trials));
             return if until <= now { ContentStanding::TrialDue } else { ContentStanding::Held { until } };
         }
-        let survivors = case.map_or(0, |case| case.survived.len());
-        let is_suspect = case.is_some() && crashes >= LEAST_CRASHES && crashes > survivors;
+        let Some(case) = case else { return ContentStanding::Clear };
+        let crashes = self.unexplained(content).len();
+        let is_suspect = crashes >= LEAST_CRASHES && crashes > case.survived.len();
         if is_suspect { ContentStanding::Suspect } else { ContentStanding::Clear }
     }
 
+    /// Servers that ended under a content and under no other one that is held off.
+    fn unexplained(&self, content: ContentId) -> BTreeSet<ServerRun> {
+        let mut crashed = self.crashed(content);
+        let held_cases = self.cases.iter().filter(|(_, case)| case.held_since.is_some());
+        let held_cases = held_cases.map(|(held, case)| (*held, case.crashed.iter().collect::<Vec<_>>()));
+        let is_held = |shared: &&SharedCase| shared.entry.crashed.len() >= LEAST_CRASHES;
+        let held_shared = self.shared.values().filter(is_held);
+        let held_shared = held_shared.map(|shared| (shared.entry.content, shared.entry.crashed.iter().collect()));
+        for (_, explained) in held_cases.chain(held_shared).filter(|(held, _)| *held != content) {
+            explained.into_iter().for_each(|server| {
+                crashed.remove(server);
+            });
+        }
+        crashed
+    }
+
+    /// Holds a content off at once, since it was found to be what ended its servers: what is to be told to all nodes,
+    /// unless it is held off already.
+    pub fn blame(&mut self, now: Moment, content: ContentId) -> Option<CrashEntry> {
+        let crashed: Vec<ServerRun> = self.crashed(content).into_iter().take(MAX_NAMED).collect();
+        let case = self.cases.get_mut(&content).filter(|case| case.held_since.is_none())?;
+        case.held_since = Some(now);
+        Some(CrashEntry { content, crashed, trials: 0 })
+    }
+
+    /// Takes that another node holds a content off, or tries it again; whether that is news.
+    pub fn put_blamed(&mut self, now: Moment, entry: &CrashEntry) -> bool {
+        if entry.crashed.len() < LEAST_CRASHES || self.shared.contains_key(&entry.content) {
+            return false;
+        }
+        entry.crashed.iter().take(MAX_NAMED).for_each(|server| {
+            self.add_crash(now, entry.content, server);
+        });
+        let Some(case) = self.cases.get_mut(&entry.content) else { return false };
+        let is_news = case.held_since.is_none() || entry.trials > case.trials;
+        if is_news {
+            case.held_since = Some(now);
+            case.trials = entry.trials;
+        }
+        is_news
+    }
+
     /// Servers that ended under a content, as far as is known, the first few.
     pub fn crashed(&self, content: ContentId) -> BTreeSet<ServerRun> {
         let case = self.cases.get(&content).into_iter().flat_map(|case| &case.crashed);
@@ -152,22 +195,28 @@
     /// Notes that a server ended while it worked on a content or just after; whether a decision is to be
     /// made in a while.
     pub fn note_crash(&mut self, now: Moment, content: ContentId, server: &ServerRun) -> bool {
+        let case = self.add_crash(now, content, server);
+        case.is_some_and(|case| !std::mem::replace(&mut case.is_settling, true))
+    }
+
+    /// Adds a crash to what is known of a content, unless the server is known to have lived on or there is no room.
+    fn add_crash(&mut self, now: Moment, content: ContentId, server: &ServerRun) -> Option<&mut CrashCase> {
         self.prune(now);
         if !self.cases.contains_key(&content) && self.cases.len() >= MAX_CASES {
-            return false;
+            return None;
         }
         let case = self.cases.entry(content).or_default();
         if case.is_over(now) {
             *case = CrashCase::default();
         }
         if case.survived.contains(server) {
-            return false;
+            return None;
         }
         if case.crashed.len() < MAX_NAMED {
             case.crashed.insert(server.clone());
         }
         case.last = now;
-        !std::mem::replace(&mut case.is_settling, true)
+        Some(case)
     }
 
     /// Notes servers that ended under a content as another node has told; whether a decision is to be made.
@@ -204,7 +253,7 @@
     /// Decides what becomes of a content some while after a crash: what is to be told to all nodes, if
     /// anything.
     pub fn settle(&mut self, now: Moment, suspect: CrashSuspect) -> Option<CrashEntry> {
-        let crashed = self.crashed(suspect.content);
+        let crashed = self.unexplained(suspect.content);
         let has_room = self.shared.len() < MAX_CASES || self.shared.contains_key(&suspect.content);
         let case = self.cases.get_mut(&suspect.content)?;
         case.is_settling = false;
@@ -260,12 +309,13 @@
         self.shared.get(&content).map(|shared| &shared.entry)
     }
 
-    /// Notes that this node tries a content of which the store knows nothing.
-    pub fn note_own_trial(&mut self, now: Moment, content: ContentId) {
-        if let Some(case) = self.cases.get_mut(&content) {
-            case.trials += 1;
-            case.held_since = Some(now);
-        }
+    /// Notes that this node tries a content of which the store knows nothing; what is to be told to other nodes.
+    pub fn note_own_trial(&mut self, now: Moment, content: ContentId) -> Option<CrashEntry> {
+        let crashed = self.crashed(content).into_iter().take(MAX_NAMED).collect();
+        let case = self.cases.get_mut(&content)?;
+        case.trials += 1;
+        case.held_since = Some(now);
+        Some(CrashEntry { content, crashed, trials: case.trials })
     }
 
     /// Contents held off by all nodes.
--- a/crates/policy/tests/crash_book.rs
+++ b/crates/policy/tests/crash_book.rs
@@ -5,7 +5,7 @@
 use quickcheck::quickcheck;
 use streamfold_model::{ContentId, CrashEntry, ServerId, ServerRun};
 use streamfold_policy::Moment;
-use streamfold_policy::canary::{CallRight, CanaryEnd, CanaryRecord, VERDICT_WITHIN};
+use streamfold_policy::canary::{CallRight, CanaryEnd, CanaryRecord, RequestFate, VERDICT_WITHIN};
 use streamfold_policy::crash_book::{
     ContentStanding, CrashBook, CrashSuspect, LEAST_CRASHES, SETTLE_AFTER, SURVIVED_AFTER,
 };
@@ -205,6 +205,88 @@
     assert_eq!(later.right(verdict, suspect, PATIENCE), CallRight::First, "it comes when servers have ended");
 }
 
+/// Guards against second calls to the other server of each shard while it is open whether the first ones ended.
+#[test]
+fn a_request_over_shards_that_lost_several_calls_waits_as_long_as_servers_end_one_after_the_other() {
+    let clear = ContentStanding::Clear;
+    let mut record = CanaryRecord::over_shards();
+    record.note_free();
+    record.note_lost(at(0));
+    record.note_lost(at(3));
+    assert_eq!(record.right(at(3).plus(VERDICT_WITHIN), clear, PATIENCE), CallRight::Wait, "nobody has answered it");
+    assert_eq!(record.right(at(93), clear, PATIENCE), CallRight::Free);
+    record.note_answered();
+    assert_eq!(record.right(at(3).plus(VERDICT_WITHIN), clear, PATIENCE), CallRight::Free);
+}
+
+/// Guards against second calls for all shards at once, by a node whose first ones have not ended yet.
+#[test]
+fn a_request_over_shards_sends_few_second_calls_before_it_has_an_answer() {
+    let mut record = CanaryRecord::over_shards();
+    let before = [(); LEAST_CRASHES].map(|()| {
+        let may_hedge = record.may_hedge();
+        record.note_hedge();
+        may_hedge
+    });
+    assert_eq!(before, [true, true, false]);
+    record.note_answered();
+    assert!(record.may_hedge());
+    assert!((0..9).all(|_| CanaryRecord::default().may_hedge()), "a request to one service is bounded by its route");
+}
+
+/// Guards against blame for a request that has only just begun, and against calls of one that is to blame.
+#[test]
+fn a_request_is_to_blame_once_calls_usually_have_answers_and_it_has_none() {
+    let usual = Duration::from_millis(40);
+    let held = ContentStanding::Held { until: at(9_000) };
+    let mut record = CanaryRecord::over_shards();
+    assert_eq!(record.fate(ContentStanding::Suspect, usual, usual), RequestFate::GoesOn, "it has sent nothing");
+    record.note_free();
+    let ages = [0, 39, 40].map(Duration::from_millis);
+    let suspect = ages.map(|age| record.fate(ContentStanding::Suspect, age, usual));
+    assert_eq!(suspect, [RequestFate::GoesOn, RequestFate::GoesOn, RequestFate::Blamed]);
+    assert_eq!(record.fate(ContentStanding::Clear, usual, usual), RequestFate::GoesOn);
+    assert_eq!(record.fate(held, Duration::ZERO, usual), RequestFate::GivenUp);
+    record.note_answered();
+    assert_eq!(record.fate(held, usual, usual), RequestFate::GoesOn, "what is there is delivered");
+}
+
+/// Guards against blame for what another content did: five of six contents that were held off had only run beside it.
+#[test]
+fn servers_that_ended_under_a_content_that_is_held_off_speak_against_no_other_one() {
+    let (beside, told) = (ContentId(8), ContentId(9));
+    let mut book = crashed(LEAST_CRASHES + 1, at(0));
+    (0..LEAST_CRASHES).for_each(|number| {
+        book.note_crash(at(1), beside, &server(number));
+    });
+    assert_eq!(book.standing(at(1), beside), ContentStanding::Suspect);
+    let blamed = book.blame(at(2), CONTENT).expect("news");
+    assert_eq!(book.blame(at(3), CONTENT), None, "once");
+    assert!(matches!(book.standing(at(2), CONTENT), ContentStanding::Held { .. }));
+    assert_eq!(book.standing(at(2), beside), ContentStanding::Clear);
+    assert_eq!(book.settle(at(301), CrashSuspect { content: beside, is_lone: false }), None);
+    (20..20 + LEAST_CRASHES).for_each(|number| {
+        book.note_crash(at(400), beside, &server(number));
+    });
+    assert_eq!(book.standing(at(400), beside), ContentStanding::Suspect, "these are its own");
+    let mut other = CrashBook::default();
+    assert!(other.put_blamed(at(2), &blamed) && !other.put_blamed(at(3), &blamed), "news once");
+    assert!(matches!(other.standing(at(3), CONTENT), ContentStanding::Held { .. }));
+    assert!(!other.put_blamed(at(3), &CrashEntry { content: told, ..entry(LEAST_CRASHES - 1, 0) }), "too few");
+}
+
+/// Guards against a trial by each node where the store is away.
+#[test]
+fn a_trial_of_one_node_puts_off_those_of_others() {
+    let mut books = [crashed(LEAST_CRASHES, at(0)), crashed(LEAST_CRASHES, at(0))];
+    let blamed = books[0].blame(at(0), CONTENT).expect("news");
+    books[1].put_blamed(at(0), &blamed);
+    let tried = books[0].note_own_trial(at(3_000), CONTENT).expect("a trial");
+    assert_eq!(books[1].standing(at(3_000), CONTENT), ContentStanding::TrialDue);
+    assert!(books[1].put_blamed(at(3_020), &tried));
+    assert_eq!(books[1].standing(at(3_020), CONTENT), ContentStanding::Held { until: at(33_020) });
+}
+
 quickcheck! {
     /// However crashes come in, a content that never ended three servers is never held off, and the book
     /// stays bounded.
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -8,7 +8,8 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use streamfold_model::{FailureDomain, HomeRegions, Priority, RouteKind, RouteSpec, ServerId, ServiceName, TeamSpec};
-use streamfold_policy::canary::CallRight;
+use streamfold_policy::canary::{CallRight, RequestFate};
+use streamfold_policy::crash_book::ContentStanding;
 use streamfold_policy::replica::Distance;
 use streamfold_policy::{Mechanism, Moment};
 
@@ -171,11 +172,11 @@
         let right = self.call_right();
         match right {
             CallRight::Free | CallRight::First => {}
-            CallRight::Wait => {
+            CallRight::Never if !self.canary.is_undecided(self.standing()) => return Err(AttemptStop::Quarantined),
+            CallRight::Wait | CallRight::Never => {
                 attempts.canary_at = Some(self.now().plus(CANARY_LOOK));
                 return Err(AttemptStop::Canary);
             }
-            CallRight::Never => return Err(AttemptStop::Quarantined),
         }
         let choice = self.choose_now(attempts, service, place).ok_or(AttemptStop::NoneLeft)?;
         let (server, place) = match choice {
@@ -238,11 +239,24 @@
         (!named.is_empty()).then(|| named.join(","))
     }
 
+    /// How what the request asks for is treated now.
+    fn standing(&self) -> ContentStanding {
+        self.router.cluster.quarantine.standing(self.now(), self.request.suspect.content)
+    }
+
     /// Whether a call may be sent, by what is known of what the request asks for.
     fn call_right(&self) -> CallRight {
-        let now = self.now();
-        let standing = self.router.cluster.quarantine.standing(now, self.request.suspect.content);
-        self.canary.right(now, standing, self.route.target_latency.max(MIN_CANARY_PATIENCE))
+        self.canary.right(self.now(), self.standing(), self.route.target_latency.max(MIN_CANARY_PATIENCE))
+    }
+
+    /// What becomes of the request's calls under way, by what is known of what it asks for.
+    pub(crate) fn fate(&self) -> RequestFate {
+        let standing = self.standing();
+        if standing == ContentStanding::Clear {
+            return RequestFate::GoesOn;
+        }
+        let usual = self.times.typical(Distance::Far, self.route.target_latency);
+        self.canary.fate(standing, self.now().since(self.request.started), usual)
     }
 
     /// Whether the request may send any number of calls at once.
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -247,6 +247,16 @@
         }
     }
 
+    /// Notes that the calls in flight were cancelled and no other one follows.
+    pub(crate) fn give_up(&mut self, may_have_run: bool) {
+        self.may_have_run |= may_have_run;
+        self.has_arrived |= self.is_calling();
+        self.calls.clear();
+        (self.retry_at, self.canary_at, self.hedge_at) = (None, None, None);
+        self.is_waiting = false;
+        self.place = None;
+    }
+
     /// Whether an answer may still come.
     pub fn is_open(&self) -> bool {
         self.is_calling() || self.is_planned()
--- a/crates/router/src/canary.rs
+++ b/crates/router/src/canary.rs
@@ -5,7 +5,7 @@
 
 use streamfold_model::ContentId;
 use streamfold_policy::Moment;
-use streamfold_policy::canary::{CallRight, CanaryEnd, CanaryRecord};
+use streamfold_policy::canary::{CallRight, CanaryEnd, CanaryRecord, RequestFate};
 use streamfold_policy::crash_book::ContentStanding;
 
 use crate::call::{CallFailure, EndedCall, ServerReply};
@@ -64,6 +64,26 @@
         record.right(now, standing, patience)
     }
 
+    /// Whether another request may yet turn out to be what ended the servers.
+    pub fn is_undecided(&self, standing: ContentStanding) -> bool {
+        self.state().record.is_undecided(standing)
+    }
+
+    /// What becomes of the calls under way of a request that was begun `age` ago, where calls take `usual`.
+    pub fn fate(&self, standing: ContentStanding, age: Duration, usual: Duration) -> RequestFate {
+        self.state().record.fate(standing, age, usual)
+    }
+
+    /// Whether a second call may go round one that is overdue.
+    pub fn may_hedge(&self) -> bool {
+        self.state().record.may_hedge()
+    }
+
+    /// Notes that a second call is sent.
+    pub fn note_hedge(&self) {
+        self.state().record.note_hedge();
+    }
+
     /// Notes that a call is sent while nothing speaks against the request.
     pub fn note_free(&self) {
         self.state().record.note_free();
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -11,6 +11,7 @@
 use streamfold_model::{ServiceName, ShardFold};
 use streamfold_policy::Moment;
 use streamfold_policy::answer_margin::answer_margin;
+use streamfold_policy::canary::RequestFate;
 use streamfold_policy::come_back::TurnReason;
 use streamfold_policy::fold_rule::{FoldRule, FoldStep};
 use tokio::time::Sleep;
@@ -21,6 +22,7 @@
 use crate::call::EndedCall;
 use crate::delegate::{BatchSlot, PendingBatches};
 use crate::fold::{ShardPart, fold_records};
+use crate::quarantine_news;
 
 /// Missing shards that a log line names at most.
 const NAMED_SHARDS: usize = 5;
@@ -216,6 +218,39 @@
             }
             () = timer => self.note_alarms(),
         }
+        self.note_fate().await;
+    }
+
+    /// Cancels the calls of a request of which nothing more comes, since what it asks for ends servers: those that have
+    /// not ended yet need not, and other nodes know before its caller can ask them.
+    async fn note_fate(&mut self) {
+        let fate = self.context.fate();
+        if fate == RequestFate::GoesOn {
+            return;
+        }
+        tracing::info!(
+            event = "calls_cancelled",
+            request = self.context.request.id_text(),
+            content = %self.context.request.suspect.content,
+            is_blamed = fate == RequestFate::Blamed,
+            calls = self.calls.len(),
+            batches = self.pending_batches.len()
+        );
+        self.cancel_calls();
+        if fate == RequestFate::Blamed {
+            quarantine_news::blame(&self.context.router, self.context.request.suspect).await;
+        }
+    }
+
+    /// Cancels all calls, those of other nodes too; what was sent may have run.
+    fn cancel_calls(&mut self) {
+        let may_run: Vec<bool> = self.slots.iter().map(|slot| self.may_run(slot)).collect();
+        for (slot, may_run) in self.slots.iter_mut().zip(may_run) {
+            slot.attempts.give_up(may_run);
+        }
+        self.calls.clear();
+        self.pending_batches.clear();
+        self.batches.iter_mut().for_each(|batch| batch.is_open = false);
     }
 
     fn note_alarms(&mut self) {
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -45,15 +45,17 @@
         }
         let next = self
             .best_server(attempts)
-            .filter(|server| self.is_free() && self.may_hedge(server) && !self.is_line_busy(attempts));
+            .filter(|server| self.is_free() && self.canary.may_hedge() && self.may_hedge(server))
+            .filter(|_| !self.is_line_busy(attempts));
         let via = next.as_ref().filter(|_| far.is_some()).and_then(|server| self.find_node_near(server));
         let has_started = match (&next, &via) {
             (None, _) => false,
             (Some(server), Some(_)) => self.hand_over(attempts, server),
             (Some(_), None) => self.start(position, attempts, calls).is_ok(),
         };
-        if !has_started {
-            self.look_again(attempts);
+        match has_started {
+            true => self.canary.note_hedge(),
+            false => self.look_again(attempts),
         }
         if is_news || has_started {
             let via = via.as_deref().filter(|_| has_started);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod peer_service;
 pub mod peers;
 pub mod quarantine;
+pub mod quarantine_news;
 pub mod ready;
 pub mod relay;
 pub mod relay_service;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -22,6 +22,7 @@
 use crate::delegate::ASKING_SHARE;
 use crate::knowledge::{self, KnowledgeRequest};
 use crate::peer_gather::PeerGather;
+use crate::quarantine_news::{self, PATH_QUARANTINE, QuarantineNews};
 use crate::relay::{PATH_RELAY, RelayRequest};
 use crate::relay_service;
 use crate::request::{CallerRequest, RequestArrival};
@@ -34,6 +35,8 @@
 const KNOWLEDGE_LIMIT: usize = 1 << 10;
 /// The largest request for credit taken: a team's name and some numbers.
 const CREDIT_LIMIT: usize = 1 << 8;
+/// The largest news of a content that ends servers taken: the content and the names of some servers.
+const QUARANTINE_LIMIT: usize = 8 << 10;
 /// Links are opened ahead of the first batch.
 const FIRST_MESSAGE_WITHIN: Duration = Duration::from_secs(120);
 
@@ -51,6 +54,7 @@
             PATH_BATCH => serve_batch(&self.0, body, respond).boxed(),
             PATH_KNOWLEDGE => serve_knowledge(&self.0, body, respond).boxed(),
             PATH_CREDIT => serve_credit(&self.0, body, respond).boxed(),
+            PATH_QUARANTINE => serve_quarantine(&self.0, body, respond).boxed(),
             PATH_RELAY => serve_relay(&self.0, body, respond).boxed(),
             _ => std::future::ready(refuse_path(path, respond)).boxed(),
         }
@@ -158,6 +162,16 @@
     }
 }
 
+async fn serve_quarantine(
+    router: &Arc<Router>,
+    body: RecvStream,
+    respond: &mut SendResponse<Bytes>,
+) -> Result<(), PeerError> {
+    let news: QuarantineNews = read_message(body, QUARANTINE_LIMIT).await?;
+    let known = quarantine_news::take(router, news).await;
+    reply(respond, &known).await
+}
+
 async fn serve_relay(router: &Router, body: RecvStream, respond: &mut SendResponse<Bytes>) -> Result<(), PeerError> {
     let request: RelayRequest = read_message(body, KNOWLEDGE_LIMIT).await?;
     relay_service::serve(router, &request, respond).await
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -13,6 +13,7 @@
 use crate::border::{EntryRevision, FeedTopic};
 use crate::cluster::NewsOrigin;
 use crate::crash_check;
+use crate::quarantine_news;
 use crate::router::Router;
 use crate::server::Server;
 use crate::store_call::{self, CallReason};
@@ -72,6 +73,25 @@
         }
     }
 
+    /// Holds a content off that was found to end servers; what is to be told to all nodes, if that is news.
+    pub(crate) fn blame(&self, now: Moment, content: ContentId) -> Option<CrashEntry> {
+        let entry = self.change(|book| book.blame(now, content))?;
+        tracing::warn!(event = "content_blamed", %content, crashed = join(&entry.crashed));
+        Some(entry)
+    }
+
+    /// Takes that another node found a content to end servers; whether that is news.
+    pub(crate) fn put_blamed(&self, now: Moment, entry: &CrashEntry) -> bool {
+        let is_news = self.change(|book| book.put_blamed(now, entry));
+        if is_news {
+            let crashed = entry.crashed.len();
+            let source = NewsOrigin::Peer;
+            let (content, trials) = (entry.content, entry.trials);
+            tracing::warn!(event = "content_held", %content, crashed, trials, %source);
+        }
+        is_news
+    }
+
     /// Takes what the store holds of a content.
     pub(crate) fn put(&self, now: Moment, entry: CrashEntry, origin: NewsOrigin) {
         let (content, servers, trials) = (entry.content, entry.crashed.len(), entry.trials);
@@ -145,10 +165,16 @@
             crashed = join(&entry.crashed)
         );
     }
+    share(router, entry).await;
+}
+
+/// Tells all nodes of a content through the platform's store.
+pub(crate) async fn share(router: Arc<Router>, entry: CrashEntry) {
+    let content = entry.content;
     match tokio::time::timeout(TELL_WITHIN, tell(&router, entry)).await {
         // Others need not be waited for.
         Ok(entry) => router.cluster.quarantine.put(router.clock.now(), entry, NewsOrigin::Store),
-        Err(_) => tracing::warn!(event = "content_not_told", content = %suspect.content),
+        Err(_) => tracing::warn!(event = "content_not_told", %content),
     }
 }
 
@@ -194,12 +220,15 @@
 }
 
 /// Whether this node is the one of all that tries a content again: it was the first to note that it does.
-pub(crate) async fn claim_trial(router: &Router, content: ContentId) -> bool {
+pub(crate) async fn claim_trial(router: &Arc<Router>, content: ContentId) -> bool {
     let quarantine = &router.cluster.quarantine;
     let shared = quarantine.book().shared_entry(content).cloned();
     let Some(known) = shared else {
-        quarantine.change(|book| book.note_own_trial(router.clock.now(), content));
+        let entry = quarantine.change(|book| book.note_own_trial(router.clock.now(), content));
         tracing::info!(event = "content_tried", %content, trials = 0);
+        if let Some(entry) = entry {
+            quarantine_news::tell_all(router, entry).await;
+        }
         return true;
     };
     let raised = tokio::time::timeout(CLAIM_WITHIN, raise_trials(router, &known)).await;
