SIGHUP is held in the first line of a node's program; before that its starter can hold it

What callers saw: a node that an operator told to read its settings right after its start ended, and the connections that it had just taken with it.

Cause: the signal was held after the arguments were read, by a runtime built for that.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,10 +13,11 @@
 const EXIT_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
-    let args: DaemonArgs = daemon_args().run();
+    // First of all: what comes before it ends the process.
     if let Err(error) = route_node::hold_hangups() {
         eprintln!("streamfoldd: taking SIGHUP: {error}");
     }
+    let args: DaemonArgs = daemon_args().run();
     match settings::read_mode(&args) {
         Ok(ServeMode::Indexes) => serve_indexes(&args),
         Ok(ServeMode::Routes) => serve_routes(&args),
--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -2,8 +2,10 @@
 //! adapter put behind the router's borders.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use signal_hook::consts::SIGHUP;
 use streamfold_platform::{PlatformCalls, PlatformClient};
 use streamfold_router::{Router, RouterSettings, RunningRouter, router_start};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -95,16 +97,14 @@
     running.map_err(StartError::Router)
 }
 
-/// Keeps SIGHUP from ending the process, from before anything is read: beside load a node may take a second for its start,
-/// and an operator's reload in that time ended it (2 of 12 soaks beside 32 and 40 busy processes on 8 cores).
+/// Keeps SIGHUP from ending the process from now on: an operator may tell a node to read its settings while it starts. A
+/// hangup is not missed so: the settings are read after this, and a file that changes later is found by looking.
 ///
 /// # Errors
 /// The system refuses.
 pub fn hold_hangups() -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
-    // The handler stays when its receiver is dropped. A hangup is not missed so: the settings are read after this,
-    // and a file that changes later is found by looking.
-    runtime.block_on(async { signal(SignalKind::hangup()).map(drop) })
+    // No runtime is built for it, which takes longer than all that comes before.
+    signal_hook::flag::register(SIGHUP, Arc::new(AtomicBool::new(false))).map(drop)
 }
 
 /// The settings file as it was before the node started by it, so that a change since then is found.
--- a/crates/daemon/tests/early_hangup.rs
+++ b/crates/daemon/tests/early_hangup.rs
@@ -67,3 +67,34 @@
     let status = node.wait().expect("an end");
     assert!(status.success(), "{status}");
 }
+
+/// Guards the whole of the start, also the time before the program's first instruction, where only who starts it can hold the
+/// signal: one that ignores it hands that on, and the node takes it again once it runs.
+#[test]
+fn a_node_that_is_started_with_hangups_ignored_starts_through_them_and_takes_later_ones() {
+    let folder = TestFolder::make();
+    let path = folder.0.join("settings.yaml");
+    std::fs::write(&path, write_settings()).expect("a file");
+    let mut command = Command::new("sh");
+    let script = r#"trap '' HUP; echo held; exec "$0" --settings "$1" --log info"#;
+    command.args(["-c", script, env!("CARGO_BIN_EXE_streamfoldd")]).arg(&path);
+    let mut node = command.stdout(Stdio::piped()).spawn().expect("a node");
+    let mut lines = BufReader::new(node.stdout.take().expect("its log")).lines().map_while(Result::ok);
+    assert_eq!(lines.next().as_deref(), Some("held"));
+    let (has_started, started) = std::sync::mpsc::channel();
+    let reader = std::thread::spawn(move || {
+        let is_started = lines.by_ref().any(|line| line.contains("event=started"));
+        // Nobody waits for it if the test has failed.
+        let _ = has_started.send(is_started);
+        // The file stays as it is, so nothing but a hangup makes it read again.
+        lines.any(|line| line.contains("event=settings_reloaded"))
+    });
+    while matches!(started.try_recv(), Err(std::sync::mpsc::TryRecvError::Empty)) {
+        send_signal(&node, "HUP");
+        assert!(node.try_wait().expect("a state").is_none(), "it ended while it started");
+    }
+    send_signal(&node, "HUP");
+    assert!(reader.join().expect("its lines"), "it reads its settings again");
+    send_signal(&node, "TERM");
+    assert!(node.wait().expect("an end").success());
+}
