A node that goes on after a pause reads what came meanwhile before it sends second calls

What callers saw: nothing of their own; servers worked on requests whose callers had gone, which takes room from others.

Cause: alarms of all requests are over when a node goes on, and were acted on before answers and cancels in its sockets were read.

Change: an alarm 30 ms late or more is put off once by 5 ms; a batch's cancel is looked at first; batch_cancelled is logged. Tests that pause a node wait until all its threads have stopped; no check is changed.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -22,6 +22,7 @@
 use crate::fleet_plan::{FleetPlan, write_config};
 use crate::proxy::{self, FaultProxy};
 use crate::server::{self, RunLog, ServerPlan, ServerStandin};
+use crate::wait::wait_for;
 use streamfold_standin::store::{self as platform, PlatformStandin};
 
 /// The one index of a fleet.
@@ -349,6 +350,27 @@
     }
 }
 
+/// Pauses a node's process. One of its threads takes the signal, and while that one waits for a processor the others go
+/// on, so this waits until all have stopped.
+pub async fn pause_process(child: &Child) {
+    send_signal(child, "STOP").await;
+    let Some(pid) = child.id() else { return };
+    wait_for("all threads of the process to stop", async || is_stopped(pid).unwrap_or(true)).await;
+}
+
+/// Whether all threads of a process are stopped, by the third field of their states; a process that is gone has no threads.
+fn is_stopped(pid: u32) -> std::io::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{pid}/task"))? {
+        let stat = std::fs::read_to_string(thread?.path().join("stat"))?;
+        // The second field is a name in brackets, which may hold blanks.
+        let state = stat.rsplit_once(')').and_then(|(_, rest)| rest.trim_start().chars().next());
+        if !matches!(state, Some('T' | 'Z' | 'X')) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Starts a server stand-in of the fleet's index.
 ///
 /// # Errors
--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::Method;
 use serde_json::{Value, json};
-use streamfold_lab::fleet::send_signal;
+use streamfold_lab::fleet::{pause_process, send_signal};
 use streamfold_lab::route_fleet::{DOMAINS, RouteFleet, RouteFleetPlan, RouteNode, write_route};
 use streamfold_lab::wait::{WAIT_AT_MOST, wait_for};
 use streamfold_model::CoreShare;
@@ -104,7 +104,7 @@
 async fn a_paused_reader_keeps_no_news_from_the_others() {
     let fleet = start_fleet().await;
     let reader = find_readers(&fleet)[0];
-    send_signal(&fleet.nodes[reader].process, "STOP").await;
+    pause_process(&fleet.nodes[reader].process).await;
     fleet.put_document(2, &routes());
     fleet.register(1, "draining");
     wait_version(&fleet, 2, &[reader]).await;
@@ -124,7 +124,7 @@
     let fleet = start_fleet().await;
     let silent = find_first_ranks(&fleet, 3);
     for position in &silent {
-        send_signal(&fleet.nodes[*position].process, "STOP").await;
+        pause_process(&fleet.nodes[*position].process).await;
     }
     fleet.put_document(2, &routes());
     wait_version(&fleet, 2, &silent).await;
--- a/crates/lab/tests/routes_homes.rs
+++ b/crates/lab/tests/routes_homes.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::Method;
 use serde_json::{Value, json};
-use streamfold_lab::fleet::send_signal;
+use streamfold_lab::fleet::{pause_process, send_signal};
 use streamfold_lab::route_checks::{check_own, far, get, header, near, tell_refusal, wait_delegated};
 use streamfold_lab::route_fleet::{DOMAINS, REGIONS, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::wait_for;
@@ -90,7 +90,7 @@
 async fn taking_over_from_a_silent_node_stays_in_the_homes() {
     let fleet = start_bound(SOUTH).await;
     wait_delegated(&fleet, 4).await;
-    send_signal(&fleet.nodes[1].process, "STOP").await;
+    pause_process(&fleet.nodes[1].process).await;
     let (_, ()) = tokio::join!(get(&fleet, "/all/x", "r-silent"), async {
         let event = ["event=batch_overdue", "request=r-silent"];
         wait_for("the takeover", async || !fleet.nodes[0].logged(&event).is_empty()).await;
--- a/crates/lab/tests/routes_shards.rs
+++ b/crates/lab/tests/routes_shards.rs
@@ -7,7 +7,7 @@
 use http::Method;
 use serde_json::json;
 use streamfold_lab::client::CallAnswer;
-use streamfold_lab::fleet::send_signal;
+use streamfold_lab::fleet::{pause_process, send_signal};
 use streamfold_lab::route_checks::{far, get, header, near};
 use streamfold_lab::route_fleet::{HOST, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::wait_for;
@@ -176,7 +176,10 @@
         for server in fleet.servers.iter().filter(|server| LATE.contains(&server.state.plan.service.as_str())) {
             server.state.switches.pause_ms.store(if is_silent { 30_000 } else { 0 }, Ordering::Relaxed);
         }
-        send_signal(&fleet.nodes[1].process, if is_silent { "STOP" } else { "CONT" }).await;
+        match is_silent {
+            true => pause_process(&fleet.nodes[1].process).await,
+            false => send_signal(&fleet.nodes[1].process, "CONT").await,
+        }
     };
     assert_eq!(get(&fleet, "/most/x", "r-whole").await.status, 200);
     set_silent(true).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod finish;
 pub mod fold_rule;
 pub mod hedge;
+pub mod late_alarm;
 pub mod latency;
 pub mod mechanism;
 pub mod members;
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -14,6 +14,7 @@
 use streamfold_policy::canary::RequestFate;
 use streamfold_policy::come_back::TurnReason;
 use streamfold_policy::fold_rule::{FoldRule, FoldStep};
+use streamfold_policy::late_alarm::AlarmWatch;
 use tokio::time::Sleep;
 
 use crate::answer::{CallerAnswer, RefusalKind};
@@ -59,6 +60,7 @@
     pub top: usize,
     pub(crate) calls: PendingCalls,
     pub(crate) pending_batches: PendingBatches,
+    watch: AlarmWatch,
 }
 
 /// How a request to every shard ended.
@@ -123,6 +125,7 @@
             top: fold.top,
             calls: PendingCalls::new(),
             pending_batches: PendingBatches::new(),
+            watch: AlarmWatch::default(),
         }
     }
 
@@ -194,21 +197,26 @@
             let step = self.rule.step(elapsed, self.answered(), self.pending());
             let FoldStep::Wait(until) = step else { return step };
             let until = self.context.request.started.plus(until);
-            let wake = self.next_alarm().map_or(until, |alarm| alarm.min(until));
+            let wake = self.next_wake().map_or(until, |alarm| alarm.min(until));
             timer.as_mut().reset(clock.instant(wake));
-            self.wait_event(timer.as_mut()).await;
+            self.wait_event(wake, timer.as_mut()).await;
         }
     }
 
     /// Waits for the next thing to happen, at most to the end of the request.
     pub(crate) async fn wait_for_more(&mut self) {
         let end = self.context.request.started.plus(self.rule.limit);
-        let wake = self.next_alarm().map_or(end, |alarm| alarm.min(end));
+        let wake = self.next_wake().map_or(end, |alarm| alarm.min(end));
         let timer = pin!(tokio::time::sleep_until(self.context.router.clock.instant(wake)));
-        self.wait_event(timer).await;
+        self.wait_event(wake, timer).await;
     }
 
-    async fn wait_event(&mut self, timer: Pin<&mut Sleep>) {
+    /// When it wakes for the next alarm.
+    fn next_wake(&self) -> Option<Moment> {
+        self.next_alarm().map(|alarm| self.watch.wake_at(alarm))
+    }
+
+    async fn wait_event(&mut self, wake: Moment, timer: Pin<&mut Sleep>) {
         tokio::select! {
             biased;
             Some((position, news)) = self.calls.next() => self.note_call(position, news),
@@ -216,7 +224,11 @@
                 self.note_batch(number, news);
                 self.keep_reading(number, pending);
             }
-            () = timer => self.note_alarms(),
+            () = timer => {
+                if self.watch.is_due(self.context.now(), wake) {
+                    self.note_alarms();
+                }
+            }
         }
         self.note_fate().await;
     }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -12,6 +12,7 @@
 use streamfold_link::server::{self, PeerService};
 use streamfold_link::{PeerError, encode_frame, read_message, refuse, reply, send_frame};
 use streamfold_model::{RouteKind, RouteSpec, RouteTarget, ShardFold, TeamSpec};
+use streamfold_policy::Moment;
 use tokio::net::TcpListener;
 
 use crate::attempt_context::{AttemptContext, RequestAsker};
@@ -103,6 +104,7 @@
         return refuse(respond);
     }
     let _count = LiveCount::new(&router.requests);
+    let taken = router.clock.now();
     router.note_version(batch.version);
     let context = build_context(router, &batch)?;
     let alive_within = Duration::from_micros(batch.alive_within_us);
@@ -115,6 +117,12 @@
     let mut is_told = false;
     loop {
         tokio::select! {
+            biased;
+            // The asking node is done with it or its caller has left: no call starts any more.
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => {
+                log_cancelled(&context, taken);
+                return Ok(());
+            }
             (reply, is_last) = gather.next() => {
                 is_told = true;
                 let is_stopping = *router.phase.borrow() != RouterPhase::Serving;
@@ -129,12 +137,18 @@
                 is_told = true;
                 send_frame(&mut stream, encode_frame(&BatchFrame::Working)?, false).await?;
             }
-            // The asking node is done with it or its caller has left: no call starts any more.
-            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
         }
     }
 }
 
+fn log_cancelled(context: &AttemptContext, taken: Moment) {
+    tracing::info!(
+        event = "batch_cancelled",
+        request = context.request.id_text(),
+        after_us = context.now().since(taken).as_micros() as u64
+    );
+}
+
 /// The time that bounds a batch's waiting: until its reply is wanted, or for hedges, whose answers are
 /// wanted as soon as they are there, the target latency.
 fn wait_bound(batch: &ShardBatch) -> Duration {
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use streamfold_model::{ServiceName, WeightedService};
 use streamfold_policy::come_back::TurnReason;
+use streamfold_policy::late_alarm::AlarmWatch;
 use streamfold_policy::split_rule::{SplitTurns, choose_part};
 
 use crate::answer::{CallerAnswer, RefusalKind};
@@ -64,12 +65,14 @@
     async fn wait(&mut self) -> Option<ServerReply> {
         let clock = self.context.router.clock;
         let deadline = self.context.request.deadline;
+        let mut watch = AlarmWatch::default();
         let mut timer = pin!(tokio::time::sleep(Duration::ZERO));
         while self.attempts.is_open() {
             if clock.now() >= deadline {
                 return None;
             }
-            let wake = self.attempts.next_alarm().map_or(deadline, |alarm| alarm.min(deadline));
+            let alarm = self.attempts.next_alarm().map(|alarm| watch.wake_at(alarm));
+            let wake = alarm.map_or(deadline, |alarm| alarm.min(deadline));
             timer.as_mut().reset(clock.instant(wake));
             tokio::select! {
                 biased;
@@ -79,7 +82,8 @@
                     }
                 }
                 () = &mut timer => {
-                    if clock.now() < deadline {
+                    let now = clock.now();
+                    if now < deadline && watch.is_due(now, wake) {
                         self.context.note_alarm(0, &mut self.attempts, &self.calls, None);
                     }
                 }
