--- a/crates/lab/tests/routes_teams.rs
+++ b/crates/lab/tests/routes_teams.rs
@@ -234,40 +234,30 @@
     Duration::from_secs_f64(told.unwrap_or_else(|| panic!("no time in {answer:?}")))
 }
 
-/// A burst of callers over the limit that return as told, each with a content of its own; how many of them were told a
-/// place, and how many of those were served there.
-async fn play_burst(fleet: &RouteFleet, round: usize) -> (usize, usize) {
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_over_the_limit_return_one_after_the_other_and_are_served() {
+    let teams = vec![write_team("blue", &[bare(BLUE)], Some((20.0, 4.0)))];
+    let plan = RouteFleetPlan { settings: "return_turns: true\n", ..plan(teams) };
+    let fleet = &RouteFleet::start(plan).await.expect("a fleet");
     let calls = (0..60).map(|number| async move {
-        let path = format!("/any/{number}");
-        let first = get(fleet, 0, &path, &format!("first-{round}-{number}"), &[(names::KEY, BLUE)]).await;
+        let first = get(fleet, 0, "/any/x", &format!("first-{number}"), &[(names::KEY, BLUE)]).await;
         if first.status == StatusCode::OK {
             return None;
         }
         assert_eq!(first.status, StatusCode::TOO_MANY_REQUESTS, "{first:?}");
         tokio::time::sleep(told_wait(&first)).await;
-        let second = get(fleet, 0, &path, &format!("second-{round}-{number}"), &[(names::KEY, BLUE)]).await;
+        let second = get(fleet, 0, "/any/x", &format!("second-{number}"), &[(names::KEY, BLUE)]).await;
         Some((number, second.status))
     });
-    let returned = futures_util::future::join_all(calls).await.into_iter().flatten();
+    let returned: Vec<(usize, StatusCode)> =
+        futures_util::future::join_all(calls).await.into_iter().flatten().collect();
     let has_place = |number: &usize| {
-        let id = format!("request=first-{round}-{number} ");
+        let id = format!("request=first-{number} ");
         !fleet.nodes[0].logged(&["event=over_limit", &id, "turn=Given"]).is_empty()
     };
-    let placed: Vec<StatusCode> = returned.filter(|(number, _)| has_place(number)).map(|(_, status)| status).collect();
-    (placed.len(), placed.iter().filter(|status| **status == StatusCode::OK).count())
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn callers_over_the_limit_return_one_after_the_other_and_are_served() {
-    let teams = vec![write_team("blue", &[bare(BLUE)], Some((20.0, 4.0)))];
-    let plan = RouteFleetPlan { settings: "return_turns: true\n", ..plan(teams) };
-    let fleet = RouteFleet::start(plan).await.expect("a fleet");
-    let mut round = 0;
-    // Told the same time, one of them would be served. On a busy machine callers come too late for their places.
-    wait_for("a burst of which three in four are served at their places", async || {
-        round += 1;
-        let (placed, served) = play_burst(&fleet, round).await;
-        placed > 5 && served * 4 >= placed * 3
-    })
-    .await;
+    let returned: Vec<StatusCode> =
+        returned.into_iter().filter_map(|(number, status)| has_place(&number).then_some(status)).collect();
+    let served = returned.iter().filter(|status| **status == StatusCode::OK).count();
+    // Told the same time, one of them was served. A caller whose own machine is late loses its place to another one.
+    assert!(returned.len() > 5 && served * 4 >= returned.len() * 3, "{returned:?}");
 }
