Second calls before any answer go out after all where no server has ended meanwhile

What callers would have seen: a request whose servers are all silent got two second calls for all its shards. Cause: two hedges before any answer, however long.

--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -92,6 +92,8 @@
     is_answered: bool,
     /// Second calls sent before any answer.
     blind_hedges: usize,
+    /// When the first of them was sent.
+    blind_since: Option<Moment>,
 }
 
 impl CanaryRecord {
@@ -157,14 +159,18 @@
     }
 
     /// Whether a second call may go round one that is overdue. Where all are, and nobody has answered, what it asks for
-    /// may be the cause, and second calls for all shards end the other server of each.
-    pub fn may_hedge(&self) -> bool {
-        !self.is_over_shards || self.is_answered || self.blind_hedges < MAX_BLIND_HEDGES
+    /// may be the cause, and second calls for all shards end the other server of each. If none has ended after a while, the
+    /// servers are silent for another reason.
+    pub fn may_hedge(&self, now: Moment) -> bool {
+        let is_harmless =
+            self.lost == 0 && self.blind_since.is_some_and(|since| now.since(since) >= LONG_VERDICT_WITHIN);
+        !self.is_over_shards || self.is_answered || is_harmless || self.blind_hedges < MAX_BLIND_HEDGES
     }
 
     /// Notes that a second call is sent.
-    pub fn note_hedge(&mut self) {
+    pub fn note_hedge(&mut self, now: Moment) {
         self.blind_hedges += usize::from(!self.is_answered);
+        self.blind_since.get_or_insert(now);
     }
 
     /// Notes that a server answered it.
--- a/crates/router/src/canary.rs
+++ b/crates/router/src/canary.rs
@@ -75,13 +75,13 @@
     }
 
     /// Whether a second call may go round one that is overdue.
-    pub fn may_hedge(&self) -> bool {
-        self.state().record.may_hedge()
+    pub fn may_hedge(&self, now: Moment) -> bool {
+        self.state().record.may_hedge(now)
     }
 
     /// Notes that a second call is sent.
-    pub fn note_hedge(&self) {
-        self.state().record.note_hedge();
+    pub fn note_hedge(&self, now: Moment) {
+        self.state().record.note_hedge(now);
     }
 
     /// Notes that a call is sent while nothing speaks against the request.
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -45,7 +45,7 @@
         }
         let next = self
             .best_server(attempts)
-            .filter(|server| self.is_free() && self.canary.may_hedge() && self.may_hedge(server))
+            .filter(|server| self.is_free() && self.canary.may_hedge(self.now()) && self.may_hedge(server))
             .filter(|_| !self.is_line_busy(attempts));
         let via = next.as_ref().filter(|_| far.is_some()).and_then(|server| self.find_node_near(server));
         let has_started = match (&next, &via) {
@@ -54,7 +54,7 @@
             (Some(_), None) => self.start(position, attempts, calls).is_ok(),
         };
         match has_started {
-            true => self.canary.note_hedge(),
+            true => self.canary.note_hedge(self.now()),
             false => self.look_again(attempts),
         }
         if is_news || has_started {
