A soak excuses a late answer only for as long as its node was halted, and reads the logs for unanswered requests

What callers saw and the soak passed over: a request that got no answer, though its node had read it, counted for nothing if its caller gave up by itself while the node was paused or down at any time of the request, however short. Cause: check_outcome asked only whether a pause or stop overlapped the request, and Cut is noted only where the connection broke. Now the bound of a request is its deadline, 1 s and the time in which its node was halted. A line of a node's log with the outcome caller_left is noted as Cut, unless the caller gave up within that bound (it does so 3 s after the deadline, so only a node that was halted for over 2 s is excused). The checks become stricter only: what was noted before is noted still.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -123,6 +123,7 @@
     watchers.shutdown().await;
     let (routed, skipped) = check(fleet.clone(), &log).await;
     record_panics(&fleet);
+    check_logs(fleet.clone(), &log).await;
     let mut outcomes = BTreeMap::new();
     for request in lock(&log.requests).iter() {
         *outcomes.entry(request.outcome()).or_default() += 1;
@@ -185,15 +186,31 @@
     }
 }
 
-/// Checks everything observed so far, on a blocking thread so that callers and servers keep running.
+/// Checks everything that callers and servers have observed so far.
 async fn check(fleet: Arc<SoakFleet>, log: &CallerLog) -> (usize, usize) {
-    let requests = lock(&log.requests).clone();
-    let check_all = move || {
-        let audit = SoakAudit::new(&fleet, &requests);
+    audit(fleet, log, |audit| {
         audit.check();
         audit.count_binding()
-    };
-    let checked = tokio::task::spawn_blocking(check_all).await;
+    })
+    .await
+}
+
+/// Checks the nodes' logs, which are complete once the run is over.
+async fn check_logs(fleet: Arc<SoakFleet>, log: &CallerLog) {
+    audit(fleet, log, |audit| {
+        audit.check_logs();
+    })
+    .await;
+}
+
+/// Runs checks on a blocking thread, so that callers and servers keep running.
+async fn audit<T: Send + 'static>(
+    fleet: Arc<SoakFleet>,
+    log: &CallerLog,
+    checks: impl FnOnce(&SoakAudit<'_>) -> T + Send + 'static,
+) -> T {
+    let requests = lock(&log.requests).clone();
+    let checked = tokio::task::spawn_blocking(move || checks(&SoakAudit::new(&fleet, &requests))).await;
     checked.unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()))
 }
 
--- a/crates/lab/src/soak_audit.rs
+++ b/crates/lab/src/soak_audit.rs
@@ -20,6 +20,11 @@
 /// How long after its deadline a request may still be answered.
 const MAX_LATENESS: Duration = Duration::from_secs(1);
 
+/// Texts that mark a request in a node's log whose connection was gone before the answer.
+const UNANSWERED_REQUEST: [&str; 2] = [" event=request ", " outcome=caller_left "];
+/// Text before the id of a request in a line of a node's log.
+const REQUEST_FIELD: &str = " request=";
+
 /// Kind of a violation, named after the documented guarantee that it breaks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ViolationKind {
@@ -131,6 +136,26 @@
         })
     }
 
+    /// For how much of the given period a node was under disturbances of these kinds. Time under several of them counts
+    /// once.
+    pub fn disturbed_for(&self, node: usize, kinds: &[DisturbanceKind], from: Instant, until: Instant) -> Duration {
+        let disturbances = lock(&self.0);
+        let relevant = disturbances.iter().filter(|disturbance| {
+            disturbance.affects(Some(node)) && kinds.contains(&disturbance.kind) && disturbance.overlaps(from, until)
+        });
+        let clip = |disturbance: &Disturbance| {
+            (disturbance.from.max(from), disturbance.until.map_or(until, |end| end.min(until)))
+        };
+        let mut periods: Vec<(Instant, Instant)> = relevant.map(clip).collect();
+        periods.sort();
+        let (mut total, mut counted_until) = (Duration::ZERO, from);
+        for (start, end) in periods {
+            total += end.saturating_duration_since(start.max(counted_until));
+            counted_until = counted_until.max(end);
+        }
+        total
+    }
+
     /// Whether a disturbance of this kind is active now, for any node.
     pub fn is_active(&self, kind: DisturbanceKind) -> bool {
         let now = Instant::now();
@@ -392,9 +417,10 @@
     fn check_outcome(&self, request: &ObservedRequest) {
         let (sent, ended) = (request.sent, request.ended);
         let has = |kinds: &[DisturbanceKind]| self.fleet.disturbances.has(request.node, kinds, sent, ended);
-        let duration = ended - sent;
-        if duration > request.deadline + MAX_LATENESS && !has(&[DisturbanceKind::Paused, DisturbanceKind::Down]) {
-            self.note(ViolationKind::Late, request, &format!("{duration:?} with a deadline of {:?}", request.deadline));
+        if self.is_late(request) {
+            let (duration, deadline, halted) = (ended - sent, request.deadline, self.halted_for(request));
+            let detail = format!("{duration:?} with a deadline of {deadline:?}, the node halted for {halted:?}");
+            self.note(ViolationKind::Late, request, &detail);
         }
         if let Err(CallError::Exchange(error)) = &request.result {
             // A stopping node may close a keep-alive connection before it has read a request on it.
@@ -406,6 +432,33 @@
         }
     }
 
+    /// For how long the node of a request did not run while the request was pending.
+    fn halted_for(&self, request: &ObservedRequest) -> Duration {
+        let kinds = [DisturbanceKind::Paused, DisturbanceKind::Down];
+        self.fleet.disturbances.disturbed_for(request.node, &kinds, request.sent, request.ended)
+    }
+
+    /// Whether a request ended too late. A node that is halted answers later by that time, and by no more.
+    fn is_late(&self, request: &ObservedRequest) -> bool {
+        request.ended - request.sent > request.deadline + self.halted_for(request) + MAX_LATENESS
+    }
+
+    /// Checks the nodes' logs for requests that they dropped unanswered, which a caller that gives up by itself does not
+    /// see. It may give up only on a node that was halted for long enough.
+    pub fn check_logs(&self) {
+        for node in &self.fleet.nodes {
+            for line in node.logged(&UNANSWERED_REQUEST) {
+                let id = line.split_once(REQUEST_FIELD).and_then(|(_, rest)| rest.split_whitespace().next());
+                let id = id.unwrap_or("unknown");
+                let has_given_up = |request: &&Arc<ObservedRequest>| matches!(request.result, Err(CallError::TimedOut));
+                let given_up = self.requests.iter().filter(has_given_up).find(|request| request.id == id);
+                if given_up.is_none_or(|request| self.is_late(request)) {
+                    self.fleet.note_violation(ViolationKind::Cut, id, format!("{}: {line}", node.name));
+                }
+            }
+        }
+    }
+
     /// Checks that no server received a call after its entry had been withdrawn. The time when the node
     /// sent the call follows from the remaining deadline, however long the call was on its way.
     fn check_withdrawn(&self, request: &ObservedRequest) {
