Requests that have arrived are read before their connections are closed at a stop

What callers saw: a request sent on a kept connection before the node entered the phase Closing ended with a closed connection and no answer, in a node that had no processor for a moment. Nothing in the log told of it.

Cause: the task of a caller's connection waited for the connection and for the phase in random order. Where both were due at once, half of the tasks began the shutdown first, and the HTTP library closes a connection as idle when it has not read the request that lies in the socket.

Change: the connection is polled first. The request is read, so the connection is no longer idle and is closed after the answer.

Not covered: a connection whose first request has not been seen by the event loop when the phase begins, and connections not yet accepted.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -97,6 +97,8 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut phase = router.phase.subscribe();
     let ended = tokio::select! {
+        // In this order, a request that has arrived is read before its connection is closed as idle.
+        biased;
         ended = connection.as_mut() => ended,
         () = wait_closing(&mut phase) => {
             connection.as_mut().graceful_shutdown();
