A request whose caller leaves while it is admitted has its line

What operators saw: a request that was read, and whose caller left while the node asked for its team's credit (up to 120 ms) or claimed the trial of a quarantined content (up to 250 ms), had no event=request line and was missing in streamfold_requests_total. Only caller_connection_lost told of it, without the request's id.

Cause: the record that counts and logs a request when it is dropped was made after the admission. A request that was cancelled before had none.

Change: the record owns the context of the request and is made before the admission. A panic during the admission has its line as well.

Evidence: crates/router/tests/request_lines.rs: a caller leaves while the node that grants credit is silent.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -277,14 +277,15 @@
     usage::admit(&context.router, &context.view, team, &context.request, context.route.target_latency).await
 }
 
-async fn run(router: &Arc<Router>, mut context: AttemptContext) -> CallerAnswer {
-    let admitted = admit(&mut context).await;
+async fn run(router: &Arc<Router>, context: AttemptContext) -> CallerAnswer {
+    let mut record = RequestRecord::new(context);
+    let admitted = admit(&mut record.context).await;
     let has_credit = admitted.is_ok();
-    let mut record = RequestRecord::new(&context);
     let result = match admitted {
-        Ok(()) => serve_admitted(&context, &mut record).await,
+        Ok(()) => serve_admitted(&mut record).await,
         Err(kind) => Err(kind),
     };
+    let context = &record.context;
     if result.is_ok() {
         router.cluster.quarantine.note_served(context.now(), context.request.suspect.content);
     }
@@ -299,7 +300,8 @@
     result.unwrap_or_else(|kind| refuse(&*router.format, kind))
 }
 
-async fn serve_admitted(context: &AttemptContext, record: &mut RequestRecord<'_>) -> Result<CallerAnswer, RefusalKind> {
+async fn serve_admitted(record: &mut RequestRecord) -> Result<CallerAnswer, RefusalKind> {
+    let context = &record.context;
     match &context.route.target {
         RouteTarget::Gather(spec) => {
             let end = gather::run(context, spec).await;
@@ -334,26 +336,26 @@
 }
 
 /// Counts a request and logs how it ended. It does so on drop, so that a request cancelled by a caller that
-/// disconnected is covered as well.
-struct RequestRecord<'a> {
-    context: &'a AttemptContext,
+/// disconnected is covered as well, also while the request is being admitted.
+struct RequestRecord {
+    context: AttemptContext,
     outcome: &'static str,
     status: u16,
     coverage: Option<RequestCoverage>,
 }
 
-impl<'a> RequestRecord<'a> {
-    fn new(context: &'a AttemptContext) -> Self {
+impl RequestRecord {
+    fn new(context: AttemptContext) -> Self {
         Self { context, outcome: "caller_left", status: 0, coverage: None }
     }
 }
 
-impl Drop for RequestRecord<'_> {
+impl Drop for RequestRecord {
     fn drop(&mut self) {
         if std::thread::panicking() {
             (self.outcome, self.status) = ("panicked", RefusalKind::Lost.status().as_u16());
         }
-        let context = self.context;
+        let context = &self.context;
         let took = context.now().since(context.request.started);
         metrics::counter!("streamfold_requests_total", "outcome" => self.outcome).increment(1);
         metrics::histogram!("streamfold_request_seconds").record(took.as_secs_f64());
--- /dev/null
+++ b/crates/router/tests/request_lines.rs
@@ -0,0 +1,238 @@
+//! Log lines of requests that end before a server is chosen: each request whose head was read has a line with its id,
+//! also if its caller leaves while it is being admitted.
+
+mod fakes;
+
+use std::collections::HashMap;
+use std::fmt::Debug;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, LazyLock, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use streamfold_model::{
+    AllowedRegions, Incarnation, KeyDigest, NodeEntry, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget,
+    ServerId, TableVersion, TeamDirectory, TeamKeys, TeamName, TeamSpec, UsageLimit, WeightedService,
+};
+use streamfold_router::interface::{
+    CallFormat, CallerHead, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic, HeadError,
+    PresentedKey, ReplyHead,
+};
+use streamfold_router::{RunningRouter, router_start};
+use streamfold_store::StoreError;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tracing::field::{Field, Visit};
+use tracing::span;
+
+/// Timeout for an answer or a log line, longer than a passing test takes.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+/// The interval at which the log is checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The fields of a log line.
+type LogLine = HashMap<&'static str, String>;
+
+/// All log lines of the process.
+static LOG: LazyLock<Mutex<Vec<LogLine>>> = LazyLock::new(|| {
+    tracing::subscriber::set_global_default(LogCapture).expect("the only subscriber");
+    Mutex::default()
+});
+
+struct LogCapture;
+
+#[derive(Default)]
+struct FieldReader(LogLine);
+
+impl Visit for FieldReader {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.0.insert(field.name(), value.to_owned());
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        self.0.insert(field.name(), format!("{value:?}"));
+    }
+}
+
+impl tracing::Subscriber for LogCapture {
+    fn enabled(&self, metadata: &tracing::Metadata<'_>) -> bool {
+        metadata.target().starts_with("streamfold")
+    }
+
+    fn new_span(&self, _: &span::Attributes<'_>) -> span::Id {
+        span::Id::from_u64(1)
+    }
+
+    fn record(&self, _: &span::Id, _: &span::Record<'_>) {}
+
+    fn record_follows_from(&self, _: &span::Id, _: &span::Id) {}
+
+    fn event(&self, event: &tracing::Event<'_>) {
+        let mut fields = FieldReader::default();
+        event.record(&mut fields);
+        LOG.lock().unwrap_or_else(PoisonError::into_inner).push(fields.0);
+    }
+
+    fn enter(&self, _: &span::Id) {}
+
+    fn exit(&self, _: &span::Id) {}
+}
+
+/// Waits for the line of an event with a request's id.
+async fn wait_line(event: &str, request: &str) -> LogLine {
+    let started = Instant::now();
+    loop {
+        let lines = LOG.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let is_line = |line: &&LogLine| line["event"] == event && line.get("request").is_some_and(|id| id == request);
+        if let Some(line) = lines.iter().find(is_line) {
+            return line.clone();
+        }
+        assert!(started.elapsed() < MAX_WAIT, "no {event} of {request} in {lines:#?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// A call format with the headers `x-request-id` and `x-deadline-ms`. Every request has the key of the only team.
+struct FakeFormat {
+    /// Notified when a request's team has been found.
+    authenticated: Sender<()>,
+}
+
+impl CallFormat for FakeFormat {
+    fn read_caller(&self, headers: &HeaderMap) -> Result<CallerHead, HeadError> {
+        let request = headers.get("x-request-id").ok_or(HeadError::NoRequest)?.clone();
+        let deadline = headers.get("x-deadline-ms").map(|value| value.to_str().ok().and_then(|text| text.parse().ok()));
+        let deadline = deadline.map(|millis| millis.ok_or(HeadError::BadDeadline)).transpose()?;
+        Ok(CallerHead { request, deadline: deadline.map(Duration::from_millis), key: PresentedKey::Key(key()) })
+    }
+
+    fn write_team(&self, headers: &mut HeaderMap, team: Option<&TeamName>) {
+        NoFormat.write_team(headers, team);
+        // No test waits for it any more at its end.
+        let _ = self.authenticated.send(());
+    }
+
+    fn write_call(&self, _: &mut HeaderMap, _: &ServerId, _: Duration) {}
+
+    fn read_reply(&self, _: &HeaderValue, _: StatusCode, _: &HeaderMap) -> ReplyHead {
+        unreachable!("nothing is sent to servers")
+    }
+
+    fn write_gathered(&self, _: &mut HeaderMap, _: &[HeaderValue], _: usize) {}
+
+    fn write_retry(&self, _: &mut HeaderMap, _: Duration) {}
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+}
+
+fn key() -> KeyDigest {
+    KeyDigest::of(b"secret")
+}
+
+/// A store with the routes and the only node that grants credit.
+struct FixedTopics {
+    granter: SocketAddr,
+}
+
+impl FixedTopics {
+    fn items(&self, topic: FeedTopic) -> Vec<FeedItem> {
+        match topic {
+            FeedTopic::Routes => vec![FeedItem::Routes(Box::new(make_limited_table()))],
+            FeedTopic::Nodes => vec![FeedItem::Node(NodeEntry {
+                node: "granter".parse().expect("a name"),
+                incarnation: Incarnation(1),
+                domain: "zone-a".parse().expect("a failure domain"),
+                peer_address: self.granter,
+                cpu_share: None,
+            })],
+            FeedTopic::Servers | FeedTopic::Evacuations | FeedTopic::Crashes => Vec::new(),
+        }
+    }
+}
+
+impl FakeTopics for FixedTopics {
+    fn list(&self, topic: FeedTopic) -> Result<FeedList, StoreError> {
+        Ok(self.list_one_page(topic))
+    }
+
+    fn list_one_page(&self, topic: FeedTopic) -> FeedList {
+        FeedList { items: self.items(topic), position: FeedPosition(1) }
+    }
+
+    fn watch(&self, _: FeedTopic, _: FeedPosition, _: Duration) -> FeedFuture<'_, FeedChanges> {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Routes for a team with a limit, to a service without servers.
+fn make_limited_table() -> RouteTable {
+    let FeedItem::Routes(empty) = make_table(1) else { unreachable!("a table") };
+    let service = WeightedService { service: "shop".parse().expect("a name"), weight: 1.0 };
+    let route = RouteSpec {
+        name: "route".parse().expect("a name"),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout: MAX_WAIT,
+        target_latency: MAX_WAIT,
+        max_attempts: 2,
+        priority: Priority(0),
+        allowed_regions: AllowedRegions::Any,
+        is_auth_exempt: false,
+        target: RouteTarget::Split(vec![service]),
+    };
+    let team = TeamSpec {
+        name: "blue".parse().expect("a name"),
+        priority: None,
+        allowed_regions: AllowedRegions::Any,
+        limit: Some(UsageLimit { rate: 1.0, burst: 1.0 }),
+    };
+    let teams = TeamDirectory::build(vec![TeamKeys { team, keys: vec![key()] }]).expect("teams");
+    RouteTable::build(TableVersion(1), vec![route], Vec::new(), empty.limits).expect("a table").with_teams(teams)
+}
+
+/// A node whose credit requests are never answered.
+struct TestNode {
+    running: RunningRouter,
+    authenticated: Receiver<()>,
+    _granter: TcpListener,
+}
+
+impl TestNode {
+    async fn start() -> Self {
+        LazyLock::force(&LOG);
+        let granter = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let feed = Arc::new(FakeFeed(FixedTopics { granter: granter.local_addr().expect("an address") }));
+        let (sender, authenticated) = channel();
+        let format = Arc::new(FakeFormat { authenticated: sender });
+        let running = router_start::start(make_settings("own", 1.0), format, feed, String::new).await.expect("a node");
+        wait_version(&running.router, 1).await;
+        let started = Instant::now();
+        while !running.router.is_listed(FeedTopic::Nodes) {
+            assert!(started.elapsed() < MAX_WAIT, "the nodes are not listed");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        Self { running, authenticated, _granter: granter }
+    }
+
+    /// Sends the head and the first bytes of the body of a request on a new connection.
+    async fn send(&self, request: &str, headers: &str, body: &str) -> TcpStream {
+        let mut caller = TcpStream::connect(self.running.router.settings.callers).await.expect("a connection");
+        let text = format!("POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\n{headers}\r\n{body}");
+        caller.write_all(text.as_bytes()).await.expect("a sent request");
+        caller
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_caller_leaves_while_it_is_admitted_has_its_line() {
+    let node = TestNode::start().await;
+    let caller = node.send("r-left", "", "").await;
+    node.authenticated.recv_timeout(MAX_WAIT).expect("a request that is being admitted");
+    drop(caller);
+    wait_line("request", "r-left").await;
+}
