A request whose body does not arrive is answered at its deadline

What callers saw: a request whose head was read, but whose body did not arrive completely, got no answer at all, neither at its own deadline nor at the time limit of its route. It also kept a stopping node busy until the end of its grace period.

Cause: the body was read without a time limit; the deadline was computed only after it.

Change: the deadline is found before the body is read and bounds the reading.

--- a/crates/router/src/caller_body.rs
+++ b/crates/router/src/caller_body.rs
@@ -1,10 +1,11 @@
-//! Reads the body of a caller's request up to its size limit, or discards the rest of it after a refusal.
+//! Reads the body of a caller's request up to its size limit and its deadline, or discards the rest of it after a refusal.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use tokio::time::Instant;
 
 use crate::answer::RefusalKind;
 
@@ -16,12 +17,14 @@
 /// Reads a complete body.
 ///
 /// # Errors
-/// The body exceeds the limit or ends early.
-pub(crate) async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLong),
-        Err(_) => Err(RefusalKind::BadRequest),
+/// The body exceeds the limit, ends early or is not complete at the deadline.
+pub(crate) async fn read_body(body: &mut Incoming, limit: usize, deadline: Instant) -> Result<Bytes, RefusalKind> {
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout_at(deadline, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLong),
+        Ok(Err(_)) => Err(RefusalKind::BadRequest),
+        Err(_) => Err(RefusalKind::Late),
     }
 }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -29,7 +29,7 @@
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
 use crate::interface::{CallerHead, FeedTopic};
-use crate::request::{CallerRequest, RequestArrival};
+use crate::request::{CallerRequest, RequestArrival, find_deadline};
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::{entry, gather, quarantine, single, task, usage};
 
@@ -175,7 +175,8 @@
         );
     })?;
     let team = authenticate(router, &routed, &head, &mut parts.headers)?;
-    let body = read_body(body, routed.body_limit).await?;
+    let deadline = find_deadline(&head, arrival, routed.route.timeout);
+    let body = read_body(body, routed.body_limit, router.clock.instant(deadline)).await?;
     let latencies = routed.view.latencies.get(&routed.route.name).cloned().unwrap_or_default();
     let is_single_service = matches!(routed.route.target, RouteTarget::Split(_));
     let request = CallerRequest::new(head, parts, body, arrival, routed.route.timeout, is_single_service);
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -67,6 +67,12 @@
     }
 }
 
+/// When a request times out: after the time that its caller waits, but at most `limit`.
+pub(crate) fn find_deadline(head: &CallerHead, arrival: RequestArrival, limit: Duration) -> Moment {
+    let timeout = head.deadline.map_or(limit, |deadline| deadline.min(limit));
+    arrival.started.plus(timeout)
+}
+
 /// A request with its complete body, ready to be sent to any number of servers.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -102,14 +108,14 @@
         // The body was read completely, so its length is known and `Expect` was already answered.
         headers.remove(CONTENT_LENGTH);
         headers.remove(EXPECT);
-        let timeout = head.deadline.map_or(limit, |deadline| deadline.min(limit));
+        let deadline = find_deadline(&head, arrival, limit);
         let content = identify_content(&parts.method, &parts.uri, &headers, &body);
         Self {
             suspect: CrashSuspect { content, is_single_service },
             id: head.request,
             started: arrival.started,
             read: arrival.read,
-            deadline: arrival.started.plus(timeout),
+            deadline,
             method: parts.method,
             uri: parts.uri,
             headers,
--- a/crates/router/tests/request_lines.rs
+++ b/crates/router/tests/request_lines.rs
@@ -1,5 +1,5 @@
-//! Log lines of requests that end before a server is chosen: each request whose head was read has a line with its id,
-//! also if its caller leaves while it is being admitted.
+//! Requests that end before a server is chosen. Each request whose head was read has a line with its id, also if its
+//! caller leaves while it is being admitted, and each is answered, also if its body does not arrive.
 
 mod fakes;
 
@@ -22,7 +22,7 @@
 };
 use streamfold_router::{RunningRouter, router_start};
 use streamfold_store::StoreError;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tracing::field::{Field, Visit};
 use tracing::span;
@@ -228,6 +228,19 @@
     }
 }
 
+/// Reads one answer with a JSON body.
+async fn read_answer(caller: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"}") {
+        let mut chunk = [0; 1024];
+        let read = tokio::time::timeout(MAX_WAIT, caller.read(&mut chunk)).await.expect("an answer in time");
+        let length = read.expect("an answer");
+        assert!(length > 0, "the connection was closed after {:?}", String::from_utf8_lossy(&answer));
+        answer.extend_from_slice(&chunk[..length]);
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_caller_leaves_while_it_is_admitted_has_its_line() {
     let node = TestNode::start().await;
@@ -236,3 +249,12 @@
     drop(caller);
     wait_line("request", "r-left").await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_is_not_complete_at_its_deadline_is_answered() {
+    let node = TestNode::start().await;
+    let mut caller = node.send("r-slow", "Content-Length: 5\r\nX-Deadline-Ms: 50\r\n", "abc").await;
+    let answer = read_answer(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert!(answer.ends_with("{\"error\":\"late\"}"), "{answer}");
+}
