A request whose body cannot be read has its line

What operators saw: a request that was answered 413, 400 or 504 because its body was too long, ended early or was not there at the deadline, or whose caller left while it sent the body, had no line in the log.

Cause: only a request without a route was logged before its record exists.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::header::{HOST, HeaderMap};
+use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Request, Uri};
 use hyper::body::Incoming;
@@ -163,20 +163,13 @@
         tracing::info!(event = "request_unreadable", path = parts.uri.path(), %error);
         RefusalKind::BadRequest
     })?;
-    let routed = find_route(router, &parts.headers, &parts.uri).inspect_err(|kind| {
-        let id = head.request.to_str().unwrap_or("not-text");
-        tracing::info!(
-            event = "request_refused",
-            request = id,
-            path = parts.uri.path(),
-            version = %router.cluster.version(),
-            routes_followed = router.is_followed(FeedTopic::Routes),
-            reason = kind.name()
-        );
-    })?;
+    let routed = find_route(router, &parts.headers, &parts.uri)
+        .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let team = authenticate(router, &routed, &head, &mut parts.headers)?;
     let deadline = find_deadline(&head, arrival, routed.route.timeout);
-    let body = read_body(body, routed.body_limit, router.clock.instant(deadline)).await?;
+    let body = read_body(body, routed.body_limit, router.clock.instant(deadline))
+        .await
+        .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let latencies = routed.view.latencies.get(&routed.route.name).cloned().unwrap_or_default();
     let is_single_service = matches!(routed.route.target, RouteTarget::Split(_));
     let request = CallerRequest::new(head, parts, body, arrival, routed.route.timeout, is_single_service);
@@ -205,6 +198,18 @@
     })
 }
 
+/// Logs a request that is refused because it has no route or its body cannot be read.
+fn log_refused(router: &Router, request: &HeaderValue, uri: &Uri, kind: RefusalKind) {
+    tracing::info!(
+        event = "request_refused",
+        request = request.to_str().unwrap_or("not-text"),
+        path = uri.path(),
+        version = %router.cluster.version(),
+        routes_followed = router.is_followed(FeedTopic::Routes),
+        reason = kind.name()
+    );
+}
+
 /// Finds the team of a request by its API key, where teams are configured. Replaces the key in the headers by the
 /// name of the team.
 fn authenticate(
--- a/crates/router/tests/request_lines.rs
+++ b/crates/router/tests/request_lines.rs
@@ -258,3 +258,17 @@
     assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
     assert!(answer.ends_with("{\"error\":\"late\"}"), "{answer}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_cannot_be_read_has_its_line() {
+    let node = TestNode::start().await;
+    let mut too_long = node.send("r-long", "Content-Length: 5000\r\n", &"x".repeat(5_000)).await;
+    let answer = read_answer(&mut too_long).await;
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    assert_eq!(wait_line("request_refused", "r-long").await["reason"], "too_long");
+    drop(node.send("r-broken", "Content-Length: 5\r\n", "abc").await);
+    assert_eq!(wait_line("request_refused", "r-broken").await["reason"], "bad_request");
+    let mut late = node.send("r-late", "Content-Length: 5\r\nX-Deadline-Ms: 50\r\n", "abc").await;
+    read_answer(&mut late).await;
+    assert_eq!(wait_line("request_refused", "r-late").await["reason"], "late");
+}
