Merge requests that ended unanswered or untold between a caller's connection and the admission

Four faults, each shown by a test that failed before: a kept connection closed at a stop with its request unread, no line of a request whose caller left while it was admitted, no answer where the body does not arrive, no line where the body cannot be read.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::header::{HOST, HeaderMap};
+use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Request, Uri};
 use hyper::body::Incoming;
@@ -29,7 +29,7 @@
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
 use crate::interface::{CallerHead, FeedTopic};
-use crate::request::{CallerRequest, RequestArrival};
+use crate::request::{CallerRequest, RequestArrival, find_deadline};
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::{entry, gather, quarantine, single, task, usage};
 
@@ -97,6 +97,8 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut phase = router.phase.subscribe();
     let ended = tokio::select! {
+        // In this order, a request that has arrived is read before its connection is closed as idle.
+        biased;
         ended = connection.as_mut() => ended,
         () = wait_closing(&mut phase) => {
             connection.as_mut().graceful_shutdown();
@@ -161,19 +163,13 @@
         tracing::info!(event = "request_unreadable", path = parts.uri.path(), %error);
         RefusalKind::BadRequest
     })?;
-    let routed = find_route(router, &parts.headers, &parts.uri).inspect_err(|kind| {
-        let id = head.request.to_str().unwrap_or("not-text");
-        tracing::info!(
-            event = "request_refused",
-            request = id,
-            path = parts.uri.path(),
-            version = %router.cluster.version(),
-            routes_followed = router.is_followed(FeedTopic::Routes),
-            reason = kind.name()
-        );
-    })?;
+    let routed = find_route(router, &parts.headers, &parts.uri)
+        .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let team = authenticate(router, &routed, &head, &mut parts.headers)?;
-    let body = read_body(body, routed.body_limit).await?;
+    let deadline = find_deadline(&head, arrival, routed.route.timeout);
+    let body = read_body(body, routed.body_limit, router.clock.instant(deadline))
+        .await
+        .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let latencies = routed.view.latencies.get(&routed.route.name).cloned().unwrap_or_default();
     let is_single_service = matches!(routed.route.target, RouteTarget::Split(_));
     let request = CallerRequest::new(head, parts, body, arrival, routed.route.timeout, is_single_service);
@@ -202,6 +198,18 @@
     })
 }
 
+/// Logs a request that is refused because it has no route or its body cannot be read.
+fn log_refused(router: &Router, request: &HeaderValue, uri: &Uri, kind: RefusalKind) {
+    tracing::info!(
+        event = "request_refused",
+        request = request.to_str().unwrap_or("not-text"),
+        path = uri.path(),
+        version = %router.cluster.version(),
+        routes_followed = router.is_followed(FeedTopic::Routes),
+        reason = kind.name()
+    );
+}
+
 /// Finds the team of a request by its API key, where teams are configured. Replaces the key in the headers by the
 /// name of the team.
 fn authenticate(
@@ -275,14 +283,15 @@
     usage::admit(&context.router, &context.view, team, &context.request, context.route.target_latency).await
 }
 
-async fn run(router: &Arc<Router>, mut context: AttemptContext) -> CallerAnswer {
-    let admitted = admit(&mut context).await;
+async fn run(router: &Arc<Router>, context: AttemptContext) -> CallerAnswer {
+    let mut record = RequestRecord::new(context);
+    let admitted = admit(&mut record.context).await;
     let has_credit = admitted.is_ok();
-    let mut record = RequestRecord::new(&context);
     let result = match admitted {
-        Ok(()) => serve_admitted(&context, &mut record).await,
+        Ok(()) => serve_admitted(&mut record).await,
         Err(kind) => Err(kind),
     };
+    let context = &record.context;
     if result.is_ok() {
         router.cluster.quarantine.note_served(context.now(), context.request.suspect.content);
     }
@@ -297,7 +306,8 @@
     result.unwrap_or_else(|kind| refuse(&*router.format, kind))
 }
 
-async fn serve_admitted(context: &AttemptContext, record: &mut RequestRecord<'_>) -> Result<CallerAnswer, RefusalKind> {
+async fn serve_admitted(record: &mut RequestRecord) -> Result<CallerAnswer, RefusalKind> {
+    let context = &record.context;
     match &context.route.target {
         RouteTarget::Gather(spec) => {
             let end = gather::run(context, spec).await;
@@ -332,26 +342,26 @@
 }
 
 /// Counts a request and logs how it ended. It does so on drop, so that a request cancelled by a caller that
-/// disconnected is covered as well.
-struct RequestRecord<'a> {
-    context: &'a AttemptContext,
+/// disconnected is covered as well, also while the request is being admitted.
+struct RequestRecord {
+    context: AttemptContext,
     outcome: &'static str,
     status: u16,
     coverage: Option<RequestCoverage>,
 }
 
-impl<'a> RequestRecord<'a> {
-    fn new(context: &'a AttemptContext) -> Self {
+impl RequestRecord {
+    fn new(context: AttemptContext) -> Self {
         Self { context, outcome: "caller_left", status: 0, coverage: None }
     }
 }
 
-impl Drop for RequestRecord<'_> {
+impl Drop for RequestRecord {
     fn drop(&mut self) {
         if std::thread::panicking() {
             (self.outcome, self.status) = ("panicked", RefusalKind::Lost.status().as_u16());
         }
-        let context = self.context;
+        let context = &self.context;
         let took = context.now().since(context.request.started);
         metrics::counter!("streamfold_requests_total", "outcome" => self.outcome).increment(1);
         metrics::histogram!("streamfold_request_seconds").record(took.as_secs_f64());
