A node that resumes after a pause keeps its links although many messages were given up

What callers saw: while a node was paused, other nodes gave up the batches that they had sent to it (after the progress time and 300 ms). If more than 20 batches on one link were given up, the node ended that link with ENHANCE_YOUR_CALM as soon as it resumed. Every message in flight on the link was lost, also those that it had accepted before the pause: the requests got fewer shards, or none and the answer 502.

Cause: h2 accepts at most 20 streams that are reset before they are accepted (max_pending_accept_reset_streams). A connection reads all that has arrived before it accepts the first stream, so after a pause all streams that were opened and reset meanwhile count.

Evidence: the new test holds the bytes on the path to a node, gives up 100 messages and lets the bytes pass. On the code before, the message that was not given up ends with GoAway(b"too_many_resets", ENHANCE_YOUR_CALM, Remote).

--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -18,6 +18,9 @@
 
 /// The most streams that may be open at once on one link.
 const MAX_STREAMS: u32 = 10_000;
+/// The most streams on one link that may be reset before they were accepted. A node that was paused finds all messages
+/// that were cancelled meanwhile; a lower limit would end the link with all messages in flight.
+const MAX_UNACCEPTED_RESETS: usize = MAX_STREAMS as usize;
 /// The longest time that the HTTP/2 handshake of a link may take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The longest time until the first message of a link, so that clients that are not nodes cannot hold connections open.
@@ -70,6 +73,7 @@
     let mut builder = h2::server::Builder::new();
     builder.initial_window_size(PEER_WINDOW_SIZE).initial_connection_window_size(PEER_WINDOW_SIZE);
     builder.max_frame_size(PEER_HTTP2_FRAME_SIZE).max_concurrent_streams(MAX_STREAMS);
+    builder.max_pending_accept_reset_streams(MAX_UNACCEPTED_RESETS);
     let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, builder.handshake::<_, Bytes>(stream)).await;
     let Ok(connection) = handshake else { return Ok(()) };
     let mut connection = connection?;
