Late answers to messages that were given up no longer end a link

What callers saw: a link between two nodes ended now and then with ENHANCE_YOUR_CALM, with every batch in flight on it. The requests got fewer shards, or none and the answer 502.

Cause: h2 counts each frame that arrives for a stream which the node has reset and forgotten as an error of the other side, over the whole life of the connection, and ends the connection after 1,024 of them (max_local_error_reset_streams). A reset stream is forgotten after one second, or at once if 50 others are remembered. An answer that crosses with the reset is no error: nodes give up batches whenever an answer is complete, and a node that was paused sends answers that are no longer wanted.

Change: links have no such limit on the asking side. The other side is a node that this one has chosen to connect to.

Evidence: the new test lets 1,200 answers arrive after their messages were given up, while one message is in flight. On the code before, that message ends with GoAway(b"too_many_internal_resets", ENHANCE_YOUR_CALM, Library).

--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -117,6 +117,9 @@
         let mut builder = h2::client::Builder::new();
         builder.initial_window_size(PEER_WINDOW_SIZE).initial_connection_window_size(PEER_WINDOW_SIZE);
         builder.max_frame_size(PEER_HTTP2_FRAME_SIZE);
+        // Late answers to cancelled messages count towards this limit over the whole life of the connection, which would
+        // end with all messages in flight.
+        builder.max_local_error_reset_streams(None);
         let (sender, connection) = builder.handshake(stream).await?;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         self.current.store(Some(Arc::new(OpenConnection { id, sender: sender.clone() })));
--- a/crates/link/tests/cancelled_messages.rs
+++ b/crates/link/tests/cancelled_messages.rs
@@ -4,7 +4,8 @@
 //! ends the connection when a limit is reached, with every message in flight on it. Nodes give up batches all the time:
 //! an answer is complete before each hedge has ended, and a batch to a paused node is given up after some tenths of a
 //! second. A node that resumed after a pause thus closed its links as soon as it read more than 20 batches that had been
-//! given up meanwhile. Requests with a batch in flight on such a link lost their shards.
+//! given up meanwhile, and a node that gave up batches closed a link after the 1,024th answer that arrived too late.
+//! Requests with a batch in flight on such a link lost their shards.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -28,6 +29,9 @@
 const PATH_PROMPT: &str = "/prompt";
 /// Messages given up while the other node is paused: more than the 20 that the library tolerates by default.
 const UNREAD_MESSAGES: usize = 100;
+/// Messages given up before their answers arrive: more than the 1,024 late answers that the library tolerates by default
+/// on one connection, and the 50 given up streams that it remembers.
+const LATE_ANSWERS: usize = 1_200;
 /// Length of the frame that gives up a message.
 const RESET_FRAME_LEN: usize = 13;
 /// Timeout of calls that must succeed, longer than any of them takes.
@@ -112,6 +116,7 @@
     node: Arc<EchoNode>,
     link: Arc<PeerLink>,
     requests: Arc<Direction>,
+    answers: Arc<Direction>,
 }
 
 async fn start() -> Nodes {
@@ -121,8 +126,8 @@
     tokio::spawn(serve(node.clone(), Arc::new(listener)));
     let path = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let link = PeerLink::new(path.local_addr().expect("an address"));
-    let requests = Direction::new();
-    let directions = (requests.clone(), Direction::new());
+    let (requests, answers) = (Direction::new(), Direction::new());
+    let directions = (requests.clone(), answers.clone());
     tokio::spawn(async move {
         while let Ok((near, _)) = path.accept().await {
             let (near_read, near_write) = near.into_split();
@@ -131,7 +136,7 @@
             tokio::spawn(directions.1.clone().forward(far_read, near_write));
         }
     });
-    let nodes = Nodes { node, link, requests };
+    let nodes = Nodes { node, link, requests, answers };
     // Until its settings have arrived, the other node is assumed to accept few messages at once.
     assert_eq!(answer(nodes.call(PATH_PROMPT, 0)).await.expect("an answer to the first message"), 1);
     nodes
@@ -190,3 +195,19 @@
     nodes.node.release.notify_waiters();
     assert_eq!(answer(held).await.expect("an answer to a message received before"), 2);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_message_in_flight_is_answered_although_many_answers_to_others_arrive_too_late() {
+    let nodes = start().await;
+    let held = nodes.call_held(1).await;
+    let received = nodes.node.received.load(Ordering::SeqCst);
+    nodes.answers.set_held(true);
+    let late: Vec<_> = (0..LATE_ANSWERS).map(|number| nodes.call(PATH_PROMPT, number as u64)).collect();
+    wait_until(|| nodes.node.received.load(Ordering::SeqCst) == received + LATE_ANSWERS).await;
+    let sent = nodes.requests.sent();
+    late.iter().for_each(JoinHandle::abort);
+    wait_until(|| nodes.requests.sent() >= sent + LATE_ANSWERS * RESET_FRAME_LEN).await;
+    nodes.node.release.notify_waiters();
+    nodes.answers.set_held(false);
+    assert_eq!(answer(held).await.expect("an answer to the message in flight"), 2);
+}
