The other calls of a trial no longer wait for the store

What callers saw: a request over shards that was the trial of a quarantined content was refused although the first server had answered and survived, while the store refused calls or was slow.

Cause: the task that watches the first server of a trial recorded its survival only after the store had confirmed the end of the quarantine. The calls to the other shards check for that record every 5 ms, until the time limit of the first call (at least 800 ms) and the deadline.

Change: the survival is recorded first. The trial is exempt from the quarantine, so its calls do not depend on the release.

--- a/crates/router/src/canary.rs
+++ b/crates/router/src/canary.rs
@@ -136,8 +136,9 @@
 /// Checks whether a server that answered a trial survives, and releases the content if it does.
 async fn watch_trial(router: Arc<Router>, content: ContentId, canary: CanaryCall, server: Arc<Server>) {
     let has_survived = crash_check::survives(&server).await;
+    // Before the release, which waits for the store: the other calls of the trial are waiting for this.
+    canary.state().record.note_trial(has_survived);
     if has_survived {
         quarantine::release(&router, content).await;
     }
-    canary.state().record.note_trial(has_survived);
 }
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -51,6 +51,11 @@
 
     /// Waits up to `wait` for changes after a position.
     fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges>;
+
+    /// Removes the entry of a content from quarantine.
+    fn remove_crash(&self) -> FeedFuture<'_, ()> {
+        ready(Ok(()))
+    }
 }
 
 /// A store that accepts every write and discards it.
@@ -90,7 +95,7 @@
     }
 
     fn remove_crash(&self, _: ContentId) -> FeedFuture<'_, ()> {
-        ready(Ok(()))
+        self.0.remove_crash()
     }
 }
 
