An answer that is too long to be sent no longer ends its link

What callers saw: if the reply to one batch was longer than a frame may be (64 MiB), the link ended with every message in flight on it; the requests of those got fewer shards, or none and the answer 502.

Cause: the encoder reported a message of its own that is too long by the same error as a frame of the other node that is too long, and the server side of links ends the link on that one. The asking side also took a message that it had never sent for one that may have run.

Change: an error of its own, MessageTooLong, for messages of this node. It ends only its stream, and counts as not sent.

Not shown: an occurrence; no reply of the known deployments is that long.

--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -9,7 +9,7 @@
     /// The HTTP/2 stream failed.
     #[error("stream failed: {0}")]
     Stream(#[from] h2::Error),
-    /// A frame exceeds its length limit, or holds this many bytes after its message.
+    /// A received frame exceeds its length limit, or holds this many bytes after its message.
     #[error("frame of {0} bytes is over the limit")]
     FrameTooLong(usize),
     /// A frame could not be decoded.
@@ -18,6 +18,9 @@
     /// A message could not be encoded.
     #[error("message cannot be encoded: {0}")]
     Encode(#[from] bincode::error::EncodeError),
+    /// A message of this node is longer than may be sent.
+    #[error("message of {0} bytes is too long to be sent")]
+    MessageTooLong(usize),
     /// The stream ended in the middle of a message, or no answer came in time.
     #[error("stream ended early")]
     EndedEarly,
@@ -38,7 +41,8 @@
     /// Whether the other node certainly did not process the message: it was never sent, a
     /// stopping node refused it unread, or a node of another version does not know the path.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotConnected | Self::Encode(_) | Self::Request(_) | Self::BadStatus(404))
-            || self.is_refused()
+        let is_unsent =
+            matches!(self, Self::NotConnected | Self::Encode(_) | Self::MessageTooLong(_) | Self::Request(_));
+        is_unsent || matches!(self, Self::BadStatus(404)) || self.is_refused()
     }
 }
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -21,7 +21,7 @@
     let mut frame = vec![0; 4];
     let length = bincode::encode_into_std_write(message, &mut frame, BINCODE)?;
     if length > MAX_FRAME_LEN {
-        return Err(PeerError::FrameTooLong(length));
+        return Err(PeerError::MessageTooLong(length));
     }
     frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
     Ok(Bytes::from(frame))
