Start queued pieces of an upstream in which no call is in flight

What callers saw: shards of an upstream missing with the reason `queued`, although its server takes calls again. By reading, as long as requests keep arriving before the queued ones expire, all of them, until the queue happens to be empty.

Cause: queued work was started only when a call to a server of the upstream ended. Work is queued without any call in flight if the only usable server is backed off after three failures and the others are draining or have dropped the version (with at most half of the servers backed off, backoff is respected). No call ends then, so nothing starts the work when the backoff of 100 ms to 3 s ends, and new work queues behind it.

Change: queued work is started as well at the end of the backoff by the piece that queued without a call in flight, before new work is submitted, and after each health check, in all cases only while no call is in flight. No timer is set and nothing is scanned while calls are in flight, since their ends start the queued work.

Evidence: crates/daemon/tests/pool.rs, one server that fails its first three calls and one that drains, a deadline of 10 s. Before: failed, Err(PieceFailure { reason: Queued, outcome: Unknown }) after 3 calls, 10.48 s. After: passes, 0.11 s, answered by the fourth call.

Not changed: while a call is in flight at another server, work for a server whose backoff has ended still waits for the end of that call.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -97,6 +97,7 @@
             tasks.push(tokio::spawn(async move {
                 while let Some(pool) = pool.upgrade() {
                     pool.check_health(server).await;
+                    pool.start_stalled();
                     drop(pool);
                     tokio::time::sleep(HEALTH_INTERVAL.mul_f64(rand::random_range(0.8..1.2))).await;
                 }
@@ -161,7 +162,29 @@
         }
     }
 
+    /// Starts queued work that no end of a call would start.
+    fn start_stalled(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let started = self.lock().start_stalled(now, &mut rand::rng());
+        self.grant_permits(now, started);
+    }
+
+    /// Waits until queued work is started; `None` if it expired in the queue.
+    async fn wait_started(self: &Arc<Self>, mut receiver: oneshot::Receiver<SlotPermit>) -> Option<SlotPermit> {
+        loop {
+            let now = self.clock.now();
+            let stalled_until = self.lock().stalled_until(now);
+            let Some(until) = stalled_until else { return receiver.await.ok() };
+            match tokio::time::timeout(until.since(now), &mut receiver).await {
+                Ok(permit) => return permit.ok(),
+                Err(_) => self.start_stalled(),
+            }
+        }
+    }
+
     async fn acquire(self: &Arc<Self>, item: WorkItem, is_retry: bool) -> Result<SlotPermit, MissingReason> {
+        // Otherwise this work would wait behind work that nothing starts.
+        self.start_stalled();
         let now = self.clock.now();
         let (sender, receiver) = oneshot::channel();
         let deadline = item.deadline;
@@ -173,11 +196,8 @@
             QueueSubmission::Waiting(id) => id,
         };
         let _guard = WaitGuard { pool: self, id };
-        let granted = tokio::time::timeout(deadline.since(now), receiver).await;
-        match granted {
-            Ok(Ok(permit)) => Ok(permit),
-            _ => Err(MissingReason::Queued),
-        }
+        let started = tokio::time::timeout(deadline.since(now), self.wait_started(receiver)).await;
+        started.ok().flatten().ok_or(MissingReason::Queued)
     }
 
     /// Runs a piece with its attempts, hedges and retries. The caller drops the future at the deadline; `progress` can
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -262,6 +262,24 @@
         started
     }
 
+    /// Starts queued work if no call is in flight: then no end of a call starts it. Work is queued in such a state while
+    /// the only servers that it may use are backed off.
+    pub fn start_stalled(&mut self, now: Moment, rng: &mut dyn RngCore) -> Vec<StartedWork<T>> {
+        let is_stalled = !self.waiting.is_empty() && self.is_idle();
+        if is_stalled { self.start_waiting(now, rng) } else { Vec::new() }
+    }
+
+    /// When the first backoff of a server ends, if no call is in flight; `None` if no server is backed off.
+    pub fn stalled_until(&self, now: Moment) -> Option<Moment> {
+        let ends = self.servers.iter().filter_map(|server| server.backoff_end(now));
+        ends.min().filter(|_| self.is_idle())
+    }
+
+    /// Whether no call is in flight.
+    fn is_idle(&self) -> bool {
+        self.servers.iter().all(|server| server.inflight() == 0)
+    }
+
     /// Removes queued work; false if it already started or expired.
     pub fn cancel(&mut self, id: WaitId) -> bool {
         self.waiting.remove(id).is_some()
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// When the current backoff ends; `None` if the server is not backed off.
+    pub fn backoff_end(&self, now: Moment) -> Option<Moment> {
+        self.backoff_until.filter(|until| now < *until)
+    }
+
     /// Whether the server is draining. This never reverts for the same server process.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving
