--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -35,9 +35,17 @@
 const AVOIDED_COST: f64 = 1e12;
 /// Slowdown assumed for a server that reports that it is still warming up.
 const WARMUP_SLOWDOWN: f64 = 1.6;
+/// The longest duration that is estimated: servers report any pace and load, and no caller waits that long.
+const MAX_ESTIMATE: Duration = Duration::from_secs(24 * 3_600);
 /// Slowdown from which a server counts as slow: its answers miss most latency targets.
 const SLOW_THRESHOLD: f64 = 2.0;
 
+/// A duration multiplied by a factor, at most [`MAX_ESTIMATE`].
+fn scale(duration: Duration, factor: f64) -> Duration {
+    let scaled = Duration::try_from_secs_f64(duration.as_secs_f64() * factor);
+    scaled.unwrap_or(MAX_ESTIMATE).min(MAX_ESTIMATE)
+}
+
 /// Network distance of a server from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -271,7 +279,7 @@
     /// Records the start of a call whose duration is measured. `typical` is its usual duration.
     pub fn start_measured(&mut self, now: Moment, typical: Duration) {
         let queueing = self.queueing(now);
-        let expected = Some(typical.mul_f64(1.0 + queueing));
+        let expected = Some(scale(typical, 1.0 + queueing));
         self.calls.push(OpenCall { started: now, expected, has_queued: queueing > 0.0 });
     }
 
@@ -394,13 +402,13 @@
 
 impl FinishEstimator for ReplicaState {
     fn estimate_finish(&self, now: Moment, typical: Duration, slow_period: Duration) -> ServerEstimate {
-        let work = typical.mul_f64(self.slowdown(now, slow_period));
+        let work = scale(typical, self.slowdown(now, slow_period));
         let reported = self.load.filter(|(_, reported_at)| now.since(*reported_at) < LOAD_LIFETIME);
         // The server has worked on the reported queue since the report.
         let queueing = reported.map_or(Duration::ZERO, |(load, reported_at)| {
             // The requests that ran at that time may have been about to end.
             let rounds = ((load + 1.0) / f64::from(self.slots) - 2.0).max(0.0);
-            work.mul_f64(rounds).saturating_sub(now.since(reported_at))
+            scale(work, rounds).saturating_sub(now.since(reported_at))
         });
         let is_slow = work > typical || !queueing.is_zero();
         let silent = self.silence_left(now);
