--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -13,6 +13,8 @@
 
 /// Size of a token bucket, in seconds of its rate: what a caller may use at once after being idle.
 const BURST_SECONDS: f64 = 1.0;
+/// The longest time until the next token that is told; tiny rates would need more than any `Duration` holds.
+const MAX_TOKEN_WAIT: Duration = Duration::from_secs(24 * 3_600);
 /// Initial value and bounds of the concurrency limit.
 const INITIAL_LIMIT: f64 = 16.0;
 const MIN_LIMIT: f64 = 4.0;
@@ -98,7 +100,8 @@
         self.last_refill = now;
         if tokens < 1.0 {
             self.tokens = Some(tokens);
-            return Err(Duration::from_secs_f64((1.0 - tokens) / rate));
+            let wait = Duration::try_from_secs_f64((1.0 - tokens) / rate).unwrap_or(MAX_TOKEN_WAIT);
+            return Err(wait.min(MAX_TOKEN_WAIT));
         }
         self.tokens = Some(tokens - 1.0);
         Ok(())
