Saturate the number of trials of a quarantined content

What callers would see: 502 `lost` for the request that tries the content, in builds with checks of overflow; without them the number of trials starts again at 0 and the content is tried every few seconds.

Cause: the number of trials is read from the store or another node's message as any u32, and one is added.

Evidence: the added test in crates/policy/tests/crash_tracker.rs. Before: failed (overflow). After: passes. The same sum in the router's trial of a stored entry is changed alike; it has no test of its own.

--- a/crates/policy/src/crash_tracker.rs
+++ b/crates/policy/src/crash_tracker.rs
@@ -322,7 +322,7 @@
     pub fn note_local_trial(&mut self, now: Moment, content: ContentId) -> Option<CrashEntry> {
         let crashed = self.crashed(content).into_iter().take(MAX_SERVERS).collect();
         let record = self.records.get_mut(&content)?;
-        record.trials += 1;
+        record.trials = record.trials.saturating_add(1);
         record.quarantined_since = Some(now);
         Some(CrashEntry { content, crashed, trials: record.trials })
     }
--- a/crates/policy/tests/crash_tracker.rs
+++ b/crates/policy/tests/crash_tracker.rs
@@ -346,3 +346,11 @@
         tracker.len() <= 1_024
     }
 }
+
+#[test]
+fn a_trial_of_a_content_with_the_greatest_number_of_trials_is_recorded() {
+    let mut tracker = CrashTracker::default();
+    assert!(tracker.put_quarantined(at(0), &entry(MIN_CRASHES, u32::MAX)));
+    let published = tracker.note_local_trial(at(1), CONTENT).expect("an entry");
+    assert_eq!(published.trials, u32::MAX);
+}
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -258,7 +258,7 @@
     if entry.trials != known.trials {
         return Ok(None);
     }
-    entry.trials += 1;
+    entry.trials = entry.trials.saturating_add(1);
     match call_store(router.feed.write_crash(&entry, Some(revision))).await {
         Ok(()) => Ok(Some(entry)),
         Err(StoreError::Conflict | StoreError::BadStatus(404)) => Ok(None),
