Keep the choice of an owner from overflowing

What callers would see: a query that ends with 500 `node-fault` at its second owner, in builds with checks of overflow.

Cause: the rotation is the lower half of the random request id and the number of the attempt was added to it. It overflows only if the rotation is within the number of attempts of the maximum, about once in 2^62 requests, so this explains no finding.

Evidence: crates/daemon/tests/view.rs. Before: failed, `attempt to add with overflow` at view.rs:69. After: passes.

--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -66,7 +66,7 @@
         }
         let rotating = owners.iter().take_while(|target| !target.is_suspect && target.link.is_some()).count();
         match attempt < rotating {
-            true => owners.get((rotation + attempt) % rotating),
+            true => owners.get((rotation % rotating + attempt) % rotating),
             false => owners.get(attempt),
         }
     }
