Format shard lists that end at the greatest number

What callers would see: nothing by requests that passed the checks, since shards are below 65536. A message of another node with the shard u32::MAX followed by any other would panic in the task of its batch, in builds with checks of overflow, or be written as a wrong range without them.

Evidence: crates/model/tests/server.rs. Before: both tests failed, `attempt to add with overflow` at server.rs:37. After: both pass, and any list is read back as it was written.

--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -34,7 +34,7 @@
     let mut text = String::new();
     let mut rest = shards;
     while let Some(first) = rest.first() {
-        let follows = |(offset, shard): &(u32, &ShardId)| shard.0 == first.0 + offset;
+        let follows = |(offset, shard): &(u32, &ShardId)| first.0.checked_add(*offset) == Some(shard.0);
         let run = (0..).zip(rest).take_while(follows).count();
         let comma = if text.is_empty() { "" } else { "," };
         // Writing to a String cannot fail.
