Pause between listings of a store that keeps no history

What operators would see: a node that reads the store lists a topic, with every page, again and again without a pause, each call priced and counted towards the store's rate, while other nodes get 429.

Cause: a watch that finds its history gone is followed by a listing at once, whatever came before. The store may forget its history sooner than it says, and the position of a listing is that of its first page, so the history after it may be gone when the last page is read.

Change: the first listing is made at once, as before. If the watch right after it finds the history gone again, the next listing waits with the pauses that failed calls have. A watch that succeeds ends this.

--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -29,6 +29,8 @@
     /// The position of the next watch; `None` if the topic has to be listed first.
     position: Option<FeedPosition>,
     failures: u32,
+    /// How often in a row a watch found the history gone at once after a listing.
+    history_losses: u32,
     /// Whether the next listing may be stale. After a watch found that the history it continues from is gone, a fresh
     /// listing is needed.
     may_be_stale: bool,
@@ -46,6 +48,7 @@
             topic,
             position: None,
             failures: 0,
+            history_losses: 0,
             may_be_stale: topic == FeedTopic::Crashes,
             list_reason: CallReason::Begin,
         };
@@ -104,12 +107,7 @@
         loop {
             match self.step().await {
                 Ok(position) => self.note_success(position),
-                Err(StoreError::HistoryGone) => {
-                    tracing::info!(event = "feed_history_gone", topic = %self.topic);
-                    self.position = None;
-                    self.may_be_stale = false;
-                    self.list_reason = CallReason::HistoryGone;
-                }
+                Err(StoreError::HistoryGone) => self.note_history_gone().await,
                 Err(error) => self.note_failure(&error).await,
             }
         }
@@ -240,11 +238,28 @@
             tracing::info!(event = "feed_regained", topic = %self.topic, failures = self.failures);
         }
         self.failures = 0;
+        if self.position.is_some() {
+            // It was a watch that succeeded, and not a listing.
+            self.history_losses = 0;
+        }
         self.position = Some(position);
         self.router.note_reported_position(position);
         self.router.set_followed(self.topic, true);
     }
 
+    /// The topic is listed again, at once only for the first time: a store whose history is shorter than a listing takes
+    /// would be listed again and again without a pause.
+    async fn note_history_gone(&mut self) {
+        tracing::info!(event = "feed_history_gone", topic = %self.topic);
+        self.position = None;
+        self.may_be_stale = false;
+        self.list_reason = CallReason::HistoryGone;
+        if self.history_losses > 0 {
+            tokio::time::sleep(backoff_delay(self.history_losses - 1)).await;
+        }
+        self.history_losses = self.history_losses.saturating_add(1);
+    }
+
     async fn note_failure(&mut self, error: &StoreError) {
         if self.failures == 0 {
             tracing::warn!(event = "feed_lost", topic = %self.topic, %error);
