Tests of a closing node and of a short history wait on conditions, and the fake routes keep their limits

The fake routes of the router's tests had a longer idle time for one test; that test makes its own now, so the others are as before. The routes of a store without history are waited for to be listed again before they are counted, so that the test does not fail where the machine is slow; its bound is as it was.

--- a/crates/router/tests/closing.rs
+++ b/crates/router/tests/closing.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use streamfold_model::{ServerId, TeamName};
 use streamfold_router::interface::{
-    CallFormat, CallerHead, FeedChanges, FeedFuture, FeedList, FeedPosition, FeedTopic, HeadError, ReplyHead,
+    CallFormat, CallerHead, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic, HeadError, ReplyHead,
 };
 use streamfold_router::router::RouterPhase;
 use streamfold_router::router_start;
@@ -69,7 +69,7 @@
     }
 
     fn list_one_page(&self, topic: FeedTopic) -> FeedList {
-        let items = if topic == FeedTopic::Routes { vec![make_table(1)] } else { Vec::new() };
+        let items = if topic == FeedTopic::Routes { vec![make_patient_table()] } else { Vec::new() };
         FeedList { items, position: FeedPosition(1) }
     }
 
@@ -78,6 +78,13 @@
     }
 }
 
+/// Routes under which a kept connection lasts longer than the test.
+fn make_patient_table() -> FeedItem {
+    let FeedItem::Routes(mut table) = make_table(1) else { unreachable!("a table") };
+    table.limits.idle_timeout = ANSWER_TIMEOUT;
+    FeedItem::Routes(table)
+}
+
 fn send(caller: &mut TcpStream, header: &str) {
     let request = format!("GET /x HTTP/1.1\r\nHost: h\r\n{header}: 1\r\n\r\n");
     caller.write_all(request.as_bytes()).expect("a sent request");
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -105,7 +105,7 @@
         header_bytes: 1_024,
         body_bytes: 1_024,
         header_timeout: Duration::from_secs(1),
-        idle_timeout: Duration::from_secs(15),
+        idle_timeout: Duration::from_secs(1),
     };
     let table = RouteTable::build(TableVersion(version), Vec::new(), Vec::new(), limits).expect("a table");
     FeedItem::Routes(Box::new(table))
--- a/crates/router/tests/short_history.rs
+++ b/crates/router/tests/short_history.rs
@@ -11,6 +11,9 @@
 use streamfold_router::router_start;
 use streamfold_store::StoreError;
 
+/// The longest wait for the second listing; longer than a passing test takes.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 const OBSERVED: Duration = Duration::from_millis(500);
 /// With pauses a topic is listed a few times in that time, and without them thousands of times.
 const MAX_LISTINGS: u64 = 50;
@@ -46,7 +49,14 @@
     let settings = make_settings("own", 1.0);
     let running = router_start::start(settings, Arc::new(NoFormat), feed.clone(), String::new).await.expect("a node");
     wait_version(&running.router, 1).await;
+    let count_listings = || feed.0.route_listings.load(Ordering::Relaxed);
+    let listed_again = async {
+        while count_listings() < 2 {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(MAX_WAIT, listed_again).await.expect("the routes are listed again");
     tokio::time::sleep(OBSERVED).await;
-    let listings = feed.0.route_listings.load(Ordering::Relaxed);
-    assert!((2..MAX_LISTINGS).contains(&listings), "{listings} listings");
+    let listings = count_listings();
+    assert!(listings < MAX_LISTINGS, "{listings} listings");
 }
