A request that a stopping node abandons is answered and logged as lost

What callers saw: a request still in flight 0.4 s before the end of the grace period of a stop (SIGTERM) ended with its connection when the process exited, without an answer. What operators saw: its event=request line said caller_left, though the caller was waiting.

Cause: the tasks of callers' connections were dropped with the runtime. The record of a request that is dropped without an outcome takes its caller for gone.

Change: the stop has a last phase, Ended. Requests still in flight then end with 502 (lost: it may have run), their lines say lost, and the stop waits at most 0.2 s of the margin for their connections. stop_phase logs the new phase. given_up of the line "stopped" counts them as before.

Evidence: crates/router/tests/request_lines.rs, a call to a silent server and a grace period of 3 s: after the stop no answer in 30 s before (1 run of 1), and 502 with outcome=lost in 9 runs of 9 with the change (debug build, 2 cores).

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -50,7 +50,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_closing(&mut phase) => return,
+            () = wait_phase(&mut phase, RouterPhase::Closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -85,10 +85,16 @@
     let service = service_fn(|request| {
         let (router, is_answering) = (router.clone(), &is_answering);
         let accepted = Some(accepted).filter(|_| !has_read_request.swap(true, Ordering::Relaxed));
+        let mut phase = router.phase.subscribe();
         async move {
             is_answering.store(true, Ordering::Relaxed);
-            // After a panic it is unknown what was sent, so the request may have run.
-            let handled = task::catch_panic(handle(&router, request, accepted)).await;
+            // After a panic it is unknown what was sent, so the request may have run. The same holds for a request
+            // that is abandoned since the node ends.
+            let handled = tokio::select! {
+                biased;
+                handled = task::catch_panic(handle(&router, request, accepted)) => handled,
+                () = wait_phase(&mut phase, RouterPhase::Ended) => None,
+            };
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
             is_answering.store(false, Ordering::Relaxed);
             Ok::<_, Infallible>(answer)
@@ -100,7 +106,7 @@
         // In this order, a request that has arrived is read before its connection is closed as idle.
         biased;
         ended = connection.as_mut() => ended,
-        () = wait_closing(&mut phase) => {
+        () = wait_phase(&mut phase, RouterPhase::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -119,9 +125,10 @@
     }
 }
 
-async fn wait_closing(phase: &mut watch::Receiver<RouterPhase>) {
+/// Waits until the node has reached a phase of its stop.
+async fn wait_phase(phase: &mut watch::Receiver<RouterPhase>, wanted: RouterPhase) {
     // The sender lives as long as the node, so the wait only ends with the phase.
-    let _ = phase.wait_for(|phase| *phase == RouterPhase::Closing).await;
+    let _ = phase.wait_for(|phase| *phase >= wanted).await;
 }
 
 /// A request's route, with the cluster view and the route table that it was found in.
@@ -342,7 +349,7 @@
 }
 
 /// Counts a request and logs how it ended. It does so on drop, so that a request cancelled by a caller that
-/// disconnected is covered as well, also while the request is being admitted.
+/// disconnected, or abandoned by a node that ends, is covered as well, also while it is being admitted.
 struct RequestRecord {
     context: AttemptContext,
     outcome: &'static str,
@@ -354,12 +361,20 @@
     fn new(context: AttemptContext) -> Self {
         Self { context, outcome: "caller_left", status: 0, coverage: None }
     }
+
+    /// Whether the request is dropped without an answer by a node that ends.
+    fn is_abandoned(&self) -> bool {
+        self.status == 0 && *self.context.router.phase.borrow() == RouterPhase::Ended
+    }
 }
 
 impl Drop for RequestRecord {
     fn drop(&mut self) {
+        let lost_status = RefusalKind::Lost.status().as_u16();
         if std::thread::panicking() {
-            (self.outcome, self.status) = ("panicked", RefusalKind::Lost.status().as_u16());
+            (self.outcome, self.status) = ("panicked", lost_status);
+        } else if self.is_abandoned() {
+            (self.outcome, self.status) = (RefusalKind::Lost.name(), lost_status);
         }
         let context = &self.context;
         let took = context.now().since(context.request.started);
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -91,7 +91,7 @@
     respond: &mut SendResponse<Bytes>,
 ) -> Result<(), PeerError> {
     let batch: ShardBatch = read_message(body, MAX_BATCH_LEN).await?;
-    if *router.phase.borrow() == RouterPhase::Closing {
+    if *router.phase.borrow() >= RouterPhase::Closing {
         return refuse(respond);
     }
     if let Err(wait) = router.admit_batch(batch.shards.len(), max_wait(&batch)) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -34,7 +34,7 @@
 const USED_RATIO: f64 = 0.9;
 
 /// The phase of a graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RouterPhase {
     /// Accepts and serves requests.
     Serving,
@@ -42,6 +42,8 @@
     LameDuck,
     /// Closes each caller connection when its request ends.
     Closing,
+    /// Ends the requests that are still in flight, since the process is about to exit.
+    Ended,
 }
 
 /// One router node and its shared state.
--- a/crates/router/src/router_stop.rs
+++ b/crates/router/src/router_stop.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::interface::FeedTopic;
 use crate::router::{Router, RouterPhase, RunningRouter};
 use crate::store_call::{self, CallReason};
@@ -14,6 +16,8 @@
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time before the platform kills the process at which requests in flight are abandoned.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// How long callers' connections are waited for after the requests in flight were abandoned, less than the margin.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// Interval at which a stopping node checks whether all requests and connections have ended.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -38,6 +42,13 @@
         self.connections.load(Ordering::SeqCst) > 0 || self.requests.load(Ordering::SeqCst) > 0
     }
 
+    /// Waits until no requests are in flight and no callers are connected, at most until `end`.
+    async fn wait_idle(&self, end: Instant) {
+        while self.is_busy() && Instant::now() < end {
+            tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Enters a phase of the stop and logs it.
     fn set_phase(&self, phase: RouterPhase) {
         tracing::info!(
@@ -52,21 +63,22 @@
 
 impl RunningRouter {
     /// Stops gracefully: reports not ready at once, serves until the balancer has removed the node, then closes
-    /// connections as their requests end.
+    /// connections as their requests end. Requests that take too long are abandoned, and their callers are told so.
     pub async fn stop(mut self) {
         let router = self.router.clone();
-        let started = tokio::time::Instant::now();
+        let started = Instant::now();
         router.set_phase(RouterPhase::LameDuck);
         tokio::join!(tokio::time::sleep(LAME_DUCK), router.withdraw());
         router.set_phase(RouterPhase::Closing);
         let end = started + router.live_settings.load().grace.0.saturating_sub(KILL_MARGIN);
-        while router.is_busy() && tokio::time::Instant::now() < end {
-            tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
-        }
+        router.wait_idle(end).await;
+        let given_up = router.requests.load(Ordering::SeqCst);
+        router.set_phase(RouterPhase::Ended);
+        router.wait_idle(Instant::now() + LAST_ANSWERS).await;
         tracing::info!(
             event = "stopped",
             node = %router.settings.node,
-            given_up = router.requests.load(Ordering::SeqCst),
+            given_up,
             took_ms = started.elapsed().as_millis() as u64
         );
         self.tasks.shutdown().await;
--- a/crates/router/tests/request_lines.rs
+++ b/crates/router/tests/request_lines.rs
@@ -14,13 +14,14 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use streamfold_model::{
     AllowedRegions, Incarnation, KeyDigest, NodeEntry, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget,
-    ServerId, TableVersion, TeamDirectory, TeamKeys, TeamName, TeamSpec, UsageLimit, WeightedService,
+    ServerEntry, ServerId, ServerStart, TableVersion, TeamDirectory, TeamKeys, TeamName, TeamSpec, TimeSpan,
+    UsageLimit, WeightedService,
 };
 use streamfold_router::interface::{
     CallFormat, CallerHead, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic, HeadError,
     PresentedKey, ReplyHead,
 };
-use streamfold_router::{RunningRouter, router_start};
+use streamfold_router::{RouterSettings, RunningRouter, router_start};
 use streamfold_store::StoreError;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -32,6 +33,9 @@
 /// The interval at which the log is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The grace period of a stop, a little longer than the time in which a stopping node still accepts requests.
+const SHORT_GRACE: Duration = Duration::from_secs(3);
+
 /// The fields of a log line.
 type LogLine = HashMap<&'static str, String>;
 
@@ -94,7 +98,8 @@
     }
 }
 
-/// A call format with the headers `x-request-id` and `x-deadline-ms`. Every request has the key of the only team.
+/// A call format with the headers `x-request-id` and `x-deadline-ms`. Every request has the key of the only team, but for
+/// those with `x-anonymous`.
 struct FakeFormat {
     /// Notified when a request's team has been found.
     authenticated: Sender<()>,
@@ -105,7 +110,8 @@
         let request = headers.get("x-request-id").ok_or(HeadError::NoRequest)?.clone();
         let deadline = headers.get("x-deadline-ms").map(|value| value.to_str().ok().and_then(|text| text.parse().ok()));
         let deadline = deadline.map(|millis| millis.ok_or(HeadError::BadDeadline)).transpose()?;
-        Ok(CallerHead { request, deadline: deadline.map(Duration::from_millis), key: PresentedKey::Key(key()) })
+        let key = if headers.contains_key("x-anonymous") { PresentedKey::None } else { PresentedKey::Key(key()) };
+        Ok(CallerHead { request, deadline: deadline.map(Duration::from_millis), key })
     }
 
     fn write_team(&self, headers: &mut HeaderMap, team: Option<&TeamName>) {
@@ -133,9 +139,10 @@
     KeyDigest::of(b"secret")
 }
 
-/// A store with the routes and the only node that grants credit.
+/// A store with the routes, the only node that grants credit and the only server.
 struct FixedTopics {
     granter: SocketAddr,
+    server: SocketAddr,
 }
 
 impl FixedTopics {
@@ -149,7 +156,17 @@
                 peer_address: self.granter,
                 cpu_share: None,
             })],
-            FeedTopic::Servers | FeedTopic::Evacuations | FeedTopic::Crashes => Vec::new(),
+            FeedTopic::Servers => vec![FeedItem::Server(ServerEntry {
+                id: "i-0".parse().expect("an id"),
+                start: ServerStart(1),
+                service: "shop".parse().expect("a name"),
+                address: self.server,
+                domain: "zone-a".parse().expect("a failure domain"),
+                slots: 2,
+                is_draining: false,
+                warmup: Duration::ZERO,
+            })],
+            FeedTopic::Evacuations | FeedTopic::Crashes => Vec::new(),
         }
     }
 }
@@ -168,7 +185,7 @@
     }
 }
 
-/// Routes for a team with a limit, to a service without servers.
+/// A route for a team with a limit and for anonymous callers, to a service with one server.
 fn make_limited_table() -> RouteTable {
     let FeedItem::Routes(empty) = make_table(1) else { unreachable!("a table") };
     let service = WeightedService { service: "shop".parse().expect("a name"), weight: 1.0 };
@@ -177,12 +194,12 @@
         host: "h".to_owned(),
         path_prefix: "/".to_owned(),
         kind: RouteKind::Repeatable,
-        timeout: MAX_WAIT,
-        target_latency: MAX_WAIT,
+        timeout: 2 * MAX_WAIT,
+        target_latency: 2 * MAX_WAIT,
         max_attempts: 2,
         priority: Priority(0),
         allowed_regions: AllowedRegions::Any,
-        is_auth_exempt: false,
+        is_auth_exempt: true,
         target: RouteTarget::Split(vec![service]),
     };
     let team = TeamSpec {
@@ -195,10 +212,11 @@
     RouteTable::build(TableVersion(1), vec![route], Vec::new(), empty.limits).expect("a table").with_teams(teams)
 }
 
-/// A node whose credit requests are never answered.
+/// A node whose requests for credit and calls to the server are never answered.
 struct TestNode {
     running: RunningRouter,
     authenticated: Receiver<()>,
+    server: tokio::net::TcpListener,
     _granter: TcpListener,
 }
 
@@ -206,17 +224,21 @@
     async fn start() -> Self {
         LazyLock::force(&LOG);
         let granter = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let feed = Arc::new(FakeFeed(FixedTopics { granter: granter.local_addr().expect("an address") }));
+        let server = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let granter_address = granter.local_addr().expect("an address");
+        let server_address = server.local_addr().expect("an address");
+        let feed = Arc::new(FakeFeed(FixedTopics { granter: granter_address, server: server_address }));
         let (sender, authenticated) = channel();
         let format = Arc::new(FakeFormat { authenticated: sender });
-        let running = router_start::start(make_settings("own", 1.0), format, feed, String::new).await.expect("a node");
+        let settings = RouterSettings { grace: TimeSpan(SHORT_GRACE), ..make_settings("own", 1.0) };
+        let running = router_start::start(settings, format, feed, String::new).await.expect("a node");
         wait_version(&running.router, 1).await;
         let started = Instant::now();
-        while !running.router.is_listed(FeedTopic::Nodes) {
-            assert!(started.elapsed() < MAX_WAIT, "the nodes are not listed");
+        while ![FeedTopic::Nodes, FeedTopic::Servers].iter().all(|topic| running.router.is_listed(*topic)) {
+            assert!(started.elapsed() < MAX_WAIT, "the nodes or servers are not listed");
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        Self { running, authenticated, _granter: granter }
+        Self { running, authenticated, server, _granter: granter }
     }
 
     /// Sends the head and the first bytes of the body of a request on a new connection.
@@ -272,3 +294,17 @@
     read_answer(&mut late).await;
     assert_eq!(wait_line("request_refused", "r-late").await["reason"], "late");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_a_node_abandons_at_its_stop_is_answered() {
+    let node = TestNode::start().await;
+    let mut caller = node.send("r-abandoned", "X-Anonymous: 1\r\nContent-Length: 0\r\n", "").await;
+    let accepted = tokio::time::timeout(MAX_WAIT, node.server.accept()).await.expect("a call");
+    let (mut call, _) = accepted.expect("a call");
+    call.read_u8().await.expect("a sent call");
+    node.running.stop().await;
+    let answer = read_answer(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+    assert!(answer.ends_with("{\"error\":\"lost\"}"), "{answer}");
+    assert_eq!(wait_line("request", "r-abandoned").await["outcome"], "lost");
+}
