A batch that is longer than other nodes accept is not sent

What callers saw: a request over shards with a body of about 8 MiB or more ended the links to the nodes that its shards were delegated to, with every batch in flight on them, also of other callers. The request itself lost its shards except for the reserved servers.

Cause: a node accepts batches of at most 8 MiB and takes a longer one for a malformed message, for which it ends the link. The sending node checked only the length of a frame (64 MiB). The operator's document limits bodies (maxBodyBytes), and nothing binds that limit to the 8 MiB.

Change: the limit is checked before sending. The batch counts as not sent, so that the node makes the calls itself, and the other node is not avoided for it.

--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -18,9 +18,17 @@
 /// # Errors
 /// The message cannot be encoded or is longer than [`MAX_FRAME_LEN`].
 pub fn encode_frame<M: Encode>(message: &M) -> Result<Bytes, PeerError> {
+    encode_frame_within(message, MAX_FRAME_LEN)
+}
+
+/// Encodes a message of at most `limit` bytes as one frame.
+///
+/// # Errors
+/// The message cannot be encoded or is longer than `limit`.
+pub fn encode_frame_within<M: Encode>(message: &M, limit: usize) -> Result<Bytes, PeerError> {
     let mut frame = vec![0; 4];
     let length = bincode::encode_into_std_write(message, &mut frame, BINCODE)?;
-    if length > MAX_FRAME_LEN {
+    if length > limit {
         return Err(PeerError::MessageTooLong(length));
     }
     frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Mutex;
 
 use crate::error::PeerError;
-use crate::frame::{FrameReader, MAX_FRAME_LEN, encode_frame, send_frame};
+use crate::frame::{FrameReader, MAX_FRAME_LEN, encode_frame_within, send_frame};
 use crate::socket::set_tcp_options;
 
 /// The longest time that connecting may take.
@@ -145,9 +145,23 @@
     /// Sends a message and returns a reader for the frames of the answer.
     ///
     /// # Errors
-    /// `NotConnected` if nothing was sent; after any other error the message may have arrived.
+    /// [`PeerError::is_not_sent`] tells whether the message may have arrived.
     pub async fn stream<M: Encode>(self: &Arc<Self>, path: &str, message: &M) -> Result<FrameReader, PeerError> {
-        let frame = encode_frame(message)?;
+        self.stream_within(path, message, MAX_FRAME_LEN).await
+    }
+
+    /// As [`Self::stream`], for a message of which the other node accepts at most `limit` bytes. It would close the link
+    /// after a longer one.
+    ///
+    /// # Errors
+    /// As [`Self::stream`]; `MessageTooLong` if the message is longer than `limit`.
+    pub async fn stream_within<M: Encode>(
+        self: &Arc<Self>,
+        path: &str,
+        message: &M,
+        limit: usize,
+    ) -> Result<FrameReader, PeerError> {
+        let frame = encode_frame_within(message, limit)?;
         let sender = self.sender().await?;
         let mut sender = sender.ready().await.map_err(|_| PeerError::NotConnected)?;
         let request = Request::post(format!("http://{}{path}", self.address)).body(())?;
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -8,6 +8,8 @@
 /// The path for batches of shards. It contains the version of the message format, so that nodes with an older format
 /// refuse these batches and this node refuses theirs: a batch without its allowed regions must not be served.
 pub const PATH_BATCH: &str = "/4/shards";
+/// Maximum length of a batch in bytes: the head and body of a caller's request, and the names of the shards.
+pub const MAX_BATCH_LEN: usize = 8 << 20;
 /// The path for requests for what a node knows of the cluster, with the version of the message format.
 pub const PATH_KNOWLEDGE: &str = "/5/knowledge";
 
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 
 use crate::attempt_context::{AttemptContext, RequestOrigin};
-use crate::batch::{BatchFrame, BatchMode, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
+use crate::batch::{BatchFrame, BatchMode, MAX_BATCH_LEN, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
 use crate::delegate::DELEGATOR_SHARE;
@@ -31,8 +31,6 @@
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::usage::{self, CreditRequest, PATH_CREDIT};
 
-/// Maximum length of a batch in bytes: the head and body of a caller's request, and the names of the shards.
-const MAX_BATCH_LEN: usize = 8 << 20;
 /// Maximum length in bytes of a request for cluster state or for the relay.
 const MAX_QUERY_LEN: usize = 1 << 10;
 /// Maximum length of a credit request in bytes: the name of a team and a few numbers.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -10,7 +10,7 @@
 use streamfold_policy::Moment;
 use streamfold_policy::replica::{CallSample, ReplicaState};
 
-use crate::batch::{BatchFrame, PATH_BATCH, ShardBatch};
+use crate::batch::{BatchFrame, MAX_BATCH_LEN, PATH_BATCH, ShardBatch};
 use crate::domain::DomainState;
 use crate::router::Router;
 
@@ -137,7 +137,7 @@
         let first_frame_timeout = Duration::from_micros(batch.progress_within_us) + MAX_TRANSIT;
         let link = self.peer.link.clone();
         let started = async move {
-            let mut reader = link.stream(PATH_BATCH, &batch).await?;
+            let mut reader = link.stream_within(PATH_BATCH, &batch, MAX_BATCH_LEN).await?;
             let first = reader.next::<BatchFrame>().await?.ok_or(PeerError::EndedEarly)?;
             Ok::<_, PeerError>((reader, first))
         };
@@ -174,7 +174,11 @@
     }
 
     fn fail(mut self, error: PeerError) -> (Self, BatchEvent) {
-        self.recorder.sample = if error.is_refused() { CallSample::Full } else { CallSample::Failed };
+        self.recorder.sample = match &error {
+            PeerError::MessageTooLong(_) => CallSample::Abandoned,
+            error if error.is_refused() => CallSample::Full,
+            _ => CallSample::Failed,
+        };
         (self, BatchEvent::Failed(error))
     }
 }
