Count a server as answering only by its own answers

What callers would see, by reading: late shards. The hedge of a call to a paused server may go to that same server if the other one is far slower, since the paused one counts as alive for 0.5 s after one of its calls was cancelled or after its process was replaced.

Cause: `answered_within` looked at the time of the last latency sample, which a cancelled call and a new incarnation set too.

Change: the time of the last answer is kept by itself and is cleared with a new incarnation.

--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -65,6 +65,8 @@
     low_quantile_us: f64,
     initial_limit: f64,
     sampled_at: Moment,
+    /// When its current process last answered a call.
+    answered_at: Option<Moment>,
     failures: u32,
     backoff_until: Option<Moment>,
     is_probing: bool,
@@ -87,6 +89,7 @@
             low_quantile_us: 0.0,
             initial_limit: f64::from(initial_limit.max(1)),
             sampled_at: Moment::default(),
+            answered_at: None,
             failures: 0,
             backoff_until: None,
             is_probing: false,
@@ -124,7 +127,7 @@
 
     /// Whether the server answered within the last `span`.
     pub fn answered_within(&self, now: Moment, span: Duration) -> bool {
-        self.mean_us > 0.0 && now.since(self.sampled_at) < span
+        self.answered_at.is_some_and(|answered_at| now.since(answered_at) < span)
     }
 
     /// Whether a call here takes so much longer than at `other` that `other` is the better target for a hedge.
@@ -185,6 +188,7 @@
 
     fn record_answer(&mut self, now: Moment, latency: Duration, was_saturated: bool) {
         self.sampled_at = now;
+        self.answered_at = Some(now);
         let sample = latency.as_micros() as f64;
         self.mean_us = if self.mean_us == 0.0 { sample } else { self.mean_us + MEAN_GAIN * (sample - self.mean_us) };
         self.failures = 0;
@@ -238,6 +242,7 @@
             self.is_leaving = false;
             self.load = None;
             self.sampled_at = now;
+            self.answered_at = None;
         }
     }
 
