Measure the load of upstreams of any size

What callers would see: shards missing, since the task of their batch panics, in builds with checks of overflow; without them hedges by a wrong load.

Cause: the limits of an upstream's servers were added as u32. The checks of a configuration allow 100,000 slots a server and any number of servers; 42,950 of them overflow. No known deployment is near that.

Evidence: crates/policy/tests/queue.rs. Before: failed, `attempt to add with overflow`.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -209,9 +209,10 @@
 
     /// The load as a share of the call slots, queued work included; above 1 when work waits.
     pub fn load(&self) -> f64 {
-        let slots: u32 = self.servers.iter().filter(|server| !server.is_leaving()).map(ServerState::limit).sum();
-        let running: u32 = self.servers.iter().map(ServerState::inflight).sum();
-        (f64::from(running) + self.waiting.len() as f64) / f64::from(slots.max(1))
+        let staying = self.servers.iter().filter(|server| !server.is_leaving());
+        let slots: f64 = staying.map(|server| f64::from(server.limit())).sum();
+        let running: f64 = self.servers.iter().map(|server| f64::from(server.inflight())).sum();
+        (running + self.waiting.len() as f64) / slots.max(1.0)
     }
 
     /// How long after its start a call is hedged; `None` if it is not hedged.
