Add up grants of credit of any size

What callers would see: 502 `lost` for a request of the team, in builds with checks of overflow; without them credit that was granted is lost.

Cause: the number of granted requests is read from another node's reply as any u32 and was added to what is left of the grant before. Pools of this code grant at most what was asked for, so only a faulty node's reply reaches this.

Evidence: the added test in crates/policy/tests/usage_credit.rs. Before: failed, `attempt to add with overflow`. After: passes, as do the other 5.

--- a/crates/policy/src/domain_credit.rs
+++ b/crates/policy/src/domain_credit.rs
@@ -162,7 +162,7 @@
         if grant.requests > 0 {
             self.note_grant_rate(now, grant.requests);
             self.drop_expired_grant(now);
-            self.pool_credit += grant.requests;
+            self.pool_credit = self.pool_credit.saturating_add(grant.requests);
             self.pool_credit_until = now.plus(GRANT_LIFE);
         } else {
             self.next_pool_request = now.plus(grant.wait.min(MAX_POOL_WAIT));
@@ -200,7 +200,7 @@
         if self.own_cap > 0.0 {
             self.own.credit = (self.own.credit + 1.0).min(self.own_cap);
         } else {
-            self.pool_credit += 1;
+            self.pool_credit = self.pool_credit.saturating_add(1);
         }
     }
 
--- a/crates/policy/tests/usage_credit.rs
+++ b/crates/policy/tests/usage_credit.rs
@@ -6,7 +6,9 @@
 use quickcheck::quickcheck;
 use streamfold_model::{TeamName, UsageLimit};
 use streamfold_policy::Moment;
-use streamfold_policy::usage_credit::{CreditAnswer, CreditDomains, CreditPools, DomainCredits, UsageAllowance};
+use streamfold_policy::usage_credit::{
+    CreditAnswer, CreditDomains, CreditPools, DomainCredits, PoolGrant, UsageAllowance,
+};
 
 /// Failure domains in the simulation.
 const DOMAINS: usize = 6;
@@ -224,3 +226,17 @@
     }
     assert!(f64::from(refused) > f64::from(sent) * 0.5, "{refused} of {sent}");
 }
+
+#[test]
+fn grants_of_any_size_add_up() {
+    let (mut granters, now) = (DomainCredits::default(), Moment::default());
+    let (team, limit) = ("blue".parse().expect("a name"), UsageLimit { rate: 1.0, burst: 1.0 });
+    let allowance = UsageAllowance { requests: ALLOWANCE, window: WINDOW, domains: DOMAINS };
+    let mut take = |is_pool_asked| granters.take(now, &team, limit, allowance, is_pool_asked);
+    assert!(matches!(take(false), CreditAnswer::AskPool(_)));
+    let grant = PoolGrant { requests: u32::MAX, wait: Duration::ZERO };
+    granters.note_grant(now, &team, Some(grant));
+    granters.note_grant(now, &team, Some(grant));
+    granters.give_back(&team);
+    assert_eq!(granters.take(now, &team, limit, allowance, true), CreditAnswer::Granted);
+}
