Keep the connection of a caller whose request panics before its body is read

Cause: after a panic the body of the request was dropped unread. The HTTP library then closes the connection, and a caller that still writes its body gets a broken pipe and may lose the answer, as after a refusal without the discard.

Change: the body stays outside the guarded work, and its rest is discarded after every early answer, whether the request was refused or panicked. A body of unknown length that was read completely costs one task that ends at once.

All tests of the router crate passed once.

--- a/crates/router/src/caller_body.rs
+++ b/crates/router/src/caller_body.rs
@@ -1,4 +1,4 @@
-//! Reads the body of a caller's request up to its size limit, or discards the rest of it after a refusal.
+//! Reads the body of a caller's request up to its size limit, or discards the rest of it after an early answer.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 
 use crate::answer::RefusalKind;
 
-/// How many bytes of a refused request's body are still read, and for how long. The connection of a caller that
+/// How many bytes of an unread body are still read, and for how long. The connection of a caller that
 /// keeps writing beyond these limits is closed.
 const MAX_DISCARDED: usize = 8 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -25,8 +25,8 @@
     }
 }
 
-/// Reads and discards the rest of a refused request's body in the background, within limits. If the connection were
-/// closed while the caller still writes, it would be reset and the caller would lose the refusal.
+/// Reads and discards what a request that was answered early left of its body, in the background and within limits. If
+/// the connection were closed while the caller still writes, it would be reset and the caller would lose the answer.
 pub(crate) fn discard_rest(body: Incoming) {
     if !body.is_end_stream() {
         tokio::spawn(discard(body));
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use http::Uri;
 use http::header::{HOST, HeaderMap};
 use http::request::Parts;
-use http::{Request, Uri};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -87,8 +87,10 @@
         let accepted = Some(accepted).filter(|_| !has_read_request.swap(true, Ordering::Relaxed));
         async move {
             is_answering.store(true, Ordering::Relaxed);
+            let (parts, mut body) = request.into_parts();
             // After a panic it is unknown what was sent, so the request may have run.
-            let handled = task::catch_panic(handle(&router, request, accepted)).await;
+            let handled = task::catch_panic(handle(&router, parts, &mut body, accepted)).await;
+            discard_rest(body);
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
             is_answering.store(false, Ordering::Relaxed);
             Ok::<_, Infallible>(answer)
@@ -130,16 +132,12 @@
     body_limit: usize,
 }
 
-async fn handle(router: &Arc<Router>, request: Request<Incoming>, accepted: Option<Moment>) -> CallerAnswer {
+async fn handle(router: &Arc<Router>, parts: Parts, body: &mut Incoming, accepted: Option<Moment>) -> CallerAnswer {
     let _count = LiveCount::new(&router.requests);
     let arrival = find_arrival(router, accepted);
-    let (parts, mut body) = request.into_parts();
-    match prepare(router, parts, &mut body, arrival).await {
+    match prepare(router, parts, body, arrival).await {
         Ok(context) => run(router, context).await,
-        Err(kind) => {
-            discard_rest(body);
-            refuse(&*router.format, kind)
-        }
+        Err(kind) => refuse(&*router.format, kind),
     }
 }
 
--- a/crates/router/tests/panicked.rs
+++ b/crates/router/tests/panicked.rs
@@ -18,7 +18,7 @@
     CallFormat, CallerHead, ClusterFeed, EntryRevision, FeedChanges, FeedFuture, FeedList, FeedPosition, FeedTopic,
     HeadError, ListAge, ReplyHead,
 };
-use streamfold_router::{RouterSettings, router_start};
+use streamfold_router::{RouterSettings, RunningRouter, router_start};
 use streamfold_store::StoreError;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -103,9 +103,15 @@
     serde_saphyr::from_str(&text).expect("settings")
 }
 
+/// A request without a body.
+const SHORT_REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n\r\n";
+/// The start of a request whose body continues with [`BODY_REST`].
+const LONG_REQUEST: &[u8] = b"POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nContent-Length: 8\r\n\r\nhalf";
+const BODY_REST: &[u8] = b"rest";
+
 /// Sends a request and reads its answer.
-async fn read_answer(caller: &mut TcpStream) -> String {
-    caller.write_all(b"GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n\r\n").await.expect("a sent request");
+async fn read_answer(caller: &mut TcpStream, request: &[u8]) -> String {
+    caller.write_all(request).await.expect("a sent request");
     let mut answer = Vec::new();
     while !answer.ends_with(b"}") {
         let mut chunk = [0; 1024];
@@ -117,18 +123,35 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_panic_in_a_request_is_answered_and_the_connection_serves_the_next_request() {
+/// Starts a node whose call format panics, and connects to its callers' port.
+async fn start_panicking() -> (RunningRouter, TcpStream) {
     let settings = write_settings();
     let callers = settings.callers;
     let feed = std::sync::Arc::new(NoFeed);
     let running = router_start::start(settings, std::sync::Arc::new(PanickingFormat), feed, String::new).await;
-    let running = running.expect("a node");
-    let mut caller = TcpStream::connect(callers).await.expect("a connection");
+    let caller = TcpStream::connect(callers).await.expect("a connection");
+    (running.expect("a node"), caller)
+}
+
+fn assert_lost(answer: &str) {
+    assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+    assert!(answer.ends_with("{\"error\":\"lost\"}"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_panic_in_a_request_is_answered_and_the_connection_serves_the_next_request() {
+    let (_running, mut caller) = start_panicking().await;
     for _ in 0..2 {
-        let answer = read_answer(&mut caller).await;
-        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
-        assert!(answer.ends_with("{\"error\":\"lost\"}"), "{answer}");
+        assert_lost(&read_answer(&mut caller, SHORT_REQUEST).await);
     }
-    drop(running);
+}
+
+/// If the connection were closed while the caller still writes its body, it would be reset and the caller could lose
+/// the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_panic_before_the_body_is_read_leaves_the_connection_open_for_the_rest_of_the_body() {
+    let (_running, mut caller) = start_panicking().await;
+    assert_lost(&read_answer(&mut caller, LONG_REQUEST).await);
+    caller.write_all(BODY_REST).await.expect("a sent body");
+    assert_lost(&read_answer(&mut caller, SHORT_REQUEST).await);
 }
