--- a/crates/router/tests/credit_before_routes.rs
+++ b/crates/router/tests/credit_before_routes.rs
@@ -26,7 +26,10 @@
 
     fn list_one_page(&self, topic: FeedTopic) -> FeedList {
         let routes = self.0.filter(|_| topic == FeedTopic::Routes);
-        FeedList { items: routes.map(make_table).into_iter().collect(), position: FeedPosition(1) }
+        FeedList {
+            items: routes.map(|version| make_table(version, Vec::new())).into_iter().collect(),
+            position: FeedPosition(1),
+        }
     }
 
     fn watch(&self, _: FeedTopic, _: FeedPosition, _: Duration) -> FeedFuture<'_, FeedChanges> {
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{CallerLimits, ContentId, CrashEntry, NodeEntry, RouteTable, ServerId, TableVersion, TeamName};
+use streamfold_model::{
+    CallerLimits, ContentId, CrashEntry, NodeEntry, RouteSpec, RouteTable, ServerId, TableVersion, TeamName,
+};
 use streamfold_router::interface::{
     CallFormat, CallerHead, ClusterFeed, EntryRevision, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition,
     FeedTopic, HeadError, ListAge, ReplyHead,
@@ -94,15 +96,15 @@
     }
 }
 
-/// Creates an empty route table of a version.
-pub fn make_table(version: u64) -> FeedItem {
+/// Creates a route table of a version.
+pub fn make_table(version: u64, routes: Vec<RouteSpec>) -> FeedItem {
     let limits = CallerLimits {
         header_bytes: 1_024,
         body_bytes: 1_024,
         header_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(1),
     };
-    let table = RouteTable::build(TableVersion(version), Vec::new(), Vec::new(), limits).expect("a table");
+    let table = RouteTable::build(TableVersion(version), routes, Vec::new(), limits).expect("a table");
     FeedItem::Routes(Box::new(table))
 }
 
--- a/crates/router/tests/late_routes.rs
+++ b/crates/router/tests/late_routes.rs
@@ -32,7 +32,7 @@
 
     fn list_one_page(&self, topic: FeedTopic) -> FeedList {
         let items = match topic {
-            FeedTopic::Routes => vec![make_table(self.version.load(Ordering::Relaxed))],
+            FeedTopic::Routes => vec![make_table(self.version.load(Ordering::Relaxed), Vec::new())],
             FeedTopic::Nodes => self.nodes.iter().cloned().map(FeedItem::Node).collect(),
             FeedTopic::Servers | FeedTopic::Evacuations | FeedTopic::Crashes => Vec::new(),
         };
--- a/crates/router/tests/quiet_watches.rs
+++ b/crates/router/tests/quiet_watches.rs
@@ -33,7 +33,7 @@
 
     fn changes_after(&self, position: FeedPosition) -> FeedChanges {
         let last = self.position();
-        let changes = if last > position { vec![FeedChange::Put(make_table(last.0))] } else { Vec::new() };
+        let changes = if last > position { vec![FeedChange::Put(make_table(last.0, Vec::new()))] } else { Vec::new() };
         FeedChanges { changes, position: last }
     }
 }
@@ -44,7 +44,8 @@
     }
 
     fn list_one_page(&self, topic: FeedTopic) -> FeedList {
-        let items = if topic == FeedTopic::Routes { vec![make_table(self.position().0)] } else { Vec::new() };
+        let items =
+            if topic == FeedTopic::Routes { vec![make_table(self.position().0, Vec::new())] } else { Vec::new() };
         FeedList { items, position: self.position() }
     }
 
