--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use http::Uri;
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
-use http::{Request, Uri};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -88,13 +88,15 @@
         let mut phase = router.phase.subscribe();
         async move {
             is_answering.store(true, Ordering::Relaxed);
+            let (parts, mut body) = request.into_parts();
             // After a panic it is unknown what was sent, so the request may have run. The same holds for a request
             // that is abandoned since the node ends.
             let handled = tokio::select! {
                 biased;
-                handled = task::catch_panic(handle(&router, request, accepted)) => handled,
+                handled = task::catch_panic(handle(&router, parts, &mut body, accepted)) => handled,
                 () = wait_phase(&mut phase, RouterPhase::Ended) => None,
             };
+            discard_rest(body);
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
             is_answering.store(false, Ordering::Relaxed);
             Ok::<_, Infallible>(answer)
@@ -139,16 +141,12 @@
     body_limit: usize,
 }
 
-async fn handle(router: &Arc<Router>, request: Request<Incoming>, accepted: Option<Moment>) -> CallerAnswer {
+async fn handle(router: &Arc<Router>, parts: Parts, body: &mut Incoming, accepted: Option<Moment>) -> CallerAnswer {
     let _count = LiveCount::new(&router.requests);
     let arrival = find_arrival(router, accepted);
-    let (parts, mut body) = request.into_parts();
-    match prepare(router, parts, &mut body, arrival).await {
+    match prepare(router, parts, body, arrival).await {
         Ok(context) => run(router, context).await,
-        Err(kind) => {
-            discard_rest(body);
-            refuse(&*router.format, kind)
-        }
+        Err(kind) => refuse(&*router.format, kind),
     }
 }
 
