--- a/crates/router/src/router_stop.rs
+++ b/crates/router/src/router_stop.rs
@@ -17,7 +17,7 @@
 /// Time before the platform kills the process at which requests in flight are abandoned.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// How long callers' connections are waited for after the requests in flight were abandoned, less than the margin.
-const LAST_ANSWERS: Duration = Duration::from_millis(200);
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which a stopping node checks whether all requests and connections have ended.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -74,7 +74,7 @@
         router.wait_idle(end).await;
         let given_up = router.requests.load(Ordering::SeqCst);
         router.set_phase(RouterPhase::Ended);
-        router.wait_idle(Instant::now() + LAST_ANSWERS).await;
+        router.wait_idle(Instant::now() + LAST_ANSWER_TIMEOUT).await;
         tracing::info!(
             event = "stopped",
             node = %router.settings.node,
