--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -106,7 +106,8 @@
     let _ = output.write_all(&lines).and_then(|()| output.flush());
 }
 
-/// Logs each panic with its source location, since the task that panics cannot log it itself.
+/// Logs each panic with its source location, since the task that panics cannot log it itself. There is no backtrace:
+/// writing one takes tens of milliseconds or more, in which the thread serves nothing else.
 fn install_panic_hook() {
     std::panic::set_hook(Box::new(|panic| {
         let location = panic.location().map(ToString::to_string);
