A node logs its start before it reads its settings

Cause: a node that a SIGHUP ended while it started left no line, whether its program had begun or not. So the logs could not tell a signal before the first line of main from one that the program failed to ignore.

Change: `starting` is written at once after SIGHUP is ignored and the arguments are read, by the main thread, and only where standard output takes it without blocking (a poll); else it waits for the log thread like any line. `--check`, `--help` and `--version` do not write it.

Tests: a_node_logs_its_start_before_it_reads_its_settings failed before ([] in place of the line) and passes now; a_node_whose_log_is_full_starts passed before and passes now, it guards the poll.

--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -7,6 +7,8 @@
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use tracing::Subscriber;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
@@ -16,7 +18,8 @@
 const MAX_BUFFERED: usize = 256 << 10;
 /// Time between two writes of the buffer.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
-
+/// Filter in place of a missing or an invalid one.
+const DEFAULT_FILTER: &str = "info";
 /// How long the exiting process waits for its last lines to be written. The reader of standard output may have stopped,
 /// and a process that does not exit is killed.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
@@ -117,12 +120,38 @@
     }));
 }
 
-/// Starts logging with a filter such as `info`; an invalid filter is replaced by `info`.
-pub fn start(filter: &str) {
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+/// A subscriber that writes events to the buffer. An invalid filter is replaced by [`DEFAULT_FILTER`].
+fn subscriber(filter: &str) -> impl Subscriber + Send + Sync {
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let layer = tracing_logfmt::builder().with_target(false).layer().with_writer(BufferWriter);
+    tracing_subscriber::registry().with(filter).with(layer)
+}
+
+/// Whether standard output takes at least one line without blocking.
+fn is_writable() -> bool {
+    let output = std::io::stdout();
+    let mut polled = [PollFd::new(&output, PollFlags::OUT)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+}
+
+/// Logs that the program runs, before the settings are read. A process that a SIGHUP ended without this line had not
+/// reached its own code, in which SIGHUP is ignored. `filter` is the one of the flags; that of the settings is not known
+/// yet.
+pub fn log_starting(filter: Option<&str>) {
+    tracing::subscriber::with_default(subscriber(filter.unwrap_or(DEFAULT_FILTER)), || {
+        tracing::info!(event = "starting", version = env!("CARGO_PKG_VERSION"), pid = std::process::id());
+    });
+    // The line must be written even if the process ends at once. If standard output is blocked, it stays in the buffer
+    // for the log thread, which does not delay the start.
+    if is_writable() {
+        write_buffered();
+    }
+}
+
+/// Starts logging with a filter such as `info`.
+pub fn start(filter: &str) {
     // If logging was started before in this process, that subscriber stays.
-    let _ = tracing_subscriber::registry().with(filter).with(layer).try_init();
+    let _ = subscriber(filter).try_init();
     install_panic_hook();
     let (flusher, requests) = channel();
     let thread = std::thread::Builder::new().name("logs".to_owned()).spawn(move || run(&requests));
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,9 @@
         eprintln!("streamfoldd: ignoring SIGHUP: {error}");
     }
     let args: DaemonArgs = daemon_args().run();
+    if !args.check {
+        logs::log_starting(args.log.as_deref());
+    }
     match settings::read_mode(&args) {
         Ok(ServeMode::Indexes) => serve_indexes(&args),
         Ok(ServeMode::Routes) => serve_routes(&args),
--- a/crates/daemon/tests/early_hangup.rs
+++ b/crates/daemon/tests/early_hangup.rs
@@ -6,8 +6,13 @@
 //! Here the settings come through a pipe, so the signal reaches the node while it reads them.
 
 use std::io::{BufRead, BufReader, Write};
-use std::path::PathBuf;
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How long a test waits for what must come.
+const MAX_WAIT: Duration = Duration::from_secs(30);
 
 /// A temporary directory that is removed when it is dropped.
 struct TestDir(PathBuf);
@@ -43,6 +48,28 @@
     )
 }
 
+/// The address of a port in the text of the settings.
+fn address_of(port: &str, settings: &str) -> SocketAddr {
+    let prefix = format!("{port}: ");
+    let address = settings.lines().find_map(|line| line.strip_prefix(&prefix)).expect("the port");
+    address.parse().expect("an address")
+}
+
+/// Makes a named pipe.
+fn make_pipe(path: &Path) {
+    assert!(Command::new("mkfifo").arg(path).status().expect("mkfifo").success());
+}
+
+/// Opens a named pipe for writing, once another process opens it for reading.
+fn wait_for_reader(path: &Path) -> std::fs::File {
+    std::fs::File::options().write(true).open(path).expect("a pipe")
+}
+
+/// The lines of a node's log.
+fn read_log(node: &mut Child) -> impl Iterator<Item = String> + use<> {
+    BufReader::new(node.stdout.take().expect("its log")).lines().map_while(Result::ok)
+}
+
 #[test]
 fn a_hangup_while_the_settings_are_read_does_not_end_the_node() {
     let dir = TestDir::make();
@@ -98,3 +125,41 @@
     send_signal(&node, "TERM");
     assert!(node.wait().expect("an end").success());
 }
+
+/// A node that a signal ended early leaves a log that tells whether its program had begun to run.
+#[test]
+fn a_node_logs_its_start_before_it_reads_its_settings() {
+    let dir = TestDir::make();
+    let path = dir.0.join("settings.yaml");
+    make_pipe(&path);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_streamfoldd"));
+    let mut node = command.arg("--settings").arg(&path).stdout(Stdio::piped()).spawn().expect("a node");
+    let _settings = wait_for_reader(&path);
+    send_signal(&node, "KILL");
+    let log: Vec<String> = read_log(&mut node).collect();
+    let expected = format!("level=info event=starting version={} pid={}", env!("CARGO_PKG_VERSION"), node.id());
+    assert!(matches!(log.as_slice(), [line] if line.ends_with(&expected)), "{log:?}");
+    node.wait().expect("an end");
+}
+
+/// The first line is written by the thread that starts the node. A reader that has stopped must not hold up the start.
+#[test]
+fn a_node_whose_log_is_full_starts() {
+    let dir = TestDir::make();
+    let path = dir.0.join("settings.yaml");
+    std::fs::write(&path, settings_text()).expect("a file");
+    let (unread, mut full) = std::io::pipe().expect("a pipe");
+    let size = rustix::pipe::fcntl_getpipe_size(&full).expect("its size");
+    full.write_all(&vec![b'\n'; size]).expect("a full pipe");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_streamfoldd"));
+    let mut node = command.arg("--settings").arg(&path).stdout(full).spawn().expect("a node");
+    let ready = address_of("ready", &std::fs::read_to_string(&path).expect("a file"));
+    let deadline = Instant::now() + MAX_WAIT;
+    while TcpStream::connect(ready).is_err() {
+        assert!(Instant::now() < deadline, "it waits for the reader of its log");
+        assert!(node.try_wait().expect("a state").is_none(), "it ended while it started");
+    }
+    drop(unread);
+    send_signal(&node, "TERM");
+    assert!(node.wait().expect("an end").success());
+}
