The handlers of signals stand in one module

They stood in main.rs (SIGTERM, SIGINT) and in route_node.rs (SIGHUP, also for nodes that serve indexes). Moved to signals.rs, with one change: that SIGHUP cannot be handled was logged before logging had started, so the line was lost; follow_settings logs it now. Found by reading; the system does not refuse the handler here, so there is no test of it.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod round;
 pub mod route_node;
 pub mod settings;
+pub mod signals;
 pub mod stats;
 pub mod stop;
 pub mod tickets;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,16 +5,16 @@
 use streamfold_daemon::error::StartError;
 use streamfold_daemon::route_node::SettingsFile;
 use streamfold_daemon::settings::{self, DaemonArgs, NodeSettings, ServeMode, daemon_args};
+use streamfold_daemon::signals::{self, StopSignals};
 use streamfold_daemon::{logs, metrics_text, node_start, route_node};
 use streamfold_router::RouterSettings;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for invalid settings.
 const EXIT_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
     // This comes first, since a SIGHUP before it ends the process.
-    if let Err(error) = route_node::ignore_hangups() {
+    if let Err(error) = signals::ignore_hangups() {
         eprintln!("streamfoldd: ignoring SIGHUP: {error}");
     }
     let args: DaemonArgs = daemon_args().run();
@@ -92,7 +92,7 @@
 async fn run_routes(args: &DaemonArgs, settings: RouterSettings, file: SettingsFile) -> Result<(), StartError> {
     // Handlers are installed before the start, since an operator may send a signal while the node starts.
     let stop = StopSignals::listen();
-    let hangups = route_node::listen_for_hangups();
+    let hangups = signals::listen_for_hangups();
     logs::start(&settings.log);
     metrics_text::install()?;
     let running = route_node::start(settings).await?;
@@ -101,26 +101,3 @@
     running.stop().await;
     Ok(())
 }
-
-/// Handlers of SIGTERM and SIGINT, installed before the node starts.
-struct StopSignals {
-    terminate: std::io::Result<Signal>,
-    interrupt: std::io::Result<Signal>,
-}
-
-impl StopSignals {
-    fn listen() -> Self {
-        Self { terminate: signal(SignalKind::terminate()), interrupt: signal(SignalKind::interrupt()) }
-    }
-
-    async fn wait(self) {
-        let (Ok(mut terminate), Ok(mut interrupt)) = (self.terminate, self.interrupt) else {
-            tracing::warn!(event = "signal_unavailable", signal = "SIGTERM");
-            return std::future::pending().await;
-        };
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    }
-}
--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -2,13 +2,11 @@
 //! platform's adapters to the router's interfaces.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use signal_hook::consts::SIGHUP;
 use streamfold_platform::{PlatformClient, PlatformHeaders};
 use streamfold_router::{Router, RouterSettings, RunningRouter, router_start};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 use crate::error::{SettingError, SettingProblem, StartError};
 use crate::metrics_text;
@@ -97,17 +95,6 @@
     running.map_err(StartError::Router)
 }
 
-/// Ignores SIGHUP from now on. By default it ends the process, and an operator may send it to reload the settings while
-/// the node starts. No change is missed: the settings are read after this call, and later changes of the file are found
-/// by the periodic check.
-///
-/// # Errors
-/// The handler cannot be installed.
-pub fn ignore_hangups() -> std::io::Result<()> {
-    // This needs no async runtime, whose start would delay the handler.
-    signal_hook::flag::register(SIGHUP, Arc::new(AtomicBool::new(false))).map(drop)
-}
-
 /// The name and text of the settings file when it was last read, to detect changes. It is first read before the
 /// settings are loaded, so that a change during the start is found.
 #[derive(PartialEq, Eq)]
@@ -120,24 +107,16 @@
     }
 }
 
-/// Installs the handler of SIGHUP, which requests a reload of the settings.
-pub fn listen_for_hangups() -> Option<Signal> {
-    match signal(SignalKind::hangup()) {
-        Ok(hangups) => Some(hangups),
-        Err(error) => {
-            tracing::warn!(event = "signal_unavailable", signal = "SIGHUP", %error);
-            None
-        }
-    }
-}
-
 /// Reloads the settings while the node runs, on SIGHUP or after a change of the file. Invalid settings change nothing.
+/// Without a handler of SIGHUP only a change of the file causes a reload.
 pub async fn follow_settings(
     args: DaemonArgs,
     mut last_read: SettingsFile,
     router: Arc<Router>,
-    mut hangups: Option<Signal>,
+    hangups: std::io::Result<Signal>,
 ) {
+    let log_error = |error: &std::io::Error| tracing::warn!(event = "signal_unavailable", signal = "SIGHUP", %error);
+    let mut hangups = hangups.inspect_err(log_error).ok();
     loop {
         let is_signalled = wait_for_check(&mut hangups).await;
         let found = SettingsFile::read(&args);
