--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -134,15 +134,14 @@
     poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
 }
 
-/// Logs that the program runs, before the settings are read. A process that a SIGHUP ended without this line had not
-/// reached its own code, in which SIGHUP is ignored. `filter` is the one of the flags; that of the settings is not known
-/// yet.
+/// Logs that the program runs. This comes before the settings are read, so only the filter of the flags is known. If a
+/// SIGHUP ended a process that has not logged this event, the signal came before the program ignored it.
 pub fn log_starting(filter: Option<&str>) {
     tracing::subscriber::with_default(subscriber(filter.unwrap_or(DEFAULT_FILTER)), || {
         tracing::info!(event = "starting", version = env!("CARGO_PKG_VERSION"), pid = std::process::id());
     });
-    // The line must be written even if the process ends at once. If standard output is blocked, it stays in the buffer
-    // for the log thread, which does not delay the start.
+    // Written here, since a process that a signal ends early has no log thread yet. If standard output is blocked, that
+    // thread writes the line later, so that the start is not delayed.
     if is_writable() {
         write_buffered();
     }
