--- a/crates/daemon/tests/early_hangup.rs
+++ b/crates/daemon/tests/early_hangup.rs
@@ -140,8 +140,8 @@
 }
 
 /// Between the start of a process and the first line of its program the default action of SIGHUP applies, which ends it.
-/// In the soak test nodes ended this way 3 to 44 ms after their start, while the dynamic linker loaded them. Here the
-/// signal arrives while the linker waits, so the order of events is certain.
+/// In soak tests beside load nodes ended this way in the first 50 ms, most of them while the dynamic linker loaded them.
+/// Here the signal arrives while the linker waits, so the order of events is certain.
 #[test]
 fn a_hangup_before_the_first_line_of_the_program_does_not_end_the_node() {
     let dir = TestDir::make();
