--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,7 @@
-//! `streamfoldd`: reads the settings, runs one node and stops it gracefully on SIGTERM or SIGINT.
+//! `streamfoldd-node`, the program that `streamfoldd` becomes: reads the settings, runs one node and stops it gracefully
+//! on SIGTERM or SIGINT.
 
+use std::ffi::CStr;
 use std::process::ExitCode;
 
 use streamfold_daemon::error::StartError;
@@ -11,12 +13,17 @@
 
 /// Exit code for invalid settings.
 const EXIT_SETTINGS: u8 = 2;
+/// Name of the process in lists of processes, by which operators find it.
+const PROCESS_NAME: &CStr = c"streamfoldd";
 
 fn main() -> ExitCode {
-    // This comes first, since a SIGHUP before it ends the process.
+    // This comes first, since a SIGHUP before it ends a process that was started without the launcher.
     if let Err(error) = signals::ignore_hangups() {
         eprintln!("streamfoldd: ignoring SIGHUP: {error}");
     }
+    if let Err(error) = rustix::thread::set_name(PROCESS_NAME) {
+        eprintln!("streamfoldd: naming the process: {error}");
+    }
     let args: DaemonArgs = daemon_args().run();
     if !args.check {
         logs::log_starting(args.log.as_deref());
