The two ways to serve report invalid settings in one place

serve_indexes and serve_routes each matched the result of loading and reported it, and main did so a third time. They return the error, and main reports it. What comes before the arguments are read stands in a function of its own. Same messages and exit codes: settings.rs and route_settings.rs pass unchanged.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,45 +17,47 @@
 const PROCESS_NAME: &CStr = c"streamfoldd";
 
 fn main() -> ExitCode {
-    // This comes first, since a SIGHUP before it ends a process that was started without the launcher.
-    if let Err(error) = signals::ignore_hangups() {
-        eprintln!("streamfoldd: ignoring SIGHUP: {error}");
-    }
-    if let Err(error) = rustix::thread::set_name(PROCESS_NAME) {
-        eprintln!("streamfoldd: naming the process: {error}");
-    }
+    prepare_process();
     let args: DaemonArgs = daemon_args().run();
     if !args.check {
         logs::log_starting(args.log.as_deref());
     }
-    match settings::read_mode(&args) {
+    let served = match settings::read_mode(&args) {
         Ok(ServeMode::Indexes) => serve_indexes(&args),
         Ok(ServeMode::Routes) => serve_routes(&args),
-        Err(error) => report_error(&error),
+        Err(error) => Err(error),
+    };
+    served.unwrap_or_else(|error| report_error(&error))
+}
+
+/// Ignores SIGHUP and names the process.
+fn prepare_process() {
+    // This comes first, since a SIGHUP before it ends a process that was started without the launcher.
+    if let Err(error) = signals::ignore_hangups() {
+        eprintln!("streamfoldd: ignoring SIGHUP: {error}");
+    }
+    if let Err(error) = rustix::thread::set_name(PROCESS_NAME) {
+        eprintln!("streamfoldd: naming the process: {error}");
     }
 }
 
-fn serve_indexes(args: &DaemonArgs) -> ExitCode {
-    let settings = match settings::load(args) {
-        Ok(settings) => settings,
-        Err(error) => return report_error(&error),
-    };
+/// Checks or runs a node that serves indexes. Fails only if the settings are invalid.
+fn serve_indexes(args: &DaemonArgs) -> Result<ExitCode, StartError> {
+    let settings = settings::load(args)?;
     if args.check {
-        return report_valid(settings.node.as_str());
+        return Ok(report_valid(settings.node.as_str()));
     }
-    exit_code(run_indexes(settings))
+    Ok(exit_code(run_indexes(settings)))
 }
 
-fn serve_routes(args: &DaemonArgs) -> ExitCode {
+/// Checks or runs a node that serves routes. Fails only if the settings are invalid.
+fn serve_routes(args: &DaemonArgs) -> Result<ExitCode, StartError> {
     let file = SettingsFile::read(args);
-    let settings = match route_node::load(args) {
-        Ok(settings) => settings,
-        Err(error) => return report_error(&error),
-    };
+    let settings = route_node::load(args)?;
     if args.check {
-        return report_valid(settings.node.as_str());
+        return Ok(report_valid(settings.node.as_str()));
     }
-    exit_code(run_routes(args, settings, file))
+    Ok(exit_code(run_routes(args, settings, file)))
 }
 
 fn report_valid(node: &str) -> ExitCode {
