Logs and metrics say how old a node's knowledge of each topic is, and by which call it was confirmed

Cause for it: answered watches are logged at debug only, a watch that begins not at all, and nothing told what an answer for one topic means for another, so the hypotheses on the incident could not be told apart.

Change: each answer of the store confirms its topic and every other one known up to its position. The settings state in which time changes of the routes and leaving servers must be known (routes_within, drained_within), used by these lines only.

--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -67,9 +67,12 @@
         ("extra_calls.window", extra.window),
         ("gone_after", settings.gone_after),
         ("silence_within", settings.silence_within),
+        ("routes_within", settings.routes_within),
+        ("drained_within", settings.drained_within),
     ];
     let evacuated_within = settings.evacuated_within.map(|duration| ("evacuated_within", duration));
-    for (name, duration) in durations.into_iter().chain(evacuated_within) {
+    let keys_within = settings.keys.map(|keys| ("keys.within", keys.within));
+    for (name, duration) in durations.into_iter().chain(evacuated_within).chain(keys_within) {
         check_range(name, duration.0.as_secs_f64(), !duration.0.is_zero(), "longer than 0s");
     }
     let ports = [
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -5,9 +5,11 @@
 
 use streamfold_policy::watch_timeout::{self, WatchProgress};
 use streamfold_store::StoreError;
+use tokio::time::Instant;
 
 use crate::cluster::UpdateOrigin;
 use crate::evacuation::EvacuationList;
+use crate::freshness::{ConfirmSource, ConfirmedAnswer};
 use crate::interface::{FeedChanges, FeedList, FeedPosition, FeedTopic, ListAge};
 use crate::listing::{KnownEntries, RelaySnapshot};
 use crate::relay::{FeedSource, RelayFrame};
@@ -116,20 +118,46 @@
     async fn step(&self) -> Result<FeedPosition, StoreError> {
         let Some(position) = self.position else { return self.list().await };
         let router = &self.router;
-        let watch = router.feed.watch(self.topic, position, self.watch_wait(position));
+        let started = Instant::now();
+        let wait = self.watch_wait(position);
+        let watch = router.feed.watch(self.topic, position, wait);
         let update = tokio::select! {
             update = store_call::run(self.topic, CallReason::Watch, watch) => update?,
             () = self.wait_overdue(position) => return Ok(position),
         };
-        if update.changes.is_empty() {
-            return Ok(update.position);
-        }
         let position = update.position;
-        self.apply_changes(update);
+        let is_unchanged = update.changes.is_empty();
+        if !is_unchanged {
+            self.log_update(update.changes.len(), position, ConfirmSource::Watch);
+            self.apply_changes(update);
+        }
+        // The store answers a watch without changes only when its wait is over.
+        let is_waited = is_unchanged && started.elapsed() >= wait;
+        let as_of = if is_waited { started + wait } else { started };
+        router.freshness.record(&ConfirmedAnswer { topic: self.topic, position, as_of, source: ConfirmSource::Watch });
+        if is_unchanged {
+            return Ok(position);
+        }
         tokio::time::sleep(self.coalescing_delay()).await;
         Ok(position)
     }
 
+    /// Logs that changes came, and how current the topic was known before.
+    fn log_update(&self, changes: usize, position: FeedPosition, found_by: ConfirmSource) {
+        let before = self.router.freshness.get(self.topic);
+        let age_ms = before.age().map(|age| age.as_millis() as u64);
+        let (topic, found_by, confirmed_by) = (self.topic, found_by.name(), before.source.name());
+        // Servers and nodes change many times a second while a release is rolled out.
+        match topic {
+            FeedTopic::Routes | FeedTopic::Evacuations => {
+                tracing::info!(event = "feed_updated", %topic, changes, position = position.0, found_by, age_ms, confirmed_by);
+            }
+            FeedTopic::Servers | FeedTopic::Nodes | FeedTopic::Crashes => {
+                tracing::debug!(event = "feed_updated", %topic, changes, position = position.0, found_by, age_ms, confirmed_by);
+            }
+        }
+    }
+
     /// Applies changes, then sends them to followers. In this order a node that starts to follow in between gets them
     /// twice; in the reverse order it would miss them.
     fn apply_changes(&self, update: FeedChanges) {
@@ -226,10 +254,16 @@
 
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
+        let started = Instant::now();
         let list = router.feed.list(self.topic, self.list_age());
         let list = router.store_breaker.call(store_call::run(self.topic, self.list_reason, list)).await?;
         let position = list.position;
+        self.log_update(list.items.len(), position, ConfirmSource::Listing);
         self.apply_list(list);
+        if !self.may_be_stale {
+            let source = ConfirmSource::Listing;
+            router.freshness.record(&ConfirmedAnswer { topic: self.topic, position, as_of: started, source });
+        }
         Ok(position)
     }
 
--- /dev/null
+++ b/crates/router/src/freshness.rs
@@ -0,0 +1,111 @@
+//! How current this node's knowledge of each topic of the store is, and by which call it was last confirmed.
+//!
+//! The store numbers all changes with one revision, its position. Every answer reports the position at that time, so an
+//! answer for one topic also confirms each other topic that is known up to that position.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::interface::{FeedPosition, FeedTopic};
+
+/// The kind of message by which a topic was confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ConfirmSource {
+    /// The topic has not been confirmed.
+    #[default]
+    None,
+    /// A listing of the topic.
+    Listing,
+    /// A watch of the topic.
+    Watch,
+    /// An answer for another topic, which reported no later change.
+    OtherTopic,
+}
+
+impl ConfirmSource {
+    /// The name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Listing => "listing",
+            Self::Watch => "watch",
+            Self::OtherTopic => "other_topic",
+        }
+    }
+}
+
+/// How current the knowledge of one topic is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TopicFreshness {
+    /// The position up to which all changes of the topic are known.
+    pub position: FeedPosition,
+    /// The latest time at which every change confirmed by the store until then is known; `None` before the first
+    /// confirmation.
+    pub confirmed_at: Option<Instant>,
+    /// By which message that is known.
+    pub source: ConfirmSource,
+}
+
+impl TopicFreshness {
+    /// How old the knowledge is; `None` if it was never confirmed.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed_at.map(|confirmed| confirmed.elapsed())
+    }
+
+    fn confirm(&mut self, as_of: Instant, source: ConfirmSource) {
+        if self.confirmed_at.is_none_or(|confirmed| confirmed < as_of) {
+            self.confirmed_at = Some(as_of);
+            self.source = source;
+        }
+    }
+}
+
+/// An answer of the store for one topic.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfirmedAnswer {
+    /// The topic that was asked for.
+    pub topic: FeedTopic,
+    /// The position that the answer reported.
+    pub position: FeedPosition,
+    /// A time not after the one at which the store gave the answer. It cannot be the time of arrival, since an answer
+    /// may be under way for long.
+    pub as_of: Instant,
+    /// The kind of call.
+    pub source: ConfirmSource,
+}
+
+/// The freshness of every topic at one node.
+#[derive(Debug, Default)]
+pub struct FreshnessTable(watch::Sender<[TopicFreshness; FeedTopic::ALL.len()]>);
+
+impl FreshnessTable {
+    /// The freshness of a topic.
+    pub fn get(&self, topic: FeedTopic) -> TopicFreshness {
+        self.0.borrow()[topic as usize]
+    }
+
+    /// Records that a topic is known up to the position of an answer, and what the answer says of other topics.
+    pub fn record(&self, answer: &ConfirmedAnswer) {
+        metrics::counter!(
+            "streamfold_feed_confirmed_total", "topic" => answer.topic.name(), "by" => answer.source.name()
+        )
+        .increment(1);
+        self.0.send_modify(|topics| {
+            let own = &mut topics[answer.topic as usize];
+            own.position = own.position.max(answer.position);
+            own.confirm(answer.as_of, answer.source);
+            for other in topics.iter_mut().filter(|other| other.position >= answer.position) {
+                other.confirm(answer.as_of, ConfirmSource::OtherTopic);
+            }
+        });
+    }
+
+    /// Waits until `is_met` holds for a topic.
+    pub async fn wait_for(&self, topic: FeedTopic, is_met: impl Fn(&TopicFreshness) -> bool) {
+        let mut changed = self.0.subscribe();
+        // The sender lives as long as the table, so this cannot fail.
+        let _ = changed.wait_for(|topics| is_met(&topics[topic as usize])).await;
+    }
+}
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -211,6 +211,7 @@
         path = uri.path(),
         version = %router.cluster.version(),
         routes_followed = router.is_followed(FeedTopic::Routes),
+        routes_age_ms = router.freshness.get(FeedTopic::Routes).age().map(|age| age.as_millis() as u64),
         reason = kind.name()
     );
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -31,6 +31,8 @@
 pub mod evacuation;
 pub mod feed;
 pub mod fold;
+pub mod freshness;
+mod freshness_check;
 pub mod front;
 pub mod gather;
 pub mod gather_batch;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,6 +18,7 @@
 use crate::cluster_place::NodeContext;
 use crate::cluster_view::{ClusterView, Service};
 use crate::entry::EntryControl;
+use crate::freshness::FreshnessTable;
 use crate::interface::{CallFormat, ClusterFeed, FeedPosition, FeedTopic};
 use crate::relay::FeedSource;
 use crate::relay_service::RelayPublisher;
@@ -76,6 +77,8 @@
     pub(crate) suspended_for: watch::Sender<Duration>,
     /// The newest position in the store's history that any of its answers has reported.
     pub(crate) reported_position: watch::Sender<FeedPosition>,
+    /// How current the knowledge of each topic is.
+    pub freshness: FreshnessTable,
     /// Notified when nodes were listed, so that links to them are opened.
     pub nodes_listed: Notify,
     /// The newest route version that another node has reported.
@@ -172,6 +175,7 @@
             nodes_listed: Notify::new(),
             suspended_for: watch::Sender::new(Duration::ZERO),
             reported_position: watch::Sender::new(FeedPosition::default()),
+            freshness: FreshnessTable::default(),
             reported_version: AtomicU64::new(0),
             source: watch::Sender::new(FeedSource::Undecided),
             feed_changed: watch::Sender::new(()),
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpListener;
 
 use crate::error::RouterError;
+use crate::freshness_check::OverdueTopics;
 use crate::interface::{CallFormat, ClusterFeed};
 use crate::router::{Router, RunningRouter};
 use crate::settings::RouterSettings;
@@ -113,9 +114,11 @@
 
 /// Runs the periodic checks until the node stops.
 async fn sweep(router: Arc<Router>) {
+    let mut overdue = OverdueTopics::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         note_suspension(&router);
+        overdue.check(&router);
         router.cluster.sweep(router.clock.now());
         shortage::check(&router);
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -8,6 +8,12 @@
 use streamfold_model::{CoreShare, FailureDomain, NodeId, RegionName, TimeSpan};
 use streamfold_policy::{Mechanism, MechanismSet};
 
+use crate::interface::FeedTopic;
+
+/// The time within which changes of a topic must be known for which no setting states one, as a multiple of
+/// `silence_within`. Such changes are not urgent.
+const UNSTATED_BOUND_FACTOR: u32 = 2;
+
 /// Settings of one node as in the file. Unknown settings are ignored, since the platform may add others.
 #[derive(Debug, Clone, Deserialize)]
 pub struct RouterSettings {
@@ -52,6 +58,12 @@
     /// without a reset, even while keep-alive probes are answered, and only a watch that does not end shows this.
     #[serde(default = "default_silence_within")]
     pub silence_within: TimeSpan,
+    /// How soon a confirmed change of the routes must be in force at every node.
+    #[serde(default = "default_routes_within")]
+    pub routes_within: TimeSpan,
+    /// How soon a server that leaves must receive no more requests.
+    #[serde(default = "default_drained_within")]
+    pub drained_within: TimeSpan,
     /// How soon the servers of an evacuated failure domain must receive no more requests. Without it the deployment has
     /// no evacuations, and they are not read from the store.
     #[serde(default)]
@@ -107,6 +119,17 @@
         (cores.is_finite() && cores > 0.0).then_some(CoreShare((cores * 1e3) as u32))
     }
 
+    /// How soon a change of a topic must be known at this node.
+    pub fn known_within(&self, topic: FeedTopic) -> Duration {
+        match topic {
+            // Keys stand in the same document as the routes.
+            FeedTopic::Routes => self.keys.map_or(self.routes_within.0, |keys| keys.within.0.min(self.routes_within.0)),
+            FeedTopic::Servers => self.drained_within.0,
+            FeedTopic::Evacuations => self.evacuated_within.unwrap_or(self.silence_within).0,
+            FeedTopic::Nodes | FeedTopic::Crashes => self.silence_within.0 * UNSTATED_BOUND_FACTOR,
+        }
+    }
+
     /// Whether a node with these settings would have the same name, failure domain, ports and store.
     pub fn has_same_identity(&self, other: &Self) -> bool {
         let identity = |settings: &Self| (settings.node.clone(), settings.failure_domain.clone());
@@ -187,6 +210,16 @@
     TimeSpan(Duration::from_secs(4))
 }
 
+/// Default if the file has none: the shortest time that the platform states.
+fn default_routes_within() -> TimeSpan {
+    TimeSpan(Duration::from_secs(3))
+}
+
+/// Default if the file has none: the shortest time that the platform states.
+fn default_drained_within() -> TimeSpan {
+    TimeSpan(Duration::from_secs(3))
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
