The failing test of a change that is not in force in time after lost watches

Callers were served by routes replaced more than three seconds before. A fake store loses, without an error, the calls of one topic, of two or of all within 0.7 s of a change; the next change is made at moments up to 34 s later, at six sets of stated times.

--- /dev/null
+++ b/crates/router/tests/change_not_in_force_in_time.rs
@@ -0,0 +1,261 @@
+//! A confirmed change was not in force in time: the watches of the routes were read by a store that said nothing then,
+//! and were never answered. Nothing else told the nodes of the change in the time that the settings state.
+
+mod fakes;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table};
+use streamfold_model::{FailureDomain, TableVersion, TimeSpan};
+use streamfold_router::interface::{
+    FeedChange, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic, RemovedEntry,
+};
+use streamfold_router::settings::KeySettings;
+use streamfold_router::{Router, RouterSettings, RunningRouter, router_start};
+use streamfold_store::StoreError;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How long the store takes to answer.
+const ANSWER_DELAY: Duration = Duration::from_millis(30);
+/// How long the store says nothing.
+const SILENCE: Duration = Duration::from_millis(700);
+/// How long a node may take to apply what it was told.
+const APPLY_TIME: Duration = Duration::from_millis(100);
+/// The interval of the moments at which a change is made.
+const MOMENT_STEP: Duration = Duration::from_millis(1_700);
+/// The latest moment of a change: later than any watch ends.
+const LAST_MOMENT: Duration = Duration::from_secs(34);
+/// How long a node may take to start.
+const START_TIME: Duration = Duration::from_secs(5);
+
+/// The times that a deployment states.
+#[derive(Debug, Clone, Copy)]
+struct StatedBounds {
+    routes_ms: u64,
+    drain_ms: u64,
+    contact_ms: u64,
+    evacuated_ms: Option<u64>,
+    keys_ms: Option<u64>,
+}
+
+impl StatedBounds {
+    const fn new(routes_ms: u64, contact_ms: u64) -> Self {
+        Self { routes_ms, drain_ms: routes_ms, contact_ms, evacuated_ms: None, keys_ms: None }
+    }
+
+    fn settings(self, name: &str, cpu_share: f64) -> RouterSettings {
+        let span = |ms| TimeSpan(Duration::from_millis(ms));
+        let mut settings = make_settings(name, cpu_share);
+        settings.routes_within = span(self.routes_ms);
+        settings.drained_within = span(self.drain_ms);
+        settings.silence_within = span(self.contact_ms);
+        settings.evacuated_within = self.evacuated_ms.map(span);
+        settings.keys = self.keys_ms.map(|ms| KeySettings { strict: None, within: span(ms) });
+        settings
+    }
+}
+
+/// Short and long times, with those of the other topics equal, shorter and longer.
+const BOUNDS: [StatedBounds; 6] = [
+    StatedBounds::new(3_000, 4_000),
+    StatedBounds::new(3_000, 5_000),
+    StatedBounds { evacuated_ms: Some(5_000), keys_ms: Some(5_000), ..StatedBounds::new(5_000, 6_000) },
+    StatedBounds { evacuated_ms: Some(2_000), keys_ms: Some(2_500), ..StatedBounds::new(6_000, 6_000) },
+    StatedBounds { evacuated_ms: Some(6_000), ..StatedBounds::new(8_000, 8_000) },
+    StatedBounds { drain_ms: 12_000, ..StatedBounds::new(1_000, 20_000) },
+];
+
+/// Calls that are never answered.
+#[derive(Debug, Clone)]
+struct LostCalls {
+    topics: Vec<FeedTopic>,
+    /// Calls that began before this time are lost.
+    before: Instant,
+}
+
+/// The state of a store. Each change raises its revision.
+#[derive(Debug, Default)]
+struct StoreState {
+    revision: u64,
+    /// The revision of the last change of each topic.
+    changed: HashMap<FeedTopic, u64>,
+    version: u64,
+    nodes: Vec<FeedItem>,
+    is_evacuated: bool,
+}
+
+/// A store that all nodes of a test share.
+struct SharedStore(watch::Sender<StoreState>);
+
+impl SharedStore {
+    fn new() -> Arc<Self> {
+        Arc::new(Self(watch::Sender::new(StoreState { revision: 1, version: 1, ..StoreState::default() })))
+    }
+
+    fn change(&self, topic: FeedTopic) {
+        self.0.send_modify(|state| {
+            state.revision += 1;
+            state.changed.insert(topic, state.revision);
+            match topic {
+                FeedTopic::Routes => state.version += 1,
+                FeedTopic::Evacuations => state.is_evacuated = true,
+                FeedTopic::Servers | FeedTopic::Nodes | FeedTopic::Crashes => {}
+            }
+        });
+    }
+}
+
+/// The store as one node sees it.
+struct LossyTopics {
+    store: Arc<SharedStore>,
+    lost: Arc<Mutex<Option<LostCalls>>>,
+}
+
+impl LossyTopics {
+    /// Waits for ever if a call that began at `started` is lost.
+    async fn answer(&self, topic: FeedTopic, started: Instant) {
+        tokio::time::sleep(ANSWER_DELAY).await;
+        let lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if lost.is_some_and(|lost| lost.topics.contains(&topic) && started < lost.before) {
+            std::future::pending().await
+        }
+    }
+}
+
+fn domain() -> FailureDomain {
+    "zone-b".parse().expect("a failure domain")
+}
+
+fn items(state: &StoreState, topic: FeedTopic) -> Vec<FeedItem> {
+    match topic {
+        FeedTopic::Routes => vec![make_table(state.version)],
+        FeedTopic::Nodes => state.nodes.clone(),
+        FeedTopic::Evacuations if state.is_evacuated => vec![FeedItem::Evacuation(domain())],
+        FeedTopic::Servers | FeedTopic::Evacuations | FeedTopic::Crashes => Vec::new(),
+    }
+}
+
+impl FakeTopics for LossyTopics {
+    fn list(&self, topic: FeedTopic) -> Result<FeedList, StoreError> {
+        Ok(self.list_one_page(topic))
+    }
+
+    fn list_one_page(&self, topic: FeedTopic) -> FeedList {
+        let state = self.store.0.borrow();
+        FeedList { items: items(&state, topic), position: FeedPosition(state.revision) }
+    }
+
+    fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges> {
+        Box::pin(async move {
+            let started = Instant::now();
+            let mut states = self.store.0.subscribe();
+            let is_changed = |state: &StoreState| state.changed.get(&topic).is_some_and(|at| *at > after.0);
+            // An answer without changes is given when the wait is over.
+            let changed = tokio::time::timeout(wait, states.wait_for(is_changed)).await.is_ok();
+            let (changes, position) = {
+                let state = self.store.0.borrow();
+                let mut changes: Vec<FeedChange> = Vec::new();
+                if changed {
+                    changes = items(&state, topic).into_iter().map(FeedChange::Put).collect();
+                    changes.extend(changes.is_empty().then(|| FeedChange::Removed(RemovedEntry::any("gone".into()))));
+                }
+                (changes, FeedPosition(state.revision))
+            };
+            self.answer(topic, started).await;
+            Ok(FeedChanges { changes, position })
+        })
+    }
+}
+
+/// A node of a test with its own losses.
+struct TestNode {
+    running: RunningRouter,
+    lost: Arc<Mutex<Option<LostCalls>>>,
+}
+
+impl TestNode {
+    async fn start(settings: RouterSettings, store: &Arc<SharedStore>) -> Self {
+        let lost = Arc::new(Mutex::new(None));
+        let topics = LossyTopics { store: store.clone(), lost: lost.clone() };
+        let feed = Arc::new(FakeFeed(topics));
+        let running = router_start::start(settings, Arc::new(NoFormat), feed, String::new).await.expect("a node");
+        Self { running, lost }
+    }
+
+    fn router(&self) -> &Router {
+        &self.running.router
+    }
+
+    /// Loses every call of these topics that has begun or begins within `silence`.
+    fn lose(&self, topics: &[FeedTopic], silence: Duration) {
+        let lost = LostCalls { topics: topics.to_vec(), before: Instant::now() + silence };
+        *self.lost.lock().unwrap_or_else(PoisonError::into_inner) = Some(lost);
+    }
+
+    fn is_evacuated(&self) -> bool {
+        self.router().cluster.evacuations().is_some_and(|list| list.domains.contains(&domain()))
+    }
+}
+
+/// How long it takes until a condition holds; `None` if it takes longer than `bound`.
+async fn time_until(bound: Duration, is_met: impl Fn() -> bool) -> Option<Duration> {
+    let started = Instant::now();
+    while !is_met() {
+        if started.elapsed() > bound {
+            return None;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Some(started.elapsed())
+}
+
+fn moments() -> impl Iterator<Item = Duration> {
+    (0..).map(|step| MOMENT_STEP * step).take_while(|moment| *moment <= LAST_MOMENT)
+}
+
+const ALL_BUT_NONE: [&[FeedTopic]; 4] =
+    [&[FeedTopic::Routes], &[FeedTopic::Evacuations], &[FeedTopic::Routes, FeedTopic::Servers], &FeedTopic::ALL];
+
+/// Loses the calls of some topics just after a change, makes another change at a later moment, and returns whether that
+/// one was in force in time.
+async fn play(bounds: StatedBounds, lost: &[FeedTopic], changed: FeedTopic, moment: Duration) -> bool {
+    let store = SharedStore::new();
+    let node = TestNode::start(bounds.settings("own", 1.0), &store).await;
+    time_until(START_TIME, || node.router().is_ready()).await.expect("a node that is ready");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    store.change(FeedTopic::Routes);
+    tokio::time::sleep(Duration::from_millis(18)).await;
+    node.lose(lost, SILENCE);
+    tokio::time::sleep(SILENCE + moment).await;
+    store.change(changed);
+    let bound = node.router().settings.known_within(changed);
+    let version = TableVersion(store.0.borrow().version);
+    let is_met = || match changed {
+        FeedTopic::Evacuations => node.is_evacuated(),
+        _ => node.router().cluster.version() == version,
+    };
+    time_until(bound - APPLY_TIME, is_met).await.is_some()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_after_lost_watches_is_in_force_in_time() {
+    let mut late = Vec::new();
+    for bounds in BOUNDS {
+        for lost in ALL_BUT_NONE {
+            for changed in [FeedTopic::Routes, FeedTopic::Evacuations] {
+                if changed == FeedTopic::Evacuations && bounds.evacuated_ms.is_none() {
+                    continue;
+                }
+                for moment in moments() {
+                    if !play(bounds, lost, changed, moment).await {
+                        late.push(format!("{changed} after {moment:?} with {lost:?} lost, {bounds:?}"));
+                    }
+                }
+            }
+        }
+    }
+    assert!(late.is_empty(), "{} changes were not in force in time, the first: {}", late.len(), late[0]);
+}
