Each topic of the store is confirmed within its own time, so that a lost watch delays no change too long

What callers saw: requests handled by routes that a confirmed change had replaced more than three seconds before, at all nodes, seconds after the store had been silent for a moment.

Cause: a watch that is lost without an error looks like one that waits. Whether the routes' watch (30 s) was lost was found by the renewal of another topic's watch each silence_within, which no relation ties to the time in which a change must be in force: 4 to 8 s against 3 to 8 s. The class: the age of knowledge was not known, so nothing could bound it.

Change: an answer of the store confirms every topic known up to its revision, as of its call. A topic that nothing confirmed for half of the time that the settings state is checked by a watch that does not wait; an unanswered check is made again after an eighth of that time; one that finds a change ends the silent watch. Heartbeats of readers say how old their knowledge is, and a follower reads a topic itself at three quarters of its time; so does a node that another one told of newer routes, now until it succeeds. Topics no longer rely on the watch of the servers. Nodes of this version follow no older ones (path of the relay).

Tests: those of watch_timeout.rs tested timeouts that are gone; feed_checks.rs tests the sums that replace them. quiet_watches.rs counted renewals of the servers' watch, which are gone; it now bounds the calls of a quiet store as strictly (one watch a topic, one check for all topics) and finds the silent watch within the time. In late_routes.rs the routes' time is long, so that only the read that it tests can bring them.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod domain_reach;
 pub mod entry_gate;
 pub mod extra_budget;
+pub mod feed_checks;
 pub mod finish;
 pub mod finish_estimate;
 pub mod fold_rule;
@@ -54,7 +55,6 @@
 pub mod usage_credit;
 pub mod wait_queue;
 pub mod wait_tracker;
-pub mod watch_timeout;
 
 pub use admission::{Admission, AdmissionControl, AdmissionRefusal, AdmissionRequest, TokenBucket, WorkReport};
 pub use budget::TokenBudget;
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -3,26 +3,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use streamfold_policy::watch_timeout::{self, WatchProgress};
+use streamfold_policy::feed_checks::MAX_WATCH_WAIT;
 use streamfold_store::StoreError;
 use tokio::time::Instant;
 
-use crate::cluster::UpdateOrigin;
-use crate::evacuation::EvacuationList;
 use crate::freshness::{ConfirmSource, ConfirmedAnswer};
-use crate::interface::{FeedChanges, FeedList, FeedPosition, FeedTopic, ListAge};
-use crate::listing::{KnownEntries, RelaySnapshot};
-use crate::relay::{FeedSource, RelayFrame};
+use crate::interface::{FeedChanges, FeedPosition, FeedTopic, ListAge};
+use crate::relay::FeedSource;
 use crate::router::Router;
 use crate::store_call::{self, CallReason};
 use crate::store_turn::{backoff_delay, is_refusal_error};
+use crate::topic_check::{CheckAnswer, TopicCheck};
+use crate::topic_update;
 
 /// Delay after a change before the next watch, so that one call returns all changes of that time. The limit for
 /// requests to a server that has left is 3 s; changes of nodes are not urgent.
 const SERVERS_COALESCING_DELAY: Duration = Duration::from_millis(200);
 const NODES_COALESCING_DELAY: Duration = Duration::from_millis(3_000);
-/// How long this node waits for newer routes that another node already has before it reads them from the store.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(150);
 
 /// The state of watching one topic.
 struct TopicWatcher {
@@ -57,8 +54,6 @@
         tokio::select! {
             () = watcher.run() => {}
             () = wait_resumed(&router) => router.set_followed(topic, false),
-            // A fault that silences one connection to the store silences all of them.
-            () = wait_servers_watch_lost(&router), if topic.relies_on_servers() => {}
             _ = source.wait_for(|source| *source != FeedSource::Store) => {}
         }
     }
@@ -71,44 +66,12 @@
     let _ = resumed.changed().await;
 }
 
-/// Waits until the watch of servers is lost, which detects a silent connection sooner than other watches do.
-async fn wait_servers_watch_lost(router: &Router) {
-    let mut changed = router.feed_changed.subscribe();
-    for is_followed in [true, false] {
-        while router.is_followed(FeedTopic::Servers) != is_followed {
-            // The sender lives as long as the router, so this cannot fail.
-            let _ = changed.changed().await;
-        }
-    }
-}
-
-/// Reads the routes from the store when another node has newer ones that do not arrive here. While the store is
-/// unavailable, other nodes are queried for them instead.
-pub async fn catch_up(router: Arc<Router>) {
-    loop {
-        router.newer_routes.notified().await;
-        tokio::time::sleep(CATCH_UP_DELAY).await;
-        if !router.is_behind() || !router.is_followed(FeedTopic::Routes) {
-            continue;
-        }
-        tracing::info!(event = "routes_behind", version = %router.cluster.version());
-        let list = router.feed.list(FeedTopic::Routes, ListAge::Fresh);
-        match store_call::run(FeedTopic::Routes, CallReason::Behind, list).await {
-            Ok(list) => {
-                router.cluster.replace(router.clock.now(), list.items.clone(), FeedTopic::Routes, UpdateOrigin::Store);
-                // Followers of this node get these routes only from here: its own reader omits what this node has.
-                router.relay_publisher.publish(|| RelayFrame::Listed(FeedTopic::Routes, list.items));
-            }
-            Err(error) => tracing::warn!(event = "routes_not_read", %error),
-        }
-    }
-}
-
 impl TopicWatcher {
     async fn run(&mut self) {
         loop {
             match self.step().await {
                 Ok(position) => self.note_success(position),
+                Err(StoreError::HistoryGone) if self.skip_to_confirmed() => {}
                 Err(StoreError::HistoryGone) => self.note_history_gone().await,
                 Err(error) => self.note_failure(&error).await,
             }
@@ -117,85 +80,41 @@
 
     async fn step(&self) -> Result<FeedPosition, StoreError> {
         let Some(position) = self.position else { return self.list().await };
-        let router = &self.router;
-        let started = Instant::now();
-        let wait = self.watch_wait(position);
-        let watch = router.feed.watch(self.topic, position, wait);
-        let update = tokio::select! {
-            update = store_call::run(self.topic, CallReason::Watch, watch) => update?,
-            () = self.wait_overdue(position) => return Ok(position),
-        };
-        let position = update.position;
-        let is_unchanged = update.changes.is_empty();
-        if !is_unchanged {
-            self.log_update(update.changes.len(), position, ConfirmSource::Watch);
-            self.apply_changes(update);
-        }
-        // The store answers a watch without changes only when its wait is over.
-        let is_waited = is_unchanged && started.elapsed() >= wait;
-        let as_of = if is_waited { started + wait } else { started };
-        router.freshness.record(&ConfirmedAnswer { topic: self.topic, position, as_of, source: ConfirmSource::Watch });
-        if is_unchanged {
-            return Ok(position);
-        }
-        tokio::time::sleep(self.coalescing_delay()).await;
-        Ok(position)
-    }
-
-    /// Logs that changes came, and how current the topic was known before.
-    fn log_update(&self, changes: usize, position: FeedPosition, found_by: ConfirmSource) {
-        let before = self.router.freshness.get(self.topic);
-        let age_ms = before.age().map(|age| age.as_millis() as u64);
-        let (topic, found_by, confirmed_by) = (self.topic, found_by.name(), before.source.name());
-        // Servers and nodes change many times a second while a release is rolled out.
-        match topic {
-            FeedTopic::Routes | FeedTopic::Evacuations => {
-                tracing::info!(event = "feed_updated", %topic, changes, position = position.0, found_by, age_ms, confirmed_by);
-            }
-            FeedTopic::Servers | FeedTopic::Nodes | FeedTopic::Crashes => {
-                tracing::debug!(event = "feed_updated", %topic, changes, position = position.0, found_by, age_ms, confirmed_by);
+        let check = TopicCheck::new(&self.router, self.topic);
+        tokio::select! {
+            watched = self.watch(position) => watched,
+            missed = check.find_missed() => {
+                let CheckAnswer { update, started } = missed?;
+                Ok(self.apply(update, started, ConfirmSource::Check).await)
             }
         }
     }
 
-    /// Applies changes, then sends them to followers. In this order a node that starts to follow in between gets them
-    /// twice; in the reverse order it would miss them.
-    fn apply_changes(&self, update: FeedChanges) {
-        let router = &self.router;
-        if self.topic != FeedTopic::Evacuations {
-            router.cluster.apply(router.clock.now(), update.changes.clone(), self.topic, UpdateOrigin::Store);
-            router.relay_publisher.publish(|| RelayFrame::Changed(self.topic, update.changes));
-        } else if let Some(known) = router.cluster.evacuations() {
-            self.apply_evacuations(known.with_changes(&update.changes, update.position));
-        }
-    }
-
-    fn apply_list(&self, list: FeedList) {
-        let router = &self.router;
-        if self.topic == FeedTopic::Evacuations {
-            return self.apply_evacuations(EvacuationList::from_list(&list));
-        }
-        if matches!(self.topic, FeedTopic::Servers | FeedTopic::Nodes) {
-            return self.apply_entries(list);
+    async fn watch(&self, position: FeedPosition) -> Result<FeedPosition, StoreError> {
+        let started = Instant::now();
+        let watch = self.router.feed.watch(self.topic, position, MAX_WATCH_WAIT);
+        let update = store_call::run(self.topic, CallReason::Watch, watch).await?;
+        if !update.changes.is_empty() {
+            return Ok(self.apply(update, started, ConfirmSource::Watch).await);
         }
-        router.cluster.replace(router.clock.now(), list.items.clone(), self.topic, UpdateOrigin::Store);
-        router.relay_publisher.publish(|| RelayFrame::Listed(self.topic, list.items));
+        // The store answers a watch without changes only when its wait is over.
+        let is_waited = started.elapsed() >= MAX_WATCH_WAIT;
+        let as_of = if is_waited { started + MAX_WATCH_WAIT } else { started };
+        self.confirm(update.position, as_of, ConfirmSource::Watch);
+        Ok(update.position)
     }
 
-    /// Applies a listing of servers or nodes and sends followers what was not known before.
-    fn apply_entries(&self, list: FeedList) {
-        let router = &self.router;
-        let known = KnownEntries::of(router).digest(router.cluster.version());
-        router.cluster.replace(router.clock.now(), list.items, self.topic, UpdateOrigin::Store);
-        router.relay_publisher.publish(|| {
-            RelayFrame::Snapshot(Box::new(RelaySnapshot::build(router, &KnownEntries::of(router), &known)))
-        });
+    /// Applies changes and waits a little, so that the next watch returns all changes of that time.
+    async fn apply(&self, update: FeedChanges, as_of: Instant, found_by: ConfirmSource) -> FeedPosition {
+        let position = update.position;
+        topic_update::apply_changes(&self.router, self.topic, update, found_by);
+        self.confirm(position, as_of, found_by);
+        tokio::time::sleep(self.coalescing_delay()).await;
+        position
     }
 
-    fn apply_evacuations(&self, list: EvacuationList) {
-        let router = &self.router;
-        router.cluster.offer_evacuations(router.clock.now(), list.clone(), UpdateOrigin::Store);
-        router.relay_publisher.publish(|| RelayFrame::Evacuations(list));
+    fn confirm(&self, position: FeedPosition, as_of: Instant, source: ConfirmSource) {
+        self.router.freshness.record(&ConfirmedAnswer { topic: self.topic, position, as_of, source });
     }
 
     /// How current the next listing must be. For crashes a stale listing loses nothing, since the watch continues from
@@ -204,46 +123,6 @@
         if self.may_be_stale { ListAge::MayBeStale } else { ListAge::Fresh }
     }
 
-    /// How long a watch waits in the store for changes. The watch of servers is renewed at the interval in the settings
-    /// and so detects silent connections for the other topics. Routes and evacuations choose their timeout from its
-    /// progress. Changes of nodes are not urgent, and crashes rely on the watch of servers, so both wait longest.
-    fn watch_wait(&self, position: FeedPosition) -> Duration {
-        match self.topic {
-            FeedTopic::Servers => self.router.settings.silence_within.0,
-            FeedTopic::Routes | FeedTopic::Evacuations => watch_timeout::choose_timeout(&self.watch_progress(position)),
-            FeedTopic::Nodes | FeedTopic::Crashes => watch_timeout::MAX_TIMEOUT,
-        }
-    }
-
-    fn watch_progress(&self, position: FeedPosition) -> WatchProgress {
-        let reported = self.router.reported_position.borrow().0;
-        WatchProgress {
-            topic_revision: position.0,
-            store_revision: reported,
-            silence_within: self.router.settings.silence_within.0,
-        }
-    }
-
-    /// Waits until a watch that has just started must be restarted because its connection may be silent.
-    async fn wait_overdue(&self, position: FeedPosition) {
-        let has_adaptive_timeout = matches!(self.topic, FeedTopic::Routes | FeedTopic::Evacuations);
-        let progress = self.watch_progress(position);
-        // A short watch ends by itself.
-        if !has_adaptive_timeout || watch_timeout::choose_timeout(&progress) <= progress.silence_within {
-            return std::future::pending().await;
-        }
-        tokio::time::sleep(progress.silence_within).await;
-        let mut reported = self.router.reported_position.subscribe();
-        let is_overdue = |reported: &FeedPosition| {
-            watch_timeout::is_overdue(
-                &WatchProgress { store_revision: reported.0, ..progress },
-                progress.silence_within,
-            )
-        };
-        // The sender lives as long as the router, so this cannot fail.
-        let _ = reported.wait_for(is_overdue).await;
-    }
-
     fn coalescing_delay(&self) -> Duration {
         match self.topic {
             FeedTopic::Routes | FeedTopic::Evacuations | FeedTopic::Crashes => Duration::ZERO,
@@ -254,19 +133,37 @@
 
     async fn list(&self) -> Result<FeedPosition, StoreError> {
         let router = &self.router;
-        let started = Instant::now();
-        let list = router.feed.list(self.topic, self.list_age());
-        let list = router.store_breaker.call(store_call::run(self.topic, self.list_reason, list)).await?;
+        let ask = || async {
+            let started = Instant::now();
+            let list = router.feed.list(self.topic, self.list_age());
+            Ok((store_call::run(self.topic, self.list_reason, list).await?, started))
+        };
+        let listing = async {
+            // At a start many nodes list everything at once, and the store is slow because of that.
+            if self.list_reason == CallReason::Begin {
+                return ask().await;
+            }
+            store_call::repeat_unanswered(router.check_schedule(self.topic).relist_after(), ask).await
+        };
+        let (list, as_of) = router.store_breaker.call(listing).await?;
         let position = list.position;
-        self.log_update(list.items.len(), position, ConfirmSource::Listing);
-        self.apply_list(list);
-        if !self.may_be_stale {
-            let source = ConfirmSource::Listing;
-            router.freshness.record(&ConfirmedAnswer { topic: self.topic, position, as_of: started, source });
-        }
+        topic_update::apply_list(router, self.topic, list);
+        // What a stale listing lacks is found by the watch and the check that follow it.
+        self.confirm(position, as_of, ConfirmSource::Listing);
         Ok(position)
     }
 
+    /// Continues from the position up to which a check has confirmed the topic, if that is later than the one of the
+    /// watch; returns whether it is. A watch may wait for longer than the store keeps its history.
+    fn skip_to_confirmed(&mut self) -> bool {
+        let confirmed = self.router.freshness.get(self.topic).position;
+        let is_later = self.position.is_some_and(|position| position < confirmed);
+        if is_later {
+            self.position = Some(confirmed);
+        }
+        is_later
+    }
+
     fn note_success(&mut self, position: FeedPosition) {
         if self.failures > 0 {
             tracing::info!(event = "feed_regained", topic = %self.topic, failures = self.failures);
@@ -277,7 +174,6 @@
             self.history_losses = 0;
         }
         self.position = Some(position);
-        self.router.note_reported_position(position);
         self.router.set_followed(self.topic, true);
     }
 
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -20,6 +21,10 @@
     Listing,
     /// A watch of the topic.
     Watch,
+    /// A check: a watch that does not wait.
+    Check,
+    /// The reader that this node follows.
+    Reader,
     /// An answer for another topic, which reported no later change.
     OtherTopic,
 }
@@ -31,6 +36,8 @@
             Self::None => "none",
             Self::Listing => "listing",
             Self::Watch => "watch",
+            Self::Check => "check",
+            Self::Reader => "reader",
             Self::OtherTopic => "other_topic",
         }
     }
@@ -62,6 +69,22 @@
     }
 }
 
+/// How old a node's knowledge of a topic is.
+#[derive(Debug, Clone, Copy, Encode, Decode)]
+pub struct TopicAge {
+    topic: FeedTopic,
+    /// The age in microseconds.
+    age_us: u64,
+}
+
+/// How old a node's knowledge of each topic is.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct FeedAges(Vec<TopicAge>);
+
+fn to_us(age: Duration) -> u64 {
+    u64::try_from(age.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// An answer of the store for one topic.
 #[derive(Debug, Clone, Copy)]
 pub struct ConfirmedAnswer {
@@ -102,6 +125,32 @@
         });
     }
 
+    /// The ages of all topics that were confirmed, for the nodes that follow this one.
+    pub fn ages(&self) -> FeedAges {
+        let topics = *self.0.borrow();
+        let age = |topic: FeedTopic| Some(TopicAge { topic, age_us: to_us(topics[topic as usize].age()?) });
+        FeedAges(FeedTopic::ALL.into_iter().filter_map(age).collect())
+    }
+
+    /// Records what a reader says of its own knowledge, which this node shares.
+    pub fn record_reader(&self, ages: &FeedAges) {
+        let now = Instant::now();
+        self.0.send_modify(|topics| {
+            for entry in &ages.0 {
+                let as_of = now.checked_sub(Duration::from_micros(entry.age_us));
+                if let Some(as_of) = as_of {
+                    topics[entry.topic as usize].confirm(as_of, ConfirmSource::Reader);
+                }
+            }
+        });
+    }
+
+    /// Records that this node's state now comes from a reader. The reader may be behind the position up to which this
+    /// node has read the store.
+    pub fn forget_positions(&self) {
+        self.0.send_modify(|topics| topics.iter_mut().for_each(|topic| topic.position = FeedPosition::default()));
+    }
+
     /// Waits until `is_met` holds for a topic.
     pub async fn wait_for(&self, topic: FeedTopic, is_met: impl Fn(&TopicFreshness) -> bool) {
         let mut changed = self.0.subscribe();
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -147,10 +147,20 @@
 }
 
 impl FeedTopic {
-    /// Whether this topic's watch waits so long that only the watch of servers shows in time that connections to the
-    /// store have stopped delivering.
-    pub fn relies_on_servers(self) -> bool {
-        matches!(self, Self::Routes | Self::Evacuations | Self::Crashes)
+    /// Whether a setting states the time within which changes must be known.
+    pub fn is_urgent(self) -> bool {
+        matches!(self, Self::Routes | Self::Servers | Self::Evacuations)
+    }
+
+    /// The place in the order in which topics are checked: those that callers depend on first.
+    pub fn check_rank(self) -> u32 {
+        match self {
+            Self::Routes => 0,
+            Self::Servers => 1,
+            Self::Evacuations => 2,
+            Self::Crashes => 3,
+            Self::Nodes => 4,
+        }
     }
 
     /// The name in metrics and logs.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller_body;
 mod caller_team;
 pub mod canary;
+pub mod catch_up;
 pub mod clock;
 pub mod cluster;
 mod cluster_parts;
@@ -67,6 +68,8 @@
 pub mod store_call;
 pub mod store_turn;
 pub mod task;
+mod topic_check;
+mod topic_update;
 pub mod usage;
 
 pub use router::{Router, RunningRouter};
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -16,14 +16,15 @@
 use crate::cluster::UpdateOrigin;
 use crate::evacuation::EvacuationList;
 use crate::feed;
+use crate::freshness::FeedAges;
 use crate::interface::{FeedChange, FeedItem, FeedTopic};
 use crate::listing::{KnownDigest, KnownEntries, RelaySnapshot};
 use crate::relay_service::known_entries;
 use crate::router::Router;
 
 /// The path of a subscription to store updates; the number is the version of the message format.
-pub const PATH_RELAY: &str = "/5/relay";
-/// The interval at which a reader without updates sends a heartbeat.
+pub const PATH_RELAY: &str = "/6/relay";
+/// The interval at which a reader sends a heartbeat.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// The time without any message after which a reader is abandoned: three heartbeats are missing. The departure of a
 /// server must be known within three seconds, which leaves as much time again to read the store.
@@ -73,8 +74,8 @@
     Changed(FeedTopic, Vec<FeedChange>),
     /// The full list of evacuated failure domains.
     Evacuations(EvacuationList),
-    /// No updates; the reader still follows the store.
-    Heartbeat,
+    /// The reader still follows the store, and how old its knowledge is.
+    Heartbeat(FeedAges),
     /// Sent before the snapshot: the reader does not follow the store yet but is about to.
     Starting,
 }
@@ -90,7 +91,7 @@
             Self::Listed(FeedTopic::Crashes, _) | Self::Changed(FeedTopic::Crashes, _) => "crashes",
             Self::Listed(FeedTopic::Evacuations, _) | Self::Changed(FeedTopic::Evacuations, _) => "evacuations",
             Self::Evacuations(_) => "evacuations",
-            Self::Heartbeat => "alive",
+            Self::Heartbeat(_) => "alive",
             Self::Starting => "starting",
         }
     }
@@ -280,6 +281,7 @@
         let Some(RelayFrame::Snapshot(snapshot)) = first else { return Err(RelayError::NoSnapshot) };
         let received =
             snapshot.sections.iter().filter_map(|section| section.servers.as_ref()).map(Vec::len).sum::<usize>();
+        router.freshness.forget_positions();
         apply_frame(router, RelayFrame::Snapshot(snapshot));
         let servers = router.cluster.count_servers();
         tracing::info!(event = "reader_followed", reader = %entry.node, servers, news = received);
@@ -336,7 +338,7 @@
 
 /// Applies a message of a reader and sends it to the nodes that follow this one.
 fn apply_frame(router: &Router, frame: RelayFrame) {
-    let is_update = !matches!(frame, RelayFrame::Heartbeat | RelayFrame::Starting);
+    let is_update = !matches!(frame, RelayFrame::Heartbeat(_) | RelayFrame::Starting);
     let copy = is_update.then(|| frame.clone());
     match frame {
         RelayFrame::Snapshot(snapshot) => apply_snapshot(router, *snapshot),
@@ -345,7 +347,8 @@
             router.cluster.apply(router.clock.now(), changes, topic, UpdateOrigin::Reader);
         }
         RelayFrame::Evacuations(list) => apply_evacuations(router, list),
-        RelayFrame::Heartbeat | RelayFrame::Starting => {}
+        RelayFrame::Heartbeat(ages) => router.freshness.record_reader(&ages),
+        RelayFrame::Starting => {}
     }
     if let Some(copy) = copy {
         router.relay_publisher.publish(|| copy);
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -9,6 +9,7 @@
 use http::Response;
 use streamfold_link::{PeerError, encode_frame, refuse, send_frame};
 use tokio::sync::broadcast;
+use tokio::time::MissedTickBehavior;
 
 use crate::listing::{KnownDigest, KnownEntries, RelaySnapshot};
 use crate::relay::{FeedSource, HEARTBEAT_INTERVAL, RelayFrame, RelayRequest};
@@ -106,17 +107,21 @@
     updates: &mut broadcast::Receiver<Bytes>,
     stream: &mut SendStream<Bytes>,
 ) -> Result<(), PeerError> {
-    let heartbeat = encode_frame(&RelayFrame::Heartbeat)?;
+    // The first heartbeat is sent at once, so that the follower knows how old the snapshot is.
+    let mut heartbeats = tokio::time::interval(HEARTBEAT_INTERVAL);
+    heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changed = router.feed_changed.subscribe();
     let mut phase = router.phase.subscribe();
     while is_reader(router) {
         let frame = tokio::select! {
+            // Updates come first: a heartbeat must not confirm what the follower has not received.
+            biased;
             frame = updates.recv() => match frame {
                 Ok(frame) => frame,
                 // The follower lags too far behind and has to subscribe again.
                 Err(_) => break,
             },
-            () = tokio::time::sleep(HEARTBEAT_INTERVAL) => heartbeat.clone(),
+            _ = heartbeats.tick() => encode_frame(&RelayFrame::Heartbeat(router.freshness.ages()))?,
             _ = changed.changed() => continue,
             _ = phase.changed() => continue,
             _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -9,6 +9,7 @@
 use streamfold_model::{Incarnation, NodeEntry, TableVersion};
 use streamfold_policy::batch_gate::BatchGate;
 use streamfold_policy::extra_budget::ExtraLimits;
+use streamfold_policy::feed_checks::CheckSchedule;
 use streamfold_policy::{Mechanism, Moment};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
@@ -19,7 +20,7 @@
 use crate::cluster_view::{ClusterView, Service};
 use crate::entry::EntryControl;
 use crate::freshness::FreshnessTable;
-use crate::interface::{CallFormat, ClusterFeed, FeedPosition, FeedTopic};
+use crate::interface::{CallFormat, ClusterFeed, FeedTopic};
 use crate::relay::FeedSource;
 use crate::relay_service::RelayPublisher;
 use crate::settings::RouterSettings;
@@ -75,8 +76,6 @@
     pub newer_routes: Notify,
     /// How long the machine was suspended, by the last check. State from before a suspension is stale.
     pub(crate) suspended_for: watch::Sender<Duration>,
-    /// The newest position in the store's history that any of its answers has reported.
-    pub(crate) reported_position: watch::Sender<FeedPosition>,
     /// How current the knowledge of each topic is.
     pub freshness: FreshnessTable,
     /// Notified when nodes were listed, so that links to them are opened.
@@ -174,7 +173,6 @@
             newer_routes: Notify::new(),
             nodes_listed: Notify::new(),
             suspended_for: watch::Sender::new(Duration::ZERO),
-            reported_position: watch::Sender::new(FeedPosition::default()),
             freshness: FreshnessTable::default(),
             reported_version: AtomicU64::new(0),
             source: watch::Sender::new(FeedSource::Undecided),
@@ -278,20 +276,21 @@
         }
     }
 
-    /// Records the history position that an answer of the store reported.
-    pub(crate) fn note_reported_position(&self, position: FeedPosition) {
-        self.reported_position.send_if_modified(|reported| {
-            let is_newer = position > *reported;
-            *reported = position.max(*reported);
-            is_newer
-        });
-    }
-
     /// Whether another node has reported newer routes than those in force here.
     pub fn is_behind(&self) -> bool {
         self.reported_version.load(Ordering::Relaxed) > self.cluster.version().0
     }
 
+    /// Forgets the route version that another node reported, after this node has read the current one from the store.
+    pub(crate) fn forget_reported_version(&self) {
+        self.reported_version.store(0, Ordering::Relaxed);
+    }
+
+    /// When a topic's state is checked at the store.
+    pub(crate) fn check_schedule(&self, topic: FeedTopic) -> CheckSchedule {
+        CheckSchedule { known_within: self.settings.known_within(topic), rank: topic.check_rank() }
+    }
+
     /// Sets where store updates come from.
     pub fn set_source(&self, source: FeedSource) {
         let before = self.source.send_replace(source);
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -13,7 +13,8 @@
 use crate::settings::RouterSettings;
 use crate::task::NodeTasks;
 use crate::{
-    feed, front, knowledge, liveness_probe, look_around, node_sweep, peer_service, peers, ready, relay, shortage,
+    catch_up, feed, front, knowledge, liveness_probe, look_around, node_sweep, peer_service, peers, ready, relay,
+    shortage,
 };
 
 /// Interval at which doubtful servers and idle connections are checked.
@@ -59,7 +60,9 @@
         tasks.start("feed", move |router| feed::follow(router, topic));
     }
     tasks.start("join", join_cluster);
-    tasks.start("catch_up", feed::catch_up);
+    for topic in router.topics().filter(|topic| topic.is_urgent()) {
+        tasks.start("catch_up", move |router| catch_up::run(router, topic));
+    }
     tasks.start("peers", move |router| peer_service::serve(router, peers_listener.clone()));
     tasks.start("links", peers::keep_connected);
     tasks.start("signs", liveness_probe::run);
--- a/crates/router/src/store_call.rs
+++ b/crates/router/src/store_call.rs
@@ -1,7 +1,7 @@
 //! Calls to the platform's store by reason. Every call is charged for, so each is counted and logged with its reason.
 
 use std::future::Future;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use streamfold_store::StoreError;
 
@@ -18,6 +18,10 @@
     HistoryGone,
     /// It waits for changes.
     Watch,
+    /// It has not confirmed a topic for long.
+    Check,
+    /// The reader that it follows has not confirmed a topic for long.
+    Overdue,
     /// It is starting and discovers the other nodes.
     LookAround,
     /// Another node has newer routes that have not arrived here.
@@ -40,6 +44,8 @@
             Self::AfterFailure => "after_failure",
             Self::HistoryGone => "history_gone",
             Self::Watch => "watch",
+            Self::Check => "check",
+            Self::Overdue => "overdue",
             Self::LookAround => "look_around",
             Self::Behind => "behind",
             Self::Register => "register",
@@ -64,15 +70,43 @@
     let result = call.await;
     let outcome = result.as_ref().map_or_else(name_failure, |_| "answered");
     let took_ms = started.elapsed().as_millis() as u64;
+    // Successful watches and checks are logged at debug level, since readers make them all the time.
+    let is_routine = matches!(reason, CallReason::Watch | CallReason::Check);
     let reason = reason.name();
-    // Successful watches are logged at debug level, since readers watch all the time.
-    match result.is_ok() && reason == CallReason::Watch.name() {
+    match result.is_ok() && is_routine {
         true => tracing::debug!(event = "store_asked", topic = %topic, reason, outcome, took_ms),
         false => tracing::info!(event = "store_asked", topic = %topic, reason, outcome, took_ms),
     }
     result
 }
 
+/// Makes a call, and once more if it is not answered after `repeat_after`, since an answer may be lost without an error;
+/// returns the first answer.
+///
+/// # Errors
+/// Those of the call; a lost answer only if the other call has none either.
+pub(crate) async fn repeat_unanswered<T, F>(repeat_after: Duration, call: impl Fn() -> F) -> Result<T, StoreError>
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    let mut first = std::pin::pin!(call());
+    tokio::select! {
+        result = &mut first => return result,
+        () = tokio::time::sleep(repeat_after) => {}
+    }
+    let mut second = std::pin::pin!(call());
+    tokio::select! {
+        result = &mut first => match result {
+            Err(StoreError::AnswerLost) => second.await,
+            result => result,
+        },
+        result = &mut second => match result {
+            Err(StoreError::AnswerLost) => first.await,
+            result => result,
+        },
+    }
+}
+
 fn name_failure(error: &StoreError) -> &'static str {
     match error {
         StoreError::Unavailable(_) | StoreError::Unreachable => "refused",
--- a/crates/router/tests/change_not_in_force_in_time.rs
+++ b/crates/router/tests/change_not_in_force_in_time.rs
@@ -4,14 +4,17 @@
 mod fakes;
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
-use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table};
-use streamfold_model::{FailureDomain, TableVersion, TimeSpan};
+use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
+use streamfold_model::{FailureDomain, Incarnation, NodeEntry, TableVersion, TimeSpan};
 use streamfold_router::interface::{
     FeedChange, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic, RemovedEntry,
 };
+use streamfold_router::relay::FeedSource;
 use streamfold_router::settings::KeySettings;
 use streamfold_router::{Router, RouterSettings, RunningRouter, router_start};
 use streamfold_store::StoreError;
@@ -49,6 +52,10 @@
     fn settings(self, name: &str, cpu_share: f64) -> RouterSettings {
         let span = |ms| TimeSpan(Duration::from_millis(ms));
         let mut settings = make_settings(name, cpu_share);
+        let ip = next_address();
+        for address in [&mut settings.callers, &mut settings.ready, &mut settings.peers, &mut settings.metrics] {
+            address.set_ip(ip);
+        }
         settings.routes_within = span(self.routes_ms);
         settings.drained_within = span(self.drain_ms);
         settings.silence_within = span(self.contact_ms);
@@ -68,6 +75,15 @@
     StatedBounds { drain_ms: 12_000, ..StatedBounds::new(1_000, 20_000) },
 ];
 
+/// A loopback address that no other node of this test has: with some hundred nodes, random ones meet.
+fn next_address() -> IpAddr {
+    static NETWORK: OnceLock<(u8, u8)> = OnceLock::new();
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let (second, third) = *NETWORK.get_or_init(|| (rand::random(), rand::random_range(16..=240)));
+    let [high, low] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    IpAddr::from([127, second, third + high, low])
+}
+
 /// Calls that are never answered.
 #[derive(Debug, Clone)]
 struct LostCalls {
@@ -120,7 +136,7 @@
         tokio::time::sleep(ANSWER_DELAY).await;
         let lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if lost.is_some_and(|lost| lost.topics.contains(&topic) && started < lost.before) {
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 }
@@ -259,3 +275,79 @@
     }
     assert!(late.is_empty(), "{} changes were not in force in time, the first: {}", late.len(), late[0]);
 }
+
+fn entry(settings: &RouterSettings) -> FeedItem {
+    FeedItem::Node(NodeEntry {
+        node: settings.node.clone(),
+        incarnation: Incarnation(1),
+        domain: settings.failure_domain.clone(),
+        peer_address: settings.peers,
+        cpu_share: settings.core_share(),
+    })
+}
+
+/// A node that reads the store and one that follows it.
+struct FollowedNode {
+    store: Arc<SharedStore>,
+    reader: TestNode,
+    follower: TestNode,
+}
+
+impl FollowedNode {
+    async fn start(bounds: StatedBounds) -> Self {
+        let store = SharedStore::new();
+        let settings = [bounds.settings("strong", 1.0), bounds.settings("weak", 0.2)];
+        let mut nodes: Vec<FeedItem> = settings.iter().map(entry).collect();
+        // With fewer nodes no node follows another. These two do not exist.
+        let unused = SocketAddr::from(([127, 0, 0, 1], 9));
+        nodes.extend(["away-0", "away-1"].map(|name| {
+            let mut away = settings[1].clone();
+            away.node = name.parse().expect("a name");
+            away.peers = unused;
+            away.cpu_share = None;
+            entry(&away)
+        }));
+        store.0.send_modify(|state| state.nodes = nodes);
+        let [strong, weak] = settings;
+        let reader = TestNode::start(strong, &store).await;
+        wait_version(reader.router(), 1).await;
+        let follower = TestNode::start(weak, &store).await;
+        wait_version(follower.router(), 1).await;
+        let follows = || *follower.router().source.borrow() == FeedSource::Relay;
+        time_until(START_TIME, follows).await.expect("a node that follows the other one");
+        Self { store, reader, follower }
+    }
+
+    /// Changes the routes and returns whether the follower has them in force in time.
+    async fn change_in_time(&self) -> bool {
+        self.store.change(FeedTopic::Routes);
+        let version = TableVersion(self.store.0.borrow().version);
+        let router = self.follower.router();
+        let bound = router.settings.known_within(FeedTopic::Routes);
+        time_until(bound - APPLY_TIME, || router.cluster.version() == version).await.is_some()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_after_lost_watches_of_the_reader_is_in_force_at_a_follower_in_time() {
+    for bounds in BOUNDS {
+        for moment in moments().step_by(4) {
+            let nodes = FollowedNode::start(bounds).await;
+            nodes.reader.lose(&FeedTopic::ALL, SILENCE);
+            tokio::time::sleep(SILENCE + moment).await;
+            assert!(nodes.change_in_time().await, "after {moment:?}, {bounds:?}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_at_a_follower_in_time_while_its_reader_hears_nothing_of_the_store() {
+    for bounds in BOUNDS {
+        for moment in moments().step_by(4) {
+            let nodes = FollowedNode::start(bounds).await;
+            nodes.reader.lose(&FeedTopic::ALL, LAST_MOMENT * 2);
+            tokio::time::sleep(moment).await;
+            assert!(nodes.change_in_time().await, "after {moment:?}, {bounds:?}");
+        }
+    }
+}
--- a/crates/router/tests/late_routes.rs
+++ b/crates/router/tests/late_routes.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
-use streamfold_model::{CoreShare, Incarnation, NodeEntry, TableVersion};
+use streamfold_model::{CoreShare, Incarnation, NodeEntry, TableVersion, TimeSpan};
 use streamfold_router::interface::{FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic};
 use streamfold_router::router_start;
 use streamfold_store::StoreError;
@@ -51,7 +51,11 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn routes_read_from_the_store_after_a_lag_reach_followers() {
-    let (strong, weak) = (make_settings("strong", 1.0), make_settings("weak", 0.2));
+    let (mut strong, mut weak) = (make_settings("strong", 1.0), make_settings("weak", 0.2));
+    // The routes arrive by the read that the lag causes, and not by one that is due because nothing confirmed them.
+    for settings in [&mut strong, &mut weak] {
+        settings.routes_within = TimeSpan(Duration::from_secs(600));
+    }
     let mut nodes =
         vec![entry("strong", strong.peers, strong.core_share()), entry("weak", weak.peers, weak.core_share())];
     // With fewer nodes no node follows another. These two do not exist.
--- a/crates/router/tests/quiet_watches.rs
+++ b/crates/router/tests/quiet_watches.rs
@@ -1,5 +1,5 @@
-//! A topic that rarely changes has a watch with a long timeout, which is restarted when the watch of servers reports
-//! that the store has changed. Restarting every watch every few seconds instead, because a connection to the store may
+//! A watch has a long wait, and a topic whose watch may be silent is checked by a short call. While nothing changes, one
+//! check confirms all topics. Restarting every watch every few seconds instead, because a connection to the store may
 //! become silent for good, wastes calls: of 294 calls on a day without faults nearly all returned no change.
 
 mod fakes;
@@ -10,20 +10,23 @@
 
 use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
 use streamfold_model::TimeSpan;
+use streamfold_policy::feed_checks::CHECK_WAIT;
 use streamfold_router::interface::{FeedChange, FeedChanges, FeedFuture, FeedList, FeedPosition, FeedTopic};
 use streamfold_router::router_start;
 use streamfold_store::StoreError;
 
-/// How long a watch may be silent while the topic may have changed.
-const SILENCE: Duration = Duration::from_millis(20);
+/// The time within which changes must be known.
+const BOUND: Duration = Duration::from_secs(4);
+/// How long nothing changes.
+const QUIET_TIME: Duration = Duration::from_secs(40);
 
-/// A store whose first watch of the routes never returns. Every change is a route table whose version is the number of
-/// changes.
+/// A store whose watches never return. Every change is a route table whose version is the number of changes.
 #[derive(Default)]
 struct SilentTopics {
     changes: AtomicU64,
+    watches: AtomicU64,
     route_watches: AtomicU64,
-    server_watches: AtomicU64,
+    checks: AtomicU64,
 }
 
 impl SilentTopics {
@@ -31,9 +34,10 @@
         FeedPosition(self.changes.load(Ordering::Relaxed))
     }
 
-    fn changes_after(&self, position: FeedPosition) -> FeedChanges {
+    fn changes_after(&self, topic: FeedTopic, position: FeedPosition) -> FeedChanges {
         let last = self.position();
-        let changes = if last > position { vec![FeedChange::Put(make_table(last.0))] } else { Vec::new() };
+        let is_changed = topic == FeedTopic::Routes && last > position;
+        let changes = if is_changed { vec![FeedChange::Put(make_table(last.0))] } else { Vec::new() };
         FeedChanges { changes, position: last }
     }
 }
@@ -49,36 +53,34 @@
     }
 
     fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges> {
-        match topic {
-            FeedTopic::Routes if self.route_watches.fetch_add(1, Ordering::Relaxed) == 0 => {
-                Box::pin(std::future::pending())
-            }
-            FeedTopic::Routes => Box::pin(async move {
-                let update = self.changes_after(after);
-                tokio::time::sleep(if update.changes.is_empty() { wait } else { Duration::ZERO }).await;
-                Ok(update)
-            }),
-            FeedTopic::Servers => Box::pin(async move {
-                tokio::time::sleep(wait).await;
-                self.server_watches.fetch_add(1, Ordering::Relaxed);
-                Ok(FeedChanges { changes: Vec::new(), position: self.position() })
-            }),
-            FeedTopic::Nodes | FeedTopic::Evacuations | FeedTopic::Crashes => Box::pin(std::future::pending()),
+        if wait == CHECK_WAIT {
+            self.checks.fetch_add(1, Ordering::Relaxed);
+            return Box::pin(std::future::ready(Ok(self.changes_after(topic, after))));
         }
+        self.watches.fetch_add(1, Ordering::Relaxed);
+        if topic == FeedTopic::Routes {
+            self.route_watches.fetch_add(1, Ordering::Relaxed);
+        }
+        Box::pin(std::future::pending())
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_silent_watch_of_routes_is_restarted_only_after_another_watch_reports_a_change() {
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_of_routes_is_restarted_only_after_a_check_finds_a_change() {
     let mut settings = make_settings("own", 1.0);
-    settings.silence_within = TimeSpan(SILENCE);
+    settings.routes_within = TimeSpan(BOUND);
+    settings.drained_within = TimeSpan(BOUND);
+    settings.silence_within = TimeSpan(BOUND);
     let feed = Arc::new(FakeFeed(SilentTopics { changes: AtomicU64::new(1), ..SilentTopics::default() }));
     let running = router_start::start(settings, Arc::new(NoFormat), feed.clone(), String::new).await.expect("a node");
     wait_version(&running.router, 1).await;
-    while feed.0.server_watches.load(Ordering::Relaxed) < 10 {
-        tokio::time::sleep(SILENCE).await;
-    }
-    assert_eq!(feed.0.route_watches.load(Ordering::Relaxed), 1, "nothing has changed");
+    tokio::time::sleep(QUIET_TIME).await;
+    let count = |calls: &AtomicU64| calls.load(Ordering::Relaxed);
+    assert_eq!(count(&feed.0.watches), 4, "nothing has changed, so one watch of each topic is enough");
+    let checks = u64::try_from(QUIET_TIME.as_millis() * 2 / BOUND.as_millis()).expect("a number of checks");
+    assert!(count(&feed.0.checks) <= checks, "one check confirms all topics, not {}", count(&feed.0.checks));
     feed.0.changes.store(2, Ordering::Relaxed);
+    tokio::time::sleep(BOUND).await;
     wait_version(&running.router, 2).await;
+    assert_eq!(count(&feed.0.route_watches), 2, "the silent watch is restarted once");
 }
