The test of lost watches covers every topic: leaving servers, nodes, crashing contents, evacuations, keys

The same cause elsewhere: the topics share the watch, so each is changed after lost watches, and its change has to be known in the time stated for it (twice silence_within for nodes and crashing contents, which have none of their own; the shorter of routes_within and keys.within for the document that holds the keys).

--- a/crates/router/tests/change_not_in_force_in_time.rs
+++ b/crates/router/tests/change_not_in_force_in_time.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
-use streamfold_model::{FailureDomain, Incarnation, NodeEntry, TableVersion, TimeSpan};
+use streamfold_model::{
+    CrashEntry, FailureDomain, Incarnation, NodeEntry, ServerEntry, ServerRun, ServerStart, TableVersion, TimeSpan,
+};
 use streamfold_router::interface::{
     FeedChange, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic, RemovedEntry,
 };
@@ -101,6 +103,8 @@
     version: u64,
     nodes: Vec<FeedItem>,
     is_evacuated: bool,
+    is_draining: bool,
+    has_crash: bool,
 }
 
 /// A store that all nodes of a test share.
@@ -118,7 +122,9 @@
             match topic {
                 FeedTopic::Routes => state.version += 1,
                 FeedTopic::Evacuations => state.is_evacuated = true,
-                FeedTopic::Servers | FeedTopic::Nodes | FeedTopic::Crashes => {}
+                FeedTopic::Servers => state.is_draining = true,
+                FeedTopic::Nodes => state.nodes.push(other_node()),
+                FeedTopic::Crashes => state.has_crash = true,
             }
         });
     }
@@ -145,12 +151,52 @@
     "zone-b".parse().expect("a failure domain")
 }
 
+/// The run of a server that leaves.
+fn server_run() -> ServerRun {
+    ServerRun { id: "i-1".parse().expect("a server"), start: ServerStart(1) }
+}
+
+fn server(is_draining: bool) -> FeedItem {
+    let run = server_run();
+    FeedItem::Server(ServerEntry {
+        id: run.id,
+        start: run.start,
+        service: "cart".parse().expect("a service"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        domain: domain(),
+        slots: 1,
+        is_draining,
+        warmup: Duration::ZERO,
+    })
+}
+
+/// A node that registers in the test, in another failure domain.
+fn other_node() -> FeedItem {
+    FeedItem::Node(NodeEntry {
+        node: "other".parse().expect("a name"),
+        incarnation: Incarnation(1),
+        domain: domain(),
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        cpu_share: None,
+    })
+}
+
+/// A content that crashed a server.
+const CONTENT: &str = "00000000000000000000000000000001";
+
+fn crash() -> FeedItem {
+    let content = CONTENT.parse().expect("a content");
+    FeedItem::Crash(CrashEntry { content, crashed: vec![server_run()], trials: 0 })
+}
+
 fn items(state: &StoreState, topic: FeedTopic) -> Vec<FeedItem> {
     match topic {
         FeedTopic::Routes => vec![make_table(state.version)],
         FeedTopic::Nodes => state.nodes.clone(),
         FeedTopic::Evacuations if state.is_evacuated => vec![FeedItem::Evacuation(domain())],
-        FeedTopic::Servers | FeedTopic::Evacuations | FeedTopic::Crashes => Vec::new(),
+        FeedTopic::Servers => vec![server(state.is_draining)],
+        FeedTopic::Crashes if state.has_crash => vec![crash()],
+        FeedTopic::Evacuations | FeedTopic::Crashes => Vec::new(),
     }
 }
 
@@ -211,8 +257,17 @@
         *self.lost.lock().unwrap_or_else(PoisonError::into_inner) = Some(lost);
     }
 
-    fn is_evacuated(&self) -> bool {
-        self.router().cluster.evacuations().is_some_and(|list| list.domains.contains(&domain()))
+    /// Whether the last change of a topic is in force.
+    fn is_in_force(&self, topic: FeedTopic, version: TableVersion) -> bool {
+        let router = self.router();
+        let cluster = &router.cluster;
+        match topic {
+            FeedTopic::Routes => cluster.version() == version,
+            FeedTopic::Evacuations => cluster.evacuations().is_some_and(|list| list.domains.contains(&domain())),
+            FeedTopic::Servers => cluster.entries(router.clock.now()).0.iter().any(|server| server.is_draining),
+            FeedTopic::Nodes => cluster.has_node(&"other".parse().expect("a name")),
+            FeedTopic::Crashes => !cluster.quarantine.crashed(CONTENT.parse().expect("a content")).is_empty(),
+        }
     }
 }
 
@@ -232,8 +287,15 @@
     (0..).map(|step| MOMENT_STEP * step).take_while(|moment| *moment <= LAST_MOMENT)
 }
 
-const ALL_BUT_NONE: [&[FeedTopic]; 4] =
-    [&[FeedTopic::Routes], &[FeedTopic::Evacuations], &[FeedTopic::Routes, FeedTopic::Servers], &FeedTopic::ALL];
+/// The topics whose calls are lost together.
+const LOST_TOPICS: [&[FeedTopic]; 6] = [
+    &[FeedTopic::Routes],
+    &[FeedTopic::Servers],
+    &[FeedTopic::Evacuations],
+    &[FeedTopic::Nodes, FeedTopic::Crashes],
+    &[FeedTopic::Routes, FeedTopic::Servers],
+    &FeedTopic::ALL,
+];
 
 /// Loses the calls of some topics just after a change, makes another change at a later moment, and returns whether that
 /// one was in force in time.
@@ -249,19 +311,15 @@
     store.change(changed);
     let bound = node.router().settings.known_within(changed);
     let version = TableVersion(store.0.borrow().version);
-    let is_met = || match changed {
-        FeedTopic::Evacuations => node.is_evacuated(),
-        _ => node.router().cluster.version() == version,
-    };
-    time_until(bound - APPLY_TIME, is_met).await.is_some()
+    time_until(bound - APPLY_TIME, || node.is_in_force(changed, version)).await.is_some()
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_change_after_lost_watches_is_in_force_in_time() {
     let mut late = Vec::new();
     for bounds in BOUNDS {
-        for lost in ALL_BUT_NONE {
-            for changed in [FeedTopic::Routes, FeedTopic::Evacuations] {
+        for lost in LOST_TOPICS {
+            for changed in FeedTopic::ALL {
                 if changed == FeedTopic::Evacuations && bounds.evacuated_ms.is_none() {
                     continue;
                 }
