Keys count as unconfirmed since their last confirmation

What callers saw: with strict keys a taken key had force for up to twice the stated time after the store's answers were lost without an error. Cause: that time began when the node noticed the loss, which is as old as its knowledge may become. Test: unconfirmed_keys, 31 us before where 400 ms are the least, passes now.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -107,7 +107,7 @@
 struct FeedState {
     is_listed: AtomicBool,
     is_followed: AtomicBool,
-    /// When the topic was last followed, in microseconds on the node clock. Only valid while it is not followed.
+    /// When the topic was last confirmed before it was lost, in microseconds on the node clock. Only valid while it is not followed.
     followed_until: AtomicU64,
 }
 
@@ -215,7 +215,9 @@
         let state = &self.feeds[topic as usize];
         let was_followed = state.is_followed.swap(is_followed, Ordering::Relaxed);
         if was_followed && !is_followed {
-            state.followed_until.store(self.clock.now().0, Ordering::Relaxed);
+            // What the topic lacks may be as old as its last confirmation.
+            let age = self.freshness.get(topic).age().unwrap_or_default();
+            state.followed_until.store(self.clock.now().minus(age).0, Ordering::Relaxed);
         }
         if is_followed {
             self.set_listed(topic);
