--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -54,8 +54,8 @@
     /// How long a node of the failure domain must be unreachable until its entry is removed.
     #[serde(default = "default_gone_after")]
     pub gone_after: TimeSpan,
-    /// How long a watch of servers or routes waits in the store. A connection to the store may become silent for good
-    /// without a reset, even while keep-alive probes are answered, and only a watch that does not end shows this.
+    /// How long a node may hear nothing of other nodes and of contents that crash servers until it asks the store. A
+    /// connection to the store may become silent for good without a reset, even while keep-alive probes are answered.
     #[serde(default = "default_silence_within")]
     pub silence_within: TimeSpan,
     /// How soon a confirmed change of the routes must be in force at every node.
