--- a/crates/router/src/listing.rs
+++ b/crates/router/src/listing.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::evacuation::EvacuationList;
+use crate::freshness::FeedAges;
 use crate::router::Router;
 
 /// The digest of a node's entries of one failure domain. Equal digests stand for equal entries.
@@ -51,6 +52,8 @@
     pub evacuations: Option<EvacuationList>,
     /// Request contents that crashed servers.
     pub crashes: Vec<CrashEntry>,
+    /// How old the sender's knowledge is. A follower that learned it later would read every topic itself at once.
+    pub ages: FeedAges,
 }
 
 /// The entries of one failure domain with their digest.
@@ -142,6 +145,7 @@
             sections: entries.sections_for(known),
             evacuations: router.cluster.evacuations(),
             crashes: router.cluster.quarantine.entries(),
+            ages: router.freshness.ages(),
         }
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -324,6 +324,7 @@
     apply_topic(router, FeedTopic::Nodes, nodes);
     let table = snapshot.table.map(Box::new).map(FeedItem::Routes);
     apply_topic(router, FeedTopic::Routes, table.into_iter().collect());
+    router.freshness.record_reader(&snapshot.ages);
 }
 
 fn apply_topic(router: &Router, topic: FeedTopic, items: Vec<FeedItem>) {
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -9,7 +9,7 @@
 use http::Response;
 use streamfold_link::{PeerError, encode_frame, refuse, send_frame};
 use tokio::sync::broadcast;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::listing::{KnownDigest, KnownEntries, RelaySnapshot};
 use crate::relay::{FeedSource, HEARTBEAT_INTERVAL, RelayFrame, RelayRequest};
@@ -107,8 +107,7 @@
     updates: &mut broadcast::Receiver<Bytes>,
     stream: &mut SendStream<Bytes>,
 ) -> Result<(), PeerError> {
-    // The first heartbeat is sent at once, so that the follower knows how old the snapshot is.
-    let mut heartbeats = tokio::time::interval(HEARTBEAT_INTERVAL);
+    let mut heartbeats = tokio::time::interval_at(Instant::now() + HEARTBEAT_INTERVAL, HEARTBEAT_INTERVAL);
     heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changed = router.feed_changed.subscribe();
     let mut phase = router.phase.subscribe();
