--- a/crates/router/tests/change_not_in_force_in_time.rs
+++ b/crates/router/tests/change_not_in_force_in_time.rs
@@ -134,6 +134,8 @@
 struct LossyTopics {
     store: Arc<SharedStore>,
     lost: Arc<Mutex<Option<LostCalls>>>,
+    /// Number of listings and watches.
+    calls: Arc<AtomicU16>,
 }
 
 impl LossyTopics {
@@ -202,6 +204,7 @@
 
 impl FakeTopics for LossyTopics {
     fn list(&self, topic: FeedTopic) -> Result<FeedList, StoreError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         Ok(self.list_one_page(topic))
     }
 
@@ -211,6 +214,7 @@
     }
 
     fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
             let started = Instant::now();
             let mut states = self.store.0.subscribe();
@@ -236,15 +240,17 @@
 struct TestNode {
     running: RunningRouter,
     lost: Arc<Mutex<Option<LostCalls>>>,
+    calls: Arc<AtomicU16>,
 }
 
 impl TestNode {
     async fn start(settings: RouterSettings, store: &Arc<SharedStore>) -> Self {
         let lost = Arc::new(Mutex::new(None));
-        let topics = LossyTopics { store: store.clone(), lost: lost.clone() };
+        let calls = Arc::new(AtomicU16::new(0));
+        let topics = LossyTopics { store: store.clone(), lost: lost.clone(), calls: calls.clone() };
         let feed = Arc::new(FakeFeed(topics));
         let running = router_start::start(settings, Arc::new(NoFormat), feed, String::new).await.expect("a node");
-        Self { running, lost }
+        Self { running, lost, calls }
     }
 
     fn router(&self) -> &Router {
@@ -409,3 +415,14 @@
         }
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_follower_of_a_node_that_hears_the_store_asks_nothing_itself() {
+    for bounds in [BOUNDS[0], BOUNDS[2], BOUNDS[4]] {
+        let nodes = FollowedNode::start(bounds).await;
+        let before = nodes.follower.calls.load(Ordering::Relaxed);
+        tokio::time::sleep(LAST_MOMENT).await;
+        assert_eq!(nodes.follower.calls.load(Ordering::Relaxed), before, "{bounds:?}");
+        assert!(nodes.change_in_time().await, "{bounds:?}");
+    }
+}
