--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -107,7 +107,8 @@
 struct FeedState {
     is_listed: AtomicBool,
     is_followed: AtomicBool,
-    /// When the topic was last confirmed before it was lost, in microseconds on the node clock. Only valid while it is not followed.
+    /// When the topic was last confirmed before it was lost, in microseconds on the node clock. Only valid while it is
+    /// not followed.
     followed_until: AtomicU64,
 }
 
--- a/crates/router/src/topic_check.rs
+++ b/crates/router/src/topic_check.rs
@@ -1,5 +1,5 @@
-//! Asks the store for changes of a topic that its watch did not deliver. A watch that is lost without an error looks like
-//! one that waits for changes.
+//! Asks the store for changes of a topic that its watch did not deliver. A watch that is lost without an error looks
+//! like one that waits for changes.
 
 use std::time::Duration;
 
