--- a/crates/router/tests/quiet_watches.rs
+++ b/crates/router/tests/quiet_watches.rs
@@ -27,16 +27,20 @@
     watches: AtomicU64,
     route_watches: AtomicU64,
     checks: AtomicU64,
+    route_checks: AtomicU64,
+    /// Number of changes of topics that are not tested.
+    other_changes: AtomicU64,
 }
 
 impl SilentTopics {
     fn position(&self) -> FeedPosition {
-        FeedPosition(self.changes.load(Ordering::Relaxed))
+        FeedPosition(self.changes.load(Ordering::Relaxed) + self.other_changes.load(Ordering::Relaxed))
     }
 
     fn changes_after(&self, topic: FeedTopic, position: FeedPosition) -> FeedChanges {
         let last = self.position();
-        let is_changed = topic == FeedTopic::Routes && last > position;
+        let is_busy = self.other_changes.load(Ordering::Relaxed) > 0;
+        let is_changed = topic == FeedTopic::Routes && !is_busy && last > position;
         let changes = if is_changed { vec![FeedChange::Put(make_table(last.0))] } else { Vec::new() };
         FeedChanges { changes, position: last }
     }
@@ -55,6 +59,9 @@
     fn watch(&self, topic: FeedTopic, after: FeedPosition, wait: Duration) -> FeedFuture<'_, FeedChanges> {
         if wait == CHECK_WAIT {
             self.checks.fetch_add(1, Ordering::Relaxed);
+            if topic == FeedTopic::Routes {
+                self.route_checks.fetch_add(1, Ordering::Relaxed);
+            }
             return Box::pin(std::future::ready(Ok(self.changes_after(topic, after))));
         }
         self.watches.fetch_add(1, Ordering::Relaxed);
@@ -84,3 +91,20 @@
     wait_version(&running.router, 2).await;
     assert_eq!(count(&feed.0.route_watches), 2, "the silent watch is restarted once");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_topic_costs_one_check_in_half_of_its_time_while_other_topics_change_all_the_time() {
+    let mut settings = make_settings("own", 1.0);
+    settings.routes_within = TimeSpan(BOUND);
+    let feed = Arc::new(FakeFeed(SilentTopics { changes: AtomicU64::new(1), ..SilentTopics::default() }));
+    let running = router_start::start(settings, Arc::new(NoFormat), feed.clone(), String::new).await.expect("a node");
+    wait_version(&running.router, 1).await;
+    let started = tokio::time::Instant::now();
+    while started.elapsed() < QUIET_TIME {
+        feed.0.other_changes.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let checks = u64::try_from(QUIET_TIME.as_millis() * 2 / BOUND.as_millis()).expect("a number of checks");
+    let found = feed.0.route_checks.load(Ordering::Relaxed);
+    assert!(found <= checks, "{found} checks of the routes, {checks} at most");
+}
