--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -80,6 +80,14 @@
     log: PathBuf,
 }
 
+impl Node {
+    /// Sends a signal to the node's process.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.process.id().to_string()).status();
+        assert!(sent.is_ok_and(|status| status.success()), "a signal could not be sent");
+    }
+}
+
 /// What all nodes of a fleet share.
 pub struct Fleet {
     /// Failure domains with their regions.
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,9 @@
 use crate::random::{chance, random};
 
 const POLL: Duration = Duration::from_millis(2);
+/// How often a server pauses.
+const PAUSE_EVERY: Duration = Duration::from_millis(3_600);
+const TAIL: u32 = 5;
 
 /// One run of a request.
 #[derive(Debug, Clone)]
@@ -23,6 +26,8 @@
 #[derive(Default)]
 pub struct Journal {
     pub runs: Mutex<Vec<Run>>,
+    /// Requests that reached a server, whatever became of them.
+    pub arrivals: Mutex<Vec<Run>>,
     /// Requests that a server rejected with `X-Not-Executed`, by the request's id.
     pub rejected: Mutex<HashMap<String, u32>>,
     /// Late second answers that were sent: the id that each carries, the id of the request in whose place it came, and
@@ -41,6 +46,13 @@
     running: Mutex<(u64, u64)>,
     /// Of how many answers in a thousand a second copy follows late, while the disruption lasts.
     pub surplus_permille: AtomicU64,
+    /// Whether the server has ended.
+    pub is_ended: AtomicBool,
+    /// How long the server pauses in each span of [`PAUSE_EVERY`], in milliseconds.
+    pub pause_ms: AtomicU64,
+    /// Of how many requests in a thousand the work takes [`TAIL`] times as long.
+    pub tail_permille: AtomicU64,
+    started: Instant,
     proofs: AtomicU64,
     journal: Arc<Journal>,
 }
@@ -71,6 +83,11 @@
             work_ms,
             running: Mutex::default(),
             surplus_permille: AtomicU64::new(0),
+            is_ended: AtomicBool::new(false),
+            pause_ms: AtomicU64::new(0),
+            tail_permille: AtomicU64::new(0),
+            // Each server pauses at a time of its own.
+            started: Instant::now() - Duration::from_millis(random() % PAUSE_EVERY.as_millis() as u64),
             proofs: AtomicU64::new(0),
             journal: journal.clone(),
         });
@@ -102,6 +119,9 @@
         let mut connection = Connection::new(stream);
         let mut late: Option<Sent> = None;
         while let Ok(request) = connection.read() {
+            if self.is_ended.load(Ordering::Relaxed) {
+                return;
+            }
             if request.target() == "/health" {
                 let head = [("X-Instance-Id", self.id.as_str()), ("X-Server-Load", &self.load())];
                 if connection.write(&answer("200 OK", &head, b"")).is_err() {
@@ -133,12 +153,15 @@
     fn answer(&self, connection: &mut Connection, request: &Message) -> Option<Sent> {
         let started = Instant::now();
         let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let arrival = Run { request: id.clone(), server: self.id.clone(), at: started };
+        self.journal.arrivals.lock().unwrap().push(arrival);
         if id.is_empty() {
             return Some(self.reject("400 Bad Request", &id));
         }
         if request.header("x-target-instance").is_some_and(|target| target != self.id) {
             return Some(self.reject("421 Misdirected Request", &id));
         }
+        self.pause();
         let left = request.header("x-deadline-ms").and_then(|left| left.parse().ok()).unwrap_or(60_000);
         let deadline = started + Duration::from_millis(left);
         if !self.enter() {
@@ -157,7 +180,9 @@
         }
         let run = Run { request: id.clone(), server: self.id.clone(), at: Instant::now() };
         self.journal.runs.lock().unwrap().push(run);
-        let end = Instant::now() + Duration::from_millis(self.work_ms / 2 + random() % self.work_ms.max(1));
+        let work = Duration::from_millis(self.work_ms / 2 + random() % self.work_ms.max(1));
+        let factor = if chance(self.tail_permille.load(Ordering::Relaxed)) { TAIL } else { 1 };
+        let end = Instant::now() + work * factor;
         let mut is_left = false;
         while Instant::now() < end && !is_left {
             std::thread::sleep(POLL);
@@ -174,6 +199,13 @@
         Some(Sent { bytes: answer("200 OK", &head, body.as_bytes()), request: id, status: "200 OK".to_owned() })
     }
 
+    /// Waits while the server pauses.
+    fn pause(&self) {
+        let pause = Duration::from_millis(self.pause_ms.load(Ordering::Relaxed));
+        let since = Duration::from_millis((self.started.elapsed().as_millis() % PAUSE_EVERY.as_millis()) as u64);
+        std::thread::sleep(pause.saturating_sub(since));
+    }
+
     /// Joins the queue; false if the server is full.
     fn enter(&self) -> bool {
         let mut running = self.running.lock().unwrap();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -104,6 +104,12 @@
         self.changed.notify_all();
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.objects.lock().unwrap().remove(kind, name);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(request) = connection.read() {
