--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -10,7 +10,7 @@
 
 use crate::Setup;
 use crate::http::Connection;
-use crate::node::{BOUNDS, Fleet, ZONES};
+use crate::node::{BOUNDS, Fleet, SIGCONT, SIGSTOP, ZONES};
 use crate::random::random;
 use crate::server::{Journal, Server};
 use crate::stall::StallWatch;
@@ -135,7 +135,7 @@
         let begun = Instant::now();
         let node = &nodes[round % FROZEN];
         if setup.has_trouble {
-            node.signal("STOP");
+            node.signal(SIGSTOP);
         }
         std::thread::sleep(LEAVE_AFTER);
         let leaving: Vec<_> =
@@ -147,7 +147,7 @@
         }
         std::thread::sleep(FREEZE_TIME.saturating_sub(begun.elapsed()));
         if setup.has_trouble {
-            node.signal("CONT");
+            node.signal(SIGCONT);
         }
         std::thread::sleep(SERVE_ON.saturating_sub(begun.elapsed()));
         leaving.iter().for_each(|server| server.is_ended.store(true, Ordering::Relaxed));
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -80,11 +81,24 @@
     log: PathBuf,
 }
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// Signals of Linux.
+const SIGKILL: u64 = 9;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+/// The option of `prctl` by which the system sends a process a signal when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 impl Node {
     /// Sends a signal to the node's process.
-    pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.process.id().to_string()).status();
-        assert!(sent.is_ok_and(|status| status.success()), "a signal could not be sent");
+    pub fn signal(&self, signal: i32) {
+        // SAFETY: a call with plain numbers. The process is a child that was not waited for, so its id is its own.
+        let result = unsafe { kill(self.process.id() as i32, signal) };
+        assert_eq!(result, 0, "a signal could not be sent");
     }
 }
 
@@ -144,11 +158,17 @@
         let settings = self.folder.join(format!("{name}.yaml"));
         fs::write(&settings, Gaps(gaps).fill(&template)).expect("a settings file");
         let log = self.folder.join(format!("{name}.log"));
-        let process = Command::new("target/release/streamfoldd-node")
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(fs::File::create(&log).expect("a log file"))
-            .stderr(Stdio::null())
+        let mut command = Command::new("target/release/streamfoldd-node");
+        command.arg("--settings").arg(&settings);
+        command.stdout(fs::File::create(&log).expect("a log file")).stderr(Stdio::null());
+        // SAFETY: the call between fork and exec allocates nothing. No node outlives this program, however it ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let process = command
             .spawn()
             .expect("target/release/streamfoldd-node, as the deploy file builds it");
         Node { name, callers, ready, process, settings, log }
--- a/review/standin/quota.rs
+++ b/review/standin/quota.rs
@@ -10,7 +10,7 @@
 
 use crate::Setup;
 use crate::http::Connection;
-use crate::node::{BOUNDS, Fleet, Node, SIX_NODES, ZONES};
+use crate::node::{BOUNDS, Fleet, Node, SIGCONT, SIGSTOP, SIX_NODES, ZONES};
 use crate::server::{Journal, Server};
 use crate::stall::StallWatch;
 use crate::store::Store;
@@ -90,9 +90,9 @@
     let end = Instant::now() + SLOW_TIME;
     let running = PERIOD / SLOWER as u32;
     while Instant::now() < end {
-        node.signal("STOP");
+        node.signal(SIGSTOP);
         std::thread::sleep(PERIOD - running);
-        node.signal("CONT");
+        node.signal(SIGCONT);
         std::thread::sleep(running);
     }
 }
