A request that must not run twice ran twice after a late copy of a refusal

Cause: an answer was believed because it came where one was due. Its id was looked at last, after its load, "another server has this address" and "did not run" had counted. And the id tells requests apart, not attempts: a server that declined is called again for the same request over the connection that carried the refusal, so that a late copy of it has the right id.

Change: the id is looked at before anything else in an answer; one that belongs to another request, or contradicts itself (not run beside a proof or a success, two ids, two proofs), says nothing and closes its connection (event=answer_discarded, streamfold_discarded_answers_total). A connection remembers the requests that were refused on it until their deadlines, and carries no further attempt of them, whoever makes it at this node. So an answer with the right id can only be one to this attempt.

Also: exchange() in call.rs is split into steps; the soak sends late copies too.

--- a/crates/lab/src/soak_faults.rs
+++ b/crates/lab/src/soak_faults.rs
@@ -189,12 +189,13 @@
     }
 
     async fn inject_switch_fault(&mut self, position: usize) {
-        let switches: [(&str, SwitchSelector); 8] = [
+        let switches: [(&str, SwitchSelector); 9] = [
             ("refuse", |switches| &switches.refuse),
             ("fail", |switches| &switches.fail),
             ("lose_answer", |switches| &switches.lose_answer),
             ("surplus", |switches| &switches.surplus),
             ("surplus_first", |switches| &switches.surplus_first),
+            ("late_copy", |switches| &switches.late_copy),
             ("cut_body", |switches| &switches.cut_body),
             ("wrong_id", |switches| &switches.wrong_id),
             ("close", |switches| &switches.close),
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -10,6 +10,7 @@
 use streamfold_policy::Moment;
 use streamfold_policy::replica::CallSample;
 
+use crate::connection_pool::{LeaseTerms, LeasedConnection, RequestKey};
 use crate::crash_check;
 use crate::error::ExchangeError;
 use crate::interface::ReplyHead;
@@ -153,18 +154,15 @@
     EndedCall { server, result }
 }
 
-async fn exchange(
+/// Takes a connection to the server on which this request was not refused before.
+async fn lease_connection(
     router: &Arc<Router>,
     server: &Arc<Server>,
-    request: &CallerRequest,
-    is_at_most_once: bool,
-    mark: &SentMark,
-) -> Result<ServerReply, CallFailure> {
-    let now = router.clock.now();
-    let leased = server.lease(now, is_at_most_once, CONNECT_TIMEOUT).await;
-    let mut leased = leased.map_err(|error| {
+    terms: &LeaseTerms,
+) -> Result<LeasedConnection, CallFailure> {
+    server.lease(terms).await.map_err(|error| {
         match error.kind() {
-            ErrorKind::TimedOut => server.note_domain_overdue(router.clock.now(), now),
+            ErrorKind::TimedOut => server.note_domain_overdue(router.clock.now(), terms.now),
             // The machine is reachable, even though it refused the connection.
             ErrorKind::ConnectionRefused => {
                 server.note_contact(router.clock.now());
@@ -175,7 +173,23 @@
         }
         tracing::debug!(event = "server_unreachable", server = %server.id, %error);
         CallFailure::NotSent
-    })?;
+    })
+}
+
+async fn exchange(
+    router: &Arc<Router>,
+    server: &Arc<Server>,
+    request: &CallerRequest,
+    is_at_most_once: bool,
+    mark: &SentMark,
+) -> Result<ServerReply, CallFailure> {
+    let terms = LeaseTerms {
+        now: router.clock.now(),
+        request: RequestKey::of(&request.id),
+        is_once: is_at_most_once,
+        timeout: CONNECT_TIMEOUT,
+    };
+    let mut leased = lease_connection(router, server, &terms).await?;
     let left = request.deadline.since(router.clock.now());
     if left.is_zero() {
         return Err(CallFailure::NotSent);
@@ -196,30 +210,63 @@
         ExchangeError::AnswerLost => CallFailure::Unknown,
     })?;
     server.note_contact(router.clock.now());
-    work.note_answered();
     let (parts, body) = response.into_parts();
     let reply = router.format.read_reply(&request.id, parts.status, &parts.headers);
-    note_load(router.clock.now(), server, &reply);
-    if reply.is_other_server {
-        // Another server has this address now, so this run of the server has ended.
-        tracing::info!(event = "server_replaced", server = %server.id, address = %server.address);
-        server.mark_leaving();
+    check_reply(server, request, parts.status, &reply)?;
+    work.note_answered();
+    note_reply(router, server, &reply);
+    if reply.is_not_run {
+        leased.note_refused(router.clock.now(), terms.request, request.deadline);
     }
-    // A connection that delivered something other than the answer to its request is not reused.
-    if reply.has_matching_id && !reply.is_closing {
+    if !reply.is_closing {
         server.put_back(router.clock.now(), leased, reply.keep_alive).await;
-    } else {
-        drop(leased);
     }
     if reply.is_not_run {
         return Err(CallFailure::NotRun);
     }
-    if !reply.has_matching_id || reply.is_encoded {
+    if reply.is_encoded {
         return Err(CallFailure::Unknown);
     }
     Ok(ServerReply { status: parts.status, headers: parts.headers, body, proof: reply.proof })
 }
 
+/// Checks that an answer belongs to the request and does not contradict itself, before anything that it says counts.
+/// The connection of another answer is out of step and is closed.
+///
+/// # Errors
+/// It is unknown whether the request ran.
+fn check_reply(
+    server: &Server,
+    request: &CallerRequest,
+    status: StatusCode,
+    reply: &ReplyHead,
+) -> Result<(), CallFailure> {
+    let reason = match (reply.has_matching_id, reply.is_contradictory) {
+        (false, _) => "other_request",
+        (true, true) => "contradiction",
+        (true, false) => return Ok(()),
+    };
+    metrics::counter!("streamfold_discarded_answers_total", "reason" => reason).increment(1);
+    tracing::info!(
+        event = "answer_discarded",
+        request = request.id_text(),
+        server = %server.id,
+        status = status.as_u16(),
+        reason
+    );
+    Err(CallFailure::Unknown)
+}
+
+/// Records what an answer says about its server.
+fn note_reply(router: &Router, server: &Server, reply: &ReplyHead) {
+    note_load(router.clock.now(), server, reply);
+    if reply.is_other_server {
+        // Another server has this address now, so this run of the server has ended.
+        tracing::info!(event = "server_replaced", server = %server.id, address = %server.address);
+        server.mark_leaving();
+    }
+}
+
 fn note_load(now: Moment, server: &Server, reply: &ReplyHead) {
     if let Some(left) = reply.warmup_left {
         server.state().record_warmup(now, left);
--- a/crates/router/src/connection_pool.rs
+++ b/crates/router/src/connection_pool.rs
@@ -5,8 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use http::HeaderValue;
 use streamfold_policy::Moment;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection::ServerConnection;
 
@@ -21,6 +23,43 @@
 /// it at this moment.
 const MAX_IDLE_IF_ONCE: Duration = Duration::from_millis(500);
 
+/// Number of refused requests that a connection remembers. One with more is closed, which under heavy load costs a new
+/// connection for as many refusals.
+const MAX_REFUSED_REQUESTS: usize = 64;
+
+/// Identifies a request on a connection: the hash of its id. Where two requests have the same hash, one of them only
+/// goes over another connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestKey(u64);
+
+impl RequestKey {
+    /// The key of a request id.
+    pub fn of(id: &HeaderValue) -> Self {
+        Self(xxh3_64(id.as_bytes()))
+    }
+}
+
+/// What a call needs of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct LeaseTerms {
+    /// The current time.
+    pub now: Moment,
+    /// The request that is sent.
+    pub request: RequestKey,
+    /// Whether the request must not run twice.
+    pub is_once: bool,
+    /// How long a new connection may take.
+    pub timeout: Duration,
+}
+
+/// A request that the server refused on a connection.
+#[derive(Debug, Clone, Copy)]
+struct RefusedRequest {
+    request: RequestKey,
+    /// No further attempt of the request is made after its deadline.
+    deadline: Moment,
+}
+
 /// An idle connection.
 struct IdleConnection {
     leased: LeasedConnection,
@@ -61,9 +100,28 @@
 pub struct LeasedConnection {
     /// The connection.
     pub connection: ServerConnection,
+    refused: Vec<RefusedRequest>,
     _permit: ConnectionPermit,
 }
 
+impl LeasedConnection {
+    fn new(connection: ServerConnection, permit: ConnectionPermit) -> Self {
+        Self { connection, refused: Vec::new(), _permit: permit }
+    }
+
+    /// Records that the server refused a request on this connection. Until its deadline, further attempts of the request
+    /// go over other connections: a second copy of the refusal may arrive late, and the request id does not tell the
+    /// attempts apart.
+    pub fn note_refused(&mut self, now: Moment, request: RequestKey, deadline: Moment) {
+        self.refused.retain(|refused| now < refused.deadline);
+        self.refused.push(RefusedRequest { request, deadline });
+    }
+
+    fn has_refused(&self, request: RequestKey) -> bool {
+        self.refused.iter().any(|refused| refused.request == request)
+    }
+}
+
 /// The connections to one server.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -86,39 +144,50 @@
         self.count.limit.load(Ordering::Relaxed).max(1)
     }
 
-    /// Takes an idle connection that the server has not closed. If `is_once` is set, connections that have been idle
-    /// for more than [`MAX_IDLE_IF_ONCE`] are closed.
-    async fn take_idle(&self, now: Moment, is_once: bool) -> Option<LeasedConnection> {
+    /// Takes an idle connection that the server has not closed and on which it has not refused the request. For a request
+    /// that must not run twice, connections that have been idle for more than [`MAX_IDLE_IF_ONCE`] are closed.
+    async fn take_idle(&self, terms: &LeaseTerms) -> Option<LeasedConnection> {
         loop {
-            let idle = self.idle().pop()?;
+            let idle = self.pop_idle(terms.request)?;
             let mut leased = idle.leased;
-            let is_stale = is_once && now.since(idle.since) > MAX_IDLE_IF_ONCE;
-            if now < idle.until && !is_stale && leased.connection.is_usable().await {
+            let is_stale = terms.is_once && terms.now.since(idle.since) > MAX_IDLE_IF_ONCE;
+            if terms.now < idle.until && !is_stale && leased.connection.is_usable().await {
                 return Some(leased);
             }
         }
     }
 
+    /// Removes the connection that became idle last, of those that may carry the request.
+    fn pop_idle(&self, request: RequestKey) -> Option<IdleConnection> {
+        let mut idle = self.idle();
+        let position = idle.iter().rposition(|idle| !idle.leased.has_refused(request))?;
+        Some(idle.remove(position))
+    }
+
+    /// Closes an idle connection; returns whether there was one.
+    fn close_one_idle(&self) -> bool {
+        let closed = self.idle().pop();
+        closed.is_some()
+    }
+
     /// Returns an idle connection, a new one, or the next one that is freed.
     ///
     /// # Errors
-    /// No connection is available within `timeout`, or the server cannot be connected to.
-    pub async fn lease(
-        &self,
-        address: SocketAddr,
-        now: Moment,
-        is_once: bool,
-        timeout: Duration,
-    ) -> std::io::Result<LeasedConnection> {
+    /// No connection is available in time, or the server cannot be connected to.
+    pub async fn lease(&self, address: SocketAddr, terms: &LeaseTerms) -> std::io::Result<LeasedConnection> {
         loop {
-            if let Some(leased) = self.take_idle(now, is_once).await {
+            if let Some(leased) = self.take_idle(terms).await {
                 return Ok(leased);
             }
             if let Some(permit) = ConnectionPermit::take(&self.count) {
-                let connection = ServerConnection::open(address, timeout).await?;
-                return Ok(LeasedConnection { connection, _permit: permit });
+                let connection = ServerConnection::open(address, terms.timeout).await?;
+                return Ok(LeasedConnection::new(connection, permit));
+            }
+            // At the limit, a connection that may not carry this request makes room for one that may.
+            if self.close_one_idle() {
+                continue;
             }
-            let freed = tokio::time::timeout(timeout, self.count.freed.notified()).await;
+            let freed = tokio::time::timeout(terms.timeout, self.count.freed.notified()).await;
             freed.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?;
         }
     }
@@ -126,7 +195,7 @@
     /// Returns a connection to the pool if it can carry another request. `keep_alive` is the timeout that the server
     /// announced.
     pub async fn put_back(&self, now: Moment, mut leased: LeasedConnection, keep_alive: Option<Duration>) {
-        if !leased.connection.is_usable().await {
+        if leased.refused.len() >= MAX_REFUSED_REQUESTS || !leased.connection.is_usable().await {
             return;
         }
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIME, |keep_alive| keep_alive.saturating_sub(KEEP_ALIVE_MARGIN));
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -78,8 +78,10 @@
 pub struct ReplyHead {
     /// Whether the answer carries the id of the request it answers.
     pub has_matching_id: bool,
-    /// Whether the server states that it did not execute the request.
+    /// Whether the server states that it did not execute the request, and nothing in the answer contradicts that.
     pub is_not_run: bool,
+    /// Whether the answer both denies and confirms that the server executed the request, so that it shows neither.
+    pub is_contradictory: bool,
     /// Whether a server other than the one addressed answered.
     pub is_other_server: bool,
     /// Whether an intermediary transformed the body, so that it is not what the server sent.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -15,7 +15,7 @@
 use streamfold_policy::{MechanismSet, Moment};
 
 use crate::clock::NodeClock;
-use crate::connection_pool::{ConnectionPool, LeasedConnection};
+use crate::connection_pool::{ConnectionPool, LeaseTerms, LeasedConnection};
 use crate::domain::DomainState;
 use crate::slow_periods::SlowPeriodTracker;
 
@@ -291,9 +291,9 @@
     /// Returns an idle connection, a new one, or the next one that is freed.
     ///
     /// # Errors
-    /// No connection is available within `timeout`, or the server cannot be connected to.
-    pub async fn lease(&self, now: Moment, is_once: bool, timeout: Duration) -> std::io::Result<LeasedConnection> {
-        self.pool.lease(self.address, now, is_once, timeout).await
+    /// No connection is available in time, or the server cannot be connected to.
+    pub async fn lease(&self, terms: &LeaseTerms) -> std::io::Result<LeasedConnection> {
+        self.pool.lease(self.address, terms).await
     }
 
     /// Returns a connection to the pool if it can carry another request. `keep_alive` is the timeout that the server
--- a/crates/router/tests/lost_links.rs
+++ b/crates/router/tests/lost_links.rs
@@ -91,6 +91,7 @@
         ReplyHead {
             has_matching_id: true,
             is_not_run: false,
+            is_contradictory: false,
             is_other_server: false,
             is_encoded: false,
             proof: Some(HeaderValue::from_static("proof")),
