--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,8 +23,8 @@
 pub use ids::*;
 pub use outcome::AttemptOutcome;
 pub use routing::{
-    AllowedRegions, CallerLimits, CrashEntry, GatherSpec, NodeEntry, RouteKind, RouteSpec, RouteTable, RouteTarget,
-    ServerEntry, ServiceSpec, TableError, WeightedService,
+    AllowedRegions, CallerLimits, CrashEntry, EntryRevision, GatherSpec, NodeEntry, RouteKind, RouteSpec, RouteTable,
+    RouteTarget, ServerEntry, ServiceSpec, TableError, WeightedService,
 };
 pub use team::{KeyDigest, TeamDirectory, TeamError, TeamKeys, TeamSpec, UsageLimit};
 pub use units::{ByteSize, CallRate, CoreShare, ParseUnitError, Priority, TimeSpan};
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -272,6 +272,11 @@
     Ok(())
 }
 
+/// The store's revision at the last change of an entry, by which earlier and later states of it are told apart. 0 stands
+/// for an entry whose revision is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Encode, Decode)]
+pub struct EntryRevision(pub u64);
+
 /// The entry that a server registers for itself.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct ServerEntry {
@@ -279,6 +284,8 @@
     pub id: ServerId,
     /// The start time of the run that wrote the entry.
     pub start: ServerStart,
+    /// The revision of the entry.
+    pub revision: EntryRevision,
     /// The service it belongs to.
     pub service: ServiceName,
     /// The address on which it listens.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod canary;
 pub mod cold_limit;
 pub mod crash_tracker;
+pub mod departure;
 mod domain_credit;
 pub mod domain_reach;
 pub mod entry_gate;
--- a/crates/router/src/batch.rs
+++ b/crates/router/src/batch.rs
@@ -11,7 +11,7 @@
 /// Maximum length of a batch in bytes: the head and body of a caller's request, and the names of the shards.
 pub const MAX_BATCH_LEN: usize = 8 << 20;
 /// The path for requests for what a node knows of the cluster, with the version of the message format.
-pub const PATH_KNOWLEDGE: &str = "/5/knowledge";
+pub const PATH_KNOWLEDGE: &str = "/6/knowledge";
 
 /// A caller's request as it is sent between nodes.
 #[derive(Debug, Clone, Encode, Decode)]
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -191,7 +191,8 @@
     };
     let mut leased = lease_connection(router, server, &terms).await?;
     let left = request.deadline.since(router.clock.now());
-    if left.is_zero() {
+    // The server may have left while the call waited for its connection.
+    if left.is_zero() || server.has_left(router.clock.now()) {
         return Err(CallFailure::NotSent);
     }
     if !server.admit_call(router.clock.now()) {
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -10,19 +10,16 @@
 use arc_swap::ArcSwap;
 use streamfold_model::{NodeEntry, NodeId, RouteTable, ServerEntry, ServerId, ServerStart, TableVersion};
 use streamfold_policy::Moment;
+use streamfold_policy::departure::find_remaining_use;
 
 use crate::cluster_parts::ClusterParts;
 use crate::cluster_place::NodeContext;
 use crate::cluster_view::ClusterView;
 use crate::evacuation::EvacuationList;
-use crate::interface::{FeedChange, FeedItem, FeedTopic, RemovedEntry};
+use crate::interface::{FeedChange, FeedItem, FeedPosition, FeedTopic, RemovedEntry};
 use crate::quarantine::CrashQuarantine;
 use crate::server::Server;
 
-/// How long a server whose entry is gone may still be used where no other server answers. Entries also expire while
-/// the store is unavailable, which a node whose watch stays open does not notice; those of live servers reappear within
-/// about two seconds. The limit for requests to a server that has left is three seconds.
-const DOUBTFUL_GRACE_PERIOD: Duration = Duration::from_millis(2_200);
 /// The most nodes of one update that are logged one by one; of a larger update only the count is logged.
 const MAX_LOGGED_NODES: usize = 16;
 
@@ -47,6 +44,32 @@
     }
 }
 
+/// How an update to the cluster state came about.
+#[derive(Debug, Clone, Copy)]
+pub struct UpdateContext {
+    /// When it is applied.
+    pub now: Moment,
+    /// The topic.
+    pub topic: FeedTopic,
+    /// Who sent it.
+    pub origin: UpdateOrigin,
+    /// The position of the store's history up to which it is complete; the default if that is not known.
+    pub position: FeedPosition,
+    /// How long ago every entry that it removes was last known to be there, or the store failed.
+    pub present_age: Option<Duration>,
+}
+
+/// The entries of servers and nodes at one time.
+#[derive(Debug, Clone)]
+pub struct ClusterEntries {
+    /// The servers, without doubtful ones.
+    pub servers: Vec<ServerEntry>,
+    /// The position up to which all changes of servers are known.
+    pub servers_position: FeedPosition,
+    /// The nodes.
+    pub nodes: Vec<NodeEntry>,
+}
+
 /// The state of the cluster as this node knows it.
 pub struct Cluster {
     context: NodeContext,
@@ -138,7 +161,8 @@
     }
 
     /// Applies changes of a topic.
-    pub fn apply(&self, now: Moment, changes: Vec<FeedChange>, topic: FeedTopic, origin: UpdateOrigin) {
+    pub fn apply(&self, changes: Vec<FeedChange>, context: &UpdateContext) {
+        let UpdateContext { now, topic, origin, .. } = *context;
         let is_first = topic != FeedTopic::Routes && !self.has_entries(topic);
         if is_first && !changes.is_empty() {
             tracing::info!(event = "listed", topic = %topic, entries = changes.len(), source = %origin);
@@ -154,16 +178,20 @@
                 FeedChange::Put(FeedItem::Routes(table)) => {
                     self.offer_table(*table, origin);
                 }
-                FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(now, &entry, is_first),
+                FeedChange::Put(FeedItem::Server(entry)) => is_changed |= self.put_server(&entry, is_first, context),
                 FeedChange::Put(FeedItem::Node(entry)) => {
                     is_changed |= self.put_node(entry, origin, is_first || is_many);
                 }
                 // The list of evacuations is only replaced as a whole.
                 FeedChange::Put(FeedItem::Evacuation(_)) => {}
                 FeedChange::Put(FeedItem::Crash(entry)) => self.quarantine.put(now, entry, origin),
-                FeedChange::Removed(entry) => is_changed |= self.remove(now, topic, &entry),
+                FeedChange::Removed(entry) => is_changed |= self.remove(&entry, context),
             }
         }
+        if topic == FeedTopic::Servers {
+            let mut parts = self.parts();
+            parts.servers_position = parts.servers_position.max(context.position);
+        }
         // Other nodes are also sent state that is not part of the view, such as which servers are doubtful.
         self.generation.fetch_add(1, Ordering::Relaxed);
         if !is_changed {
@@ -182,9 +210,9 @@
     }
 
     /// Replaces all entries of a topic; those that `items` lacks are removed.
-    pub fn replace(&self, now: Moment, items: Vec<FeedItem>, topic: FeedTopic, origin: UpdateOrigin) {
+    pub fn replace(&self, items: Vec<FeedItem>, context: &UpdateContext) {
         let listed: HashSet<String> = items.iter().map(item_name).collect();
-        let known: Vec<String> = match topic {
+        let known: Vec<String> = match context.topic {
             FeedTopic::Routes | FeedTopic::Evacuations => Vec::new(),
             FeedTopic::Servers => self.parts().servers.keys().map(ToString::to_string).collect(),
             FeedTopic::Nodes => self.parts().nodes.keys().map(ToString::to_string).collect(),
@@ -193,7 +221,7 @@
         let gone = known.into_iter().filter(|name| !listed.contains(name));
         let gone = gone.map(RemovedEntry::any).map(FeedChange::Removed);
         let changes = items.into_iter().map(FeedChange::Put).chain(gone).collect();
-        self.apply(now, changes, topic, origin);
+        self.apply(changes, context);
     }
 
     fn has_entries(&self, topic: FeedTopic) -> bool {
@@ -209,8 +237,13 @@
 
     /// Adds or updates a server. Servers of the first listing are not logged one by one, since thousands of lines would
     /// displace all others from the log's buffer.
-    fn put_server(&self, now: Moment, entry: &ServerEntry, is_first: bool) -> bool {
+    fn put_server(&self, entry: &ServerEntry, is_first: bool, context: &UpdateContext) -> bool {
+        let now = context.now;
         let mut parts = self.parts();
+        if parts.is_known_gone(entry, context.position) {
+            tracing::info!(event = "stale_entry", server = %entry.id, source = %context.origin);
+            return false;
+        }
         if parts.servers.get(&entry.id).is_some_and(|server| entry.start < server.start) {
             // The entry of an older run, delivered late by a slower path.
             return false;
@@ -218,7 +251,7 @@
         parts.doubtful.remove(&entry.id);
         parts.retire_previous_run(entry);
         if let Some(server) = parts.servers.get(&entry.id) {
-            server.set_doubtful(false);
+            server.note_entry(entry.revision);
             if !entry.warmup.is_zero() && server.state().warmup_left(now).is_zero() {
                 tracing::info!(event = "server_cold", server = %entry.id, left_ms = entry.warmup.as_millis() as u64);
             }
@@ -267,10 +300,10 @@
         true
     }
 
-    fn remove(&self, now: Moment, topic: FeedTopic, removed: &RemovedEntry) -> bool {
+    fn remove(&self, removed: &RemovedEntry, context: &UpdateContext) -> bool {
         let mut parts = self.parts();
         let name = removed.name.as_str();
-        match topic {
+        match context.topic {
             FeedTopic::Routes | FeedTopic::Evacuations => false,
             FeedTopic::Crashes => {
                 if let Ok(content) = name.parse() {
@@ -282,24 +315,43 @@
                 let gone = name.parse::<NodeId>().ok().and_then(|node| parts.nodes.remove(&node));
                 let Some(gone) = gone else { return false };
                 tracing::info!(event = "node_gone", node = name);
-                parts.gone_nodes.push((gone, now.plus(self.context.extra_call_window)));
+                parts.gone_nodes.push((gone, context.now.plus(self.context.extra_call_window)));
                 true
             }
-            FeedTopic::Servers => {
-                let Ok(id) = name.parse::<ServerId>() else { return false };
-                let Some(server) = parts.servers.get(&id) else { return false };
-                if removed.start != ServerStart(0) && removed.start < server.start {
-                    return false;
-                }
-                if server.is_leaving() {
-                    return parts.remove_server(&id);
-                }
-                tracing::info!(event = "server_doubtful", server = %id, service = %server.service);
-                server.set_doubtful(true);
-                parts.doubtful.entry(id).or_insert(now.plus(DOUBTFUL_GRACE_PERIOD));
-                false
-            }
+            FeedTopic::Servers => self.remove_server(&mut parts, removed, context),
+        }
+    }
+
+    /// Handles the removal of a server's entry; returns whether the server was removed.
+    fn remove_server(&self, parts: &mut ClusterParts, removed: &RemovedEntry, context: &UpdateContext) -> bool {
+        let Ok(id) = removed.name.parse::<ServerId>() else { return false };
+        let Some(server) = parts.servers.get(&id) else { return false };
+        if removed.start != ServerStart(0) && removed.start < server.start {
+            return false;
         }
+        if context.position.precedes(server.revision()) {
+            // The source does not know the entry yet.
+            return false;
+        }
+        if server.is_leaving() {
+            return parts.remove_server(&id);
+        }
+        let now = context.now;
+        let remaining = find_remaining_use(context.present_age, self.context.drained_within);
+        server.note_entry_gone(now.plus(remaining));
+        tracing::info!(
+            event = "server_doubtful",
+            server = %id,
+            service = %server.service,
+            source = %context.origin,
+            present_ms = context.present_age.map(|age| age.as_millis() as u64),
+            used_ms = remaining.as_millis() as u64
+        );
+        if server.has_left(now) {
+            return parts.remove_server(&id);
+        }
+        parts.doubtful.insert(id);
+        false
     }
 
     /// Whether a node has an entry.
@@ -323,21 +375,24 @@
         self.parts().servers.len()
     }
 
-    /// The entries of servers, without doubtful ones, and of nodes, to send to another node.
-    pub fn entries(&self, now: Moment) -> (Vec<ServerEntry>, Vec<NodeEntry>) {
+    /// The entries to send to another node.
+    pub fn entries(&self, now: Moment) -> ClusterEntries {
         let parts = self.parts();
         let servers = parts.servers.values().filter(|server| !server.is_doubtful()).map(|server| server.entry(now));
-        (servers.collect(), parts.nodes.values().cloned().collect())
+        ClusterEntries {
+            servers: servers.collect(),
+            servers_position: parts.servers_position,
+            nodes: parts.nodes.values().cloned().collect(),
+        }
     }
 
     /// Removes doubtful servers whose grace period is over, stops counting nodes that left, and closes connections that
     /// were idle too long.
     pub fn sweep(&self, now: Moment) {
         let mut parts = self.parts();
-        let expired: Vec<ServerId> =
-            parts.doubtful.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        let has_left = |id: &&ServerId| parts.servers.get(*id).is_none_or(|server| server.has_left(now));
+        let expired: Vec<ServerId> = parts.doubtful.iter().filter(has_left).cloned().collect();
         for id in &expired {
-            parts.doubtful.remove(id);
             parts.remove_server(id);
         }
         parts.servers.values().for_each(|server| server.sweep(now));
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -22,6 +22,7 @@
 use crate::domain::DomainState;
 use crate::evacuation::EvacuationList;
 use crate::granters::choose_granters;
+use crate::interface::FeedPosition;
 use crate::peers::PeerNode;
 use crate::server::{Server, ServerShared};
 use crate::slow_periods::SlowPeriodTracker;
@@ -35,8 +36,10 @@
     pub(crate) table: Option<Arc<RouteTable>>,
     /// All servers, including those that are leaving.
     pub(crate) servers: HashMap<ServerId, Arc<Server>>,
-    /// Servers whose entry is gone, with the time at which they are removed.
-    pub(crate) doubtful: HashMap<ServerId, Moment>,
+    /// The position up to which all changes of servers are known.
+    pub(crate) servers_position: FeedPosition,
+    /// Servers whose entry is gone and that are still used.
+    pub(crate) doubtful: HashSet<ServerId>,
     /// Used extra calls by service.
     pub(crate) budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
     /// Queues of calls by service, for services with contention.
@@ -102,6 +105,13 @@
         spec.filter(|spec| spec.warmup_rate.is_some()).map_or(Duration::ZERO, |spec| spec.warmup_duration)
     }
 
+    /// Whether an entry in an update that is complete up to `position` is known to be gone: it was written before the
+    /// position that this node knows, and the server had none there.
+    pub(crate) fn is_known_gone(&self, entry: &ServerEntry, position: FeedPosition) -> bool {
+        let has_entry = self.servers.get(&entry.id).is_some_and(|server| !server.is_doubtful());
+        position < self.servers_position && !has_entry && self.servers_position.includes(entry.revision)
+    }
+
     /// Removes an earlier run of a server, whose measurements do not apply to the new one.
     pub(crate) fn retire_previous_run(&mut self, entry: &ServerEntry) {
         let Some(previous) = self.servers.get(&entry.id).filter(|previous| previous.start < entry.start) else {
@@ -121,6 +131,7 @@
 
     /// Removes a server; returns whether it was known.
     pub(crate) fn remove_server(&mut self, id: &ServerId) -> bool {
+        self.doubtful.remove(id);
         let Some(server) = self.servers.remove(id) else { return false };
         server.mark_leaving();
         tracing::info!(event = "server_gone", server = %id, service = %server.service);
--- a/crates/router/src/cluster_place.rs
+++ b/crates/router/src/cluster_place.rs
@@ -20,6 +20,8 @@
     /// The window in which extra calls are counted. What a removed node spent of the shared budget counts for this
     /// long.
     pub extra_call_window: Duration,
+    /// How soon a server that leaves must receive no more requests.
+    pub drained_within: Duration,
     /// The limit on calls to cold servers, if there is one.
     pub cold_calls: Option<ColdCallSettings>,
     /// Which scheduling decisions are made when callers compete for capacity.
--- a/crates/router/src/cluster_view.rs
+++ b/crates/router/src/cluster_view.rs
@@ -94,7 +94,7 @@
 
     /// Whether any of the servers may have capacity for one more call.
     pub fn has_capacity(&self, now: Moment) -> bool {
-        let live = self.servers.iter().filter(|server| !server.is_leaving() && !server.is_unreachable(now));
+        let live = self.servers.iter().filter(|server| !server.has_left(now) && !server.is_unreachable(now));
         live.filter(|server| server.has_capacity(now)).any(|server| !server.state().is_avoided(now))
     }
 
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -195,6 +195,10 @@
             tracing::warn!(event = "feed_lost", topic = %self.topic, %error);
         }
         metrics::counter!("streamfold_feed_failures_total").increment(1);
+        // A watch may be cut while the store is sound. A listing that fails, or a refusal, shows that it is not.
+        if self.position.is_none() || matches!(error, StoreError::Unavailable(_) | StoreError::Unreachable) {
+            self.router.freshness.note_store_failure(Instant::now());
+        }
         self.router.set_followed(self.topic, false);
         // The next watch may not report changes from the time of the failure, so the topic is listed again.
         self.position = None;
--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -8,8 +8,8 @@
 use bincode::{Decode, Encode};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use streamfold_model::{
-    ContentId, CrashEntry, FailureDomain, KeyDigest, NodeEntry, RouteTable, ServerEntry, ServerId, ServerStart,
-    TeamName,
+    ContentId, CrashEntry, EntryRevision, FailureDomain, KeyDigest, NodeEntry, RouteTable, ServerEntry, ServerId,
+    ServerStart, TeamName,
 };
 use streamfold_store::StoreError;
 
@@ -227,9 +227,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Encode, Decode)]
 pub struct FeedPosition(pub u64);
 
-/// The revision of an entry, used for conditional writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EntryRevision(pub u64);
+impl FeedPosition {
+    /// Whether a state of an entry was written up to this position; `false` if its revision is not known.
+    pub fn includes(self, revision: EntryRevision) -> bool {
+        revision != EntryRevision::default() && revision.0 <= self.0
+    }
+
+    /// Whether a state of an entry was written after this position; `false` if either is not known.
+    pub fn precedes(self, revision: EntryRevision) -> bool {
+        self != Self::default() && revision.0 > self.0
+    }
+}
 
 /// All entries of a topic at one position.
 #[derive(Debug, Clone)]
--- a/crates/router/src/knowledge.rs
+++ b/crates/router/src/knowledge.rs
@@ -10,7 +10,7 @@
 use crate::batch::PATH_KNOWLEDGE;
 use crate::cluster::UpdateOrigin;
 use crate::evacuation::EvacuationList;
-use crate::interface::{FeedChange, FeedItem, FeedTopic};
+use crate::interface::{FeedChange, FeedItem, FeedPosition, FeedTopic};
 use crate::listing::{DomainSection, KnownDigest, KnownEntries};
 use crate::relay::{FeedSource, RelayFrame};
 use crate::router::Router;
@@ -111,7 +111,9 @@
         router.cluster.offer_evacuations(router.clock.now(), list, UpdateOrigin::Peer);
     }
     let crashes = reply.crashes.into_iter().map(FeedItem::Crash).map(FeedChange::Put).collect();
-    router.cluster.apply(router.clock.now(), crashes, FeedTopic::Crashes, UpdateOrigin::Peer);
+    router
+        .cluster
+        .apply(crashes, &router.update_context(FeedTopic::Crashes, UpdateOrigin::Peer, FeedPosition::default()));
     // Servers come first, since newer routes may name services that only the newer entries have.
     add_entries(router, link, reply.sections);
     if let Some(table) = reply.table
@@ -147,7 +149,9 @@
     let is_own_known = !reply.nodes.is_empty();
     if is_own_known {
         let nodes = reply.nodes.into_iter().map(FeedItem::Node).map(FeedChange::Put).collect();
-        router.cluster.apply(router.clock.now(), nodes, FeedTopic::Nodes, UpdateOrigin::Peer);
+        router
+            .cluster
+            .apply(nodes, &router.update_context(FeedTopic::Nodes, UpdateOrigin::Peer, FeedPosition::default()));
     }
     is_own_known
 }
@@ -167,9 +171,10 @@
         tracing::info!(event = "entries_from_peer", address = %link.address(), servers = servers.len());
         router.set_listed(FeedTopic::Servers);
     }
-    let now = router.clock.now();
     let servers = servers.into_iter().map(FeedItem::Server).map(FeedChange::Put).collect();
-    router.cluster.apply(now, servers, FeedTopic::Servers, UpdateOrigin::Peer);
+    router
+        .cluster
+        .apply(servers, &router.update_context(FeedTopic::Servers, UpdateOrigin::Peer, FeedPosition::default()));
     let nodes = nodes.into_iter().map(FeedItem::Node).map(FeedChange::Put).collect();
-    router.cluster.apply(now, nodes, FeedTopic::Nodes, UpdateOrigin::Peer);
+    router.cluster.apply(nodes, &router.update_context(FeedTopic::Nodes, UpdateOrigin::Peer, FeedPosition::default()));
 }
--- a/crates/router/src/listing.rs
+++ b/crates/router/src/listing.rs
@@ -8,11 +8,14 @@
 
 use bincode::{Decode, Encode};
 use streamfold_link::encode_frame;
-use streamfold_model::{CrashEntry, FailureDomain, NodeEntry, RouteTable, ServerEntry, TableVersion};
+use streamfold_model::{CrashEntry, EntryRevision, FailureDomain, NodeEntry, RouteTable, ServerEntry, TableVersion};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::cluster::ClusterEntries;
 use crate::evacuation::EvacuationList;
 use crate::freshness::FeedAges;
+use crate::interface::FeedPosition;
+use crate::relay_service::known_entries;
 use crate::router::Router;
 
 /// The digest of a node's entries of one failure domain. Equal digests stand for equal entries.
@@ -46,6 +49,8 @@
 pub struct RelaySnapshot {
     /// The routes, if newer than the follower's.
     pub table: Option<RouteTable>,
+    /// The position up to which the sections contain all changes of servers.
+    pub servers_position: FeedPosition,
     /// A section for every failure domain that has entries.
     pub sections: Vec<DomainSection>,
     /// The evacuated failure domains, if known.
@@ -66,12 +71,15 @@
 
 /// A node's entries of servers and nodes at one time, by failure domain.
 #[derive(Debug, Clone, Default)]
-pub struct KnownEntries(BTreeMap<FailureDomain, DomainEntries>);
+pub struct KnownEntries {
+    domains: BTreeMap<FailureDomain, DomainEntries>,
+    servers_position: FeedPosition,
+}
 
 impl KnownEntries {
     /// Copies this node's current entries.
     pub fn of(router: &Router) -> Self {
-        let (servers, nodes) = router.cluster.entries(router.clock.now());
+        let ClusterEntries { servers, servers_position, nodes } = router.cluster.entries(router.clock.now());
         let mut domains: BTreeMap<FailureDomain, DomainEntries> = BTreeMap::new();
         for server in servers {
             domains.entry(server.domain.clone()).or_default().servers.push(server);
@@ -84,12 +92,12 @@
             entries.nodes.sort_by(|a, b| a.node.cmp(&b.node));
             entries.digest = entries.digest();
         }
-        Self(domains)
+        Self { domains, servers_position }
     }
 
     /// The digest of these entries and a version of the routes.
     pub fn digest(&self, version: TableVersion) -> KnownDigest {
-        let sections = self.0.iter().map(|(domain, entries)| (domain.clone(), entries.digest));
+        let sections = self.domains.iter().map(|(domain, entries)| (domain.clone(), entries.digest));
         KnownDigest { version, sections: sections.collect() }
     }
 
@@ -103,14 +111,14 @@
                 nodes: (other.nodes != entries.digest.nodes).then(|| entries.nodes.clone()),
             }
         };
-        self.0.iter().map(section).collect()
+        self.domains.iter().map(section).collect()
     }
 
     /// Completes the sections received by this node with its own entries, and returns all servers and nodes.
     pub fn merge(mut self, sections: Vec<DomainSection>) -> (Vec<ServerEntry>, Vec<NodeEntry>) {
         let (mut servers, mut nodes) = (Vec::new(), Vec::new());
         for section in sections {
-            let own = self.0.remove(&section.domain).unwrap_or_default();
+            let own = self.domains.remove(&section.domain).unwrap_or_default();
             servers.extend(section.servers.unwrap_or(own.servers));
             nodes.extend(section.nodes.unwrap_or(own.nodes));
         }
@@ -120,9 +128,13 @@
 
 impl DomainEntries {
     fn digest(&self) -> SectionDigest {
-        // The remaining warm-up time changes all the time, so only whether there is any goes into the digest.
+        // The remaining warm-up time changes all the time, so only whether there is any goes into the digest. The revision
+        // says nothing about the entry itself.
         let warmup_flag = |server: &ServerEntry| std::time::Duration::from_micros(u64::from(!server.warmup.is_zero()));
-        let servers = self.servers.iter().map(|server| ServerEntry { warmup: warmup_flag(server), ..server.clone() });
+        let servers = self.servers.iter().map(|server| {
+            let revision = EntryRevision::default();
+            ServerEntry { warmup: warmup_flag(server), revision, ..server.clone() }
+        });
         SectionDigest { servers: hash(&servers.collect::<Vec<_>>()), nodes: hash(&self.nodes) }
     }
 }
@@ -137,15 +149,19 @@
 
 impl RelaySnapshot {
     /// Builds the snapshot that a node with the digest `known` needs to have the same state as this node.
-    pub fn build(router: &Router, entries: &KnownEntries, known: &KnownDigest) -> Self {
+    pub fn build(router: &Router, known: &KnownDigest) -> Self {
+        // The ages come first: they must not confirm what the entries do not contain yet.
+        let ages = router.freshness.ages();
+        let entries = known_entries(router);
         let table = router.cluster.view().table.clone();
         let newer = table.filter(|table| table.version > known.version);
         Self {
             table: newer.map(|table| (*table).clone()),
+            servers_position: entries.servers_position,
             sections: entries.sections_for(known),
             evacuations: router.cluster.evacuations(),
             crashes: router.cluster.quarantine.entries(),
-            ages: router.freshness.ages(),
+            ages,
         }
     }
 }
--- a/crates/router/src/look_around.rs
+++ b/crates/router/src/look_around.rs
@@ -63,7 +63,7 @@
 }
 
 fn apply_nodes(router: &Router, list: FeedList) {
-    router.cluster.replace(router.clock.now(), list.items, FeedTopic::Nodes, UpdateOrigin::Store);
+    router.cluster.replace(list.items, &router.update_context(FeedTopic::Nodes, UpdateOrigin::Store, list.position));
     router.nodes_listed.notify_one();
 }
 
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -6,14 +6,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{ContentId, CrashEntry, ServerRun};
+use streamfold_model::{ContentId, CrashEntry, EntryRevision, ServerRun};
 use streamfold_policy::Moment;
 use streamfold_policy::crash_tracker::{ContentStatus, CrashSuspect, CrashTracker, DECISION_DELAY, MIN_CRASHES};
 use streamfold_store::StoreError;
 
 use crate::cluster::UpdateOrigin;
 use crate::crash_check;
-use crate::interface::{EntryRevision, FeedTopic};
+use crate::interface::FeedTopic;
 use crate::quarantine_news;
 use crate::router::Router;
 use crate::server::Server;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -17,17 +17,17 @@
 use crate::evacuation::EvacuationList;
 use crate::feed;
 use crate::freshness::FeedAges;
-use crate::interface::{FeedChange, FeedItem, FeedTopic};
+use crate::interface::{FeedChange, FeedItem, FeedPosition, FeedTopic};
 use crate::listing::{KnownDigest, KnownEntries, RelaySnapshot};
 use crate::relay_service::known_entries;
 use crate::router::Router;
 
 /// The path of a subscription to store updates; the number is the version of the message format.
-pub const PATH_RELAY: &str = "/6/relay";
+pub const PATH_RELAY: &str = "/7/relay";
 /// The interval at which a reader sends a heartbeat.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// The time without any message after which a reader is abandoned: three heartbeats are missing. The departure of a
-/// server must be known within three seconds, which leaves as much time again to read the store.
+/// The time without any message after which a reader is abandoned: three heartbeats are missing. A topic that must be
+/// known sooner is read from the store before that.
 const READER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The timeout of a reader's first message. The reader may be starting to watch the store itself.
 const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -70,8 +70,8 @@
     Snapshot(Box<RelaySnapshot>),
     /// All entries of one topic after a new listing.
     Listed(FeedTopic, Vec<FeedItem>),
-    /// Changes to a topic.
-    Changed(FeedTopic, Vec<FeedChange>),
+    /// Changes to a topic, up to a position of the store's history.
+    Changed(FeedTopic, Vec<FeedChange>, FeedPosition),
     /// The full list of evacuated failure domains.
     Evacuations(EvacuationList),
     /// The reader still follows the store, and how old its knowledge is.
@@ -85,11 +85,11 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Snapshot(_) => "all",
-            Self::Listed(FeedTopic::Routes, _) | Self::Changed(FeedTopic::Routes, _) => "routes",
-            Self::Listed(FeedTopic::Servers, _) | Self::Changed(FeedTopic::Servers, _) => "servers",
-            Self::Listed(FeedTopic::Nodes, _) | Self::Changed(FeedTopic::Nodes, _) => "nodes",
-            Self::Listed(FeedTopic::Crashes, _) | Self::Changed(FeedTopic::Crashes, _) => "crashes",
-            Self::Listed(FeedTopic::Evacuations, _) | Self::Changed(FeedTopic::Evacuations, _) => "evacuations",
+            Self::Listed(FeedTopic::Routes, _) | Self::Changed(FeedTopic::Routes, ..) => "routes",
+            Self::Listed(FeedTopic::Servers, _) | Self::Changed(FeedTopic::Servers, ..) => "servers",
+            Self::Listed(FeedTopic::Nodes, _) | Self::Changed(FeedTopic::Nodes, ..) => "nodes",
+            Self::Listed(FeedTopic::Crashes, _) | Self::Changed(FeedTopic::Crashes, ..) => "crashes",
+            Self::Listed(FeedTopic::Evacuations, _) | Self::Changed(FeedTopic::Evacuations, ..) => "evacuations",
             Self::Evacuations(_) => "evacuations",
             Self::Heartbeat(_) => "alive",
             Self::Starting => "starting",
@@ -312,23 +312,24 @@
 /// Applies a reader's snapshot: evacuations before the servers that they concern, and servers before routes that may
 /// name their services.
 fn apply_snapshot(router: &Router, snapshot: RelaySnapshot) {
+    router.freshness.record_reader_failure(&snapshot.ages);
     if let Some(list) = snapshot.evacuations {
         apply_evacuations(router, list);
     }
     let crashes = snapshot.crashes.into_iter().map(FeedItem::Crash).collect();
-    apply_topic(router, FeedTopic::Crashes, crashes);
+    apply_topic(router, FeedTopic::Crashes, crashes, FeedPosition::default());
     let (servers, nodes) = KnownEntries::of(router).merge(snapshot.sections);
     let servers = servers.into_iter().map(FeedItem::Server).collect();
-    apply_topic(router, FeedTopic::Servers, servers);
+    apply_topic(router, FeedTopic::Servers, servers, snapshot.servers_position);
     let nodes = nodes.into_iter().map(FeedItem::Node).collect();
-    apply_topic(router, FeedTopic::Nodes, nodes);
+    apply_topic(router, FeedTopic::Nodes, nodes, FeedPosition::default());
     let table = snapshot.table.map(Box::new).map(FeedItem::Routes);
-    apply_topic(router, FeedTopic::Routes, table.into_iter().collect());
+    apply_topic(router, FeedTopic::Routes, table.into_iter().collect(), FeedPosition::default());
     router.freshness.record_reader(&snapshot.ages);
 }
 
-fn apply_topic(router: &Router, topic: FeedTopic, items: Vec<FeedItem>) {
-    router.cluster.replace(router.clock.now(), items, topic, UpdateOrigin::Reader);
+fn apply_topic(router: &Router, topic: FeedTopic, items: Vec<FeedItem>, position: FeedPosition) {
+    router.cluster.replace(items, &router.update_context(topic, UpdateOrigin::Reader, position));
     router.set_followed(topic, true);
 }
 
@@ -343,12 +344,15 @@
     let copy = is_update.then(|| frame.clone());
     match frame {
         RelayFrame::Snapshot(snapshot) => apply_snapshot(router, *snapshot),
-        RelayFrame::Listed(topic, items) => apply_topic(router, topic, items),
-        RelayFrame::Changed(topic, changes) => {
-            router.cluster.apply(router.clock.now(), changes, topic, UpdateOrigin::Reader);
+        RelayFrame::Listed(topic, items) => apply_topic(router, topic, items, FeedPosition::default()),
+        RelayFrame::Changed(topic, changes, position) => {
+            router.cluster.apply(changes, &router.update_context(topic, UpdateOrigin::Reader, position));
         }
         RelayFrame::Evacuations(list) => apply_evacuations(router, list),
-        RelayFrame::Heartbeat(ages) => router.freshness.record_reader(&ages),
+        RelayFrame::Heartbeat(ages) => {
+            router.freshness.record_reader_failure(&ages);
+            router.freshness.record_reader(&ages);
+        }
         RelayFrame::Starting => {}
     }
     if let Some(copy) = copy {
--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -113,14 +113,21 @@
     let mut phase = router.phase.subscribe();
     while is_reader(router) {
         let frame = tokio::select! {
-            // Updates come first: a heartbeat must not confirm what the follower has not received.
+            // An update that has arrived does not wait for a heartbeat.
             biased;
             frame = updates.recv() => match frame {
                 Ok(frame) => frame,
                 // The follower lags too far behind and has to subscribe again.
                 Err(_) => break,
             },
-            _ = heartbeats.tick() => encode_frame(&RelayFrame::Heartbeat(router.freshness.ages()))?,
+            _ = heartbeats.tick() => {
+                let ages = router.freshness.ages();
+                // A heartbeat must not confirm what the follower has not received.
+                while let Ok(frame) = updates.try_recv() {
+                    send_frame(stream, frame, false).await?;
+                }
+                encode_frame(&RelayFrame::Heartbeat(ages))?
+            }
             _ = changed.changed() => continue,
             _ = phase.changed() => continue,
             _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
@@ -158,7 +165,7 @@
 
 /// Encodes the snapshot for a follower that has the entries of `known`.
 fn encode_snapshot(router: &Router, known: &KnownDigest) -> Result<Bytes, PeerError> {
-    let snapshot = RelaySnapshot::build(router, &known_entries(router), known);
+    let snapshot = RelaySnapshot::build(router, known);
     encode_frame(&RelayFrame::Snapshot(Box::new(snapshot)))
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,12 +15,12 @@
 use tokio::task::JoinSet;
 
 use crate::clock::{NodeClock, wall_ms};
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, UpdateContext, UpdateOrigin};
 use crate::cluster_place::NodeContext;
 use crate::cluster_view::{ClusterView, Service};
 use crate::entry::EntryControl;
 use crate::freshness::FreshnessTable;
-use crate::interface::{CallFormat, ClusterFeed, FeedTopic};
+use crate::interface::{CallFormat, ClusterFeed, FeedPosition, FeedTopic};
 use crate::relay::FeedSource;
 use crate::relay_service::RelayPublisher;
 use crate::settings::RouterSettings;
@@ -155,6 +155,7 @@
             domain: settings.failure_domain.clone(),
             regions: settings.regions.clone(),
             extra_call_window: settings.extra_calls.window.0,
+            drained_within: settings.drained_within.0,
             cold_calls: settings.cold_calls,
             scheduling: settings.scheduling,
             mechanisms: settings.mechanisms(),
@@ -289,6 +290,17 @@
         self.reported_version.store(0, Ordering::Relaxed);
     }
 
+    /// The context of an update of a topic that is applied now and is complete up to `position`.
+    pub(crate) fn update_context(
+        &self,
+        topic: FeedTopic,
+        origin: UpdateOrigin,
+        position: FeedPosition,
+    ) -> UpdateContext {
+        let present_age = self.freshness.present_age(topic);
+        UpdateContext { now: self.clock.now(), topic, origin, position, present_age }
+    }
+
     /// When a topic's state is checked at the store.
     pub(crate) fn check_schedule(&self, topic: FeedTopic) -> CheckSchedule {
         CheckSchedule { known_within: self.settings.known_within(topic), rank: topic.check_rank() }
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -133,6 +133,7 @@
     let before = *router.suspended_for.borrow();
     if suspended > before {
         tracing::warn!(event = "machine_was_suspended", for_ms = (suspended - before).as_millis() as u64);
+        router.freshness.note_suspension(suspended - before);
         router.suspended_for.send_replace(suspended);
     }
 }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use streamfold_model::{AllowedRegions, FailureDomain, ServerEntry, ServerId, ServerRun, ServerStart, ServiceName};
+use streamfold_model::{
+    AllowedRegions, EntryRevision, FailureDomain, ServerEntry, ServerId, ServerRun, ServerStart, ServiceName,
+};
 use streamfold_policy::cold_limit::ColdCalls;
 use streamfold_policy::crash_tracker::CrashSuspect;
 use streamfold_policy::finish_estimate::{FinishEstimator, ServerEstimate};
@@ -19,6 +21,9 @@
 use crate::domain::DomainState;
 use crate::slow_periods::SlowPeriodTracker;
 
+/// The value of `usable_until` of a server that has an entry.
+const NO_DOUBT: u64 = u64::MAX;
+
 /// State that a server shares with others.
 pub struct ServerShared {
     /// Its failure domain.
@@ -35,6 +40,7 @@
     pub id: ServerId,
     /// Which of its runs this is.
     pub start: ServerStart,
+    revision: AtomicU64,
     /// Its service.
     pub service: ServiceName,
     /// The address it listens on.
@@ -47,7 +53,9 @@
     slow_periods: Arc<SlowPeriodTracker>,
     slots: u32,
     leaving: AtomicBool,
-    doubtful: AtomicBool,
+    /// When the server is used no longer since its entry is gone, in microseconds on the node clock; [`NO_DOUBT`] while
+    /// it has an entry.
+    usable_until: AtomicU64,
     /// Calls per second that this node may send while the server is cold.
     cold_quota: AtomicU32,
     cold_calls: Mutex<ColdCalls>,
@@ -91,6 +99,7 @@
         Arc::new(Self {
             id: entry.id.clone(),
             start: entry.start,
+            revision: AtomicU64::new(entry.revision.0),
             service: entry.service.clone(),
             address: entry.address,
             domain: entry.domain.clone(),
@@ -99,7 +108,7 @@
             slow_periods,
             slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
-            doubtful: AtomicBool::new(false),
+            usable_until: AtomicU64::new(NO_DOUBT),
             cold_quota: AtomicU32::new(u32::MAX),
             cold_calls: Mutex::default(),
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with_mechanisms(mechanisms)),
@@ -151,6 +160,7 @@
         ServerEntry {
             id: self.id.clone(),
             start: self.start,
+            revision: self.revision(),
             service: self.service.clone(),
             address: self.address,
             domain: self.domain.clone(),
@@ -214,7 +224,7 @@
     /// The reason why requests with these allowed regions are not sent to the server, if there is one.
     pub fn find_exclusion(&self, now: Moment, allowed_regions: &AllowedRegions) -> Option<ServerExclusion> {
         let conditions = ServerConditions {
-            is_leaving: self.is_leaving(),
+            is_leaving: self.has_left(now),
             is_evacuated: self.domain_state.is_evacuated(),
             is_unreachable: self.is_unreachable(now),
             is_cold_limit_reached: self.is_cold_limit_reached(now),
@@ -232,12 +242,34 @@
 
     /// Whether the server's entry was removed. The server itself may be gone.
     pub fn is_doubtful(&self) -> bool {
-        self.doubtful.load(Ordering::Relaxed)
+        self.usable_until.load(Ordering::Relaxed) != NO_DOUBT
+    }
+
+    /// Until when the server is used although its entry is gone; `None` while it has an entry.
+    pub fn usable_until(&self) -> Option<Moment> {
+        Some(self.usable_until.load(Ordering::Relaxed)).filter(|until| *until != NO_DOUBT).map(Moment)
+    }
+
+    /// Records that the server's entry is gone, and until when the server is used all the same. Of several times the
+    /// earliest holds.
+    pub fn note_entry_gone(&self, usable_until: Moment) {
+        self.usable_until.fetch_min(usable_until.0, Ordering::Relaxed);
+    }
+
+    /// Records that the server has an entry of this revision.
+    pub fn note_entry(&self, revision: EntryRevision) {
+        self.revision.fetch_max(revision.0, Ordering::Relaxed);
+        self.usable_until.store(NO_DOUBT, Ordering::Relaxed);
+    }
+
+    /// The revision of the server's entry.
+    pub fn revision(&self) -> EntryRevision {
+        EntryRevision(self.revision.load(Ordering::Relaxed))
     }
 
-    /// Sets whether the server's entry was removed.
-    pub fn set_doubtful(&self, is_doubtful: bool) {
-        self.doubtful.store(is_doubtful, Ordering::Relaxed);
+    /// Whether the server gets no more calls: it is draining, or its entry has been gone for too long.
+    pub fn has_left(&self, now: Moment) -> bool {
+        self.is_leaving() || now.0 >= self.usable_until.load(Ordering::Relaxed)
     }
 
     /// Whether its failure domain is unreachable now.
--- a/crates/router/src/topic_check.rs
+++ b/crates/router/src/topic_check.rs
@@ -13,6 +13,10 @@
 use crate::router::Router;
 use crate::store_call::{self, CallReason};
 
+/// Number of checks in a row without an answer in time that show that the store fails. The first may have been lost
+/// with an idle connection, as the watch was.
+const UNANSWERED_IF_FAILING: u32 = 2;
+
 /// The answer to a check.
 pub(crate) struct CheckAnswer {
     /// The changes that the node did not know.
@@ -59,6 +63,7 @@
     /// it meanwhile.
     async fn check(&self, position: FeedPosition) -> Result<Option<CheckAnswer>, StoreError> {
         let mut pending = FuturesUnordered::new();
+        let mut unanswered = 0;
         loop {
             pending.push(self.ask(position));
             let mut repeat = std::pin::pin!(tokio::time::sleep(self.schedule.repeat_after()));
@@ -72,6 +77,10 @@
                     () = &mut repeat => break,
                 }
             }
+            unanswered += 1;
+            if unanswered >= UNANSWERED_IF_FAILING {
+                self.router.freshness.note_store_failure(Instant::now());
+            }
             let age = self.router.freshness.get(self.topic).age().unwrap_or(Duration::MAX);
             if self.schedule.is_overdue(age) {
                 return Err(StoreError::AnswerLost);
--- a/crates/router/src/topic_update.rs
+++ b/crates/router/src/topic_update.rs
@@ -13,8 +13,9 @@
 pub(crate) fn apply_changes(router: &Router, topic: FeedTopic, update: FeedChanges, found_by: ConfirmSource) {
     log_update(router, topic, update.changes.len(), update.position, found_by);
     if topic != FeedTopic::Evacuations {
-        router.cluster.apply(router.clock.now(), update.changes.clone(), topic, UpdateOrigin::Store);
-        router.relay_publisher.publish(|| RelayFrame::Changed(topic, update.changes));
+        let context = router.update_context(topic, UpdateOrigin::Store, update.position);
+        router.cluster.apply(update.changes.clone(), &context);
+        router.relay_publisher.publish(|| RelayFrame::Changed(topic, update.changes, update.position));
     } else if let Some(known) = router.cluster.evacuations() {
         apply_evacuations(router, known.with_changes(&update.changes, update.position));
     }
@@ -27,7 +28,8 @@
         FeedTopic::Evacuations => apply_evacuations(router, EvacuationList::from_list(&list)),
         FeedTopic::Servers | FeedTopic::Nodes => apply_entries(router, topic, list),
         FeedTopic::Routes | FeedTopic::Crashes => {
-            router.cluster.replace(router.clock.now(), list.items.clone(), topic, UpdateOrigin::Store);
+            let context = router.update_context(topic, UpdateOrigin::Store, list.position);
+            router.cluster.replace(list.items.clone(), &context);
             router.relay_publisher.publish(|| RelayFrame::Listed(topic, list.items));
         }
     }
@@ -36,10 +38,8 @@
 /// Applies a listing of servers or nodes and sends followers what was not known before.
 fn apply_entries(router: &Router, topic: FeedTopic, list: FeedList) {
     let known = KnownEntries::of(router).digest(router.cluster.version());
-    router.cluster.replace(router.clock.now(), list.items, topic, UpdateOrigin::Store);
-    router
-        .relay_publisher
-        .publish(|| RelayFrame::Snapshot(Box::new(RelaySnapshot::build(router, &KnownEntries::of(router), &known))));
+    router.cluster.replace(list.items, &router.update_context(topic, UpdateOrigin::Store, list.position));
+    router.relay_publisher.publish(|| RelayFrame::Snapshot(Box::new(RelaySnapshot::build(router, &known))));
 }
 
 fn apply_evacuations(router: &Router, list: EvacuationList) {
--- a/crates/router/tests/cluster.rs
+++ b/crates/router/tests/cluster.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use streamfold_model::{
-    AllowedRegions, CallerLimits, CoreShare, GatherSpec, Incarnation, NodeEntry, Priority, RouteKind, RouteSpec,
-    RouteTable, RouteTarget, ServerEntry, ServerStart, ServiceName, TableVersion, WeightedService,
+    AllowedRegions, CallerLimits, CoreShare, EntryRevision, GatherSpec, Incarnation, NodeEntry, Priority, RouteKind,
+    RouteSpec, RouteTable, RouteTarget, ServerEntry, ServerStart, ServiceName, TableVersion, WeightedService,
 };
 use streamfold_policy::{MechanismSet, Moment};
-use streamfold_router::cluster::{Cluster, UpdateOrigin};
+use streamfold_router::cluster::{Cluster, UpdateContext, UpdateOrigin};
 use streamfold_router::cluster_place::NodeContext;
-use streamfold_router::interface::{FeedChange, FeedItem, FeedTopic};
+use streamfold_router::interface::{FeedChange, FeedItem, FeedPosition, FeedTopic};
 use streamfold_router::settings::SchedulingSettings;
 
 fn entry(name: &str, incarnation: u64) -> NodeEntry {
@@ -29,6 +29,7 @@
         domain: "zone-a".parse().expect("a failure domain"),
         regions: HashMap::new(),
         extra_call_window: Duration::from_secs(10),
+        drained_within: Duration::from_secs(3),
         cold_calls: None,
         scheduling: SchedulingSettings::default(),
         mechanisms: MechanismSet::default(),
@@ -36,7 +37,14 @@
 }
 
 fn apply_node(cluster: &Cluster, entry: NodeEntry, origin: UpdateOrigin) {
-    cluster.apply(Moment::default(), vec![FeedChange::Put(FeedItem::Node(entry))], FeedTopic::Nodes, origin);
+    let context = UpdateContext {
+        now: Moment::default(),
+        topic: FeedTopic::Nodes,
+        origin,
+        position: FeedPosition::default(),
+        present_age: None,
+    };
+    cluster.apply(vec![FeedChange::Put(FeedItem::Node(entry))], &context);
 }
 
 #[test]
@@ -96,6 +104,7 @@
         let server = ServerEntry {
             id: format!("i-{service}").parse().expect("an id"),
             start: ServerStart(1),
+            revision: EntryRevision::default(),
             service: name(service),
             address: "127.0.0.1:8080".parse().expect("an address"),
             domain: domain.parse().expect("a failure domain"),
@@ -104,7 +113,15 @@
             warmup: Duration::ZERO,
         };
         let change = FeedChange::Put(FeedItem::Server(server));
-        cluster.apply(Moment::default(), vec![change], FeedTopic::Servers, UpdateOrigin::Store);
+        let (now, origin) = (Moment::default(), UpdateOrigin::Store);
+        let context = UpdateContext {
+            now,
+            topic: FeedTopic::Servers,
+            origin,
+            position: FeedPosition::default(),
+            present_age: None,
+        };
+        cluster.apply(vec![change], &context);
     }
 }
 
@@ -162,3 +179,67 @@
     assert_eq!(neighbours("b-2"), ["b-1", "b-2"]);
     assert_eq!(neighbours("b-3"), Vec::<String>::new());
 }
+
+/// The entry of a server with a revision.
+fn server_entry(revision: u64) -> ServerEntry {
+    ServerEntry {
+        id: "i-1".parse().expect("an id"),
+        start: ServerStart(1),
+        revision: EntryRevision(revision),
+        service: "lone".parse().expect("a name"),
+        address: "127.0.0.1:8080".parse().expect("an address"),
+        domain: "zone-a".parse().expect("a failure domain"),
+        slots: 1,
+        is_draining: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+/// The context of an update of servers that is complete up to a position. The servers were last confirmed a second
+/// before.
+fn servers_context(now: Moment, origin: UpdateOrigin, position: u64) -> UpdateContext {
+    let present_age = Some(Duration::from_secs(1));
+    UpdateContext { now, topic: FeedTopic::Servers, origin, position: FeedPosition(position), present_age }
+}
+
+/// How the cluster uses the server.
+fn describe_server(cluster: &Cluster) -> String {
+    let view = cluster.view();
+    let name: ServiceName = "lone".parse().expect("a name");
+    let servers = view.services.get(&name).map(|service| service.usable(Moment::default(), &AllowedRegions::Any));
+    match servers.and_then(|mut servers| servers.next()) {
+        Some(server) => server.usable_until().map_or("used".to_owned(), |until| format!("used until {} us", until.0)),
+        None => "not used".to_owned(),
+    }
+}
+
+/// Guards against requests to a server that has left: a node had read in the store that its entry was gone, and then
+/// followed a reader that did not know so yet.
+#[test]
+fn the_entry_of_a_server_that_left_does_not_return_from_a_node_that_is_behind() {
+    let cluster = make_cluster();
+    let apply = |change, origin, position| {
+        cluster.apply(vec![change], &servers_context(Moment::default(), origin, position));
+        describe_server(&cluster)
+    };
+    let replace = |items, origin, position| {
+        cluster.replace(items, &servers_context(Moment::default(), origin, position));
+        describe_server(&cluster)
+    };
+    let put = |revision| FeedChange::Put(FeedItem::Server(server_entry(revision)));
+    let entry = |revision| vec![FeedItem::Server(server_entry(revision))];
+    let mut steps = vec![("listed", replace(entry(60), UpdateOrigin::Store, 70))];
+    steps.push(("gone from the store", replace(Vec::new(), UpdateOrigin::Store, 75)));
+    steps.push(("listed by a reader that is behind", replace(entry(60), UpdateOrigin::Reader, 72)));
+    steps.push(("a change that the reader delivers late", apply(put(73), UpdateOrigin::Reader, 73)));
+    steps.push(("told by a node without a position", apply(put(60), UpdateOrigin::Peer, 0)));
+    cluster.sweep(Moment::default().plus(Duration::from_secs(3)));
+    steps.push(("its time is over", describe_server(&cluster)));
+    steps.push(("listed once more by a reader that is behind", replace(entry(60), UpdateOrigin::Reader, 72)));
+    steps.push(("told once more by a node", apply(put(60), UpdateOrigin::Peer, 0)));
+    steps.push(("registered again", apply(put(78), UpdateOrigin::Reader, 78)));
+    steps.push(("not listed by a reader that is behind", replace(Vec::new(), UpdateOrigin::Reader, 76)));
+    steps.push(("gone again", replace(Vec::new(), UpdateOrigin::Reader, 80)));
+    let steps: Vec<String> = steps.into_iter().map(|(step, use_of)| format!("{step}: {use_of}")).collect();
+    insta::assert_snapshot!(steps.join("\n"));
+}
--- a/crates/router/tests/fakes/mod.rs
+++ b/crates/router/tests/fakes/mod.rs
@@ -3,10 +3,12 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{CallerLimits, ContentId, CrashEntry, NodeEntry, RouteTable, ServerId, TableVersion, TeamName};
+use streamfold_model::{
+    CallerLimits, ContentId, CrashEntry, EntryRevision, NodeEntry, RouteTable, ServerId, TableVersion, TeamName,
+};
 use streamfold_router::interface::{
-    CallFormat, CallerHead, ClusterFeed, EntryRevision, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition,
-    FeedTopic, HeadError, ListAge, ReplyHead,
+    CallFormat, CallerHead, ClusterFeed, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic,
+    HeadError, ListAge, ReplyHead,
 };
 use streamfold_router::{Router, RouterSettings};
 use streamfold_store::StoreError;
--- a/crates/router/tests/lost_links.rs
+++ b/crates/router/tests/lost_links.rs
@@ -12,8 +12,8 @@
 use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use streamfold_model::{
-    AllowedRegions, GatherSpec, Incarnation, NodeEntry, Priority, RouteKind, RouteSpec, RouteTarget, ServerEntry,
-    ServerId, ServerStart, ServiceName, TeamName,
+    AllowedRegions, EntryRevision, GatherSpec, Incarnation, NodeEntry, Priority, RouteKind, RouteSpec, RouteTarget,
+    ServerEntry, ServerId, ServerStart, ServiceName, TeamName,
 };
 use streamfold_router::answer::RefusalKind;
 use streamfold_router::attempt_context::{AttemptContext, RequestOrigin};
@@ -168,6 +168,7 @@
     ServerEntry {
         id: format!("{shard}-i0").parse().expect("an id"),
         start: ServerStart(1),
+        revision: EntryRevision::default(),
         service: service(shard),
         address,
         domain: domain.parse().expect("a failure domain"),
--- a/crates/router/tests/measured_pace.rs
+++ b/crates/router/tests/measured_pace.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use streamfold_model::{
-    AllowedRegions, CallerLimits, FailureDomain, GatherSpec, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget,
-    ServerEntry, ServerRun, ServerStart, ServiceName, TableVersion, WeightedService,
+    AllowedRegions, CallerLimits, EntryRevision, FailureDomain, GatherSpec, Priority, RouteKind, RouteSpec, RouteTable,
+    RouteTarget, ServerEntry, ServerRun, ServerStart, ServiceName, TableVersion, WeightedService,
 };
 use streamfold_policy::replica::CallSample;
 use streamfold_policy::{Mechanism, MechanismSet, Moment};
 use streamfold_router::batch::ServerPace;
-use streamfold_router::cluster::{Cluster, UpdateOrigin};
+use streamfold_router::cluster::{Cluster, UpdateContext, UpdateOrigin};
 use streamfold_router::cluster_place::NodeContext;
-use streamfold_router::interface::{FeedChange, FeedItem, FeedTopic};
+use streamfold_router::interface::{FeedChange, FeedItem, FeedPosition, FeedTopic};
 use streamfold_router::pace_report::{record_paces, report_paces};
 use streamfold_router::server::Server;
 use streamfold_router::settings::SchedulingSettings;
@@ -67,6 +67,7 @@
         domain: domain.parse().expect("a failure domain"),
         regions: HashMap::new(),
         extra_call_window: Duration::from_secs(10),
+        drained_within: Duration::from_secs(3),
         cold_calls: None,
         mechanisms: MechanismSet::without(without),
         scheduling: SchedulingSettings::default(),
@@ -77,6 +78,7 @@
     let entry = ServerEntry {
         id: id.parse().expect("an id"),
         start: ServerStart(start),
+        revision: EntryRevision::default(),
         service: service_name(),
         address: "127.0.0.1:8080".parse().expect("an address"),
         domain: "zone-a".parse().expect("a failure domain"),
@@ -85,7 +87,10 @@
         warmup: Duration::ZERO,
     };
     let change = FeedChange::Put(FeedItem::Server(entry));
-    cluster.apply(Moment::default(), vec![change], FeedTopic::Servers, UpdateOrigin::Store);
+    let (now, origin) = (Moment::default(), UpdateOrigin::Store);
+    let context =
+        UpdateContext { now, topic: FeedTopic::Servers, origin, position: FeedPosition::default(), present_age: None };
+    cluster.apply(vec![change], &context);
 }
 
 fn servers(cluster: &Cluster, now: Moment) -> Vec<Arc<Server>> {
--- a/crates/router/tests/panicked.rs
+++ b/crates/router/tests/panicked.rs
@@ -13,10 +13,10 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{ContentId, CrashEntry, NodeEntry, ServerId, TeamName};
+use streamfold_model::{ContentId, CrashEntry, EntryRevision, NodeEntry, ServerId, TeamName};
 use streamfold_router::interface::{
-    CallFormat, CallerHead, ClusterFeed, EntryRevision, FeedChanges, FeedFuture, FeedList, FeedPosition, FeedTopic,
-    HeadError, ListAge, ReplyHead,
+    CallFormat, CallerHead, ClusterFeed, FeedChanges, FeedFuture, FeedList, FeedPosition, FeedTopic, HeadError,
+    ListAge, ReplyHead,
 };
 use streamfold_router::{RouterSettings, RunningRouter, router_start};
 use streamfold_store::StoreError;
--- a/crates/router/tests/panicked_call.rs
+++ b/crates/router/tests/panicked_call.rs
@@ -11,8 +11,8 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use metrics::{Counter, Gauge, Histogram, Key, KeyName, Metadata, Recorder, SharedString, Unit};
 use streamfold_model::{
-    AllowedRegions, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget, ServerEntry, ServerId, ServerStart,
-    ServiceName, TableVersion, TeamName, WeightedService,
+    AllowedRegions, EntryRevision, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget, ServerEntry, ServerId,
+    ServerStart, ServiceName, TableVersion, TeamName, WeightedService,
 };
 use streamfold_policy::Moment;
 use streamfold_router::interface::{
@@ -101,6 +101,7 @@
         ServerEntry {
             id: "server".parse().expect("an id"),
             start: ServerStart(1),
+            revision: EntryRevision::default(),
             service: service_name(),
             address: self.0,
             domain: "zone-a".parse().expect("a failure domain"),
--- a/crates/router/tests/quarantine_trial.rs
+++ b/crates/router/tests/quarantine_trial.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use streamfold_model::{ContentId, CrashEntry, FailureDomain, ServerEntry, ServerRun, ServerStart};
+use streamfold_model::{ContentId, CrashEntry, EntryRevision, FailureDomain, ServerEntry, ServerRun, ServerStart};
 use streamfold_policy::MechanismSet;
 use streamfold_policy::canary::CallPermission;
 use streamfold_policy::crash_tracker::ContentStatus;
@@ -89,6 +89,7 @@
     let entry = ServerEntry {
         id: "i-4".parse().expect("an id"),
         start: ServerStart(1),
+        revision: EntryRevision::default(),
         service: "shard".parse().expect("a name"),
         address,
         domain,
--- a/crates/router/tests/request_lines.rs
+++ b/crates/router/tests/request_lines.rs
@@ -13,9 +13,9 @@
 use fakes::{FakeFeed, FakeTopics, NoFormat, make_settings, make_table, wait_version};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use streamfold_model::{
-    AllowedRegions, Incarnation, KeyDigest, NodeEntry, Priority, RouteKind, RouteSpec, RouteTable, RouteTarget,
-    ServerEntry, ServerId, ServerStart, TableVersion, TeamDirectory, TeamKeys, TeamName, TeamSpec, TimeSpan,
-    UsageLimit, WeightedService,
+    AllowedRegions, EntryRevision, Incarnation, KeyDigest, NodeEntry, Priority, RouteKind, RouteSpec, RouteTable,
+    RouteTarget, ServerEntry, ServerId, ServerStart, TableVersion, TeamDirectory, TeamKeys, TeamName, TeamSpec,
+    TimeSpan, UsageLimit, WeightedService,
 };
 use streamfold_router::interface::{
     CallFormat, CallerHead, FeedChanges, FeedFuture, FeedItem, FeedList, FeedPosition, FeedTopic, HeadError,
@@ -159,6 +159,7 @@
             FeedTopic::Servers => vec![FeedItem::Server(ServerEntry {
                 id: "i-0".parse().expect("an id"),
                 start: ServerStart(1),
+                revision: EntryRevision::default(),
                 service: "shop".parse().expect("a name"),
                 address: self.server,
                 domain: "zone-a".parse().expect("a failure domain"),
