Answers without end are read only up to a limit, in a head, a body and between calls

Cause of what was found: a call was bounded by the HTTP library's limit of a head, 16 MB of body and its deadline, but informational responses (1xx) before a head count for neither, and idle connections were looked at only when they were taken or when their idle time, which the server names, was over.

Change: the stream of a connection counts what it reads (read_limit.rs): 128 KB until the head is complete, then the body's limit, whatever part the bytes are of; a false length is refused at once. A connection that ends within a head no longer counts as one that ended before any byte of the answer.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -10,6 +10,7 @@
 use streamfold_policy::Moment;
 use streamfold_policy::replica::CallSample;
 
+use crate::connection::AnswerLimits;
 use crate::connection_pool::{LeaseTerms, LeasedConnection, RequestKey};
 use crate::crash_check;
 use crate::error::ExchangeError;
@@ -20,7 +21,7 @@
 
 /// The connect timeout. It covers the round trip, the handshake and a pause of the server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// The largest answer accepted from a server, in bytes.
+/// The longest body accepted from a server, in bytes.
 const MAX_ANSWER_LEN: usize = 16 << 20;
 
 /// A server's complete answer.
@@ -196,19 +197,24 @@
         return Err(CallFailure::NotSent);
     }
     if !server.admit_call(router.clock.now()) {
-        server.put_back(router.clock.now(), leased, None).await;
+        server.put_back(router.clock.now(), leased, None);
         return Err(CallFailure::NotSent);
     }
     mark.set();
     let mut work = server.start_work(router.clock, request.suspect);
     let built = request.build(&*router.format, &server.id, left);
-    let response = leased.connection.exchange(built, MAX_ANSWER_LEN).await.map_err(|error| match error {
+    let limits = AnswerLimits { body: MAX_ANSWER_LEN, memory: &router.answer_memory };
+    let response = leased.connection.exchange(built, limits).await.map_err(|error| match error {
         ExchangeError::NotSent => CallFailure::NotSent,
         ExchangeError::ConnectionLost => {
             crash_check::check_after_loss(router, server);
             CallFailure::ConnectionLost
         }
         ExchangeError::AnswerLost => CallFailure::Unknown,
+        ExchangeError::AnswerTooLong => {
+            note_discarded(server, request, None, "too_long");
+            CallFailure::Unknown
+        }
     })?;
     server.note_contact(router.clock.now());
     let (parts, body) = response.into_parts();
@@ -220,7 +226,7 @@
         leased.note_refused(router.clock.now(), terms.request, request.deadline);
     }
     if !reply.is_closing {
-        server.put_back(router.clock.now(), leased, reply.keep_alive).await;
+        server.put_back(router.clock.now(), leased, reply.keep_alive);
     }
     if reply.is_not_run {
         return Err(CallFailure::NotRun);
@@ -247,15 +253,19 @@
         (true, true) => "contradiction",
         (true, false) => return Ok(()),
     };
+    note_discarded(server, request, Some(status), reason);
+    Err(CallFailure::Unknown)
+}
+
+fn note_discarded(server: &Server, request: &CallerRequest, status: Option<StatusCode>, reason: &'static str) {
     metrics::counter!("streamfold_discarded_answers_total", "reason" => reason).increment(1);
     tracing::info!(
         event = "answer_discarded",
         request = request.id_text(),
         server = %server.id,
-        status = status.as_u16(),
+        status = status.map(|status| status.as_u16()),
         reason
     );
-    Err(CallFailure::Unknown)
 }
 
 /// Records what an answer says about its server.
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -4,24 +4,44 @@
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use streamfold_link::socket::set_tcp_options;
 use tokio::net::TcpStream;
 
+use crate::answer_memory::AnswerMemory;
 use crate::error::ExchangeError;
+use crate::read_limit::{LimitedStream, ReadAllowance};
+
+/// The longest head accepted from a server, in bytes.
+const MAX_HEAD_LEN: usize = 64 << 10;
+/// What may be read until the head is complete, in bytes: the head, and the start of the body that comes with its end.
+/// It also ends informational responses without end, which precede a head.
+const MAX_READ_WITH_HEAD: usize = 2 * MAX_HEAD_LEN;
 
 /// A connection to one server.
 pub struct ServerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    driver: http1::Connection<TokioIo<LimitedStream>, Full<Bytes>>,
+    allowance: Arc<ReadAllowance>,
+}
+
+/// The limits of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerLimits<'a> {
+    /// The longest body as it is sent, in bytes.
+    pub body: usize,
+    /// The memory that it shares with other answers.
+    pub memory: &'a AnswerMemory,
 }
 
 impl ServerConnection {
@@ -36,37 +56,46 @@
         // A cancelled call resets its connection. Otherwise bytes that a network partition holds back would
         // reach the server much later as another request.
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let allowance = Arc::new(ReadAllowance::default());
+        let stream = TokioIo::new(LimitedStream::new(stream, allowance.clone()));
+        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_LEN).handshake(stream);
         let (sender, driver) = handshake.await.map_err(std::io::Error::other)?;
-        Ok(Self { sender, driver })
+        Ok(Self { sender, driver, allowance })
     }
 
     /// Whether another request may be sent: the server has neither closed the connection nor sent further data.
-    pub async fn is_usable(&mut self) -> bool {
-        let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.driver).poll(cx).is_ready())).await;
-        !ended && self.sender.is_ready()
+    pub fn is_usable(&mut self) -> bool {
+        // Nobody waits for the connection now; the next exchange registers its own waker.
+        let mut cx = Context::from_waker(Waker::noop());
+        let has_ended = Pin::new(&mut self.driver).poll(&mut cx).is_ready();
+        !has_ended && self.sender.is_ready()
     }
 
-    /// Sends a request and reads the whole response with a body of at most `limit` bytes.
+    /// Sends a request and reads the whole response within limits.
     ///
     /// # Errors
     /// `NotSent` if no byte of the request was sent, `ConnectionLost` if the connection ended before any byte of the
-    /// response arrived, `AnswerLost` otherwise.
+    /// response arrived, `AnswerTooLong` if the response exceeds the limits, `AnswerLost` otherwise.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
-        limit: usize,
+        limits: AnswerLimits<'_>,
     ) -> Result<Response<Bytes>, ExchangeError> {
+        let allowance = self.allowance.clone();
+        allowance.start(MAX_READ_WITH_HEAD);
         let sent = self.sender.try_send_request(request);
         let exchange = async move {
             let response = sent.await.map_err(|mut error| match error.take_message() {
                 Some(_) => ExchangeError::NotSent,
-                None if error.error().is_parse() => ExchangeError::AnswerLost,
+                None if allowance.is_exceeded() || error.error().is_parse_too_large() => ExchangeError::AnswerTooLong,
+                None if allowance.has_read() => ExchangeError::AnswerLost,
                 None => ExchangeError::ConnectionLost,
             })?;
             let (parts, body) = response.into_parts();
-            let body = Limited::new(body, limit).collect().await.map_err(|_| ExchangeError::AnswerLost)?;
-            Ok(Response::from_parts(parts, body.to_bytes()))
+            allowance.extend(limits.body);
+            let body = read_body(body, limits).await;
+            let body = body.map_err(|error| if allowance.is_exceeded() { ExchangeError::AnswerTooLong } else { error });
+            Ok(Response::from_parts(parts, body?))
         };
         let mut exchange = pin!(exchange);
         let mut driver = Some(&mut self.driver);
@@ -74,6 +103,27 @@
     }
 }
 
+/// Reads a whole body.
+async fn read_body(mut body: Incoming, limits: AnswerLimits<'_>) -> Result<Bytes, ExchangeError> {
+    if body.size_hint().lower() > limits.body as u64 {
+        return Err(ExchangeError::AnswerTooLong);
+    }
+    let mut reservation = limits.memory.start_answer();
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ExchangeError::AnswerLost)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if !reservation.grow(data.len()) {
+            return Err(ExchangeError::AnswerTooLong);
+        }
+        if buffer.is_empty() && body.is_end_stream() {
+            return Ok(data);
+        }
+        buffer.extend_from_slice(&data);
+    }
+    Ok(buffer.freeze())
+}
+
 /// Polls the connection and then the exchange.
 fn poll_both<D: Future + Unpin, E: Future>(
     driver: &mut Option<&mut D>,
--- a/crates/router/src/connection_pool.rs
+++ b/crates/router/src/connection_pool.rs
@@ -146,12 +146,12 @@
 
     /// Takes an idle connection that the server has not closed and on which it has not refused the request. For a request
     /// that must not run twice, connections that have been idle for more than [`MAX_IDLE_IF_ONCE`] are closed.
-    async fn take_idle(&self, terms: &LeaseTerms) -> Option<LeasedConnection> {
+    fn take_idle(&self, terms: &LeaseTerms) -> Option<LeasedConnection> {
         loop {
             let idle = self.pop_idle(terms.request)?;
             let mut leased = idle.leased;
             let is_stale = terms.is_once && terms.now.since(idle.since) > MAX_IDLE_IF_ONCE;
-            if terms.now < idle.until && !is_stale && leased.connection.is_usable().await {
+            if terms.now < idle.until && !is_stale && leased.connection.is_usable() {
                 return Some(leased);
             }
         }
@@ -176,7 +176,7 @@
     /// No connection is available in time, or the server cannot be connected to.
     pub async fn lease(&self, address: SocketAddr, terms: &LeaseTerms) -> std::io::Result<LeasedConnection> {
         loop {
-            if let Some(leased) = self.take_idle(terms).await {
+            if let Some(leased) = self.take_idle(terms) {
                 return Ok(leased);
             }
             if let Some(permit) = ConnectionPermit::take(&self.count) {
@@ -194,8 +194,8 @@
 
     /// Returns a connection to the pool if it can carry another request. `keep_alive` is the timeout that the server
     /// announced.
-    pub async fn put_back(&self, now: Moment, mut leased: LeasedConnection, keep_alive: Option<Duration>) {
-        if leased.refused.len() >= MAX_REFUSED_REQUESTS || !leased.connection.is_usable().await {
+    pub fn put_back(&self, now: Moment, mut leased: LeasedConnection, keep_alive: Option<Duration>) {
+        if leased.refused.len() >= MAX_REFUSED_REQUESTS || !leased.connection.is_usable() {
             return;
         }
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIME, |keep_alive| keep_alive.saturating_sub(KEEP_ALIVE_MARGIN));
@@ -206,9 +206,10 @@
         self.count.freed.notify_one();
     }
 
-    /// Closes connections whose idle time is over.
+    /// Closes connections whose idle time is over, and those on which a server sends bytes that no request waits for, which
+    /// would fill the machine's buffers.
     pub fn sweep(&self, now: Moment) {
-        self.idle().retain(|idle| now < idle.until);
+        self.idle().retain_mut(|idle| now < idle.until && idle.leased.connection.is_usable());
     }
 
     /// Closes all idle connections.
--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -27,7 +27,10 @@
     /// the request.
     #[error("connection lost")]
     ConnectionLost,
-    /// The answer is incomplete, too large or not valid HTTP.
+    /// The answer is incomplete or not valid HTTP.
     #[error("answer incomplete or malformed")]
     AnswerLost,
+    /// The answer is longer than accepted, or there is no memory left for it.
+    #[error("answer too long")]
+    AnswerTooLong,
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! the source of routes and servers.
 
 pub mod answer;
+pub mod answer_memory;
 pub mod attempt_context;
 pub mod attempts;
 pub mod batch;
@@ -52,6 +53,7 @@
 pub mod peers;
 pub mod quarantine;
 pub mod quarantine_news;
+pub mod read_limit;
 pub mod ready;
 pub mod relay;
 pub mod relay_service;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
+use crate::answer_memory::AnswerMemory;
 use crate::clock::{NodeClock, wall_ms};
 use crate::cluster::{Cluster, UpdateContext, UpdateOrigin};
 use crate::cluster_place::NodeContext;
@@ -90,6 +91,8 @@
     pub(crate) batch_gate: Mutex<BatchGate>,
     /// Schedules calls to the store while it refuses them.
     pub(crate) store_breaker: StoreBreaker,
+    /// Memory for answers of servers.
+    pub(crate) answer_memory: AnswerMemory,
     /// Relays store updates to other nodes.
     pub relay_publisher: RelayPublisher,
     /// Request credit of rate-limited teams.
@@ -181,6 +184,7 @@
             feed_changed: watch::Sender::new(()),
             batch_gate: Mutex::default(),
             store_breaker: StoreBreaker::default(),
+            answer_memory: AnswerMemory::default(),
             relay_publisher: RelayPublisher::default(),
             usage: UsageLedger::default(),
             shortage: ShortageWatch::default(),
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -330,13 +330,13 @@
 
     /// Returns a connection to the pool if it can carry another request. `keep_alive` is the timeout that the server
     /// announced.
-    pub async fn put_back(&self, now: Moment, leased: LeasedConnection, keep_alive: Option<Duration>) {
+    pub fn put_back(&self, now: Moment, leased: LeasedConnection, keep_alive: Option<Duration>) {
         if !self.is_leaving() {
-            self.pool.put_back(now, leased, keep_alive).await;
+            self.pool.put_back(now, leased, keep_alive);
         }
     }
 
-    /// Closes connections whose idle time is over.
+    /// Closes idle connections whose time is over or on which the server sends bytes.
     pub fn sweep(&self, now: Moment) {
         self.pool.sweep(now);
     }
