--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod cluster;
 mod cluster_parts;
 pub mod cluster_place;
+mod cluster_servers;
 pub mod cluster_view;
 pub mod connection;
 pub mod connection_pool;
