--- a/crates/router/src/relay_service.rs
+++ b/crates/router/src/relay_service.rs
@@ -8,7 +8,7 @@
 use h2::server::SendResponse;
 use http::Response;
 use streamfold_link::{PeerError, encode_frame, refuse, send_frame};
-use tokio::sync::broadcast;
+use tokio::sync::broadcast::{self, error::TryRecvError};
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::listing::{KnownDigest, KnownEntries, RelaySnapshot};
@@ -102,6 +102,20 @@
     result
 }
 
+/// Sends the updates that have arrived; returns false if the follower lags too far behind and has to subscribe again.
+async fn forward_pending(
+    updates: &mut broadcast::Receiver<Bytes>,
+    stream: &mut SendStream<Bytes>,
+) -> Result<bool, PeerError> {
+    loop {
+        match updates.try_recv() {
+            Ok(frame) => send_frame(stream, frame, false).await?,
+            Err(TryRecvError::Empty) => return Ok(true),
+            Err(TryRecvError::Lagged(_) | TryRecvError::Closed) => return Ok(false),
+        }
+    }
+}
+
 async fn forward_updates(
     router: &Router,
     updates: &mut broadcast::Receiver<Bytes>,
@@ -123,8 +137,9 @@
             _ = heartbeats.tick() => {
                 let ages = router.freshness.ages();
                 // A heartbeat must not confirm what the follower has not received.
-                while let Ok(frame) = updates.try_recv() {
-                    send_frame(stream, frame, false).await?;
+                let has_all = forward_pending(updates, stream).await?;
+                if !has_all {
+                    break;
                 }
                 encode_frame(&RelayFrame::Heartbeat(ages))?
             }
