The launcher has its own entry on arm64 Linux

The launcher had an entry of its own on x86-64 only. On arm64 `streamfoldd` was a program of the C library, which a SIGHUP ended while the dynamic linker loaded it, and five tests of early_hangup and launcher failed there, one without an end.

Entry, numbers of system calls and the way to make one stand in a file named after the processor.

--- a/crates/launcher/src/entry.rs
+++ b/crates/launcher/src/entry.rs
@@ -1,6 +1,5 @@
 //! The entry of the program, and all that it does.
 
-use core::arch::global_asm;
 use core::ffi::CStr;
 use core::mem::MaybeUninit;
 use core::slice;
@@ -15,20 +14,13 @@
 /// Longest path that the system accepts, with its final zero, in bytes.
 const PATH_LIMIT: usize = 4096;
 
-// The system starts the program here. The stack pointer is the only input, and there is nothing to return to.
-global_asm!(
-    ".globl _start",
-    "_start:",
-    "mov rdi, rsp",
-    "and rsp, -16",
-    "call {start}",
-    start = sym start,
-);
-
-/// Gets the stack as the system sets it up: the number of arguments, the arguments and a null pointer, the environment and
-/// a null pointer.
+/// Called where the system starts the program. Gets the stack as the system sets it up: the number of arguments, the
+/// arguments and a null pointer, the environment and a null pointer.
+///
+/// # Safety
+/// It must be that stack.
 // A function of the plain C convention may not unwind, and the code that ensures this is in the standard library.
-unsafe extern "C-unwind" fn start(stack: *const usize) -> ! {
+pub unsafe extern "C-unwind" fn start(stack: *const usize) -> ! {
     // This comes first, since a SIGHUP before it ends the process.
     if let Err(error) = system_call::ignore_hangups() {
         report("ignoring SIGHUP", c"", error);
--- a/crates/launcher/src/system_call.rs
+++ b/crates/launcher/src/system_call.rs
@@ -1,15 +1,10 @@
 //! The system calls of the launcher, made without the C library, which this program does not load.
 
-use core::arch::asm;
 use core::ffi::CStr;
 use core::mem::MaybeUninit;
 use core::slice;
 
-const SYS_WRITE: usize = 1;
-const SYS_RT_SIGACTION: usize = 13;
-const SYS_EXECVE: usize = 59;
-const SYS_READLINK: usize = 89;
-const SYS_EXIT_GROUP: usize = 231;
+use crate::architecture::{self, SYS_EXECVE, SYS_EXIT_GROUP, SYS_RT_SIGACTION, SYS_WRITE};
 
 const SIGHUP: usize = 1;
 const SIG_IGN: usize = 1;
@@ -61,22 +56,8 @@
 /// # Safety
 /// The arguments must be valid for the call. Those that it does not have are zero.
 unsafe fn call(number: usize, arguments: [usize; 4]) -> Result<usize, ErrorNumber> {
-    let [first, second, third, fourth] = arguments;
-    let result: isize;
-    // SAFETY: the kernel changes no registers but these, and memory only as the caller of this function allows.
-    unsafe {
-        asm!(
-            "syscall",
-            inlateout("rax") number => result,
-            in("rdi") first,
-            in("rsi") second,
-            in("rdx") third,
-            in("r10") fourth,
-            lateout("rcx") _,
-            lateout("r11") _,
-            options(nostack),
-        );
-    }
+    // SAFETY: the caller of this function sees to it.
+    let result = unsafe { architecture::call(number, arguments) };
     if result < 0 { Err(ErrorNumber(result.unsigned_abs())) } else { Ok(result.unsigned_abs()) }
 }
 
@@ -96,9 +77,10 @@
 /// # Errors
 /// The link cannot be read.
 pub fn read_link<'a>(link: &CStr, buffer: &'a mut [MaybeUninit<u8>]) -> Result<&'a [u8], ErrorNumber> {
-    let arguments = [link.as_ptr().expose_provenance(), buffer.as_mut_ptr().expose_provenance(), buffer.len(), 0];
+    let (link, start) = (link.as_ptr().expose_provenance(), buffer.as_mut_ptr().expose_provenance());
+    let (number, arguments) = architecture::reading_of_link(link, start, buffer.len());
     // SAFETY: the link ends with a zero byte, and the kernel writes no more than the length of the buffer.
-    let length = unsafe { call(SYS_READLINK, arguments) }?;
+    let length = unsafe { call(number, arguments) }?;
     // SAFETY: the kernel has written these bytes.
     Ok(unsafe { slice::from_raw_parts(buffer.as_ptr().cast(), length) })
 }
