Tests of bodies in chunks of one byte, on the code as it stands

A body is collected as a list of its pieces. A piece of one byte costs a handle of 32 bytes and more, so a body inside its limit takes some 40 times its length. Crowd and bounds are fixed here, before any change of the product.

--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -56,6 +56,11 @@
     format!("{method} {path} HTTP/1.1\r\n") + &lines.collect::<String>()
 }
 
+/// The first `chunks` chunks of a body, of one byte each; more would follow.
+pub fn write_tiny_chunks(chunks: usize) -> Vec<u8> {
+    b"1\r\nx\r\n".repeat(chunks)
+}
+
 impl CallerCrowd {
     /// Starts one more caller that sends some bytes, and then reads what comes slowly until the connection ends.
     pub async fn add_slow_reader(&mut self, address: SocketAddr, sent: Vec<u8>) {
--- a/crates/lab/tests/misbehaving_callers.rs
+++ b/crates/lab/tests/misbehaving_callers.rs
@@ -12,7 +12,7 @@
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use streamfold_lab::client::CallAnswer;
-use streamfold_lab::crowd::{CallerCrowd, write_head};
+use streamfold_lab::crowd::{CallerCrowd, write_head, write_tiny_chunks};
 use streamfold_lab::fleet::{pause_process, send_signal};
 use streamfold_lab::route_checks::{check_answer, get, local_server, remote_server, service_target, wait_delegated};
 use streamfold_lab::route_fleet::{HOST, MachinePlan, RouteFleet, RouteFleetPlan, write_route};
@@ -32,6 +32,8 @@
 const SILENT_CALLERS: usize = 400;
 /// Callers whose head or body never ends.
 const SLOW_WRITERS: usize = 800;
+/// Callers whose body never ends and comes in chunks of one byte.
+const CHUNK_WRITERS: usize = 60;
 /// Requests on one connection whose answers are not read.
 const UNREAD_REQUESTS: usize = 20_000;
 /// Requests with long bodies for a node that does not read.
@@ -222,7 +224,28 @@
     check_node(&mut fleet, SMALL_MACHINE, "open-bodies").await;
 }
 
-/// The same, for heads.
+/// Guards against bodies whose pieces take far more memory than their bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_one_byte_stay_within_the_memory() {
+    let (_alone, mut fleet) = start(SMALL_MACHINE).await;
+    let mut crowd = CallerCrowd::default();
+    for number in 0..CHUNK_WRITERS {
+        let id = format!("chunks-{number}");
+        let headers = [
+            ("Host", HOST),
+            (names::REQUEST_ID, id.as_str()),
+            (names::DEADLINE_MS, "8000"),
+            ("Transfer-Encoding", "chunked"),
+        ];
+        let head = format!("{}\r\n", write_head("POST", "/list/x", &headers));
+        let request = [head.into_bytes(), write_tiny_chunks(BODY_LEN)].concat();
+        crowd.add_slow_writer(fleet.nodes[0].addresses.callers, request);
+    }
+    wait_for("open bodies", async || crowd.counts.begun.load(Ordering::Relaxed) == CHUNK_WRITERS).await;
+    check_node(&mut fleet, SMALL_MACHINE, "tiny-chunks").await;
+}
+
+/// Guards against heads that are bounded one by one only.
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_that_never_end_stay_within_the_memory() {
     let (_alone, mut fleet) = start(SMALL_MACHINE).await;
--- a/crates/lab/tests/misbehaving_index_callers.rs
+++ b/crates/lab/tests/misbehaving_index_callers.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::Request;
-use streamfold_lab::crowd::{CallerCrowd, write_head};
+use streamfold_lab::crowd::{CallerCrowd, write_head, write_tiny_chunks};
 use streamfold_lab::fleet::{Fleet, INDEX, NodeHandle, TOKEN};
 use streamfold_lab::fleet_plan::{DomainPlan, FleetPlan};
 use streamfold_lab::server::ServerPlan;
@@ -23,6 +23,9 @@
 const SILENT_CALLERS: usize = 400;
 /// Callers whose body never ends.
 const SLOW_WRITERS: usize = 120;
+/// Callers whose body never ends and comes in chunks of one byte, and the chunks of each.
+const CHUNK_WRITERS: usize = 20;
+const CHUNKS: usize = 500_000;
 /// Shards of the index, and bytes that each adds to an answer: 4 MB in all.
 const SHARDS: usize = 20;
 const SHARD_LEN: usize = (4 << 20) / SHARDS;
@@ -132,6 +135,22 @@
     check_node(&mut fleet, "index-bodies").await;
 }
 
+/// Guards against bodies whose pieces take far more memory than their bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn index_bodies_in_chunks_of_one_byte_stay_within_the_memory() {
+    let (_alone, mut fleet) = start(0).await;
+    let mut crowd = CallerCrowd::default();
+    let token = format!("Bearer {TOKEN}");
+    let headers = [("Host", "node"), ("Authorization", token.as_str()), ("Transfer-Encoding", "chunked")];
+    let head = format!("{}\r\n", write_head("POST", &format!("/v1/indexes/{INDEX}/query"), &headers));
+    for _ in 0..CHUNK_WRITERS {
+        let request = [head.clone().into_bytes(), write_tiny_chunks(CHUNKS)].concat();
+        crowd.add_slow_writer(fleet.nodes[0].addresses.callers, request);
+    }
+    wait_for("open bodies", async || crowd.counts.begun.load(Ordering::Relaxed) == CHUNK_WRITERS).await;
+    check_node(&mut fleet, "index-tiny-chunks").await;
+}
+
 /// Guards against callers that take all file descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn index_connections_without_a_request_leave_descriptors_for_others() {
