What callers hold is counted in one place, with limits that follow from the machine

Nothing bounded what all callers of a node hold together. CallerLimits knows each connection, what it is doing and which memory it holds; its limits are fractions of the memory and of the file descriptors that the settings name (memory, max_files; without them what the system reports). policy/caller_cut.rs decides whose connection is closed when there is no room: none while there is, never one whose request is being served, of the others the one that holds most for longest.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod budget_share;
 pub mod call_order;
+pub mod caller_cut;
 pub mod canary;
 pub mod cold_limit;
 pub mod crash_tracker;
--- a/crates/policy/src/retry_after.rs
+++ b/crates/policy/src/retry_after.rs
@@ -15,6 +15,8 @@
 /// Delay after servers refused or were unreachable: by then they have worked off part of their queue, and a node that
 /// has just come up has its links.
 const NO_SERVER_DELAY: Duration = Duration::from_millis(300);
+/// Delay while there is no memory for requests: by then some of those that hold it have ended.
+const NO_MEMORY_DELAY: Duration = Duration::from_millis(500);
 /// Time from the trial of a content that crashed servers until all nodes know the outcome.
 const TRIAL_OUTCOME_DELAY: Duration = Duration::from_secs(1);
 /// Range of the random jitter, as factors of the delay.
@@ -57,6 +59,8 @@
         /// Time until this may have changed.
         wait: Duration,
     },
+    /// There is no memory for the request.
+    NoMemory,
     /// The content crashes servers, so it is quarantined.
     Quarantined {
         /// Time until the next trial.
@@ -71,6 +75,7 @@
         RefusalReason::RoutesUnknown { uptime } if uptime < STARTUP_TIME => (STARTUP_TIME - uptime).max(MIN_DELAY),
         RefusalReason::RoutesUnknown { .. } => STORE_OUTAGE_DELAY,
         RefusalReason::NoServer => NO_SERVER_DELAY,
+        RefusalReason::NoMemory => NO_MEMORY_DELAY,
         RefusalReason::OverLimit { wait } => wait.max(MIN_DELAY),
         RefusalReason::Reserved { wait } => return wait + RESERVATION_JITTER.mul_f64(random),
         RefusalReason::NoReservation { wait } => return wait.max(MIN_DELAY).mul_f64(1.0 + (MAX_JITTER - 1.0) * random),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use crate::answer_memory::AnswerMemory;
+use crate::caller_limits::CallerLimits;
 use crate::clock::{NodeClock, wall_ms};
 use crate::cluster::{Cluster, UpdateContext, UpdateOrigin};
 use crate::cluster_place::NodeContext;
@@ -93,6 +94,8 @@
     pub(crate) store_breaker: StoreBreaker,
     /// Memory for answers of servers.
     pub(crate) answer_memory: AnswerMemory,
+    /// What callers may hold of this node's machine.
+    pub(crate) callers: Arc<CallerLimits>,
     /// Relays store updates to other nodes.
     pub relay_publisher: RelayPublisher,
     /// Request credit of rate-limited teams.
@@ -185,6 +188,7 @@
             batch_gate: Mutex::default(),
             store_breaker: StoreBreaker::default(),
             answer_memory: AnswerMemory::default(),
+            callers: Arc::new(CallerLimits::new(settings.machine())),
             relay_publisher: RelayPublisher::default(),
             usage: UsageLedger::default(),
             shortage: ShortageWatch::default(),
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -124,6 +124,7 @@
         overdue.check(&router);
         router.cluster.sweep(router.clock.now());
         shortage::check(&router);
+        router.callers.report();
     }
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Deserializer};
-use streamfold_model::{CoreShare, FailureDomain, NodeId, RegionName, TimeSpan};
+use streamfold_model::{ByteSize, CoreShare, FailureDomain, NodeId, RegionName, TimeSpan};
 use streamfold_policy::{Mechanism, MechanismSet};
 
 use crate::interface::FeedTopic;
+use crate::machine_limits::MachineLimits;
 
 /// The time within which changes of a topic must be known for which no setting states one, as a multiple of
 /// `silence_within`. Such changes are not urgent.
@@ -40,6 +41,12 @@
     /// The share of them that this process may use.
     #[serde(default)]
     pub cpu_share: Option<f64>,
+    /// Memory of the machine. Without it, what the system reports.
+    #[serde(default)]
+    pub memory: Option<ByteSize>,
+    /// File descriptors that the process may open. Without it, the limit that the system has set.
+    #[serde(default)]
+    pub max_files: Option<u32>,
     /// Addresses of some nodes, for a start while the store is unavailable.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -119,6 +126,11 @@
         (cores.is_finite() && cores > 0.0).then_some(CoreShare((cores * 1e3) as u32))
     }
 
+    /// What the machine gives this process.
+    pub fn machine(&self) -> MachineLimits {
+        MachineLimits::new(self.memory, self.max_files)
+    }
+
     /// How soon a change of a topic must be known at this node.
     pub fn known_within(&self, topic: FeedTopic) -> Duration {
         match topic {
