Callers that open connections and send nothing took all descriptors of a node

What callers saw: beside 400 connections that send nothing, at the callers' port or at the ports for readiness and metrics, a node with 256 descriptors answered no request while they lasted. It could accept nobody else, and reach no server and no store.

Cause: nothing limited the connections of callers, load balancers and readers of metrics together.

One connection more takes the place of the one that waits longest: first one that never carried a request, then one that rests, then a body or an answer that has been on its way for over a second; never one whose request is being served. So an ordinary caller is not kept out, and callers that stay below the limit never notice it. If none may be closed the new one is: nothing of it was read.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -1,13 +1,14 @@
 //! The HTTP front end: accepts callers' connections, routes their requests and writes the answers.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::Uri;
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
+use http::{Response, Uri};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +26,7 @@
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::attempt_context::{AttemptContext, RequestOrigin};
 use crate::caller_body::{discard_rest, read_body};
+use crate::caller_limits::ConnectionEntry;
 use crate::caller_team::find_team;
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
@@ -53,10 +55,14 @@
             () = wait_phase(&mut phase, RouterPhase::Closing) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
+                let Some(entry) = router.callers.admit(peer).await else {
+                    note_unadmitted(peer);
+                    continue;
+                };
                 // Counted before its task runs, so that a shutdown waits for it.
                 router.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(serve_connection(router.clone(), stream));
+                tokio::spawn(serve_connection(router.clone(), stream, entry));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
@@ -66,7 +72,13 @@
     }
 }
 
-async fn serve_connection(router: Arc<Router>, stream: TcpStream) {
+/// Records a connection that is closed at once since there are too many, none of which may be closed in its place.
+pub(crate) fn note_unadmitted(peer: SocketAddr) {
+    metrics::counter!("streamfold_connections_refused_total").increment(1);
+    tracing::info!(event = "connection_refused", %peer);
+}
+
+async fn serve_connection(router: Arc<Router>, stream: TcpStream, entry: ConnectionEntry) {
     let _count = LiveCount::from_counted(&router.connections);
     let accepted = router.clock.now();
     if let Err(error) = set_tcp_options(&stream) {
@@ -86,6 +98,7 @@
         let (router, is_answering) = (router.clone(), &is_answering);
         let accepted = Some(accepted).filter(|_| !has_read_request.swap(true, Ordering::Relaxed));
         let mut phase = router.phase.subscribe();
+        let guard = entry.connection.start_request();
         async move {
             is_answering.store(true, Ordering::Relaxed);
             let (parts, mut body) = request.into_parts();
@@ -99,6 +112,7 @@
             discard_rest(body);
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
             is_answering.store(false, Ordering::Relaxed);
+            drop(guard);
             Ok::<_, Infallible>(answer)
         }
     });
@@ -107,10 +121,14 @@
     let ended = tokio::select! {
         // In this order, a request that has arrived is read before its connection is closed as idle.
         biased;
+        () = entry.connection.wait_cut() => return,
         ended = connection.as_mut() => ended,
         () = wait_phase(&mut phase, RouterPhase::Closing) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                () = entry.connection.wait_cut() => return,
+                ended = connection => ended,
+            }
         }
     };
     log_end(&ended, is_answering.load(Ordering::Relaxed));
@@ -307,7 +325,7 @@
         usage::give_back(router, &context.view, team);
     }
     record.outcome = result.as_ref().map_or_else(|kind| kind.name(), |_| "answered");
-    record.status = result.as_ref().map_or_else(|kind| kind.status(), http::Response::status).as_u16();
+    record.status = result.as_ref().map_or_else(|kind| kind.status(), Response::status).as_u16();
     drop(record);
     result.unwrap_or_else(|kind| refuse(&*router.format, kind))
 }
