Long answers that callers read slowly took all memory of a node

What callers saw: the process ended, since it ran out of memory. In the test 40 callers that read answers of 4 MB slowly take 178,832 KB of a machine that has 100 MB; gathered answers take 209,644 KB.

Cause: an answer counted only while it was read from its server. From then until the caller had taken its last byte nothing counted it; answers up to 64 KB never counted, and neither did what a gather made of its parts. A buffer that grows by doubling took up to twice what was counted.

Now the memory of an answer is held by its bytes, and given back when the last part of them is dropped, wherever that is. Short answers and the rest of long ones have limits of their own (an eighth and a quarter of the machine's memory), so long ones never keep out short ones. Where there is no room, the connection that holds most for longest is closed, if its answer has been on its way for over a second; the answer that needs the room waits for it at most that long and then is lost, which is 502: it ran. Without pressure nobody is cut, however slowly he reads. A folded answer takes the place of its parts, folding takes about twice the records wanted, and a reply between nodes counts while it is sent.

Router tests say what counts, and until when. endless_answers checks the same bounds by the new names; that all memory was given back is now asked of the first 64 KB of an answer too.

Other way: to read no further from the server while the caller does not read. A slow caller would then hold a slot of a fragile server for as long as it likes.

--- a/crates/router/src/answer_memory.rs
+++ b/crates/router/src/answer_memory.rs
@@ -1,58 +1,75 @@
-//! Memory for answers that are being read. Many servers that send long bodies at the same time must not take the memory
-//! that the node has.
+//! Memory of answers, from their first byte at this node until the last one was sent to the caller. Many long answers at
+//! the same time must not take the memory that the node has.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 
-/// Memory for the parts of answers beyond [`SMALL_ANSWER_LEN`], in bytes: a quarter of what a node has at least.
-const MAX_LARGE_ANSWERS_LEN: usize = 64 << 20;
-/// Up to this length an answer is read without a reservation, in bytes, so that long answers never keep out short ones.
-const SMALL_ANSWER_LEN: usize = 64 << 10;
+use bytes::Bytes;
 
-/// The memory for long answers that is not in use.
-#[derive(Debug)]
-pub struct AnswerMemory(AtomicUsize);
+use crate::caller_limits::{CallerLimits, MemoryKind};
+use crate::memory_pool::HeldBytes;
 
-impl Default for AnswerMemory {
-    fn default() -> Self {
-        Self(AtomicUsize::new(MAX_LARGE_ANSWERS_LEN))
-    }
-}
+/// Up to this length the bytes of an answer are copied, in bytes. A piece of the buffer that they were read into would
+/// keep the whole buffer.
+const MAX_COPIED_LEN: usize = 4 << 10;
 
 /// The memory of one answer, given back when this is dropped.
 #[derive(Debug)]
-pub struct AnswerReservation<'a> {
-    memory: &'a AnswerMemory,
-    /// The length of the answer so far.
+pub struct AnswerReservation {
+    limits: Arc<CallerLimits>,
     len: usize,
-    reserved: usize,
 }
 
-impl AnswerMemory {
+impl AnswerReservation {
     /// Starts an answer.
-    pub fn start_answer(&self) -> AnswerReservation<'_> {
-        AnswerReservation { memory: self, len: 0, reserved: 0 }
+    pub fn new(limits: Arc<CallerLimits>) -> Self {
+        Self { limits, len: 0 }
     }
 
-    fn reserve(&self, bytes: usize) -> bool {
-        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(bytes)).is_ok()
+    /// Counts bytes that are there already, whether or not there is memory for them.
+    pub fn hold(limits: Arc<CallerLimits>, bytes: Bytes) -> Bytes {
+        if bytes.is_empty() {
+            return bytes;
+        }
+        let (short, long) = CallerLimits::split_answer(bytes.len());
+        limits.pool(MemoryKind::ShortAnswers).take(short);
+        limits.pool(MemoryKind::LongAnswers).take(long);
+        Self { limits, len: bytes.len() }.attach(bytes)
+    }
+
+    /// Takes memory for more of the answer; returns false if there is none, also after a short wait.
+    pub async fn grow(&mut self, bytes: usize) -> bool {
+        let (short_before, long_before) = CallerLimits::split_answer(self.len);
+        let (short, long) = CallerLimits::split_answer(self.len.saturating_add(bytes));
+        if !self.limits.take_for_answer(MemoryKind::ShortAnswers, short - short_before).await {
+            return false;
+        }
+        if !self.limits.take_for_answer(MemoryKind::LongAnswers, long - long_before).await {
+            self.limits.give_back(MemoryKind::ShortAnswers, short - short_before);
+            return false;
+        }
+        self.len += bytes;
+        true
+    }
+
+    /// Bytes that hold this memory for as long as any part of them is in use.
+    pub fn attach<T: AsRef<[u8]> + Send + 'static>(self, bytes: T) -> Bytes {
+        Bytes::from_owner(HeldBytes { bytes, _hold: self })
     }
-}
 
-impl AnswerReservation<'_> {
-    /// Adds bytes to the answer; returns false if there is no memory for them.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        self.len = self.len.saturating_add(bytes);
-        let missing = self.len.saturating_sub(SMALL_ANSWER_LEN) - self.reserved;
-        let is_reserved = missing == 0 || self.memory.reserve(missing);
-        if is_reserved {
-            self.reserved += missing;
+    /// As [`Self::attach`], for bytes that are part of a larger buffer.
+    pub(crate) fn attach_piece(self, piece: Bytes) -> Bytes {
+        match piece.len() {
+            0 => piece,
+            1..=MAX_COPIED_LEN => self.attach(piece.to_vec()),
+            _ => self.attach(piece),
         }
-        is_reserved
     }
 }
 
-impl Drop for AnswerReservation<'_> {
+impl Drop for AnswerReservation {
     fn drop(&mut self) {
-        self.memory.0.fetch_add(self.reserved, Ordering::Relaxed);
+        let (short, long) = CallerLimits::split_answer(self.len);
+        self.limits.give_back(MemoryKind::ShortAnswers, short);
+        self.limits.give_back(MemoryKind::LongAnswers, long);
     }
 }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -203,7 +203,7 @@
     mark.set();
     let mut work = server.start_work(router.clock, request.suspect);
     let built = request.build(&*router.format, &server.id, left);
-    let limits = AnswerLimits { body: MAX_ANSWER_LEN, memory: &router.answer_memory };
+    let limits = AnswerLimits { body: MAX_ANSWER_LEN, memory: &router.callers };
     let response = leased.connection.exchange(built, limits).await.map_err(|error| match error {
         ExchangeError::NotSent => CallFailure::NotSent,
         ExchangeError::ConnectionLost => {
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -18,8 +18,10 @@
 use streamfold_link::socket::set_tcp_options;
 use tokio::net::TcpStream;
 
-use crate::answer_memory::AnswerMemory;
+use crate::answer_memory::AnswerReservation;
+use crate::caller_limits::CallerLimits;
 use crate::error::ExchangeError;
+use crate::growing_buffer::GrowingBuffer;
 use crate::read_limit::{LimitedStream, ReadAllowance};
 
 /// The longest head accepted from a server, in bytes.
@@ -41,7 +43,7 @@
     /// The longest body as it is sent, in bytes.
     pub body: usize,
     /// The memory that it shares with other answers.
-    pub memory: &'a AnswerMemory,
+    pub memory: &'a Arc<CallerLimits>,
 }
 
 impl ServerConnection {
@@ -103,25 +105,31 @@
     }
 }
 
-/// Reads a whole body.
+/// Reads a whole body. Its memory is counted for as long as any part of it is in use.
 async fn read_body(mut body: Incoming, limits: AnswerLimits<'_>) -> Result<Bytes, ExchangeError> {
     if body.size_hint().lower() > limits.body as u64 {
         return Err(ExchangeError::AnswerTooLong);
     }
-    let mut reservation = limits.memory.start_answer();
-    let mut buffer = BytesMut::new();
+    let most = body.size_hint().exact().map_or(limits.body, |len| usize::try_from(len).unwrap_or(limits.body));
+    let mut reservation = AnswerReservation::new(limits.memory.clone());
+    let mut buffer = GrowingBuffer::new(most);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ExchangeError::AnswerLost)?;
         let Ok(data) = frame.into_data() else { continue };
-        if !reservation.grow(data.len()) {
-            return Err(ExchangeError::AnswerTooLong);
-        }
         if buffer.is_empty() && body.is_end_stream() {
-            return Ok(data);
+            let is_reserved = reservation.grow(data.len()).await;
+            return if is_reserved { Ok(reservation.attach_piece(data)) } else { Err(ExchangeError::AnswerTooLong) };
+        }
+        let growth = buffer.growth(data.len()).map_err(|_| ExchangeError::AnswerTooLong)?;
+        if !reservation.grow(growth).await {
+            return Err(ExchangeError::AnswerTooLong);
         }
-        buffer.extend_from_slice(&data);
+        buffer.push(&data).map_err(|error| {
+            tracing::warn!(event = "answer_not_buffered", %error);
+            ExchangeError::AnswerTooLong
+        })?;
     }
-    Ok(buffer.freeze())
+    Ok(if buffer.is_empty() { Bytes::new() } else { reservation.attach(buffer) })
 }
 
 /// Polls the connection and then the exchange.
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -9,6 +9,7 @@
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Response, Uri};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,6 +27,7 @@
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::attempt_context::{AttemptContext, RequestOrigin};
 use crate::caller_body::{discard_rest, read_body};
+use crate::caller_connection::RequestGuard;
 use crate::caller_limits::ConnectionEntry;
 use crate::caller_team::find_team;
 use crate::canary::CanaryCall;
@@ -112,8 +114,7 @@
             discard_rest(body);
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
             is_answering.store(false, Ordering::Relaxed);
-            drop(guard);
-            Ok::<_, Infallible>(answer)
+            Ok::<_, Infallible>(send_counted(answer, guard))
         }
     });
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
@@ -134,6 +135,13 @@
     log_end(&ended, is_answering.load(Ordering::Relaxed));
 }
 
+/// Hands over an answer whose memory counts as the caller's until it was sent.
+pub(crate) fn send_counted(answer: CallerAnswer, guard: RequestGuard) -> CallerAnswer {
+    let (parts, body) = answer.into_parts();
+    let body = body.into_inner().unwrap_or_default();
+    Response::from_parts(parts, Full::new(guard.send(body)))
+}
+
 /// Logs why a caller's connection ended, if a request was left unanswered or an error occurred.
 fn log_end(ended: &Result<(), hyper::Error>, is_unanswered: bool) {
     let error = ended.as_ref().err().map(ToString::to_string);
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -18,6 +18,7 @@
 use tokio::time::Sleep;
 
 use crate::answer::{CallerAnswer, RefusalKind};
+use crate::answer_memory::AnswerReservation;
 use crate::attempt_context::{AttemptContext, CallEvent, PendingCalls, RequestOrigin};
 use crate::attempts::ServiceAttempts;
 use crate::call::EndedCall;
@@ -327,11 +328,20 @@
         let parts = self.slots.iter().filter_map(|slot| slot.part.as_ref());
         let proofs: Vec<HeaderValue> = parts.map(|part| part.proof.clone()).collect();
         let missing = self.slots.len() - proofs.len();
+        let records = self.hold_answer(records);
         let mut answer: Response<Full<Bytes>> = Response::new(Full::new(records));
         self.context.router.format.write_gathered(answer.headers_mut(), &proofs, missing);
         Ok(answer)
     }
 
+    /// Counts the memory of the folded records in place of that of the parts, which are not needed any more and take at
+    /// least as much.
+    fn hold_answer(&mut self, records: Bytes) -> Bytes {
+        self.slots.iter_mut().filter_map(|slot| slot.part.as_mut()).for_each(|part| part.records = Bytes::new());
+        self.batches.iter_mut().for_each(|batch| batch.records = Bytes::new());
+        AnswerReservation::hold(self.context.router.callers.clone(), records)
+    }
+
     fn list_peers(&self) -> String {
         join(self.batches.iter().map(|batch| batch.peer.entry.node.as_str()))
     }
--- a/crates/router/src/gather_batch.rs
+++ b/crates/router/src/gather_batch.rs
@@ -5,6 +5,7 @@
 use streamfold_model::{FailureDomain, NodeId};
 use streamfold_policy::Mechanism;
 
+use crate::answer_memory::AnswerReservation;
 use crate::attempts::ServiceAttempts;
 use crate::batch::{BatchFrame, BatchMode, BatchShard, FoldedShard, MissingShard, ShardReply};
 use crate::delegate::{BatchRequest, PlannedBatch, read_next_frame};
@@ -160,7 +161,7 @@
     fn take_reply(&mut self, number: usize, reply: ShardReply) {
         let Some(proofs) = self.read_reply(number, &reply) else { return };
         let batch = &mut self.batches[number];
-        batch.records = Bytes::from(reply.records);
+        batch.records = AnswerReservation::hold(self.context.router.callers.clone(), Bytes::from(reply.records));
         let positions = batch.positions.clone();
         if !proofs.is_empty() {
             self.context.canary.note_answered();
--- a/crates/router/src/gather_hedge.rs
+++ b/crates/router/src/gather_hedge.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use crate::answer_memory::AnswerReservation;
 use crate::batch::{BatchFrame, BatchMode, BatchShard, ShardReply};
 use crate::delegate::BatchRequest;
 use crate::fold::{Record, ShardPart, find_last_wanted};
@@ -74,6 +75,7 @@
             let slot = &mut self.slots[position];
             slot.attempts.may_have_run = true;
             let records = Bytes::copy_from_slice(&shard.records);
+            let records = AnswerReservation::hold(self.context.router.callers.clone(), records);
             slot.part.get_or_insert(ShardPart { proof, records, floor });
         }
     }
--- a/crates/router/src/ready.rs
+++ b/crates/router/src/ready.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::caller_limits::{CallerLimits, ConnectionEntry};
-use crate::front::{ACCEPT_DELAY, note_unadmitted};
+use crate::front::{ACCEPT_DELAY, note_unadmitted, send_counted};
 use crate::router::Router;
 
 /// The path of the metrics.
@@ -51,10 +51,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         let guard = entry.connection.start_request();
         let response = answer(&router, request.uri().path(), metrics_text);
-        async move {
-            drop(guard);
-            Ok::<_, Infallible>(response)
-        }
+        async move { Ok::<_, Infallible>(send_counted(response, guard)) }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(MAX_HEAD_LEN);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -14,7 +14,6 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use crate::answer_memory::AnswerMemory;
 use crate::caller_limits::CallerLimits;
 use crate::clock::{NodeClock, wall_ms};
 use crate::cluster::{Cluster, UpdateContext, UpdateOrigin};
@@ -92,8 +91,6 @@
     pub(crate) batch_gate: Mutex<BatchGate>,
     /// Schedules calls to the store while it refuses them.
     pub(crate) store_breaker: StoreBreaker,
-    /// Memory for answers of servers.
-    pub(crate) answer_memory: AnswerMemory,
     /// What callers may hold of this node's machine.
     pub(crate) callers: Arc<CallerLimits>,
     /// Relays store updates to other nodes.
@@ -187,7 +184,6 @@
             feed_changed: watch::Sender::new(()),
             batch_gate: Mutex::default(),
             store_breaker: StoreBreaker::default(),
-            answer_memory: AnswerMemory::default(),
             callers: Arc::new(CallerLimits::new(settings.machine())),
             relay_publisher: RelayPublisher::default(),
             usage: UsageLedger::default(),
--- a/crates/router/tests/endless_answers.rs
+++ b/crates/router/tests/endless_answers.rs
@@ -10,7 +10,8 @@
 use http::{HeaderValue, Request};
 use http_body_util::Full;
 use streamfold_policy::Moment;
-use streamfold_router::answer_memory::AnswerMemory;
+use streamfold_router::answer_memory::AnswerReservation;
+use streamfold_router::caller_limits::CallerLimits;
 use streamfold_router::connection::{AnswerLimits, ServerConnection};
 use streamfold_router::connection_pool::{ConnectionPool, LeaseTerms, RequestKey};
 use streamfold_router::error::ExchangeError;
@@ -107,7 +108,7 @@
 }
 
 /// Calls the server once within a time; returns the error, or `None` if the time was over.
-async fn call(attack: &Attack, memory: &AnswerMemory, time: Duration) -> Option<ExchangeError> {
+async fn call(attack: &Attack, memory: &Arc<CallerLimits>, time: Duration) -> Option<ExchangeError> {
     let mut connection = ServerConnection::open(attack.address, MAX_WAIT).await.expect("a connection");
     let exchange = connection.exchange(request(), AnswerLimits { body: MAX_BODY_LEN, memory });
     tokio::time::timeout(time, exchange).await.ok().map(|answer| answer.map(|_| ()).expect_err("no answer"))
@@ -129,7 +130,7 @@
 /// Guards against a call that reads for as long as a server sends.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_without_end_is_read_only_up_to_a_limit() {
-    let memory = AnswerMemory::default();
+    let memory = Arc::new(CallerLimits::default());
     let mut results = Vec::new();
     for (name, server) in ENDLESS {
         let attack = server.start().await;
@@ -145,7 +146,7 @@
 /// Guards against a slow answer without end that is read on after the time of its call.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_answer_without_end_ends_with_the_time_of_its_call() {
-    let memory = AnswerMemory::default();
+    let memory = Arc::new(CallerLimits::default());
     for (name, server) in ENDLESS.into_iter().skip(1) {
         let attack = server.slow().start().await;
         let error = call(&attack, &memory, CALL_TIME).await;
@@ -161,7 +162,7 @@
 async fn long_answers_that_are_read_together_share_a_limit() {
     const CALLS: usize = 40;
     const LONG_BODY: usize = 16 << 20;
-    let memory = Arc::new(AnswerMemory::default());
+    let memory = Arc::new(CallerLimits::default());
     // Each call stays below the limit of one answer, and the server then holds the connection open.
     let server = EndlessServer { repeats: 4 << 20, pause: Duration::from_millis(50), ..ENDLESS[5].1.clone() };
     let attack = server.start().await;
@@ -178,10 +179,11 @@
     assert!(errors.iter().all(|error| *error == ExchangeError::AnswerTooLong), "{errors:?}");
     attack.wait_closed(CALLS).await;
     // All memory was given back.
-    let mut reservation = memory.start_answer();
-    assert!(reservation.grow(64 << 20));
+    let mut reservation = AnswerReservation::new(memory.clone());
+    assert!(reservation.grow((64 << 20) + (64 << 10)).await);
     // Short answers need none of it.
-    assert!(memory.start_answer().grow(64 << 10) && !memory.start_answer().grow(1 << 20));
+    assert!(AnswerReservation::new(memory.clone()).grow(64 << 10).await);
+    assert!(!AnswerReservation::new(memory).grow(1 << 20).await);
 }
 
 /// Guards against idle connections that fill the machine's buffers, or deliver their bytes to the next request.
@@ -190,7 +192,7 @@
     let whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=3600\r\n\r\n";
     let attack = EndlessServer { pause: DRIP_INTERVAL, ..EndlessServer::fast(whole, "HTTP/1.1 200 OK\r\n\r\n") };
     let attack = attack.start().await;
-    let (pool, memory) = (ConnectionPool::default(), AnswerMemory::default());
+    let (pool, memory) = (ConnectionPool::default(), Arc::new(CallerLimits::default()));
     pool.set_connection_limit(1);
     let terms = LeaseTerms {
         now: Moment::default(),
@@ -224,7 +226,7 @@
         assert!(started.elapsed() < MAX_WAIT, "the bytes are not noticed");
         tokio::time::sleep(DRIP_INTERVAL).await;
     }
-    let memory = AnswerMemory::default();
+    let memory = Arc::new(CallerLimits::default());
     let limits = AnswerLimits { body: MAX_BODY_LEN, memory: &memory };
     assert_eq!(connection.exchange(request(), limits).await.map(|_| ()), Err(ExchangeError::NotSent));
 }
