Request heads and bodies that never end, or come in tiny pieces, took the memory of a node

What callers saw: the memory of a node grew with the number of connections: 80,764 KB of a machine with 64 MB by 800 bodies of 64,000 of 65,000 bytes, 76,084 KB by 800 heads of 60,000 of 65,536 bytes, and 113,116 KB by only 60 bodies in chunks of one byte.

Cause: heads and bodies were bounded one by one, and not together. A body was collected as a list of its pieces, and a piece of one byte costs a handle of 32 bytes and more.

The pieces of a body are copied into one buffer. A body whose stated length is over the limit is refused before it is read.

--- a/crates/router/src/caller_body.rs
+++ b/crates/router/src/caller_body.rs
@@ -1,32 +1,61 @@
 //! Reads the body of a caller's request up to its size limit and its deadline, or discards the rest of it after an early
 //! answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use streamfold_policy::retry_after::RefusalReason;
 use tokio::time::Instant;
 
 use crate::answer::RefusalKind;
+use crate::caller_connection::{BodyGuard, CallerConnection};
+use crate::growing_buffer::GrowingBuffer;
 
 /// How many bytes of an unread body are still read, and for how long. The connection of a caller that
 /// keeps writing beyond these limits is closed.
 const MAX_DISCARDED: usize = 8 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Reads a complete body.
+/// Reads a complete body. Its memory is counted for as long as any part of it is in use.
 ///
 /// # Errors
-/// The body exceeds the limit, ends early or is not complete at the deadline.
-pub(crate) async fn read_body(body: &mut Incoming, limit: usize, deadline: Instant) -> Result<Bytes, RefusalKind> {
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLong),
-        Ok(Err(_)) => Err(RefusalKind::BadRequest),
-        Err(_) => Err(RefusalKind::Late),
+/// The body exceeds the limit, ends early or is not complete at the deadline, or there is no memory for it.
+pub(crate) async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+    deadline: Instant,
+    connection: &Arc<CallerConnection>,
+) -> Result<Bytes, RefusalKind> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
     }
+    if body.size_hint().lower() > limit as u64 {
+        return Err(RefusalKind::TooLong);
+    }
+    let reading = read_all(body, limit, connection.start_body());
+    tokio::time::timeout_at(deadline, reading).await.unwrap_or(Err(RefusalKind::Late))
+}
+
+/// Copies the pieces of a body into one buffer. Kept one by one, pieces of a few bytes would take many times their length.
+async fn read_all(body: &mut Incoming, limit: usize, mut guard: BodyGuard) -> Result<Bytes, RefusalKind> {
+    let mut buffer = GrowingBuffer::new(limit);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| RefusalKind::BadRequest)?;
+        let Ok(data) = frame.into_data() else { continue };
+        let growth = buffer.growth(data.len()).map_err(|_| RefusalKind::TooLong)?;
+        if !guard.grow(growth).await {
+            return Err(RefusalKind::not_run(RefusalReason::NoMemory));
+        }
+        buffer.push(&data).map_err(|error| {
+            tracing::warn!(event = "body_not_buffered", %error);
+            RefusalKind::not_run(RefusalReason::NoMemory)
+        })?;
+        guard.note_taken();
+    }
+    Ok(guard.finish(buffer))
 }
 
 /// Reads and discards what a request that was answered early left of its body, in the background and within limits. If
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -27,7 +27,7 @@
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::attempt_context::{AttemptContext, RequestOrigin};
 use crate::caller_body::{discard_rest, read_body};
-use crate::caller_connection::RequestGuard;
+use crate::caller_connection::{CallerConnection, CallerStream, RequestGuard};
 use crate::caller_limits::ConnectionEntry;
 use crate::caller_team::find_team;
 use crate::canary::CanaryCall;
@@ -108,7 +108,7 @@
             // that is abandoned since the node ends.
             let handled = tokio::select! {
                 biased;
-                handled = task::catch_panic(handle(&router, parts, &mut body, accepted)) => handled,
+                handled = task::catch_panic(handle(&router, parts, &mut body, accepted, guard.connection())) => handled,
                 () = wait_phase(&mut phase, RouterPhase::Ended) => None,
             };
             discard_rest(body);
@@ -117,7 +117,9 @@
             Ok::<_, Infallible>(send_counted(answer, guard))
         }
     });
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut connection = std::pin::pin!(
+        builder.serve_connection(TokioIo::new(CallerStream::new(stream, entry.connection.clone())), service)
+    );
     let mut phase = router.phase.subscribe();
     let ended = tokio::select! {
         // In this order, a request that has arrived is read before its connection is closed as idle.
@@ -167,10 +169,16 @@
     body_limit: usize,
 }
 
-async fn handle(router: &Arc<Router>, parts: Parts, body: &mut Incoming, accepted: Option<Moment>) -> CallerAnswer {
+async fn handle(
+    router: &Arc<Router>,
+    parts: Parts,
+    body: &mut Incoming,
+    accepted: Option<Moment>,
+    connection: &Arc<CallerConnection>,
+) -> CallerAnswer {
     let _count = LiveCount::new(&router.requests);
     let arrival = find_arrival(router, accepted);
-    match prepare(router, parts, body, arrival).await {
+    match prepare(router, parts, body, arrival, connection).await {
         Ok(context) => run(router, context).await,
         Err(kind) => refuse(&*router.format, kind),
     }
@@ -189,6 +197,7 @@
     mut parts: Parts,
     body: &mut Incoming,
     arrival: RequestArrival,
+    connection: &Arc<CallerConnection>,
 ) -> Result<AttemptContext, RefusalKind> {
     let head = router.format.read_caller(&parts.headers).map_err(|error| {
         tracing::info!(event = "request_unreadable", path = parts.uri.path(), %error);
@@ -198,7 +207,7 @@
         .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let team = authenticate(router, &routed, &head, &mut parts.headers)?;
     let deadline = find_deadline(&head, arrival, routed.route.timeout);
-    let body = read_body(body, routed.body_limit, router.clock.instant(deadline))
+    let body = read_body(body, routed.body_limit, router.clock.instant(deadline), connection)
         .await
         .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let latencies = routed.view.latencies.get(&routed.route.name).cloned().unwrap_or_default();
