Requests with long bodies for a node that does not read took the memory of the node that sends them

What callers saw: 400 requests of 64,000 bytes over shards near a paused node take 95,872 KB of a node whose machine has 64 MB. Each body was there three times for each other node: in the request, in the batch and in its frame, which waits in the link; at the other node twice. Nothing counted the copies.

Now the copies count as bodies until the first frame of the answer has come or the batch is given up, and the body of a received batch counts while it is served. Where there is no memory the batch is not sent, or refused unread: this node then calls the servers itself, as when the other one has no time for it. A received body is not copied any more.

--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -21,6 +21,9 @@
     /// A message of this node is longer than may be sent.
     #[error("message of {0} bytes is too long to be sent")]
     MessageTooLong(usize),
+    /// There is no memory for a message of this node.
+    #[error("no memory for the message")]
+    NoMemory,
     /// The stream ended in the middle of a message, or no answer came in time.
     #[error("stream ended early")]
     EndedEarly,
@@ -41,8 +44,10 @@
     /// Whether the other node certainly did not process the message: it was never sent, a
     /// stopping node refused it unread, or a node of another version does not know the path.
     pub fn is_not_sent(&self) -> bool {
-        let is_unsent =
-            matches!(self, Self::NotConnected | Self::Encode(_) | Self::MessageTooLong(_) | Self::Request(_));
+        let is_unsent = matches!(
+            self,
+            Self::NotConnected | Self::Encode(_) | Self::MessageTooLong(_) | Self::NoMemory | Self::Request(_)
+        );
         is_unsent || matches!(self, Self::BadStatus(404)) || self.is_refused()
     }
 }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -18,6 +18,7 @@
 
 use crate::attempt_context::{AttemptContext, RequestOrigin};
 use crate::batch::{BatchFrame, BatchMode, MAX_BATCH_LEN, PATH_BATCH, PATH_KNOWLEDGE, ShardBatch, ShardReply};
+use crate::caller_limits::MemoryKind;
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
 use crate::delegate::DELEGATOR_SHARE;
@@ -88,7 +89,7 @@
     body: RecvStream,
     respond: &mut SendResponse<Bytes>,
 ) -> Result<(), PeerError> {
-    let batch: ShardBatch = read_message(body, MAX_BATCH_LEN).await?;
+    let mut batch: ShardBatch = read_message(body, MAX_BATCH_LEN).await?;
     if *router.phase.borrow() >= RouterPhase::Closing {
         return refuse(respond);
     }
@@ -102,10 +103,14 @@
         );
         return refuse(respond);
     }
+    let Some(copied_body) = hold_body(router, &mut batch) else {
+        tracing::info!(event = "batch_without_memory", request = String::from_utf8_lossy(&batch.request.id).as_ref());
+        return refuse(respond);
+    };
     let _count = LiveCount::new(&router.requests);
     let accepted = router.clock.now();
     router.note_version(batch.version);
-    let context = build_context(router, &batch)?;
+    let context = build_context(router, &batch, copied_body)?;
     let first_frame_delay = Duration::from_micros(batch.progress_within_us);
     let reply_within = Duration::from_micros(batch.reply_within_us);
     let mut stream = respond.send_response(Response::new(()), false)?;
@@ -127,7 +132,10 @@
                 let is_stopping = *router.phase.borrow() != RouterPhase::Serving;
                 let reply = ShardReply { is_stopping, ..reply };
                 let frame = if is_last { BatchFrame::Done(reply) } else { BatchFrame::Partial(reply) };
-                send_frame(&mut stream, encode_frame(&frame)?, is_last).await?;
+                let frame = encode_frame(&frame)?;
+                let mut unsent = router.callers.hold(MemoryKind::LongAnswers);
+                unsent.grow(frame.len());
+                send_frame(&mut stream, frame, is_last).await?;
                 if is_last {
                     return Ok(());
                 }
@@ -140,6 +148,16 @@
     }
 }
 
+/// Takes the body out of a batch and counts its memory for as long as it is in use; `None` if there is none for it.
+fn hold_body(router: &Router, batch: &mut ShardBatch) -> Option<Bytes> {
+    let body = std::mem::take(&mut batch.request.body);
+    if body.is_empty() {
+        return Some(Bytes::new());
+    }
+    let mut hold = router.callers.hold(MemoryKind::Bodies);
+    hold.try_grow(body.len()).then(|| hold.attach(body))
+}
+
 fn log_cancelled(context: &AttemptContext, accepted: Moment) {
     tracing::info!(
         event = "batch_cancelled",
@@ -195,11 +213,11 @@
     view.table.as_ref()?.teams()?.find_by_name(batch.team.as_ref()?).cloned()
 }
 
-/// Builds the context in which a batch is processed as a request to its shards only.
+/// Builds the context in which a batch is processed as a request with this body, to its shards only.
 ///
 /// # Errors
 /// The copied request is malformed.
-fn build_context(router: &Arc<Router>, batch: &ShardBatch) -> Result<AttemptContext, PeerError> {
+fn build_context(router: &Arc<Router>, batch: &ShardBatch, body: Bytes) -> Result<AttemptContext, PeerError> {
     let malformed = |_| PeerError::BadStatus(400);
     let (id, method, uri, headers) = batch.request.read().map_err(malformed)?;
     let mut copy = Request::new(());
@@ -210,7 +228,6 @@
     let now = router.clock.now();
     // The delegating node has checked the API key and removed it.
     let head = CallerHead { request: id, deadline: None, key: PresentedKey::None };
-    let body = Bytes::copy_from_slice(&batch.request.body);
     let left = Duration::from_micros(batch.left_us);
     let request = CallerRequest::new(head, parts, body, RequestArrival::at(now), left, false);
     let view = router.cluster.view();
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -11,11 +11,14 @@
 use streamfold_policy::replica::{CallSample, ReplicaState};
 
 use crate::batch::{BatchFrame, MAX_BATCH_LEN, PATH_BATCH, ShardBatch};
+use crate::caller_limits::MemoryKind;
 use crate::domain::DomainState;
 use crate::router::Router;
 
 /// Number of batches that a node is assumed to process concurrently; more of them queue there.
 const PEER_CONCURRENCY: u32 = 16;
+/// Copies of a request's body while a batch is sent: in the batch, and in its frame.
+const BATCH_COPIES: usize = 2;
 /// Average interval between attempts to reopen closed connections.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(500);
 /// The same interval while this node starts. After all nodes were killed together, the others restart within half a
@@ -133,7 +136,12 @@
     /// Sends the batch and waits for its first frame. The batch holds the remaining time of its request as of now, so
     /// it is cancelled if the first frame is overdue: a node that starts it later would give servers more time than the
     /// caller has.
+    /// The copies of the request's body count as held until then.
     pub async fn send(mut self, batch: ShardBatch) -> (Self, BatchEvent) {
+        let mut copies = self.recorder.router.callers.hold(MemoryKind::Bodies);
+        if !copies.try_grow(batch.request.body.len() * BATCH_COPIES) {
+            return self.fail(PeerError::NoMemory);
+        }
         let first_frame_timeout = Duration::from_micros(batch.progress_within_us) + MAX_TRANSIT;
         let link = self.peer.link.clone();
         let started = async move {
@@ -175,7 +183,7 @@
 
     fn fail(mut self, error: PeerError) -> (Self, BatchEvent) {
         self.recorder.sample = match &error {
-            PeerError::MessageTooLong(_) => CallSample::Abandoned,
+            PeerError::MessageTooLong(_) | PeerError::NoMemory => CallSample::Abandoned,
             error if error.is_refused() => CallSample::Full,
             _ => CallSample::Failed,
         };
