Connections without a request took all descriptors of a node that serves indexes

What callers saw: with 256 descriptors not all of 400 connections were taken within 30 s; who came later got nothing.

Cause: the limit of connections was a setting of its own, 10,000, whatever descriptors the process may open.

Now the callers of this mode have the limits of the other one: half of the descriptors for sockets, less where the memory is small, and the setting connections if that is lower. One more takes the place of the connection that waits longest. Operators have limits of their own. Settings memory and max_files; without them what the system reports.

At most 16 answers of a kind wait for memory at once, so that what their servers send meanwhile stays bounded too.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -71,13 +71,13 @@
 
 /// Serves the callers' port until the node stops.
 pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>) {
-    let connections = node.settings.connections;
+    let limits = node.callers.clone();
     let router = Router::new()
         .route("/v1/indexes/{index}/query", post(query))
         .route("/v1/indexes/{index}/order", post(order))
         .route("/v1/tickets", post(tickets))
         .with_state(node.clone());
-    http_server::serve(node, listener, router, connections).await;
+    http_server::serve(node, listener, router, limits).await;
 }
 
 async fn query(
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -1,15 +1,25 @@
 //! HTTP/1.1 and HTTP/2 server with limits on connections, headers and slow clients, and a graceful shutdown.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
+use axum::http::{Request, Response};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http_body_util::{BodyExt, Collected, Full};
+use hyper::body::Incoming;
+use hyper::service::Service;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
+use streamfold_router::caller_connection::{CallerConnection, CallerStream};
+use streamfold_router::caller_limits::CallerLimits;
+use streamfold_router::front::note_unadmitted;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 
 use crate::node::Node;
 use crate::stop::StopPhase;
@@ -23,35 +33,67 @@
 /// Delay after an error of `accept`.
 const ACCEPT_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves a router until the node has stopped, then waits for open requests to finish. Connections beyond `connections`
-/// are closed at once.
-pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>, router: Router, connections: usize) {
+/// Serves a router until the node has stopped, then waits for open requests to finish. A connection beyond the limits
+/// takes the place of one that waits, or is closed at once if there is none.
+pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>, router: Router, limits: Arc<CallerLimits>) {
     let mut builder = Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEADER_BYTES);
     builder.http2().max_concurrent_streams(MAX_STREAMS).max_header_list_size(MAX_HEADER_BYTES as u32);
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(connections));
     let mut phase = node.watch_phase();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = phase.wait_for(|phase| *phase == StopPhase::Ended) => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(ACCEPT_DELAY).await;
             continue;
         };
-        let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
+        let Some(entry) = limits.admit(peer).await else {
+            note_unadmitted(peer);
+            continue;
+        };
         // Nagle's algorithm delays small answers. A socket that refuses the option still works.
         let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(router.clone());
+        let stream = CallerStream::new(stream, entry.connection.clone());
+        let service =
+            CountedService { router: TowerToHyperService::new(router.clone()), caller: entry.connection.clone() };
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            // The client notices when its connection fails.
-            let _ = connection.await;
-            drop(permit);
+            tokio::select! {
+                () = entry.connection.wait_cut() => {}
+                // The client notices when its connection fails.
+                _ = connection => {}
+            }
         });
     }
     graceful.shutdown().await;
 }
+
+/// Serves the requests of one connection and counts what they hold.
+struct CountedService {
+    router: TowerToHyperService<Router>,
+    caller: Arc<CallerConnection>,
+}
+
+impl Service<Request<Incoming>> for CountedService {
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
+
+    /// Passes a request on with its connection, and hands over the answer, which is complete.
+    fn call(&self, mut request: Request<Incoming>) -> Self::Future {
+        let guard = self.caller.start_request();
+        request.extensions_mut().insert(self.caller.clone());
+        let answered = self.router.call(request);
+        async move {
+            let (parts, body) = answered.await?.into_parts();
+            // A body that this node has made cannot fail.
+            let body = body.collect().await.map(Collected::to_bytes).unwrap_or_default();
+            Ok(Response::from_parts(parts, Full::new(guard.send(body))))
+        }
+        .boxed()
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
     AdaptiveRules, AdmissionControl, AttemptRules, BaselineRules, LatencyHistogram, MemberEntry, MemberState,
     MemberTable, MemberTimes, TokenBucket, TokenBudget,
 };
+use streamfold_router::caller_limits::CallerLimits;
 use streamfold_store::{ConfigStore, ObjectStore, RequestClaims, VmList};
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -68,6 +69,8 @@
     pub pools: Arc<OwnerPools>,
     /// Links to other nodes.
     pub links: PeerLinks,
+    /// What callers may hold of this node's machine.
+    pub callers: Arc<CallerLimits>,
     /// Outcomes of orders under keys that callers chose themselves.
     pub caller_keys: OutcomeTable<(CallerName, String)>,
     /// Notified of an update that is sent without waiting for the next heartbeat.
@@ -135,6 +138,7 @@
             forget_after: settings.ticket_life,
         };
         let rules = choose_rules(&settings);
+        let callers = Arc::new(CallerLimits::new(settings.machine).with_connections(settings.connections));
         let own_tickets = TicketTable::new(settings.node.clone(), incarnation, settings.ticket_life, now);
         Self {
             clock,
@@ -145,6 +149,7 @@
             vms: platform,
             pools: Arc::new(OwnerPools::new(clock, rules, settings.answer_limit.as_usize())),
             links: PeerLinks::default(),
+            callers,
             caller_keys: OutcomeTable::new(settings.ticket_life, MAX_CALLER_KEYS),
             urgent: Notify::new(),
             members: Mutex::new(MemberTable::new(own_entry(&settings, addresses, incarnation), times, now)),
--- a/crates/daemon/src/node_start.rs
+++ b/crates/daemon/src/node_start.rs
@@ -75,6 +75,7 @@
     loop {
         tokio::time::sleep(VIEW_INTERVAL).await;
         node.refresh_view();
+        node.callers.report();
         let now = node.clock.now();
         node.own_tickets.sweep(now);
         node.caller_keys.sweep(now);
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -11,6 +11,7 @@
 use streamfold_model::check::check_files;
 use streamfold_model::operator::{ApplyAnswer, ApplyRequest, MemberStatus, NodeStatus, ServerStatus};
 use streamfold_model::{ConfigBundle, ConfigVersion, ExecutionState, HeadRecord, ProblemDetails};
+use streamfold_router::caller_limits::CallerLimits;
 use streamfold_store::{CommitError, CommitRequest};
 use tokio::net::TcpListener;
 
@@ -41,7 +42,9 @@
         .route("/v1/audit", get(audit))
         .layer(DefaultBodyLimit::max(MAX_CONFIG_BYTES))
         .with_state(node.clone());
-    http_server::serve(node, listener, router, MAX_CONNECTIONS).await;
+    // Operators have limits of their own, so that callers never keep them out.
+    let limits = CallerLimits::new(node.settings.machine).with_connections(MAX_CONNECTIONS);
+    http_server::serve(node, listener, router, Arc::new(limits)).await;
 }
 
 fn unready_cause(node: &Node) -> Option<&'static str> {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,6 +9,7 @@
 use serde_saphyr::Spanned;
 use streamfold_model::{ByteSize, FailureDomain, NodeId, TimeSpan};
 use streamfold_policy::HedgeChoice;
+use streamfold_router::machine_limits::MachineLimits;
 
 use crate::error::{SettingError, SettingProblem, StartError};
 
@@ -75,6 +76,8 @@
     claim_rate: Option<Spanned<f64>>,
     ticket_life: Option<TimeSpan>,
     connections: Option<Spanned<u32>>,
+    memory: Option<ByteSize>,
+    max_files: Option<u32>,
     policy: PolicyChoice,
     hedging: HedgeChoice,
     log: Option<String>,
@@ -155,8 +158,10 @@
     pub claim_rate: f64,
     /// How long a ticket is valid and its outcome is remembered.
     pub ticket_life: Duration,
-    /// Maximum number of callers' connections.
+    /// Maximum number of callers' connections, if the machine has descriptors and memory for as many.
     pub connections: usize,
+    /// What the machine gives this process.
+    pub machine: MachineLimits,
     /// The policy for attempts at servers.
     pub policy: PolicyChoice,
     /// The rule that decides on hedges.
@@ -305,6 +310,7 @@
             claim_rate,
             ticket_life: file.ticket_life.map_or(DEFAULT_TICKET_LIFE, |duration| duration.0),
             connections: connections as usize,
+            machine: MachineLimits::new(file.memory, file.max_files),
             policy: file.policy,
             hedging: file.hedging,
             log: args.log.clone().or(file.log).unwrap_or_else(|| "info".to_owned()),
--- a/crates/lab/tests/misbehaving_index_callers.rs
+++ b/crates/lab/tests/misbehaving_index_callers.rs
@@ -11,6 +11,7 @@
 use streamfold_lab::server::ServerPlan;
 use streamfold_lab::usage::{LoweredDescriptors, count_descriptors, settled_peak_memory};
 use streamfold_lab::wait::wait_for;
+use streamfold_model::ByteSize;
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex, MutexGuard};
 
@@ -42,7 +43,9 @@
 async fn start(padding: usize) -> (MutexGuard<'static, ()>, Fleet) {
     let alone = ALONE.lock().await;
     let server = ServerPlan { padding, slots: 64, ..ServerPlan::default() };
+    let settings = format!("{}memory: {}\n", FleetPlan::default().settings, ByteSize(MEMORY));
     let plan = FleetPlan {
+        settings,
         domains: vec![DomainPlan { name: "vienna", nodes: 1, upstreams: SHARDS }],
         server,
         deadline: "8s",
--- a/crates/router/src/caller_connection.rs
+++ b/crates/router/src/caller_connection.rs
@@ -148,7 +148,14 @@
 
     /// Counts bytes that were read and are not part of a complete request yet.
     fn note_read(&self, bytes: usize) -> std::io::Result<()> {
-        self.state().head.grow(bytes);
+        {
+            let mut state = self.state();
+            // While a request is served or answered, little is read of the next one.
+            if matches!(state.phase(), CallerPhase::Serving | CallerPhase::Sending) {
+                return Ok(());
+            }
+            state.head.grow(bytes);
+        }
         if !self.limits.make_room(MemoryKind::Heads, 0) {
             return Ok(());
         }
--- a/crates/router/src/caller_limits.rs
+++ b/crates/router/src/caller_limits.rs
@@ -24,6 +24,10 @@
 const ROOM_TIMEOUT: Duration = MIN_SEND_TIME.saturating_add(ROOM_CHECK_INTERVAL);
 /// How often it checks whether any connection may be closed by now.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How many answers may wait for memory at the same time. What their servers send meanwhile waits in buffers.
+const MAX_WAITING: usize = 16;
+/// By how much of their memory answers may exceed it before further requests are refused.
+const MAX_EXCESS: f64 = 0.5;
 /// The memory of a machine about which nothing is known.
 const DEFAULT_MEMORY: ByteSize = ByteSize(256 << 20);
 /// Its file descriptors.
@@ -188,6 +192,15 @@
         pending > 0
     }
 
+    /// Whether a request may be served whose answer other nodes make, so that its length is known only once it is there.
+    /// While answers exceed their memory, connections are closed that are slow to take theirs.
+    pub fn has_answer_room(&self) -> bool {
+        [MemoryKind::ShortAnswers, MemoryKind::LongAnswers].into_iter().all(|kind| {
+            self.make_room(kind, 0);
+            !self.pool(kind).is_exceeded_by(MAX_EXCESS)
+        })
+    }
+
     /// Holds more memory. If there is none, it has connections closed and waits for their end; returns false if none of
     /// them holds any.
     pub(crate) async fn grow_hold(&self, kind: MemoryKind, hold: &mut MemoryHold, bytes: usize) -> bool {
@@ -211,6 +224,9 @@
         let until = self.now().plus(ROOM_TIMEOUT);
         while self.now() < until {
             self.make_room(kind, bytes);
+            if self.pool(kind).count_waiting() >= MAX_WAITING {
+                break;
+            }
             let is_free = || self.pool(kind).missing(bytes) == 0;
             let _ = tokio::time::timeout(ROOM_CHECK_INTERVAL, self.pool(kind).wait_freed(is_free)).await;
             if self.pool(kind).try_take(bytes) {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -75,7 +75,7 @@
 }
 
 /// Records a connection that is closed at once since there are too many, none of which may be closed in its place.
-pub(crate) fn note_unadmitted(peer: SocketAddr) {
+pub fn note_unadmitted(peer: SocketAddr) {
     metrics::counter!("streamfold_connections_refused_total").increment(1);
     tracing::info!(event = "connection_refused", %peer);
 }
--- a/crates/router/src/memory_pool.rs
+++ b/crates/router/src/memory_pool.rs
@@ -32,6 +32,11 @@
         self.used().saturating_add(bytes).saturating_sub(self.capacity)
     }
 
+    /// Whether the bytes in use exceed the capacity by more than this part of it.
+    pub fn is_exceeded_by(&self, part: f64) -> bool {
+        self.used() as f64 > self.capacity as f64 * (1.0 + part)
+    }
+
     /// Takes bytes if they are free.
     pub(crate) fn try_take(&self, bytes: usize) -> bool {
         let add = |used: usize| used.checked_add(bytes).filter(|used| *used <= self.capacity);
@@ -53,6 +58,11 @@
         }
     }
 
+    /// The number of tasks that wait for memory.
+    pub(crate) fn count_waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Waits until memory was given back, unless `is_served` returns true after the wait has begun.
     pub(crate) async fn wait_freed(&self, is_served: impl FnOnce() -> bool) {
         let _waiting = WaitingCount::new(&self.waiting);
