Bodies that never end, or come in tiny pieces, took the memory of a node that serves indexes

What callers saw: 120 bodies of 1,000,000 of 1,048,576 bytes take 135,960 KB of a machine with 100 MB, 20 bodies of 500,000 bytes in chunks of one byte 244,260 KB.

Cause: as in routing mode, bodies were bounded one by one, and collected as lists of their pieces. They were read without a limit of time, and up to 16 MB of one over the limit was collected only to be thrown away.

The rest of a body that is too large is discarded as it comes.

--- a/crates/daemon/src/caller_error.rs
+++ b/crates/daemon/src/caller_error.rs
@@ -35,6 +35,12 @@
     /// The body is larger than the limit, in bytes.
     #[error("the body is larger than {0} bytes")]
     BodyTooLarge(usize),
+    /// The body was not complete at the deadline.
+    #[error("the body was not complete at the deadline")]
+    BodyLate,
+    /// There is no memory for the request.
+    #[error("there is no memory for the request")]
+    NoMemory,
     /// The connection failed while the body was read.
     #[error("the body could not be read")]
     BodyBroken,
@@ -84,6 +90,8 @@
             Self::BadShards(_) => ("bad-shards", StatusCode::BAD_REQUEST),
             Self::NoSuchShard(..) => ("no-such-shard", StatusCode::BAD_REQUEST),
             Self::BodyTooLarge(_) => ("body-too-large", StatusCode::PAYLOAD_TOO_LARGE),
+            Self::BodyLate => ("body-late", StatusCode::REQUEST_TIMEOUT),
+            Self::NoMemory => ("no-memory", StatusCode::SERVICE_UNAVAILABLE),
             Self::BodyBroken => ("body-broken", StatusCode::BAD_REQUEST),
             Self::BadOrder(_) => ("bad-order", StatusCode::BAD_REQUEST),
             Self::KeyMissing(_) => ("key-missing", StatusCode::BAD_REQUEST),
@@ -121,7 +129,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::OverRate(wait) | Self::Overloaded(wait) => Some(*wait),
-            Self::OverConcurrency | Self::Stopping | Self::NoConfiguration | Self::NoVersion => {
+            Self::OverConcurrency | Self::Stopping | Self::NoMemory | Self::NoConfiguration | Self::NoVersion => {
                 Some(DEFAULT_RETRY_AFTER)
             }
             Self::Order(OrderFailure::Missing(_) | OrderFailure::Stopping | OrderFailure::Full, _) => {
--- a/crates/daemon/src/caller_input.rs
+++ b/crates/daemon/src/caller_input.rs
@@ -6,11 +6,14 @@
 use axum::body::Body;
 use axum::http::{HeaderMap, Request};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use streamfold_model::answer::{HEADER_DEADLINE, HEADER_KEY, HEADER_PREFER, HEADER_REPEATABLE};
 use streamfold_model::server::parse_shards;
 use streamfold_model::{CallerPreference, CallerSpec, IndexName, IndexSpec, ShardId};
 use streamfold_policy::{FinishRule, Moment};
+use streamfold_router::caller_body::discard;
+use streamfold_router::caller_connection::{BodyGuard, CallerConnection};
+use streamfold_router::growing_buffer::GrowingBuffer;
 
 use crate::caller_error::CallerError;
 use crate::callers::RequestContext;
@@ -25,10 +28,6 @@
 const RETURN_SHARE: f64 = 0.02;
 /// Maximum of that reserved time.
 const MAX_RETURN_TIME: Duration = Duration::from_millis(5);
-/// Bytes and time for which the rest of an oversized body is read before the request is refused.
-const MAX_DRAIN: usize = 16 << 20;
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Finds an index by name and checks that the caller has access to it.
 pub fn find_index(context: &RequestContext, name: &str) -> Result<Arc<IndexSpec>, CallerError> {
     let unknown = || CallerError::UnknownIndex(name.chars().take(MAX_KEY_LEN).collect());
@@ -114,20 +113,38 @@
     Ok(Some(text.to_owned()))
 }
 
-/// Reads the body, at most `body_limit` bytes.
-pub async fn read_body(node: &Node, request: Request<Body>) -> Result<Bytes, CallerError> {
+/// Reads the body, at most `body_limit` bytes, until the deadline. Its memory counts as the caller's for as long as any
+/// part of it is in use.
+pub async fn read_body(node: &Node, request: Request<Body>, deadline: Moment) -> Result<Bytes, CallerError> {
     let limit = node.settings.body_limit.as_usize();
+    // Every connection is counted before it is served.
+    let caller = request.extensions().get::<Arc<CallerConnection>>().cloned().ok_or(CallerError::NodeFault)?;
     let mut body = request.into_body();
-    let read = Limited::new(&mut body, limit).collect().await;
-    let error = match read {
-        Ok(read) => return Ok(read.to_bytes()),
-        Err(error) => error,
-    };
-    if !error.is::<LengthLimitError>() {
-        return Err(CallerError::BodyBroken);
+    let left = deadline.since(node.clock.now());
+    let read = tokio::time::timeout(left, read_all(&mut body, limit, caller.start_body())).await;
+    let read = read.unwrap_or(Err(CallerError::BodyLate));
+    if matches!(read, Err(CallerError::BodyTooLarge(_))) {
+        // A client that is still sending would not read the refusal, so a bounded rest of the body is read first.
+        discard(body).await;
+    }
+    read
+}
+
+/// Copies the pieces of a body into one buffer. Kept one by one, pieces of a few bytes would take many times their length.
+async fn read_all(body: &mut Body, limit: usize, mut guard: BodyGuard) -> Result<Bytes, CallerError> {
+    let mut buffer = GrowingBuffer::new(limit);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| CallerError::BodyBroken)?;
+        let Ok(data) = frame.into_data() else { continue };
+        let growth = buffer.growth(data.len()).map_err(|_| CallerError::BodyTooLarge(limit))?;
+        if !guard.grow(growth).await {
+            return Err(CallerError::NoMemory);
+        }
+        buffer.push(&data).map_err(|error| {
+            tracing::warn!(event = "body_not_buffered", %error);
+            CallerError::NoMemory
+        })?;
+        guard.note_taken();
     }
-    // A client that is still sending would not read the refusal, so a bounded rest of the body is read first.
-    let rest = Limited::new(body, MAX_DRAIN).collect();
-    let _ = tokio::time::timeout(DRAIN_TIMEOUT, rest).await;
-    Err(CallerError::BodyTooLarge(limit))
+    Ok(guard.finish(buffer))
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -108,7 +108,7 @@
     let deadline = read_deadline(&context, request.headers())?;
     let rule = read_finish_rule(&context.caller, request.headers())?;
     let shards = read_shards(parameters)?;
-    let body = read_body(node, request).await?;
+    let body = read_body(node, request, deadline).await?;
     let started = context.started;
     let job = QueryJob { request: id, index: spec, body, shards, started, deadline, rule };
     let mut permit = admit(node, &context, deadline).await?;
@@ -150,7 +150,7 @@
     let deadline = read_deadline(&context, request.headers())?;
     read_repeatable(request.headers())?;
     let key = read_key(request.headers())?.ok_or_else(|| CallerError::KeyMissing(mint(node, &context)))?;
-    let body = read_body(node, request).await?;
+    let body = read_body(node, request, deadline).await?;
     let record = serde_json::from_slice::<OrderBody>(&body);
     let record = record.map_err(|error| CallerError::BadOrder(error.to_string()))?.key;
     let caller = context.caller.name.clone();
--- a/crates/router/src/caller_body.rs
+++ b/crates/router/src/caller_body.rs
@@ -66,7 +66,8 @@
     }
 }
 
-async fn discard(mut body: Incoming) {
+/// Reads and discards the rest of a body, within limits.
+pub async fn discard<B: Body<Data = Bytes> + Unpin>(mut body: B) {
     let reading = async {
         let mut left = MAX_DISCARDED;
         while let Some(Ok(frame)) = body.frame().await {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod call_latencies;
 pub mod call_line;
 pub mod call_waits;
-mod caller_body;
+pub mod caller_body;
 pub mod caller_connection;
 pub mod caller_limits;
 mod caller_team;
