Long answers that callers read slowly took all memory of a node that serves indexes

What callers saw: 40 callers that read answers of 4 MB slowly take 217,432 KB of a machine with 100 MB; 40 unread answers on the streams of one HTTP/2 connection 225,276 KB.

Cause: nothing counted answers, neither what servers send nor what is made of it; the answer is written to a buffer that doubles; and a connection to a server lets 4 MB arrive for each stream that nobody reads.

Now the answers of servers count while they are read and split, results once they are merged, and the answer until its last byte was sent. Where there is no room the connection is closed that holds most for longest (for HTTP/2 all its streams), a server's answer waits for a limited time and then is lost, and its shards are missing in the coverage. While answers made by other nodes exceed their memory by half, requests are refused: 503 no-memory, not run. A stream lets 1 MB arrive.

Beside it: a query whose answer cannot be written was told as not run, though it ran; now 500 answer-unwritable, ran.

--- a/crates/daemon/src/caller_error.rs
+++ b/crates/daemon/src/caller_error.rs
@@ -41,6 +41,9 @@
     /// There is no memory for the request.
     #[error("there is no memory for the request")]
     NoMemory,
+    /// The request ran, and its answer cannot be written.
+    #[error("the request ran, and its answer cannot be written")]
+    AnswerUnwritable,
     /// The connection failed while the body was read.
     #[error("the body could not be read")]
     BodyBroken,
@@ -92,6 +95,7 @@
             Self::BodyTooLarge(_) => ("body-too-large", StatusCode::PAYLOAD_TOO_LARGE),
             Self::BodyLate => ("body-late", StatusCode::REQUEST_TIMEOUT),
             Self::NoMemory => ("no-memory", StatusCode::SERVICE_UNAVAILABLE),
+            Self::AnswerUnwritable => ("answer-unwritable", StatusCode::INTERNAL_SERVER_ERROR),
             Self::BodyBroken => ("body-broken", StatusCode::BAD_REQUEST),
             Self::BadOrder(_) => ("bad-order", StatusCode::BAD_REQUEST),
             Self::KeyMissing(_) => ("key-missing", StatusCode::BAD_REQUEST),
@@ -111,6 +115,7 @@
     pub fn ran(&self) -> ExecutionState {
         match self {
             Self::NodeFault => ExecutionState::Unknown,
+            Self::AnswerUnwritable => ExecutionState::Ran,
             Self::Order(failure, _) => failure.ran(),
             _ => ExecutionState::NotRun,
         }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -8,11 +8,15 @@
 use axum::http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use streamfold_model::{
-    CallerSpec, Configuration, ContentDigest, ExecutionState, IndexVersion, ProblemDetails, RequestId, ShardId,
+    CallerSpec, Configuration, ContentDigest, ExecutionState, IndexVersion, ProblemDetails, QueryAnswer, RequestId,
+    ShardId,
 };
 use streamfold_policy::Moment;
+use streamfold_router::answer_memory::AnswerReservation;
+use streamfold_router::growing_buffer::GrowingBuffer;
 use streamfold_router::task;
 use tokio::net::TcpListener;
 
@@ -33,6 +37,9 @@
 
 /// Maximum number of tickets that one request mints.
 const MAX_TICKETS: u32 = 1_000;
+/// The most that an answer tells of a shard besides its result, and of itself besides its shards, in bytes.
+const SHARD_LEN: usize = 64;
+const ANSWER_HEAD_LEN: usize = 4 << 10;
 
 /// The context of an authenticated caller's request.
 pub struct RequestContext {
@@ -108,6 +115,7 @@
     let deadline = read_deadline(&context, request.headers())?;
     let rule = read_finish_rule(&context.caller, request.headers())?;
     let shards = read_shards(parameters)?;
+    check_room(node)?;
     let body = read_body(node, request, deadline).await?;
     let started = context.started;
     let job = QueryJob { request: id, index: spec, body, shards, started, deadline, rule };
@@ -119,7 +127,7 @@
         })?;
     let result = if answer.coverage.missing.is_empty() { "whole" } else { "partial" };
     let ratio = format!("{}/{}", answer.coverage.answered, answer.coverage.shards);
-    let text = serde_json::to_vec(&answer).map_err(|_| CallerError::BodyBroken)?;
+    let text = write_answer(node, &answer)?;
     Ok(CallerAnswer { caller: context.caller.name.to_string(), result, coverage: ratio, text })
 }
 
@@ -128,7 +136,28 @@
     caller: String,
     result: &'static str,
     coverage: String,
-    text: Vec<u8>,
+    text: Bytes,
+}
+
+/// Refuses a request whose answer there is no memory for.
+fn check_room(node: &Node) -> Result<(), CallerError> {
+    if node.callers.has_answer_room() { Ok(()) } else { Err(CallerError::NoMemory) }
+}
+
+/// Writes the answer to a query. Its memory counts as the caller's until it was sent.
+fn write_answer(node: &Node, answer: &QueryAnswer) -> Result<Bytes, CallerError> {
+    let results: usize = answer.results.values().map(|result| result.get().len() + SHARD_LEN).sum();
+    let most = results + answer.coverage.missing.len() * SHARD_LEN + ANSWER_HEAD_LEN;
+    let mut text = GrowingBuffer::new(most);
+    serde_json::to_writer(&mut text, answer).map_err(|error| {
+        tracing::warn!(event = "answer_unwritable", request = %answer.request, %error);
+        CallerError::AnswerUnwritable
+    })?;
+    Ok(hold_answer(node, Bytes::from_owner(text)))
+}
+
+fn hold_answer(node: &Node, text: Bytes) -> Bytes {
+    AnswerReservation::hold(node.callers.clone(), text)
 }
 
 async fn order(State(node): State<Arc<Node>>, Path(index): Path<String>, request: Request<Body>) -> Response {
@@ -150,6 +179,7 @@
     let deadline = read_deadline(&context, request.headers())?;
     read_repeatable(request.headers())?;
     let key = read_key(request.headers())?.ok_or_else(|| CallerError::KeyMissing(mint(node, &context)))?;
+    check_room(node)?;
     let body = read_body(node, request, deadline).await?;
     let record = serde_json::from_slice::<OrderBody>(&body);
     let record = record.map_err(|error| CallerError::BadOrder(error.to_string()))?.key;
@@ -177,6 +207,7 @@
     let raw = raw.map_err(|_| CallerError::Order(OrderFailure::OutcomeUnknown, None))?;
     let answer = OrderAnswer { request: id, ran: ExecutionState::Ran, shard, index_version, result: raw };
     let text = serde_json::to_vec(&answer).map_err(|_| CallerError::Order(OrderFailure::OutcomeUnknown, None))?;
+    let text = hold_answer(node, Bytes::from(text));
     Ok(CallerAnswer { caller: context.caller.name.to_string(), result: "ran", coverage: "1/1".to_owned(), text })
 }
 
@@ -201,7 +232,8 @@
     let minted = (0..wanted).map(|_| mint(node, &context));
     let lifetime = node.settings.ticket_life.as_millis();
     let answer = TicketAnswer { tickets: minted.collect(), expires_in_ms: lifetime as u64 };
-    let text = serde_json::to_vec(&answer).map_err(|_| CallerError::BodyBroken)?;
+    let text = serde_json::to_vec(&answer).map_err(|_| CallerError::NodeFault)?;
+    let text = hold_answer(node, Bytes::from(text));
     Ok(CallerAnswer { caller: context.caller.name.to_string(), result: "minted", coverage: String::new(), text })
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -147,7 +147,7 @@
             store: ConfigStore::new(store.clone()),
             claims: RequestClaims::new(store),
             vms: platform,
-            pools: Arc::new(OwnerPools::new(clock, rules, settings.answer_limit.as_usize())),
+            pools: Arc::new(OwnerPools::new(clock, rules, settings.answer_limit.as_usize(), callers.clone())),
             links: PeerLinks::default(),
             callers,
             caller_keys: OutcomeTable::new(settings.ticket_life, MAX_CALLER_KEYS),
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -12,6 +12,7 @@
 use streamfold_model::{AttemptOutcome, Configuration, MissingReason, UpstreamName, UpstreamSpec};
 use streamfold_policy::owner::connection_share;
 use streamfold_policy::{AttemptRules, Moment};
+use streamfold_router::caller_limits::CallerLimits;
 use tokio::sync::mpsc;
 
 use crate::clock::NodeClock;
@@ -34,13 +35,19 @@
     clock: NodeClock,
     rules: Arc<dyn AttemptRules>,
     answer_limit: usize,
+    callers: Arc<CallerLimits>,
     rows: Mutex<HashMap<UpstreamName, PoolRow>>,
 }
 
 impl OwnerPools {
     /// Creates an empty set of pools.
-    pub fn new(clock: NodeClock, rules: Arc<dyn AttemptRules>, answer_limit: usize) -> Self {
-        Self { clock, rules, answer_limit, rows: Mutex::default() }
+    pub fn new(
+        clock: NodeClock,
+        rules: Arc<dyn AttemptRules>,
+        answer_limit: usize,
+        callers: Arc<CallerLimits>,
+    ) -> Self {
+        Self { clock, rules, answer_limit, callers, rows: Mutex::default() }
     }
 
     fn rows(&self) -> std::sync::MutexGuard<'_, HashMap<UpstreamName, PoolRow>> {
@@ -122,6 +129,7 @@
             body: Bytes::from(batch.body),
             deadline: self.clock.now().plus(remaining),
             answer_limit: self.answer_limit,
+            callers: self.callers.clone(),
         };
         Some((context, batch.pieces))
     }
--- a/crates/daemon/src/piece.rs
+++ b/crates/daemon/src/piece.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +11,7 @@
 use serde_json::value::RawValue;
 use streamfold_model::{AttemptOutcome, IndexName, IndexVersion, ShardId};
 use streamfold_policy::{HeldVersions, Moment};
+use streamfold_router::caller_limits::CallerLimits;
 
 use crate::headers;
 use crate::stats;
@@ -36,6 +37,8 @@
     pub deadline: Moment,
     /// Maximum size of a server's answer, in bytes.
     pub answer_limit: usize,
+    /// The memory that answers share.
+    pub callers: Arc<CallerLimits>,
 }
 
 /// The progress of a piece, which can be read after the piece was cancelled.
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -224,7 +224,7 @@
         let remaining = context.deadline.since(now);
         let request = self.build_request(server, attempt, context, &format_shards(shards), remaining);
         let fail = |reason, outcome| CallFailure { server, failure: PieceFailure { reason, outcome } };
-        let response = match self.links[server].call(request, context.answer_limit).await {
+        let response = match self.links[server].call_counted(request, context.answer_limit, &context.callers).await {
             Ok(response) => response,
             Err(outcome) => {
                 permit.report = Some(CallReport::Failed);
--- a/crates/daemon/src/round.rs
+++ b/crates/daemon/src/round.rs
@@ -10,6 +10,7 @@
     UpstreamIndex,
 };
 use streamfold_policy::{Moment, WorkReport};
+use streamfold_router::answer_memory::AnswerReservation;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -71,6 +72,8 @@
     version: Option<IndexVersion>,
     pieces: Vec<QueryPiece>,
     merger: AnswerMerger,
+    /// The memory of the merged results.
+    memory: AnswerReservation,
     running: JoinSet<()>,
     events: (mpsc::Sender<PieceEvent>, mpsc::Receiver<PieceEvent>),
     calls: u64,
@@ -105,6 +108,7 @@
             version,
             pieces,
             merger,
+            memory: AnswerReservation::new(node.callers.clone()),
             running: JoinSet::new(),
             events,
             calls: 0,
@@ -221,6 +225,7 @@
         }
         for (shard, result) in results {
             if wanted.binary_search(&shard).is_ok() {
+                self.memory.count(result.len());
                 self.merger.add(shard, result);
             }
         }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -6,17 +6,20 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use h2::client::SendRequest;
 use http::uri::{Authority, Parts, PathAndQuery, Scheme};
 use http::{Request, Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use streamfold_model::{AttemptOutcome, IndexName, IndexVersion, ServerAddress, ServerProtocol};
 use streamfold_policy::HeldVersions;
+use streamfold_router::answer_memory::AnswerReservation;
+use streamfold_router::caller_limits::CallerLimits;
+use streamfold_router::growing_buffer::GrowingBuffer;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -31,8 +34,10 @@
 /// anything but was not closed.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
-/// HTTP/2 flow-control window of each stream and connection, in bytes.
+/// HTTP/2 flow-control windows of a connection and of each stream, in bytes. A response that waits for memory holds the
+/// window of its stream.
 const WINDOW_SIZE: u32 = 4 << 20;
+const STREAM_WINDOW_SIZE: u32 = 1 << 20;
 /// Number of HTTP/1.1 connections that are opened ahead of demand.
 const MIN_IDLE_HTTP1: u32 = 2;
 
@@ -144,10 +149,32 @@
     /// `NotSent` if nothing was sent, `Refused` if the server refused the stream without processing it, otherwise
     /// `Unknown`.
     pub async fn call(&self, request: Request<Bytes>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+        self.run(request, AnswerCollector { buffer: GrowingBuffer::new(limit), reservation: None }).await
+    }
+
+    /// As [`Self::call`]. The memory of the response counts as that of answers to callers for as long as it is in use.
+    ///
+    /// # Errors
+    /// As [`Self::call`]; `Unknown` if there is no memory for the response.
+    pub async fn call_counted(
+        &self,
+        request: Request<Bytes>,
+        limit: usize,
+        memory: &Arc<CallerLimits>,
+    ) -> Result<Response<Bytes>, AttemptOutcome> {
+        let reservation = Some(AnswerReservation::new(memory.clone()));
+        self.run(request, AnswerCollector { buffer: GrowingBuffer::new(limit), reservation }).await
+    }
+
+    async fn run(
+        &self,
+        request: Request<Bytes>,
+        collector: AnswerCollector,
+    ) -> Result<Response<Bytes>, AttemptOutcome> {
         self.wait_connected().await?;
         match self.protocol {
-            ServerProtocol::H2 => self.call_http2(request, limit).await,
-            ServerProtocol::Http1 => self.call_http1(request, limit).await,
+            ServerProtocol::H2 => self.call_http2(request, collector).await,
+            ServerProtocol::Http1 => self.call_http1(request, collector).await,
         }
     }
 
@@ -163,7 +190,11 @@
         }
     }
 
-    async fn call_http2(&self, request: Request<Bytes>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+    async fn call_http2(
+        &self,
+        request: Request<Bytes>,
+        collector: AnswerCollector,
+    ) -> Result<Response<Bytes>, AttemptOutcome> {
         let http2_sender = self.http2_sender.load_full().ok_or(AttemptOutcome::NotSent)?;
         let sender = SendRequest::clone(&http2_sender);
         let mut sender = sender.ready().await.map_err(|_| AttemptOutcome::NotSent)?;
@@ -176,17 +207,21 @@
             stream.send_data(body, true).map_err(|error| classify(&error))?;
         }
         let response = response.await.map_err(|error| classify(&error))?;
-        collect_http2(response, limit).await
+        collect_http2(response, collector).await
     }
 
-    async fn call_http1(&self, request: Request<Bytes>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+    async fn call_http1(
+        &self,
+        request: Request<Bytes>,
+        collector: AnswerCollector,
+    ) -> Result<Response<Bytes>, AttemptOutcome> {
         let mut sender = self.take_http1().await?;
         let sent = sender.try_send_request(request.map(Full::new)).await;
         let response = sent.map_err(|mut failed| match failed.take_message() {
             Some(_) => AttemptOutcome::NotSent,
             None => AttemptOutcome::Unknown,
         })?;
-        let response = collect(response, limit).await?;
+        let response = collect(response, collector).await?;
         self.keep_idle(sender);
         Ok(response)
     }
@@ -237,7 +272,7 @@
         let Some(count) = self.count_open() else { return false };
         let Some(stream) = self.connect_tcp().await else { return false };
         let mut builder = h2::client::Builder::new();
-        builder.initial_window_size(WINDOW_SIZE).initial_connection_window_size(WINDOW_SIZE).enable_push(false);
+        builder.initial_window_size(STREAM_WINDOW_SIZE).initial_connection_window_size(WINDOW_SIZE).enable_push(false);
         let Ok((sender, mut connection)) = builder.handshake::<_, Bytes>(stream).await else { return false };
         let pings = connection.ping_pong();
         self.http2_sender.store(Some(Arc::new(sender)));
@@ -321,25 +356,60 @@
     }
 }
 
-async fn collect_http2(response: Response<h2::RecvStream>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
+/// Collects the body of a response.
+struct AnswerCollector {
+    buffer: GrowingBuffer,
+    /// The memory of the body, if it is counted.
+    reservation: Option<AnswerReservation>,
+}
+
+impl AnswerCollector {
+    async fn push(&mut self, data: &[u8]) -> Result<(), AttemptOutcome> {
+        let growth = self.buffer.growth(data.len()).map_err(|_| AttemptOutcome::Unknown)?;
+        if let Some(reservation) = &mut self.reservation
+            && !reservation.grow(growth).await
+        {
+            tracing::info!(event = "answer_without_memory", len = self.buffer.len() + data.len());
+            return Err(AttemptOutcome::Unknown);
+        }
+        self.buffer.push(data).map_err(|error| {
+            tracing::warn!(event = "answer_not_buffered", %error);
+            AttemptOutcome::Unknown
+        })
+    }
+
+    fn finish(self) -> Bytes {
+        match self.reservation {
+            Some(reservation) if !self.buffer.is_empty() => reservation.attach(self.buffer),
+            _ => Bytes::from_owner(self.buffer),
+        }
+    }
+}
+
+async fn collect_http2(
+    response: Response<h2::RecvStream>,
+    mut collector: AnswerCollector,
+) -> Result<Response<Bytes>, AttemptOutcome> {
     let (parts, mut body) = response.into_parts();
-    let mut buffer = BytesMut::new();
     while let Some(data) = body.data().await {
         let data = data.map_err(|error| classify(&error))?;
+        collector.push(&data).await?;
+        // Only now, so that the server sends no more than there is memory for.
         body.flow_control().release_capacity(data.len()).map_err(|error| classify(&error))?;
-        if buffer.is_empty() && body.is_end_stream() && data.len() <= limit {
-            return Ok(Response::from_parts(parts, data));
-        }
-        if buffer.len() + data.len() > limit {
-            return Err(AttemptOutcome::Unknown);
-        }
-        buffer.extend_from_slice(&data);
     }
-    Ok(Response::from_parts(parts, buffer.freeze()))
+    Ok(Response::from_parts(parts, collector.finish()))
 }
 
-async fn collect(response: Response<Incoming>, limit: usize) -> Result<Response<Bytes>, AttemptOutcome> {
-    let (parts, body) = response.into_parts();
-    let body = Limited::new(body, limit).collect().await.map_err(|_| AttemptOutcome::Unknown)?;
-    Ok(Response::from_parts(parts, body.to_bytes()))
+async fn collect(
+    response: Response<Incoming>,
+    mut collector: AnswerCollector,
+) -> Result<Response<Bytes>, AttemptOutcome> {
+    let (parts, mut body) = response.into_parts();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| AttemptOutcome::Unknown)?;
+        if let Ok(data) = frame.into_data() {
+            collector.push(&data).await?;
+        }
+    }
+    Ok(Response::from_parts(parts, collector.finish()))
 }
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -75,6 +75,7 @@
         body: Bytes::new(),
         deadline: clock.now().plus(TIMEOUT),
         answer_limit: 1 << 20,
+        callers: Arc::default(),
     }
 }
 
--- a/crates/router/src/answer_memory.rs
+++ b/crates/router/src/answer_memory.rs
@@ -30,10 +30,18 @@
         if bytes.is_empty() {
             return bytes;
         }
-        let (short, long) = CallerLimits::split_answer(bytes.len());
-        limits.pool(MemoryKind::ShortAnswers).take(short);
-        limits.pool(MemoryKind::LongAnswers).take(long);
-        Self { limits, len: bytes.len() }.attach(bytes)
+        let mut reservation = Self::new(limits);
+        reservation.count(bytes.len());
+        reservation.attach(bytes)
+    }
+
+    /// Counts more of the answer that is there already, whether or not there is memory for it.
+    pub fn count(&mut self, bytes: usize) {
+        let (short_before, long_before) = CallerLimits::split_answer(self.len);
+        self.len += bytes;
+        let (short, long) = CallerLimits::split_answer(self.len);
+        self.limits.pool(MemoryKind::ShortAnswers).take(short - short_before);
+        self.limits.pool(MemoryKind::LongAnswers).take(long - long_before);
     }
 
     /// Takes memory for more of the answer; returns false if there is none, also after a short wait.
--- a/crates/router/src/growing_buffer.rs
+++ b/crates/router/src/growing_buffer.rs
@@ -107,3 +107,14 @@
         }
     }
 }
+
+impl std::io::Write for GrowingBuffer {
+    fn write(&mut self, data: &[u8]) -> std::io::Result<usize> {
+        self.push(data).map_err(std::io::Error::other)?;
+        Ok(data.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
