An answer with a status that no answer can have was passed on

What callers saw: 101 with an empty body, the server's proof and whatever headers it sent, as their answer; 600 and 999 as they came. A request that may be repeated got it too, although another server had a valid answer.

Cause: whatever the HTTP library took for an answer was one. It refuses what is below 100 and is not three digits, and skips 100 and 102 to 199, but returns 101, which ends HTTP on a connection, and everything from 600 to 999.

Now an answer has a status from 200 to 599 (RFC 9110, section 15). Any other is bytes that are no answer: it is unknown whether the request ran, the connection is closed, another server is asked where that is allowed, and otherwise the caller gets 502. event=answer_discarded reason=status.

Evidence: routes_statuses plays 17 texts in the place of a status, for requests that must not run twice and others. Both tests failed before at 101; 000 and its like passed before as well. The third, that 200 to 599 are passed on unchanged, passed before and still does. The same texts at the two other places that read a status, a server of an index and the platform's store: no fault found, the tests stay as the evidence (their names did not fail before). Not played: HTTP/2 servers of an index, whose status the library checks.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -1,6 +1,7 @@
 //! A single call to a server, with an outcome that tells whether the request may have run.
 
 use std::io::ErrorKind;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -24,6 +25,10 @@
 /// The longest body accepted from a server, in bytes.
 const MAX_ANSWER_LEN: usize = 16 << 20;
 
+/// The statuses that an answer can have (RFC 9110, section 15). Informational ones precede an answer, and 101 ends HTTP on
+/// the connection, which no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A server's complete answer.
 #[derive(Debug)]
 pub struct ServerReply {
@@ -237,8 +242,8 @@
     Ok(ServerReply { status: parts.status, headers: parts.headers, body, proof: reply.proof })
 }
 
-/// Checks that an answer belongs to the request and does not contradict itself, before anything that it says counts.
-/// The connection of another answer is out of step and is closed.
+/// Checks that an answer is one, belongs to the request and does not contradict itself, before anything that it says
+/// counts. The connection of another answer is out of step and is closed.
 ///
 /// # Errors
 /// It is unknown whether the request ran.
@@ -248,10 +253,11 @@
     status: StatusCode,
     reply: &ReplyHead,
 ) -> Result<(), CallFailure> {
-    let reason = match (reply.has_matching_id, reply.is_contradictory) {
-        (false, _) => "other_request",
-        (true, true) => "contradiction",
-        (true, false) => return Ok(()),
+    let reason = match (FINAL_STATUSES.contains(&status.as_u16()), reply.has_matching_id, reply.is_contradictory) {
+        (false, ..) => "status",
+        (true, false, _) => "other_request",
+        (true, true, true) => "contradiction",
+        (true, true, false) => return Ok(()),
     };
     note_discarded(server, request, Some(status), reason);
     Err(CallFailure::Unknown)
