The heads of answers count as what callers hold

By reading, while the diff was looked through: an answer over many shards names a proof for each of them in its head, some 50 KB for 800 shards, which the HTTP library keeps until the caller reads. Nothing counted it; a few thousand callers that do not read would hold more than a small machine has.

Now the head counts as a short answer, held as long as the body. Test: the_head_of_an_answer_counts_until_the_answer_is_sent (it needs the new parameter, so it does not build before).

--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -92,7 +92,8 @@
             let (parts, body) = answered.await?.into_parts();
             // A body that this node has made cannot fail.
             let body = body.collect().await.map(Collected::to_bytes).unwrap_or_default();
-            Ok(Response::from_parts(parts, Full::new(guard.send(body))))
+            let body = guard.send(&parts.headers, body);
+            Ok(Response::from_parts(parts, Full::new(body)))
         }
         .boxed()
     }
--- a/crates/router/src/caller_connection.rs
+++ b/crates/router/src/caller_connection.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use http::HeaderMap;
 use streamfold_policy::Moment;
 use streamfold_policy::caller_cut::{CallerHolding, CallerPhase};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -203,9 +204,12 @@
         &self.connection
     }
 
-    /// Hands over the body of the answer. It counts as being sent for as long as any part of it is in use.
-    pub fn send(mut self, body: Bytes) -> Bytes {
+    /// Hands over the body of an answer with this head. Both count as being sent for as long as any part of the body is in
+    /// use: the head is sent before it.
+    pub fn send(mut self, head: &HeaderMap, body: Bytes) -> Bytes {
         let (short, long) = CallerLimits::split_answer(body.len());
+        let head_len = head.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let short = short + head_len;
         let unsent = UnsentLen { short, long };
         let is_empty = body.is_empty();
         self.is_answered = true;
@@ -220,7 +224,9 @@
         if is_empty {
             return body;
         }
-        let sending = SendingAnswer { connection: self.connection.clone(), unsent };
+        let mut head = self.connection.limits.hold(MemoryKind::ShortAnswers);
+        head.grow(head_len);
+        let sending = SendingAnswer { connection: self.connection.clone(), unsent, _head: head };
         Bytes::from_owner(HeldBytes { bytes: body, _hold: sending })
     }
 }
@@ -237,6 +243,8 @@
 struct SendingAnswer {
     connection: Arc<CallerConnection>,
     unsent: UnsentLen,
+    /// The memory of its head.
+    _head: MemoryHold,
 }
 
 impl Drop for SendingAnswer {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -141,7 +141,8 @@
 pub(crate) fn send_counted(answer: CallerAnswer, guard: RequestGuard) -> CallerAnswer {
     let (parts, body) = answer.into_parts();
     let body = body.into_inner().unwrap_or_default();
-    Response::from_parts(parts, Full::new(guard.send(body)))
+    let body = guard.send(&parts.headers, body);
+    Response::from_parts(parts, Full::new(body))
 }
 
 /// Logs why a caller's connection ended, if a request was left unanswered or an error occurred.
--- a/crates/router/tests/caller_limits.rs
+++ b/crates/router/tests/caller_limits.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, header};
 use streamfold_router::answer_memory::AnswerReservation;
 use streamfold_router::caller_limits::{CallerLimits, ConnectionEntry};
 use streamfold_router::growing_buffer::GrowingBuffer;
@@ -83,10 +84,10 @@
     let limits = limits();
     let (slow, young) = (connect(&limits).await, connect(&limits).await);
     let slow_answer = make_answer(&limits, LONG_LEN / 2).await.expect("room");
-    let _sending = slow.connection.start_request().send(slow_answer);
+    let _sending = slow.connection.start_request().send(&HeaderMap::new(), slow_answer);
     tokio::time::sleep(SLOW_TIME).await;
     let young_answer = make_answer(&limits, LONG_LEN / 2).await.expect("room");
-    let _young = young.connection.start_request().send(young_answer);
+    let _young = young.connection.start_request().send(&HeaderMap::new(), young_answer);
     // Its connection ends, and the answer with it.
     let ends = async {
         slow.connection.wait_cut().await;
@@ -97,6 +98,19 @@
     assert!(!is_cut(&young).await);
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_head_of_an_answer_counts_until_the_answer_is_sent() {
+    let limits = limits();
+    let entry = connect(&limits).await;
+    let mut head = HeaderMap::new();
+    let proofs = HeaderValue::from_bytes(&vec![b'p'; MACHINE.short_answers_len()]).expect("a value");
+    head.insert(header::SERVER, proofs);
+    let sending = entry.connection.start_request().send(&head, Bytes::from_static(b"records"));
+    assert!(make_answer(&limits, 1).await.is_none(), "the head takes all memory of short answers");
+    drop(sending);
+    assert!(make_answer(&limits, 1).await.is_some());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_that_is_being_served_is_never_closed() {
     let limits = limits();
