A request that arrives while its connection is being closed does not run

The request would have run, and its caller would have got no answer. Now such a request waits for the end of its connection, so nothing of it was passed on. Test in caller_limits.rs.

--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -18,7 +18,7 @@
 use hyper_util::service::TowerToHyperService;
 use streamfold_router::caller_connection::{CallerConnection, CallerStream};
 use streamfold_router::caller_limits::CallerLimits;
-use streamfold_router::front::note_unadmitted;
+use streamfold_router::caller_port::note_unadmitted;
 use tokio::net::TcpListener;
 
 use crate::node::Node;
@@ -89,6 +89,7 @@
         request.extensions_mut().insert(self.caller.clone());
         let answered = self.router.call(request);
         async move {
+            guard.wait_if_cut().await;
             let (parts, body) = answered.await?.into_parts();
             // A body that this node has made cannot fail.
             let body = body.collect().await.map(Collected::to_bytes).unwrap_or_default();
--- a/crates/router/src/caller_connection.rs
+++ b/crates/router/src/caller_connection.rs
@@ -204,6 +204,14 @@
         &self.connection
     }
 
+    /// Never returns if the connection is about to be closed: its closing was decided before the request had arrived, so
+    /// the request must not run.
+    pub async fn wait_if_cut(&self) {
+        if self.connection.state().cut.is_some() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Hands over the body of an answer with this head. Both count as being sent for as long as any part of the body is in
     /// use: the head is sent before it.
     pub fn send(mut self, head: &HeaderMap, body: Bytes) -> Bytes {
--- a/crates/router/src/caller_limits.rs
+++ b/crates/router/src/caller_limits.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// A place for one more connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionPlace {
+    Free,
+    /// Another connection is being closed for it.
+    BeingFreed,
+}
+
 /// The limits of all callers of a port, and what each of them holds.
 #[derive(Debug)]
 pub struct CallerLimits {
@@ -150,7 +158,7 @@
     /// Counts a new connection. If there are too many, it has one closed and waits for its end; `None` if none may be
     /// closed.
     pub async fn admit(self: &Arc<Self>, peer: SocketAddr) -> Option<ConnectionEntry> {
-        while !self.has_place()? {
+        while self.find_place()? == ConnectionPlace::BeingFreed {
             self.closed.notified().await;
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -159,19 +167,19 @@
         Some(ConnectionEntry { connection, limits: self.clone() })
     }
 
-    /// Whether there is a place for one more connection; if not, has one closed unless one is being closed already.
-    /// `None` if none may be closed.
-    fn has_place(&self) -> Option<bool> {
+    /// Looks for a place for one more connection. If there is none, has a connection closed unless one is being closed
+    /// already; `None` if none may be closed.
+    fn find_place(&self) -> Option<ConnectionPlace> {
         let table = self.table();
         if table.len() < self.max_connections {
-            return Some(true);
+            return Some(ConnectionPlace::Free);
         }
         let (open, holdings) = list_open(&table, None);
         if open.len() == table.len() {
             let chosen = choose_for_connection(self.now(), &holdings)?;
             open[chosen].close(CutReason::Connections);
         }
-        Some(false)
+        Some(ConnectionPlace::BeingFreed)
     }
 
     /// Has connections closed until there is room for `bytes` more. Returns whether any that holds memory of this kind is
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -1,167 +1,34 @@
-//! The HTTP front end: accepts callers' connections, routes their requests and writes the answers.
+//! The HTTP front end: routes the requests of callers and makes their answers.
 
-use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Response, Uri};
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use streamfold_link::socket::set_tcp_options;
 use streamfold_model::{RouteSpec, RouteTable, RouteTarget, TeamSpec};
 use streamfold_policy::crash_tracker::ContentStatus;
 use streamfold_policy::request_start::find_request_start;
 use streamfold_policy::retry_after::RefusalReason;
 use streamfold_policy::split_rule::SplitSelector;
 use streamfold_policy::{Mechanism, Moment};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::attempt_context::{AttemptContext, RequestOrigin};
-use crate::caller_body::{discard_rest, read_body};
-use crate::caller_connection::{CallerConnection, CallerStream, RequestGuard};
-use crate::caller_limits::ConnectionEntry;
+use crate::caller_body::read_body;
+use crate::caller_connection::CallerConnection;
 use crate::caller_team::find_team;
 use crate::canary::CanaryCall;
 use crate::cluster_view::ClusterView;
 use crate::interface::{CallerHead, FeedTopic};
 use crate::request::{CallerRequest, RequestArrival, find_deadline};
 use crate::router::{LiveCount, Router, RouterPhase};
-use crate::{entry, gather, quarantine, single, task, usage};
+use crate::{entry, gather, quarantine, single, usage};
 
-/// The delay after a failed accept, for example when no file descriptors are left.
-pub const ACCEPT_DELAY: Duration = Duration::from_millis(20);
-/// The smallest request head buffer that the HTTP library accepts.
-const MIN_HEAD_BUFFER: usize = 8 << 10;
-/// The head buffer and the idle timeout while no routes, and thus no configured limits, are known.
-const DEFAULT_HEAD_BUFFER: usize = 64 << 10;
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// A request to a single server is refused if no server accepts it within this share of its target latency.
 const EARLY_REFUSAL_SHARE: f64 = 0.2;
 
-/// Accepts caller connections until the node starts closing. Then the port is closed as well: a request on a
-/// connection opened that late could not finish before the process exits.
-pub async fn serve(router: Arc<Router>, listener: Arc<TcpListener>) {
-    let mut phase = router.phase.subscribe();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = wait_phase(&mut phase, RouterPhase::Closing) => return,
-        };
-        match accepted {
-            Ok((stream, peer)) => {
-                let Some(entry) = router.callers.admit(peer).await else {
-                    note_unadmitted(peer);
-                    continue;
-                };
-                // Counted before its task runs, so that a shutdown waits for it.
-                router.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(serve_connection(router.clone(), stream, entry));
-            }
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                tokio::time::sleep(ACCEPT_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Records a connection that is closed at once since there are too many, none of which may be closed in its place.
-pub fn note_unadmitted(peer: SocketAddr) {
-    metrics::counter!("streamfold_connections_refused_total").increment(1);
-    tracing::info!(event = "connection_refused", %peer);
-}
-
-async fn serve_connection(router: Arc<Router>, stream: TcpStream, entry: ConnectionEntry) {
-    let _count = LiveCount::from_counted(&router.connections);
-    let accepted = router.clock.now();
-    if let Err(error) = set_tcp_options(&stream) {
-        tracing::debug!(event = "connection_options_failed", %error);
-        return;
-    }
-    let limits = router.cluster.view().table.as_ref().map(|table| table.limits);
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        // The library counts the idle time before a request head towards the time to read it.
-        .header_read_timeout(limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout + limits.header_timeout))
-        .max_buf_size(limits.map_or(DEFAULT_HEAD_BUFFER, |limits| limits.header_bytes.max(MIN_HEAD_BUFFER)));
-    let is_answering = AtomicBool::new(false);
-    let has_read_request = AtomicBool::new(false);
-    let service = service_fn(|request| {
-        let (router, is_answering) = (router.clone(), &is_answering);
-        let accepted = Some(accepted).filter(|_| !has_read_request.swap(true, Ordering::Relaxed));
-        let mut phase = router.phase.subscribe();
-        let guard = entry.connection.start_request();
-        async move {
-            is_answering.store(true, Ordering::Relaxed);
-            let (parts, mut body) = request.into_parts();
-            // After a panic it is unknown what was sent, so the request may have run. The same holds for a request
-            // that is abandoned since the node ends.
-            let handled = tokio::select! {
-                biased;
-                handled = task::catch_panic(handle(&router, parts, &mut body, accepted, guard.connection())) => handled,
-                () = wait_phase(&mut phase, RouterPhase::Ended) => None,
-            };
-            discard_rest(body);
-            let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
-            is_answering.store(false, Ordering::Relaxed);
-            Ok::<_, Infallible>(send_counted(answer, guard))
-        }
-    });
-    let mut connection = std::pin::pin!(
-        builder.serve_connection(TokioIo::new(CallerStream::new(stream, entry.connection.clone())), service)
-    );
-    let mut phase = router.phase.subscribe();
-    let ended = tokio::select! {
-        // In this order, a request that has arrived is read before its connection is closed as idle.
-        biased;
-        () = entry.connection.wait_cut() => return,
-        ended = connection.as_mut() => ended,
-        () = wait_phase(&mut phase, RouterPhase::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            tokio::select! {
-                () = entry.connection.wait_cut() => return,
-                ended = connection => ended,
-            }
-        }
-    };
-    log_end(&ended, is_answering.load(Ordering::Relaxed));
-}
-
-/// Hands over an answer whose memory counts as the caller's until it was sent.
-pub(crate) fn send_counted(answer: CallerAnswer, guard: RequestGuard) -> CallerAnswer {
-    let (parts, body) = answer.into_parts();
-    let body = body.into_inner().unwrap_or_default();
-    let body = guard.send(&parts.headers, body);
-    Response::from_parts(parts, Full::new(body))
-}
-
-/// Logs why a caller's connection ended, if a request was left unanswered or an error occurred.
-fn log_end(ended: &Result<(), hyper::Error>, is_unanswered: bool) {
-    let error = ended.as_ref().err().map(ToString::to_string);
-    if is_unanswered {
-        let cause = ended.as_ref().err().and_then(std::error::Error::source).map(ToString::to_string);
-        tracing::info!(event = "caller_connection_lost", error, cause);
-    } else if error.is_some() {
-        tracing::debug!(event = "caller_connection_ended", error);
-    }
-}
-
-/// Waits until the node has reached a phase of its stop.
-async fn wait_phase(phase: &mut watch::Receiver<RouterPhase>, wanted: RouterPhase) {
-    // The sender lives as long as the node, so the wait only ends with the phase.
-    let _ = phase.wait_for(|phase| *phase >= wanted).await;
-}
-
 /// A request's route, with the cluster view and the route table that it was found in.
 struct RoutedRequest {
     view: Arc<ClusterView>,
@@ -170,7 +37,9 @@
     body_limit: usize,
 }
 
-async fn handle(
+/// Serves a request of a caller's connection. `accepted` is when the connection was accepted, if the request is the first
+/// one on it.
+pub(crate) async fn handle(
     router: &Arc<Router>,
     parts: Parts,
     body: &mut Incoming,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod caller_body;
 pub mod caller_connection;
 pub mod caller_limits;
+pub mod caller_port;
 mod caller_team;
 pub mod canary;
 pub mod catch_up;
--- a/crates/router/src/ready.rs
+++ b/crates/router/src/ready.rs
@@ -15,7 +15,7 @@
 
 use crate::caller_connection::CallerStream;
 use crate::caller_limits::{CallerLimits, ConnectionEntry};
-use crate::front::{ACCEPT_DELAY, note_unadmitted, send_counted};
+use crate::caller_port::{ACCEPT_DELAY, note_unadmitted, send_counted};
 use crate::router::Router;
 
 /// The path of the metrics.
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -13,7 +13,7 @@
 use crate::settings::RouterSettings;
 use crate::task::NodeTasks;
 use crate::{
-    catch_up, feed, front, knowledge, liveness_probe, look_around, node_sweep, peer_service, peers, ready, relay,
+    caller_port, catch_up, feed, knowledge, liveness_probe, look_around, node_sweep, peer_service, peers, ready, relay,
     shortage,
 };
 
@@ -53,7 +53,7 @@
         without = join_names(&router.settings.without)
     );
     let mut tasks = NodeTasks::new(router.clone());
-    tasks.start("callers", move |router| front::serve(router, callers.clone()));
+    tasks.start("callers", move |router| caller_port::serve(router, callers.clone()));
     tasks.start("readiness", move |router| ready::serve(router, readiness.clone(), metrics_text));
     tasks.start("metrics", move |router| ready::serve(router, metrics.clone(), metrics_text));
     for topic in router.topics() {
--- a/crates/router/tests/caller_limits.rs
+++ b/crates/router/tests/caller_limits.rs
@@ -153,6 +153,23 @@
     assert!(!is_cut(&first).await);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_that_arrives_while_its_connection_is_being_closed_does_not_run() {
+    let limits = Arc::new(CallerLimits::new(MACHINE).with_connections(1));
+    let entry = connect(&limits).await;
+    let late = async {
+        entry.connection.wait_cut().await;
+        let request = entry.connection.start_request();
+        let has_run = tokio::time::timeout(SLOW_TIME, request.wait_if_cut()).await.is_ok();
+        drop(request);
+        drop(entry);
+        has_run
+    };
+    let (next, has_run) = tokio::join!(connect(&limits), late);
+    assert!(!has_run);
+    next.connection.start_request().wait_if_cut().await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_connection_is_refused_where_none_may_be_closed() {
     let limits = Arc::new(CallerLimits::new(MACHINE).with_connections(1));
