--- a/crates/lab/tests/misbehaving_index_callers.rs
+++ b/crates/lab/tests/misbehaving_index_callers.rs
@@ -4,13 +4,13 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Method, Request};
 use streamfold_lab::crowd::{CallerCrowd, write_head, write_tiny_chunks};
 use streamfold_lab::fleet::{Fleet, INDEX, NodeHandle, TOKEN};
 use streamfold_lab::fleet_plan::{DomainPlan, FleetPlan};
 use streamfold_lab::server::ServerPlan;
 use streamfold_lab::usage::{LoweredDescriptors, count_descriptors, settled_peak_memory};
-use streamfold_lab::wait::wait_for;
+use streamfold_lab::wait::{MAX_WAIT, wait_for};
 use streamfold_model::ByteSize;
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex, MutexGuard};
@@ -24,6 +24,9 @@
 const SILENT_CALLERS: usize = 400;
 /// Callers whose body never ends.
 const SLOW_WRITERS: usize = 120;
+/// Callers whose head never ends, and bytes of it; a node accepts 65,536.
+const HEAD_WRITERS: usize = 1_600;
+const HEAD_LEN: usize = 60_000;
 /// Callers whose body never ends and comes in chunks of one byte, and the chunks of each.
 const CHUNK_WRITERS: usize = 20;
 const CHUNKS: usize = 500_000;
@@ -64,24 +67,31 @@
 
 /// Checks that the node's process lives within its machine and answers an ordinary query for one shard.
 async fn check_node(fleet: &mut Fleet, name: &str) {
-    let node = &mut fleet.nodes[0];
-    let Some(NodeHandle::Process(process)) = &mut node.handle else { panic!("a node in a process") };
+    let pid = check_process(fleet, name).await;
+    let descriptors = count_descriptors(pid).expect("its descriptors");
+    println!("{name}: {descriptors} descriptors");
+    assert!(descriptors <= MAX_FILES as usize, "{name}: {descriptors} descriptors");
+    check_query(fleet, name).await;
+}
+
+/// Checks that the node's process lives within the memory of its machine; returns its id.
+async fn check_process(fleet: &mut Fleet, name: &str) -> u32 {
+    let Some(NodeHandle::Process(process)) = &mut fleet.nodes[0].handle else { panic!("a node in a process") };
     assert_eq!(process.try_wait().expect("the state of the process"), None, "{name}: the process has ended");
     let pid = process.id().expect("a running process");
     let memory = settled_peak_memory(pid).await.expect("its memory");
-    let descriptors = count_descriptors(pid).expect("its descriptors");
-    println!("{name}: {} KB, {descriptors} descriptors", memory >> 10);
+    println!("{name}: {} KB", memory >> 10);
     assert!(memory <= MEMORY, "{name}: {} KB", memory >> 10);
-    assert!(descriptors <= MAX_FILES as usize, "{name}: {descriptors} descriptors");
+    pid
+}
+
+async fn check_query(fleet: &Fleet, name: &str) {
+    let address = fleet.nodes[0].addresses.callers;
     let path = format!("/v1/indexes/{INDEX}/query?shards=0");
     let token = format!("Bearer {TOKEN}");
     let headers = [("authorization", token.as_str())];
     let body = Bytes::from_static(b"{}");
-    let answer = fleet
-        .client
-        .call(http::Method::POST, node.addresses.callers, &path, &headers, body, streamfold_lab::wait::MAX_WAIT)
-        .await
-        .expect("an answer");
+    let answer = fleet.client.call(Method::POST, address, &path, &headers, body, MAX_WAIT).await.expect("an answer");
     assert!(answer.status.is_success(), "{name}: {answer:?}");
     assert!(answer.body.len() > SHORT_LEN, "{name}: {answer:?}");
 }
@@ -154,6 +164,36 @@
     check_node(&mut fleet, "index-tiny-chunks").await;
 }
 
+/// Guards against heads that are bounded one by one only.
+#[tokio::test(flavor = "multi_thread")]
+async fn index_heads_that_never_end_stay_within_the_memory() {
+    let (_alone, mut fleet) = start(0).await;
+    let mut crowd = CallerCrowd::default();
+    let mut request = format!("{}X-Long: ", write_head("POST", "/v1/tickets", &[("Host", "node")])).into_bytes();
+    request.resize(HEAD_LEN, b'x');
+    for _ in 0..HEAD_WRITERS {
+        crowd.add_slow_writer(fleet.nodes[0].addresses.callers, request.clone());
+    }
+    wait_for("open heads", async || crowd.counts.begun.load(Ordering::Relaxed) == HEAD_WRITERS).await;
+    let pid = check_process(&mut fleet, "index-heads").await;
+    assert!(count_descriptors(pid).is_some_and(|count| count <= HEAD_WRITERS));
+    check_query(&fleet, "index-heads").await;
+}
+
+/// Guards against a stop that waits for callers who do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_of_a_node_that_serves_indexes_ends_while_answers_are_read_slowly() {
+    let (_alone, mut fleet) = start(SHARD_LEN).await;
+    let mut crowd = CallerCrowd::default();
+    for _ in 0..SLOW_READERS {
+        let request = (write_query_head(2) + "{}").into_bytes();
+        crowd.add_slow_reader(fleet.nodes[0].addresses.callers, request).await;
+    }
+    wait_for("slow readers", async || crowd.counts.begun.load(Ordering::Relaxed) == SLOW_READERS).await;
+    let handle = fleet.nodes[0].handle.take().expect("a running node");
+    assert!(handle.stop().await, "the process ends with success");
+}
+
 /// Guards against callers that take all file descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn index_connections_without_a_request_leave_descriptors_for_others() {
