Settings of the machine are checked, and 0 stands for what the system reports

memory below 32 MB and max_files below 64 leave a node nothing to serve with: refused with file and line. Whose connection is closed is found in one pass without copies of the table, since it is asked for each new connection while there are too many.

--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use streamfold_platform::{PlatformClient, PlatformHeaders};
+use streamfold_router::machine_limits::{MIN_FILES, MIN_MEMORY};
 use streamfold_router::{Router, RouterSettings, RunningRouter, router_start};
 use tokio::signal::unix::Signal;
 
@@ -53,6 +54,12 @@
         check_range("cold_calls.excess", cold.excess, cold.excess >= 0.0, "0 or more");
         check_range("cold_calls.allowance", cold.allowance, cold.allowance >= 0.0, "0 or more");
     }
+    if let Some(memory) = settings.memory {
+        check_range("memory", memory.0 as f64, memory.0 == 0 || memory >= MIN_MEMORY, "32MB or more, or 0");
+    }
+    if let Some(files) = settings.max_files {
+        check_range("max_files", f64::from(files), files == 0 || files >= MIN_FILES, "64 or more, or 0");
+    }
     let is_valid_return_turns = !settings.return_turns || settings.scheduling.by_team;
     check_range(
         "return_turns",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,7 +9,7 @@
 use serde_saphyr::Spanned;
 use streamfold_model::{ByteSize, FailureDomain, NodeId, TimeSpan};
 use streamfold_policy::HedgeChoice;
-use streamfold_router::machine_limits::MachineLimits;
+use streamfold_router::machine_limits::{MIN_FILES, MIN_MEMORY, MachineLimits};
 
 use crate::error::{SettingError, SettingProblem, StartError};
 
@@ -76,8 +76,8 @@
     claim_rate: Option<Spanned<f64>>,
     ticket_life: Option<TimeSpan>,
     connections: Option<Spanned<u32>>,
-    memory: Option<ByteSize>,
-    max_files: Option<u32>,
+    memory: Option<Spanned<ByteSize>>,
+    max_files: Option<Spanned<u32>>,
     policy: PolicyChoice,
     hedging: HedgeChoice,
     log: Option<String>,
@@ -291,6 +291,11 @@
         let claim_rate = self.ranged("claim_rate", file.claim_rate, DEFAULT_CLAIM_RATE, 0.0..=1000.0, "0 to 1000");
         let connections =
             self.ranged("connections", file.connections, DEFAULT_CONNECTIONS, 1..=1_000_000, "1 to 1000000");
+        // 0 stands for what the system reports.
+        let memory = file.memory.filter(|memory| memory.value.0 > 0);
+        let max_files = file.max_files.filter(|files| files.value > 0);
+        let memory = self.ranged("memory", memory, ByteSize(0), MIN_MEMORY..=ByteSize(u64::MAX), "32MB or more, or 0");
+        let max_files = self.ranged("max_files", max_files, 0, MIN_FILES..=u32::MAX, "64 or more, or 0");
         let seeds = if args.seeds.is_empty() { file.seeds } else { args.seeds.clone() };
         Some(NodeSettings {
             node: node?,
@@ -310,7 +315,7 @@
             claim_rate,
             ticket_life: file.ticket_life.map_or(DEFAULT_TICKET_LIFE, |duration| duration.0),
             connections: connections as usize,
-            machine: MachineLimits::new(file.memory, file.max_files),
+            machine: MachineLimits::new(Some(memory), Some(max_files)),
             policy: file.policy,
             hedging: file.hedging,
             log: args.log.clone().or(file.log).unwrap_or_else(|| "info".to_owned()),
--- a/crates/daemon/tests/route_settings.rs
+++ b/crates/daemon/tests/route_settings.rs
@@ -85,3 +85,14 @@
     assert_eq!(settings.cold_calls.map(|cold| (cold.excess, cold.allowance)), Some((1.5, 5.0)));
     assert_snapshot!(problems(&bounds("0s", "-1")));
 }
+
+#[test]
+fn the_machine_is_read_and_checked() {
+    let text = |memory: &str, files: &str| format!("{GOOD}memory: {memory}\nmax_files: {files}\n");
+    let machine = parse("node.yaml", &text("260MB", "4100")).expect("settings").machine();
+    assert_eq!((machine.memory, machine.files), (260 << 20, 4_100));
+    let machine = parse("node.yaml", &text("0MB", "0")).expect("settings").machine();
+    assert!(machine.memory > 0 && machine.files > 0, "what the system reports: {machine:?}");
+    assert_snapshot!(problems(&text("1MB", "3")));
+    assert_snapshot!(problems(&text("much", "4100")));
+}
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -47,3 +47,13 @@
     assert_eq!(output.status.code(), Some(2));
     assert_snapshot!(String::from_utf8_lossy(&output.stderr));
 }
+
+#[test]
+fn the_machine_is_read_and_checked() {
+    let text = "node: a\nfailure_domain: tyrol\ncallers: 127.0.0.1:0\noperators: 127.0.0.1:0\n\
+                peers: 127.0.0.1:0\nplatform: 127.0.0.1:7000\n";
+    let machine = parse("node.yaml", &format!("{text}memory: 100MB\nmax_files: 256\n"), &DaemonArgs::default());
+    let machine = machine.expect("settings").machine;
+    assert_eq!((machine.memory, machine.files), (100 << 20, 256));
+    assert_snapshot!(problems(&format!("{text}memory: 1MB\nmax_files: 3\n")));
+}
--- a/crates/policy/src/caller_cut.rs
+++ b/crates/policy/src/caller_cut.rs
@@ -69,13 +69,13 @@
 
 /// Chooses the connection to close so that another caller can connect: first one that was never used, then one that
 /// rests, then one whose body or answer is on its way; of these the one that has done so for longest.
-pub fn choose_for_connection(now: Moment, holdings: &[CallerHolding]) -> Option<usize> {
-    let candidates = holdings.iter().enumerate().filter(|(_, holding)| holding.may_yield_connection(now));
-    candidates.min_by_key(|(_, holding)| (holding.phase, holding.since)).map(|(position, _)| position)
+pub fn choose_for_connection<K>(now: Moment, holdings: impl IntoIterator<Item = (K, CallerHolding)>) -> Option<K> {
+    let candidates = holdings.into_iter().filter(|(_, holding)| holding.may_yield_connection(now));
+    candidates.min_by_key(|(_, holding)| (holding.phase, holding.since)).map(|(connection, _)| connection)
 }
 
 /// Chooses the connection to close for the memory that it holds: the one that holds most for longest.
-pub fn choose_for_memory(now: Moment, holdings: &[CallerHolding]) -> Option<usize> {
-    let candidates = holdings.iter().enumerate().filter(|(_, holding)| holding.may_yield_memory(now));
-    candidates.max_by_key(|(_, holding)| holding.occupancy(now)).map(|(position, _)| position)
+pub fn choose_for_memory<K>(now: Moment, holdings: impl IntoIterator<Item = (K, CallerHolding)>) -> Option<K> {
+    let candidates = holdings.into_iter().filter(|(_, holding)| holding.may_yield_memory(now));
+    candidates.max_by_key(|(_, holding)| holding.occupancy(now)).map(|(connection, _)| connection)
 }
--- a/crates/router/src/caller_connection.rs
+++ b/crates/router/src/caller_connection.rs
@@ -116,6 +116,11 @@
         state.cut.is_none().then(|| CallerHolding { phase: state.phase(), since: state.since, bytes })
     }
 
+    /// Whether it is about to be closed.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.state().cut.is_some()
+    }
+
     /// The memory that it gives back once it is closed, if it is about to be.
     pub(crate) fn pending_len(&self, kind: MemoryKind) -> usize {
         let state = self.state();
--- a/crates/router/src/caller_limits.rs
+++ b/crates/router/src/caller_limits.rs
@@ -174,10 +174,9 @@
         if table.len() < self.max_connections {
             return Some(ConnectionPlace::Free);
         }
-        let (open, holdings) = list_open(&table, None);
-        if open.len() == table.len() {
-            let chosen = choose_for_connection(self.now(), &holdings)?;
-            open[chosen].close(CutReason::Connections);
+        if !table.values().any(|connection| connection.is_cut()) {
+            let chosen = choose_for_connection(self.now(), list_holdings(&table, None))?;
+            chosen.close(CutReason::Connections);
         }
         Some(ConnectionPlace::BeingFreed)
     }
@@ -191,11 +190,10 @@
         }
         let table = self.table();
         let mut pending: usize = table.values().map(|connection| connection.pending_len(kind)).sum();
-        let (mut open, mut holdings) = list_open(&table, Some(kind));
         while pending < missing {
-            let Some(chosen) = choose_for_memory(self.now(), &holdings) else { break };
-            open.swap_remove(chosen).close(kind.into());
-            pending += holdings.swap_remove(chosen).bytes;
+            let Some(chosen) = choose_for_memory(self.now(), list_holdings(&table, Some(kind))) else { break };
+            chosen.close(kind.into());
+            pending += chosen.pending_len(kind);
         }
         pending > 0
     }
@@ -265,11 +263,11 @@
 }
 
 /// The connections that are not being closed, and what they hold.
-fn list_open(
+fn list_holdings(
     table: &HashMap<u64, Arc<CallerConnection>>,
     kind: Option<MemoryKind>,
-) -> (Vec<Arc<CallerConnection>>, Vec<CallerHolding>) {
-    table.values().filter_map(|connection| Some((connection.clone(), connection.holding(kind)?))).unzip()
+) -> impl Iterator<Item = (&CallerConnection, CallerHolding)> {
+    table.values().filter_map(move |connection| Some((&**connection, connection.holding(kind)?)))
 }
 
 /// A place among the connections, until it is dropped.
--- a/crates/router/src/machine_limits.rs
+++ b/crates/router/src/machine_limits.rs
@@ -20,6 +20,10 @@
 const CONNECTIONS_SHARE: usize = 2;
 /// The fewest connections of callers, however small the machine is.
 const MIN_CONNECTIONS: usize = 16;
+/// The least memory that settings may name.
+pub const MIN_MEMORY: ByteSize = ByteSize(32 << 20);
+/// The fewest file descriptors that settings may name.
+pub const MIN_FILES: u32 = 64;
 /// What is assumed if the system limits no file descriptors.
 const DEFAULT_FILES: usize = 1 << 16;
 
@@ -33,8 +37,10 @@
 }
 
 impl MachineLimits {
-    /// The limits that the settings name; what they do not name is read from the system.
+    /// The limits that the settings name; what they do not name, or name as 0, is read from the system.
     pub fn new(memory: Option<ByteSize>, files: Option<u32>) -> Self {
+        let memory = memory.filter(|memory| memory.0 > 0);
+        let files = files.filter(|files| *files > 0);
         Self {
             memory: memory.map_or_else(system_memory, ByteSize::as_usize),
             files: files.map_or_else(system_files, |files| files as usize),
