One counted stream, and one way to read a body, for both modes; a body without memory has a line

The streams of callers and of servers' connections forwarded the same calls twice over, and both modes read bodies by the same loop. event=body_without_memory and streamfold_bodies_without_memory_total tell why a request was refused.

--- a/crates/daemon/src/caller_input.rs
+++ b/crates/daemon/src/caller_input.rs
@@ -6,14 +6,12 @@
 use axum::body::Body;
 use axum::http::{HeaderMap, Request};
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use streamfold_model::answer::{HEADER_DEADLINE, HEADER_KEY, HEADER_PREFER, HEADER_REPEATABLE};
 use streamfold_model::server::parse_shards;
 use streamfold_model::{CallerPreference, CallerSpec, IndexName, IndexSpec, ShardId};
 use streamfold_policy::{FinishRule, Moment};
-use streamfold_router::caller_body::discard;
-use streamfold_router::caller_connection::{BodyGuard, CallerConnection};
-use streamfold_router::growing_buffer::GrowingBuffer;
+use streamfold_router::caller_body::{BodyError, discard, read_all};
+use streamfold_router::caller_connection::CallerConnection;
 
 use crate::caller_error::CallerError;
 use crate::callers::RequestContext;
@@ -121,30 +119,15 @@
     let caller = request.extensions().get::<Arc<CallerConnection>>().cloned().ok_or(CallerError::NodeFault)?;
     let mut body = request.into_body();
     let left = deadline.since(node.clock.now());
-    let read = tokio::time::timeout(left, read_all(&mut body, limit, caller.start_body())).await;
-    let read = read.unwrap_or(Err(CallerError::BodyLate));
-    if matches!(read, Err(CallerError::BodyTooLarge(_))) {
-        // A client that is still sending would not read the refusal, so a bounded rest of the body is read first.
-        discard(body).await;
-    }
-    read
-}
-
-/// Copies the pieces of a body into one buffer. Kept one by one, pieces of a few bytes would take many times their length.
-async fn read_all(body: &mut Body, limit: usize, mut guard: BodyGuard) -> Result<Bytes, CallerError> {
-    let mut buffer = GrowingBuffer::new(limit);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| CallerError::BodyBroken)?;
-        let Ok(data) = frame.into_data() else { continue };
-        let growth = buffer.growth(data.len()).map_err(|_| CallerError::BodyTooLarge(limit))?;
-        if !guard.grow(growth).await {
-            return Err(CallerError::NoMemory);
+    let reading = read_all(&mut body, limit, caller.start_body());
+    match tokio::time::timeout(left, reading).await.map_err(|_| CallerError::BodyLate)? {
+        Ok(read) => Ok(read),
+        Err(BodyError::Broken) => Err(CallerError::BodyBroken),
+        Err(BodyError::NoMemory) => Err(CallerError::NoMemory),
+        Err(BodyError::TooLong) => {
+            // A client that is still sending would not read the refusal, so a bounded rest of the body is read first.
+            discard(body).await;
+            Err(CallerError::BodyTooLarge(limit))
         }
-        buffer.push(&data).map_err(|error| {
-            tracing::warn!(event = "body_not_buffered", %error);
-            CallerError::NoMemory
-        })?;
-        guard.note_taken();
     }
-    Ok(guard.finish(buffer))
 }
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -16,9 +16,10 @@
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
-use streamfold_router::caller_connection::{CallerConnection, CallerStream};
+use streamfold_router::caller_connection::CallerConnection;
 use streamfold_router::caller_limits::CallerLimits;
 use streamfold_router::caller_port::note_unadmitted;
+use streamfold_router::counted_stream::CountedStream;
 use tokio::net::TcpListener;
 
 use crate::node::Node;
@@ -56,7 +57,7 @@
         };
         // Nagle's algorithm delays small answers. A socket that refuses the option still works.
         let _ = stream.set_nodelay(true);
-        let stream = CallerStream::new(stream, entry.connection.clone());
+        let stream = CountedStream::new(stream, entry.connection.clone());
         let service =
             CountedService { router: TowerToHyperService::new(router.clone()), caller: entry.connection.clone() };
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
--- a/crates/router/src/caller_body.rs
+++ b/crates/router/src/caller_body.rs
@@ -19,6 +19,20 @@
 const MAX_DISCARDED: usize = 8 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// The connection failed, or the body is malformed.
+    #[error("the body could not be read")]
+    Broken,
+    /// It exceeds its limit.
+    #[error("the body is too long")]
+    TooLong,
+    /// There is no memory for it.
+    #[error("there is no memory for the body")]
+    NoMemory,
+}
+
 /// Reads a complete body. Its memory is counted for as long as any part of it is in use.
 ///
 /// # Errors
@@ -36,22 +50,38 @@
         return Err(RefusalKind::TooLong);
     }
     let reading = read_all(body, limit, connection.start_body());
-    tokio::time::timeout_at(deadline, reading).await.unwrap_or(Err(RefusalKind::Late))
+    let read = tokio::time::timeout_at(deadline, reading).await.map_err(|_| RefusalKind::Late)?;
+    read.map_err(|error| match error {
+        BodyError::Broken => RefusalKind::BadRequest,
+        BodyError::TooLong => RefusalKind::TooLong,
+        BodyError::NoMemory => {
+            metrics::counter!("streamfold_bodies_without_memory_total").increment(1);
+            tracing::info!(event = "body_without_memory", peer = %connection.peer);
+            RefusalKind::not_run(RefusalReason::NoMemory)
+        }
+    })
 }
 
-/// Copies the pieces of a body into one buffer. Kept one by one, pieces of a few bytes would take many times their length.
-async fn read_all(body: &mut Incoming, limit: usize, mut guard: BodyGuard) -> Result<Bytes, RefusalKind> {
+/// Copies the pieces of a body of at most `limit` bytes into one buffer. Kept one by one, pieces of a few bytes would take
+/// many times their length.
+///
+/// # Errors
+/// The body exceeds the limit or ends early, or there is no memory for it.
+pub async fn read_all<B>(body: &mut B, limit: usize, mut guard: BodyGuard) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     let mut buffer = GrowingBuffer::new(limit);
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| RefusalKind::BadRequest)?;
+        let frame = frame.map_err(|_| BodyError::Broken)?;
         let Ok(data) = frame.into_data() else { continue };
-        let growth = buffer.growth(data.len()).map_err(|_| RefusalKind::TooLong)?;
+        let growth = buffer.growth(data.len()).map_err(|_| BodyError::TooLong)?;
         if !guard.grow(growth).await {
-            return Err(RefusalKind::not_run(RefusalReason::NoMemory));
+            return Err(BodyError::NoMemory);
         }
         buffer.push(&data).map_err(|error| {
             tracing::warn!(event = "body_not_buffered", %error);
-            RefusalKind::not_run(RefusalReason::NoMemory)
+            BodyError::NoMemory
         })?;
         guard.note_taken();
     }
--- a/crates/router/src/caller_connection.rs
+++ b/crates/router/src/caller_connection.rs
@@ -1,23 +1,21 @@
 //! One connection of a caller: what it is doing and what it holds.
 
-use std::io::{Error, IoSlice};
+use std::io::Error;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http::HeaderMap;
 use streamfold_policy::Moment;
 use streamfold_policy::caller_cut::{CallerHolding, CallerPhase};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use crate::caller_limits::{CallerLimits, CutReason, MemoryKind};
+use crate::counted_stream::ReadCounter;
 use crate::memory_pool::{HeldBytes, MemoryHold};
 
-/// A connection that counts against the limits until it is dropped.
+/// A connection that counts against the limits until it is dropped. On HTTP/2 several requests and answers may be under way
+/// at once; the connection then counts as receiving or sending, since what it holds is that of all of them.
 #[derive(Debug)]
 pub struct CallerConnection {
     pub(crate) id: u64,
@@ -152,25 +150,6 @@
         self.cut.notified().await;
     }
 
-    /// Counts bytes that were read and are not part of a complete request yet.
-    fn note_read(&self, bytes: usize) -> std::io::Result<()> {
-        {
-            let mut state = self.state();
-            // While a request is served or answered, little is read of the next one.
-            if matches!(state.phase(), CallerPhase::Serving | CallerPhase::Sending) {
-                return Ok(());
-            }
-            state.head.grow(bytes);
-        }
-        if !self.limits.make_room(MemoryKind::Heads, 0) {
-            return Ok(());
-        }
-        match self.state().cut {
-            Some(reason) => Err(Error::other(reason.name())),
-            None => Ok(()),
-        }
-    }
-
     /// Counts a request whose head is complete.
     pub fn start_request(self: &Arc<Self>) -> RequestGuard {
         self.change(|state| {
@@ -196,6 +175,27 @@
     }
 }
 
+impl ReadCounter for CallerConnection {
+    /// Counts bytes that were read and are not part of a complete request yet.
+    fn note_read(&self, bytes: usize) -> std::io::Result<()> {
+        {
+            let mut state = self.state();
+            // While a request is served or answered, little is read of the next one.
+            if matches!(state.phase(), CallerPhase::Serving | CallerPhase::Sending) {
+                return Ok(());
+            }
+            state.head.grow(bytes);
+        }
+        if !self.limits.make_room(MemoryKind::Heads, 0) {
+            return Ok(());
+        }
+        match self.state().cut {
+            Some(reason) => Err(Error::other(reason.name())),
+            None => Ok(()),
+        }
+    }
+}
+
 /// A request that is being served, until it is dropped.
 #[derive(Debug)]
 pub struct RequestGuard {
@@ -305,51 +305,3 @@
         });
     }
 }
-
-/// The stream of a caller's connection, which counts what it reads.
-#[derive(Debug)]
-pub struct CallerStream {
-    stream: TcpStream,
-    connection: Arc<CallerConnection>,
-}
-
-impl CallerStream {
-    /// Counts what a stream reads.
-    pub fn new(stream: TcpStream, connection: Arc<CallerConnection>) -> Self {
-        Self { stream, connection }
-    }
-}
-
-impl AsyncRead for CallerStream {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<std::io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        Poll::Ready(self.connection.note_read(buf.filled().len() - before))
-    }
-}
-
-impl AsyncWrite for CallerStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/crates/router/src/caller_port.rs
+++ b/crates/router/src/caller_port.rs
@@ -18,8 +18,9 @@
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::caller_body::discard_rest;
-use crate::caller_connection::{CallerStream, RequestGuard};
+use crate::caller_connection::RequestGuard;
 use crate::caller_limits::ConnectionEntry;
+use crate::counted_stream::CountedStream;
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::{front, task};
 
@@ -103,7 +104,7 @@
         }
     });
     let mut connection = std::pin::pin!(
-        builder.serve_connection(TokioIo::new(CallerStream::new(stream, entry.connection.clone())), service)
+        builder.serve_connection(TokioIo::new(CountedStream::new(stream, entry.connection.clone())), service)
     );
     let mut phase = router.phase.subscribe();
     let ended = tokio::select! {
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -20,9 +20,10 @@
 
 use crate::answer_memory::AnswerReservation;
 use crate::caller_limits::CallerLimits;
+use crate::counted_stream::CountedStream;
 use crate::error::ExchangeError;
 use crate::growing_buffer::GrowingBuffer;
-use crate::read_limit::{LimitedStream, ReadAllowance};
+use crate::read_limit::ReadAllowance;
 
 /// The longest head accepted from a server, in bytes.
 const MAX_HEAD_LEN: usize = 64 << 10;
@@ -33,7 +34,7 @@
 /// A connection to one server.
 pub struct ServerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: http1::Connection<TokioIo<LimitedStream>, Full<Bytes>>,
+    driver: http1::Connection<TokioIo<CountedStream<ReadAllowance>>, Full<Bytes>>,
     allowance: Arc<ReadAllowance>,
 }
 
@@ -59,7 +60,7 @@
         // reach the server much later as another request.
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         let allowance = Arc::new(ReadAllowance::default());
-        let stream = TokioIo::new(LimitedStream::new(stream, allowance.clone()));
+        let stream = TokioIo::new(CountedStream::new(stream, allowance.clone()));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_LEN).handshake(stream);
         let (sender, driver) = handshake.await.map_err(std::io::Error::other)?;
         Ok(Self { sender, driver, allowance })
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod connection;
 pub mod connection_pool;
 pub mod contention;
+pub mod counted_stream;
 pub mod crash_check;
 pub mod delegate;
 pub mod domain;
--- a/crates/router/src/read_limit.rs
+++ b/crates/router/src/read_limit.rs
@@ -1,14 +1,10 @@
-//! A stream that reads no more than it may. A faulty server may send bytes without end, in a head or a body, as long as
-//! its caller reads them.
+//! How much may be read of a connection. A faulty server may send bytes without end, in a head or a body, as long as its
+//! caller reads them.
 
-use std::io::{Error, IoSlice};
-use std::pin::Pin;
-use std::sync::Arc;
+use std::io::Error;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::task::{Context, Poll, ready};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use crate::counted_stream::ReadCounter;
 
 /// How many bytes a stream may still read, and whether it has read any. Shared with the user of the connection, which
 /// does not own the stream.
@@ -40,8 +36,10 @@
     pub fn is_exceeded(&self) -> bool {
         self.is_exceeded.load(Ordering::Relaxed)
     }
+}
 
-    fn take(&self, bytes: usize) -> std::io::Result<()> {
+impl ReadCounter for ReadAllowance {
+    fn note_read(&self, bytes: usize) -> std::io::Result<()> {
         if bytes == 0 {
             return Ok(());
         }
@@ -54,51 +52,3 @@
         Err(Error::other("the server sends more than is accepted"))
     }
 }
-
-/// A TCP stream that fails once more bytes arrive than allowed.
-#[derive(Debug)]
-pub struct LimitedStream {
-    stream: TcpStream,
-    allowance: Arc<ReadAllowance>,
-}
-
-impl LimitedStream {
-    /// Limits a stream.
-    pub fn new(stream: TcpStream, allowance: Arc<ReadAllowance>) -> Self {
-        Self { stream, allowance }
-    }
-}
-
-impl AsyncRead for LimitedStream {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<std::io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        Poll::Ready(self.allowance.take(buf.filled().len() - before))
-    }
-}
-
-impl AsyncWrite for LimitedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/crates/router/src/ready.rs
+++ b/crates/router/src/ready.rs
@@ -13,9 +13,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::caller_connection::CallerStream;
 use crate::caller_limits::{CallerLimits, ConnectionEntry};
 use crate::caller_port::{ACCEPT_DELAY, note_unadmitted, send_counted};
+use crate::counted_stream::CountedStream;
 use crate::router::Router;
 
 /// The path of the metrics.
@@ -56,7 +56,7 @@
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(MAX_HEAD_LEN);
-    let stream = CallerStream::new(stream, entry.connection.clone());
+    let stream = CountedStream::new(stream, entry.connection.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         () = entry.connection.wait_cut() => {}
