A test lowered the descriptors of a test that ran beside it

The product has no part in it.

Cause: index_connections_without_a_request... lowered the limit of descriptors of the whole test process to 256 before it took the lock that keeps the tests of this file apart. The test that held the lock had 1,600 connections open, so it could not open /proc/PID/status.

The lock is taken first; crowds, machines and bounds are as they were.

--- a/crates/lab/tests/misbehaving_index_callers.rs
+++ b/crates/lab/tests/misbehaving_index_callers.rs
@@ -42,9 +42,14 @@
 const MEMORY: u64 = 100 << 20;
 const MAX_FILES: u32 = 256;
 
-/// One node of a process of its own; servers add `padding` bytes to each shard.
+/// Waits until no other test runs, then starts a node.
 async fn start(padding: usize) -> (MutexGuard<'static, ()>, Fleet) {
     let alone = ALONE.lock().await;
+    (alone, start_node(padding).await)
+}
+
+/// One node of a process of its own; servers add `padding` bytes to each shard.
+async fn start_node(padding: usize) -> Fleet {
     let server = ServerPlan { padding, slots: 64, ..ServerPlan::default() };
     let settings = format!("{}memory: {}\n", FleetPlan::default().settings, ByteSize(MEMORY));
     let plan = FleetPlan {
@@ -55,7 +60,7 @@
         has_processes: true,
         ..FleetPlan::default()
     };
-    (alone, Fleet::start(plan).await.expect("a fleet"))
+    Fleet::start(plan).await.expect("a fleet")
 }
 
 /// The head of a query with a body of this length.
@@ -197,8 +202,10 @@
 /// Guards against callers that take all file descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn index_connections_without_a_request_leave_descriptors_for_others() {
+    // The limit holds for the whole process of the tests, so no other one may run meanwhile.
+    let _alone = ALONE.lock().await;
     let lowered = LoweredDescriptors::set(MAX_FILES).expect("a lower limit");
-    let (_alone, mut fleet) = start(0).await;
+    let mut fleet = start_node(0).await;
     drop(lowered);
     let mut crowd = CallerCrowd::default();
     (0..SILENT_CALLERS).for_each(|_| crowd.add_silent(fleet.nodes[0].addresses.callers, Vec::new()));
