One entry that cannot be read hid all VMs from a node that serves indexes

What operators would see: beside an entry of another writer in the list of VMs, a node finds no other node by that list, and says nothing of it. A node that starts without other seeds stays alone.

Cause: the decoded entries were collected into one result, so one bad entry failed the list, and the caller dropped the error without a line. The same class as the list of servers: an entry of another writer decides over all others.

--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -101,7 +101,13 @@
 }
 
 async fn refresh_seeds(node: Arc<Node>) {
-    let Ok(vms) = node.vms.vms().await else { return };
+    let vms = match node.vms.vms().await {
+        Ok(vms) => vms,
+        Err(error) => {
+            tracing::warn!(event = "vms_unknown", %error);
+            return;
+        }
+    };
     let listed = vms.into_iter().filter(|vm| vm.node != node.settings.node && !vm.leaving);
     node.set_listed_seeds(listed.map(|vm| vm.peer_address).collect());
 }
