An entry with an odd name and a proper content was called as a server

What callers would see: calls to an address that answers for no such server (421, or nothing), and with them repeats that count as extra calls.

Cause: any visible ASCII name was a server id, also one with &, +, #, % or a quote. Such an entry comes from another writer and names no server to use.

Fix: a server id holds only characters that stand for themselves in a URL (letters, digits and -._~:@). Names of services, routes, teams and regions are as they were: they do not come from an entry's name.

--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -30,6 +30,9 @@
         /// The first invalid character.
         found: char,
     },
+    /// A server id has a character that does not stand for itself in a URL.
+    #[error("a server id holds only letters, digits, '-', '.', '_', '~', ':' and '@', not {0:?}")]
+    BadServerCharacter(char),
     /// The text does not have the format of this kind of id.
     #[error("{text:?} is not a {kind}")]
     BadFormat {
@@ -71,6 +74,17 @@
     }
 }
 
+/// Checks a server id: an external name of characters that stand for themselves in a URL, wherever they are in it (RFC
+/// 3986, the path characters without the delimiters). Entries under other names are no servers.
+fn check_server_id(kind: &'static str, text: &str) -> Result<(), ParseIdError> {
+    check_external_name(kind, text)?;
+    let allowed = |c: &char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_' | '~' | ':' | '@');
+    match text.chars().find(|c| !allowed(c)) {
+        Some(found) => Err(ParseIdError::BadServerCharacter(found)),
+        None => Ok(()),
+    }
+}
+
 macro_rules! name_id {
     ($(#[$doc:meta])* $name:ident, $kind:literal) => {
         name_id!($(#[$doc])* $name, $kind, check_name);
@@ -159,7 +173,7 @@
 );
 name_id!(
     /// Id of a server. A restarted process may keep the id it had before.
-    ServerId, "server id", check_external_name
+    ServerId, "server id", check_server_id
 );
 
 macro_rules! number_id {
