Parameters of a URL were read and written as they were, also at the nodes' own ports

What callers saw: a query for shards=0-3%2C7, as HTTP libraries send 0-3,7, was refused as malformed.

--- a/crates/cli/src/cmd/query.rs
+++ b/crates/cli/src/cmd/query.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use streamfold_model::QueryAnswer;
 use streamfold_model::answer::{HEADER_DEADLINE, HEADER_PREFER};
+use streamfold_model::url_text::encode;
 
 use crate::args::Query;
 use crate::client::NodeCall;
@@ -19,7 +20,7 @@
         let mut headers = vec![("authorization", authorization.as_str())];
         headers.extend(deadline.as_deref().map(|millis| (HEADER_DEADLINE, millis)));
         headers.extend(self.prefer.as_deref().map(|preference| (HEADER_PREFER, preference)));
-        let shards = self.shards.as_ref().map_or(String::new(), |shards| format!("?shards={shards}"));
+        let shards = self.shards.as_ref().map_or(String::new(), |shards| format!("?shards={}", encode(shards)));
         let call = NodeCall {
             address: self.callers,
             method: Method::POST,
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -1,7 +1,10 @@
 //! Tests of `streamfold check`, and of the exit codes that need no running node.
 
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use std::thread;
 
 use insta::assert_snapshot;
 
@@ -40,3 +43,16 @@
     assert_eq!(output.status.code(), Some(1));
     assert_snapshot!(String::from_utf8_lossy(&output.stderr));
 }
+
+#[test]
+fn shards_that_mean_something_in_a_url_were_cut_off() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let node = thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        BufReader::new(stream).lines().next().expect("a request").expect("a line")
+    });
+    run(&["query", "--callers", &address, "--token", "t", "--shards", "0#,1&x", "carts", "{}"]);
+    let line = node.join().expect("a request line");
+    assert_eq!(line, "POST /v1/indexes/carts/query?shards=0%23%2C1%26x HTTP/1.1");
+}
--- a/crates/daemon/src/caller_input.rs
+++ b/crates/daemon/src/caller_input.rs
@@ -1,5 +1,6 @@
 //! Parses the headers, URL parameters and bodies of callers' requests, with a typed error for each.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use bytes::Bytes;
 use streamfold_model::answer::{HEADER_DEADLINE, HEADER_KEY, HEADER_PREFER, HEADER_REPEATABLE};
 use streamfold_model::server::parse_shards;
+use streamfold_model::url_text::decode;
 use streamfold_model::{CallerPreference, CallerSpec, IndexName, IndexSpec, ShardId};
 use streamfold_policy::{FinishRule, Moment};
 use streamfold_router::caller_body::{BodyError, discard, read_all};
@@ -84,17 +86,17 @@
     Ok(FinishRule { prefer, prefer_within: caller.prefer_within, wanted_coverage: caller.wanted_coverage })
 }
 
-/// The value of a URL parameter, as it is, without percent-decoding.
-pub fn find_parameter<'a>(parameters: Option<&'a str>, name: &str) -> Option<&'a str> {
-    let pairs = parameters?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(found, _)| *found == name).map(|(_, value)| value)
+/// The value of a URL parameter. HTTP libraries encode commas, for one.
+pub fn find_parameter<'a>(parameters: Option<&'a str>, name: &str) -> Option<Cow<'a, str>> {
+    let mut pairs = parameters?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(found, _)| *found == name).map(|(_, value)| decode(value))
 }
 
 /// The shards in the `shards` parameter, sorted; `None` without it.
 pub fn read_shards(parameters: Option<&str>) -> Result<Option<Vec<ShardId>>, CallerError> {
     let Some(text) = find_parameter(parameters, "shards") else { return Ok(None) };
     let bad = || CallerError::BadShards(text.chars().take(MAX_KEY_LEN).collect());
-    let mut shards = parse_shards(text, MAX_SHARDS).ok_or_else(bad)?;
+    let mut shards = parse_shards(&text, MAX_SHARDS).ok_or_else(bad)?;
     shards.sort_unstable();
     shards.dedup();
     Ok(Some(shards))
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,5 +1,6 @@
 //! The HTTP API for callers: queries, orders and tickets, with JSON answers.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use axum::Router;
@@ -226,8 +227,8 @@
     let context = authenticate(node, headers)?;
     let taken = node.admission().take_rate(context.started, &context.caller.name, context.caller.rate);
     taken.map_err(CallerError::OverRate)?;
-    let count = find_parameter(parameters, "count").unwrap_or("1");
-    let bad = || HeaderError::BadValue { name: "count", found: count.to_owned(), wanted: "a number from 1 to 1000" };
+    let count = find_parameter(parameters, "count").unwrap_or(Cow::Borrowed("1"));
+    let bad = || HeaderError::BadValue { name: "count", found: count.to_string(), wanted: "a number from 1 to 1000" };
     let wanted: u32 = count.parse().ok().filter(|wanted| (1..=MAX_TICKETS).contains(wanted)).ok_or_else(bad)?;
     let minted = (0..wanted).map(|_| mint(node, &context));
     let lifetime = node.settings.ticket_life.as_millis();
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod server;
 pub mod team;
 pub mod units;
+pub mod url_text;
 
 pub use answer::{ExecutionState, MissingReason, MissingShard, ProblemDetails, QueryAnswer, ShardCoverage};
 pub use check::{CheckError, CheckProblem, SourceFile};
