A write that was never sent was told as one that may have been done

What operators would see: an unknown outcome, and repeats, for a change that was not sent at all.

Cause: a value or a path that cannot be encoded was told as status 0 of the platform, which counts as a write that may have taken effect.

Fix: an error of its own, Unencodable, that says that nothing was sent.

--- a/crates/store/src/claim.rs
+++ b/crates/store/src/claim.rs
@@ -54,7 +54,7 @@
     /// Any error means that the attempt does not hold the key and must not run.
     pub async fn claim(&self, caller: &CallerName, key: &str, record: &ClaimRecord) -> Result<(), ClaimError> {
         let store_key = claim_key(caller, key);
-        let body = serde_json::to_vec(record).map_err(|_| ClaimError::Store(StoreError::BadStatus(0)))?;
+        let body = serde_json::to_vec(record).map_err(|_| ClaimError::Store(StoreError::Unencodable("claim")))?;
         match self.store.put(&store_key, Bytes::from(body), PutCondition::IfAbsent).await {
             Ok(_) => Ok(()),
             Err(StoreError::Conflict) => self.read_back(&store_key, record).await,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -58,6 +58,9 @@
     /// The value is over [`MAX_OBJECT_LEN`]; nothing was written.
     #[error("the value of {0} bytes is larger than the platform holds")]
     TooLarge(usize),
+    /// The call cannot be encoded; nothing was sent.
+    #[error("a {0} that cannot be encoded")]
+    Unencodable(&'static str),
     /// The platform no longer keeps the changes since the requested revision.
     #[error("the platform no longer keeps the changes since that revision")]
     HistoryGone,
