A node that is not ready says what it lacks, and a store that goes on failing says why

A topic that fails for another reason than at first had no line with that reason; a topic that was never read had no age, so a list that is never read to its end looked like one that is confirmed; a node that is not ready had no line at all; and a list without servers passed for a whole one.

No decision changes.

--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -28,6 +28,8 @@
     /// The position of the next watch; `None` if the topic has to be listed first.
     position: Option<FeedPosition>,
     failures: u32,
+    /// Why the last call failed; empty after a success.
+    failed_by: String,
     /// How often in a row a watch found the history gone at once after a listing.
     history_losses: u32,
     /// Whether the next listing may be stale. After a watch found that the history it continues from is gone, a fresh
@@ -47,6 +49,7 @@
             topic,
             position: None,
             failures: 0,
+            failed_by: String::new(),
             history_losses: 0,
             may_be_stale: topic == FeedTopic::Crashes,
             list_reason: CallReason::Begin,
@@ -169,6 +172,7 @@
             tracing::info!(event = "feed_regained", topic = %self.topic, failures = self.failures);
         }
         self.failures = 0;
+        self.failed_by.clear();
         if self.position.is_some() {
             // It was a watch that succeeded, and not a listing.
             self.history_losses = 0;
@@ -190,10 +194,19 @@
         self.history_losses = self.history_losses.saturating_add(1);
     }
 
-    async fn note_failure(&mut self, error: &StoreError) {
-        if self.failures == 0 {
-            tracing::warn!(event = "feed_lost", topic = %self.topic, %error);
+    /// Logs the first failure, and each later one that has another reason.
+    fn log_failure(&mut self, error: &StoreError) {
+        let reason = error.to_string();
+        if reason == self.failed_by {
+            return;
         }
+        let is_listed = self.router.is_listed(self.topic);
+        tracing::warn!(event = "feed_lost", topic = %self.topic, failures = self.failures, is_listed, %error);
+        self.failed_by = reason;
+    }
+
+    async fn note_failure(&mut self, error: &StoreError) {
+        self.log_failure(error);
         metrics::counter!("streamfold_feed_failures_total").increment(1);
         // A watch may be cut while the store is sound. A listing that fails, or a refusal, shows that it is not.
         if self.position.is_none() || matches!(error, StoreError::Unavailable(_) | StoreError::Unreachable) {
--- a/crates/router/src/freshness_check.rs
+++ b/crates/router/src/freshness_check.rs
@@ -19,7 +19,8 @@
 
     fn check_topic(&mut self, router: &Router, topic: FeedTopic) {
         let freshness = router.freshness.get(topic);
-        let Some(age) = freshness.age() else { return };
+        // What was never confirmed is as old as the node.
+        let age = freshness.age().unwrap_or_else(|| router.uptime());
         metrics::gauge!("streamfold_feed_age_seconds", "topic" => topic.name()).set(age.as_secs_f64());
         let bound = router.settings.known_within(topic);
         let (age_ms, bound_ms) = (age.as_millis() as u64, bound.as_millis() as u64);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod quarantine;
 pub mod quarantine_news;
 pub mod read_limit;
+mod readiness_check;
 pub mod ready;
 pub mod relay;
 pub mod relay_service;
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -9,6 +9,7 @@
 use crate::error::RouterError;
 use crate::freshness_check::OverdueTopics;
 use crate::interface::{CallFormat, ClusterFeed};
+use crate::readiness_check::ReadinessReport;
 use crate::router::{Router, RunningRouter};
 use crate::settings::RouterSettings;
 use crate::task::NodeTasks;
@@ -118,10 +119,12 @@
 /// Runs the periodic checks until the node stops.
 async fn sweep(router: Arc<Router>) {
     let mut overdue = OverdueTopics::default();
+    let mut readiness = ReadinessReport::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         note_suspension(&router);
         overdue.check(&router);
+        readiness.check(&router);
         router.cluster.sweep(router.clock.now());
         shortage::check(&router);
         router.callers.report();
