--- a/crates/lab/src/route_fleet.rs
+++ b/crates/lab/src/route_fleet.rs
@@ -283,13 +283,9 @@
         for node in &mut self.nodes {
             node.process.kill().await.map_err(io("killing a process"))?;
         }
-        let platform = self.platform.address;
-        for node in &mut self.nodes {
-            let domain = DOMAINS.iter().position(|domain| node.name.starts_with(domain)).unwrap_or_default();
-            let cpu_share = self.cpu_shares.get(node.name.as_str()).copied().unwrap_or(WHOLE_CORE);
-            let capacity = NodeCapacity { cpu_share, machine: self.machine };
-            let text = write_settings(&node.name, domain, &node.addresses, platform, &seeds, capacity)?;
-            let text = text.replace("first_start: true", "first_start: false") + self.settings;
+        for position in 0..self.nodes.len() {
+            let text = self.write_restart_settings(&self.nodes[position], &seeds)?;
+            let node = &mut self.nodes[position];
             let is_log_read = Arc::new(AtomicBool::new(true));
             let (process, log) = start_process(&node.name, &text, is_log_read.clone()).await?;
             (node.process, node.log, node.is_log_read) = (process, log, is_log_read);
@@ -297,6 +293,54 @@
         Ok(())
     }
 
+    /// Kills all nodes at the same moment.
+    ///
+    /// # Errors
+    /// A process cannot be killed.
+    pub async fn kill_all(&mut self) -> Result<(), RouteFleetError> {
+        for node in &mut self.nodes {
+            node.process.start_kill().map_err(io("killing a process"))?;
+        }
+        for node in &mut self.nodes {
+            node.process.wait().await.map_err(io("killing a process"))?;
+        }
+        Ok(())
+    }
+
+    /// Starts all nodes together on the ports that they had, with the first three nodes as seeds, without waiting until
+    /// they are ready.
+    ///
+    /// # Errors
+    /// A process cannot be started.
+    pub async fn start_all_again(&mut self) -> Result<(), RouteFleetError> {
+        let seeds: Vec<String> =
+            self.nodes.iter().take(MAX_RESTART_SEEDS).map(|node| node.addresses.peers.to_string()).collect();
+        let mut starts = JoinSet::new();
+        for (position, node) in self.nodes.iter().enumerate() {
+            let (name, text) = (node.name.clone(), self.write_restart_settings(node, &seeds)?);
+            starts.spawn(async move {
+                let is_log_read = Arc::new(AtomicBool::new(true));
+                let started = start_process(&name, &text, is_log_read.clone()).await;
+                (position, started, is_log_read)
+            });
+        }
+        while let Some(Ok((position, started, is_log_read))) = starts.join_next().await {
+            let node = &mut self.nodes[position];
+            (node.process, node.log) = started?;
+            node.is_log_read = is_log_read;
+        }
+        Ok(())
+    }
+
+    /// The settings of a node that starts again.
+    fn write_restart_settings(&self, node: &RouteNode, seeds: &[String]) -> Result<String, RouteFleetError> {
+        let domain = DOMAINS.iter().position(|domain| node.name.starts_with(domain)).unwrap_or_default();
+        let cpu_share = self.cpu_shares.get(node.name.as_str()).copied().unwrap_or(WHOLE_CORE);
+        let capacity = NodeCapacity { cpu_share, machine: self.machine };
+        let text = write_settings(&node.name, domain, &node.addresses, self.platform.address, seeds, capacity)?;
+        Ok(text.replace("first_start: true", "first_start: false") + self.settings)
+    }
+
     /// Waits until every node answers the load balancer's readiness probe with the given status.
     ///
     /// # Errors
