A server stayed out of use after an entry with a later start under its name was gone

Callers saw: 503 for a service whose server was up and had its entry in the store.

Cause: an entry with an earlier start than the known one was ignored as one of an older run that came late, also while the known run had no entry any more and was only used for its last two seconds. When these were over the server was removed, and the entry that was ignored did not come again, since it did not change. So it went after another writer's entry with a later start was removed, and would go for a server that starts again after its clock was put back.

Mend: while the known run has no entry, an entry that the store took after it (by the revisions) is the server's.

--- a/crates/lab/tests/routes_odd_contents.rs
+++ b/crates/lab/tests/routes_odd_contents.rs
@@ -306,6 +306,26 @@
     }
 }
 
+/// Guards against a server that stays out of use after another writer's entry with a later start under its name is gone:
+/// its own entry was taken for that of an older run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_stayed_out_of_use_after_an_entry_with_a_later_start_was_gone() {
+    let mut fleet = start(1).await;
+    let mut later = fleet.servers[0].entry("ready");
+    later["born"] = json!(FIRST_START_MS + 5);
+    fleet.platform.state.put_object(SERVERS, "i-0", later);
+    wait_logged(&fleet, &["event=server_restarted", "server=i-0 "]).await;
+    fleet.platform.state.remove_object(SERVERS, "i-0");
+    wait_logged(&fleet, &["event=server_doubtful", "server=i-0 "]).await;
+    fleet.register(0, "ready");
+    wait_logged(&fleet, &["event=server_restarted", "server=i-0 ", &format!("start={FIRST_START_MS}")]).await;
+    for node in 0..fleet.nodes.len() {
+        let id = format!("served-{node}");
+        check_answer(&fleet, &call(&fleet, node, "/any/x", &id).await, &id);
+    }
+    check_alive(&mut fleet, "a later start");
+}
+
 fn document(version: u64) -> Value {
     write_team_document(version, &routes(), &[write_team("blue", &[KEY], Some((1e6, 1e6)))])
 }
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -112,9 +112,9 @@
         position < self.servers_position && !has_entry && self.servers_position.includes(entry.revision)
     }
 
-    /// Removes an earlier run of a server, whose measurements do not apply to the new one.
+    /// Removes another run of a server, whose measurements do not apply to the new one.
     pub(crate) fn retire_previous_run(&mut self, entry: &ServerEntry) {
-        let Some(previous) = self.servers.get(&entry.id).filter(|previous| previous.start < entry.start) else {
+        let Some(previous) = self.servers.get(&entry.id).filter(|previous| previous.start != entry.start) else {
             return;
         };
         tracing::info!(
--- a/crates/router/src/cluster_servers.rs
+++ b/crates/router/src/cluster_servers.rs
@@ -18,8 +18,7 @@
             tracing::info!(event = "stale_entry", server = %entry.id, source = %context.origin);
             return false;
         }
-        if parts.servers.get(&entry.id).is_some_and(|server| entry.start < server.start) {
-            // The entry of an older run, delivered late by a slower path.
+        if parts.servers.get(&entry.id).is_some_and(|server| is_older_run(entry, server)) {
             return false;
         }
         parts.doubtful.remove(&entry.id);
@@ -91,3 +90,11 @@
         false
     }
 }
+
+/// Whether an entry is that of an older run than the known one, delivered late by a slower path. Once the entry of the
+/// known run is gone, an entry that the store took later is the server's: its clock was put back, or the entry with the
+/// later start was another writer's.
+fn is_older_run(entry: &ServerEntry, known: &Server) -> bool {
+    let replaces_gone = known.is_doubtful() && known.revision() < entry.revision;
+    entry.start < known.start && !replaces_gone
+}
