A server stayed in use for good after its entry was gone with an earlier start

Callers saw: requests were sent to a server that had left and whose entry was gone, until the node started again.

Cause: a removal with an earlier start than the known one was ignored, as that of an older run that came late. It was ignored as well when the entry of that older run had replaced the known one's in the store, so that no entry was left: after another writer's entry with a later start was written over by the server itself, and for a server that starts again after its clock was put back.

Evidence (x86_64): a_server_stayed_in_use_after_its_entry_was_gone_with_an_earlier_start failed before: no node removed the server within 30 s.

Mend: a server remembers the start in an older run's entry that the store took after its own (by the revisions); the removal of that one leaves it without an entry. The next entry of its own run clears it.

--- a/crates/lab/tests/routes_odd_contents.rs
+++ b/crates/lab/tests/routes_odd_contents.rs
@@ -326,6 +326,21 @@
     check_alive(&mut fleet, "a later start");
 }
 
+/// Guards against a server that is used for good after its entry is gone, because the last state of that entry was the
+/// one of an older run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_stayed_in_use_after_its_entry_was_gone_with_an_earlier_start() {
+    let mut fleet = start(1).await;
+    let mut later = fleet.servers[0].entry("ready");
+    later["born"] = json!(FIRST_START_MS + 5);
+    fleet.platform.state.put_object(SERVERS, "i-0", later);
+    wait_logged(&fleet, &["event=server_restarted", "server=i-0 "]).await;
+    fleet.register(0, "ready");
+    fleet.unregister(0);
+    wait_logged(&fleet, &["event=server_gone", "server=i-0 "]).await;
+    check_alive(&mut fleet, "an earlier start");
+}
+
 fn document(version: u64) -> Value {
     write_team_document(version, &routes(), &[write_team("blue", &[KEY], Some((1e6, 1e6)))])
 }
--- a/crates/router/src/cluster_servers.rs
+++ b/crates/router/src/cluster_servers.rs
@@ -1,6 +1,6 @@
 //! Updates of servers in the cluster state. They come from several sources, of which some may be behind others.
 
-use streamfold_model::{ServerEntry, ServerId, ServerStart};
+use streamfold_model::{ServerEntry, ServerId};
 use streamfold_policy::departure::find_remaining_use;
 
 use crate::cluster::{Cluster, UpdateContext};
@@ -18,7 +18,8 @@
             tracing::info!(event = "stale_entry", server = %entry.id, source = %context.origin);
             return false;
         }
-        if parts.servers.get(&entry.id).is_some_and(|server| is_older_run(entry, server)) {
+        if let Some(server) = parts.servers.get(&entry.id).filter(|server| is_older_run(entry, server)) {
+            server.note_older_entry(entry);
             return false;
         }
         parts.doubtful.remove(&entry.id);
@@ -62,7 +63,7 @@
     ) -> bool {
         let Ok(id) = removed.name.parse::<ServerId>() else { return false };
         let Some(server) = parts.servers.get(&id) else { return false };
-        if removed.start != ServerStart(0) && removed.start < server.start {
+        if !server.loses_entry(removed.start) {
             return false;
         }
         if context.position.precedes(server.revision()) {
