A head with the last version ended the change on top of it

Operators saw: the connection of an apply was closed without an answer, after another writer had left a head with version 2^64-1; in a build without overflow checks the change would have been committed as version 0, below all others.

Cause: the next version was counted without a check.

Evidence (x86_64): a_head_with_the_last_version_ended_the_change_on_top_of_it failed before (connection closed before message completed).

Mend: there is no version after the last one; a change on top of it is refused as not applied (bad-head).

--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -139,7 +139,9 @@
             );
         }
     };
-    let next = node.keeper.version().next();
+    let current = node.keeper.version();
+    // The commit refuses a change that no version is left for.
+    let next = current.next().unwrap_or(current);
     if let Err(errors) = check_files(next, &request.files) {
         let detail = format!("the configuration has {} problem(s); nothing was applied", errors.len());
         let problems = errors.iter().map(ToString::to_string).collect();
--- a/crates/lab/tests/index_odd_contents.rs
+++ b/crates/lab/tests/index_odd_contents.rs
@@ -10,7 +10,7 @@
 use streamfold_lab::fleet::{Fleet, FleetError, INDEX, NodeHandle, TOKEN};
 use streamfold_lab::fleet_plan::{DomainPlan, FleetPlan};
 use streamfold_lab::wait::wait_for;
-use streamfold_model::ContentDigest;
+use streamfold_model::{ContentDigest, HeadRecord};
 use streamfold_standin::odd_contents::{OddContent, odd_contents, odd_values};
 
 const VMS: &str = "streamfold-vms";
@@ -160,6 +160,27 @@
     check_alive(&mut fleet, "odd heads");
 }
 
+/// Guards against a head with the last version that there is, on top of which a change would count from 0 again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_with_the_last_version_ended_the_change_on_top_of_it() {
+    let mut fleet = start().await;
+    let proper = read_head(&fleet);
+    let mut last: HeadRecord = serde_json::from_value(parse(&proper)).expect("a head");
+    last.version.0 = u64::MAX;
+    // The files of no version, so that no node puts it into force.
+    last.files.iter_mut().for_each(|file| file.sections = vec![ContentDigest::of(b"of no section")]);
+    last.digest = HeadRecord::digest_of(&last.files);
+    fleet.platform.state.put_object(CONFIG, "head", json!(serde_json::to_string(&last).expect("JSON")));
+    let config = fleet.config.clone();
+    let refused = fleet.apply(&config).await;
+    assert!(matches!(refused, Err(FleetError::Apply(..))), "a change on top of the last version: {refused:?}");
+    assert_eq!(parse(&read_head(&fleet))["version"], json!(u64::MAX), "the change counts from 0 again");
+    fleet.platform.state.put_object(CONFIG, "head", proper);
+    fleet.apply(&config).await.expect("a change");
+    wait_version(&fleet, 2).await;
+    check_alive(&mut fleet, "the last version");
+}
+
 /// Guards against an order that runs, or ends its node, although another writer holds its key with an odd claim.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_odd_claim_of_a_key_ended_nodes_or_ran_the_order() {
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -260,9 +260,9 @@
 }
 
 impl ConfigVersion {
-    /// Returns the version that follows this one.
-    pub fn next(self) -> Self {
-        Self(self.0 + 1)
+    /// Returns the version that follows this one; `None` if this is the last one.
+    pub fn next(self) -> Option<Self> {
+        self.0.checked_add(1).map(Self)
     }
 }
 
--- a/crates/store/src/commit.rs
+++ b/crates/store/src/commit.rs
@@ -132,11 +132,14 @@
         } else if request.expected.is_some_and(|expected| expected != ConfigVersion(0)) {
             return Err(CommitError::Conflict(ConfigVersion(0)));
         }
+        // Another writer's head may have the last version, which no change can follow.
+        let version = current.as_ref().map_or(ConfigVersion(0), |head| head.version);
+        let version = version.next().ok_or(CommitError::BadHead)?;
         let files = self.write_sections(&request.files).await.map_err(CommitError::NotApplied)?;
         if let Some(head) = &current {
             self.write_audit(head).await?;
         }
-        let next = next_head(current.as_ref(), request, files);
+        let next = next_head(current.as_ref(), version, request, files);
         self.write_head(&next, tag).await
     }
 
@@ -284,14 +287,19 @@
     Ok((head, object.tag))
 }
 
-fn next_head(current: Option<&HeadRecord>, request: &CommitRequest, files: Vec<StoredFile>) -> HeadRecord {
+fn next_head(
+    current: Option<&HeadRecord>,
+    version: ConfigVersion,
+    request: &CommitRequest,
+    files: Vec<StoredFile>,
+) -> HeadRecord {
     let mut recent = Vec::new();
     if let Some(head) = current {
         recent.push((head.change, head.version));
         recent.extend(head.recent.iter().take(RECENT_CHANGES - 1));
     }
     HeadRecord {
-        version: current.map_or(ConfigVersion(0), |head| head.version).next(),
+        version,
         digest: HeadRecord::digest_of(&files),
         files,
         change: request.change,
