Nodes stopped following the configuration after long odd heads

Operators saw: a change of the configuration did not come into force at nodes that watch the store.

Cause: a watch that failed was made again from the same revision. Its answer holds all changes since then, so a value of another writer that cannot be read, or changes longer than an answer may be (8 MB), failed it again and again, until the store forgot its history. The error was not logged.

Mend: after a failure the next call reads the head as it is now, and the watch goes on from there. The failure has a line event=head_unread.

--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -39,13 +39,23 @@
             false => node.store.watch_head(tag.clone(), WATCH_WAIT).await,
         };
         let failed = match result {
-            Ok(Some((head, new_tag))) => handle_head(&node, head).await.map(|()| tag = Some(new_tag)).is_err(),
+            Ok(Some((head, new_tag))) => handle_head(&node, head).await.map(|()| {
+                tag = Some(new_tag);
+                false
+            }),
             Ok(None) => {
                 node.keeper.confirm(node.keeper.version(), 0);
-                has_no_config
+                Ok(has_no_config)
             }
-            Err(_) => true,
+            Err(error) => Err(error),
         };
+        let failed = failed.unwrap_or_else(|error| {
+            tracing::warn!(event = "head_unread", %error);
+            // The next call reads the head as it is now. The changes since the known one may hold a value that cannot be
+            // read, or be longer than an answer may be.
+            tag = None;
+            true
+        });
         delay = if failed { (delay * 2).min(MAX_DELAY) } else { FIRST_DELAY };
         tokio::time::sleep(delay.mul_f64(rand::random_range(0.5..1.0))).await;
     }
--- a/crates/lab/tests/index_odd_contents.rs
+++ b/crates/lab/tests/index_odd_contents.rs
@@ -2,6 +2,7 @@
 //! run, with real processes. A content that ended a node or its watch would end all of them, again after each start.
 
 use std::cell::Cell;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -160,6 +161,28 @@
     check_alive(&mut fleet, "odd heads");
 }
 
+/// Guards against nodes that no longer read the head of the configuration, because the changes since the head that they
+/// know are more than an answer may hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_odd_heads_kept_later_versions_out_of_force() {
+    let mut fleet = start().await;
+    let proper = read_head(&fleet);
+    let watches = &fleet.platform.state.calls.watches;
+    wait_for("a watch of each node", async || watches.load(Ordering::Relaxed) >= fleet.nodes.len() as u64).await;
+    run_beside_load(&fleet, async {
+        for number in 0..20 {
+            let text = format!("\"{number}{}\"", "x".repeat(900_000));
+            put_raw(&fleet, CONFIG, "head", &OddContent { name: number.to_string(), text });
+        }
+        let mut next: HeadRecord = serde_json::from_value(parse(&proper)).expect("a head");
+        next.version.0 += 1;
+        fleet.platform.state.put_object(CONFIG, "head", json!(serde_json::to_string(&next).expect("JSON")));
+        wait_version(&fleet, next.version.0).await;
+    })
+    .await;
+    check_alive(&mut fleet, "long odd heads");
+}
+
 /// Guards against a head with the last version that there is, on top of which a change would count from 0 again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_head_with_the_last_version_ended_the_change_on_top_of_it() {
