A server stayed out of use after it had replaced an entry with a later start

Callers saw: 502 and 503 for a service whose server was up and had written its entry: it was called at the address in another writer's entry, which had stood under its name with a later start, until the node started again. So it would go for a server that starts again elsewhere after its clock was put back.

Cause: an entry with an earlier start than the known one is ignored as a late write of the older run, also when it is the only one in the store from then on.

Mend: an ignored entry that the store took after that of the known run (by the revisions) is kept. The known run, if it runs, writes its own within a heartbeat, which drops it; if it stands for 10 s it is the server's.

Open: a node that begins to follow a reader within these 10 s learns of the entry at the next listing only.

--- a/crates/lab/tests/routes_odd_contents.rs
+++ b/crates/lab/tests/routes_odd_contents.rs
@@ -326,6 +326,21 @@
     check_alive(&mut fleet, "a later start");
 }
 
+/// Guards against a server that is called at the address in another writer's entry after it has written its own again,
+/// because that entry had a later start.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_stayed_out_of_use_after_it_had_replaced_an_entry_with_a_later_start() {
+    let mut fleet = start(1).await;
+    let mut later = fleet.servers[0].entry("ready");
+    later["born"] = json!(FIRST_START_MS + 5);
+    later["address"] = json!("127.0.0.1:9");
+    fleet.platform.state.put_object(SERVERS, "i-0", later);
+    wait_logged(&fleet, &["event=server_restarted", "server=i-0 "]).await;
+    fleet.register(0, "ready");
+    wait_status(&fleet, StatusCode::OK, "after the server had written its entry again").await;
+    check_alive(&mut fleet, "a replaced later start");
+}
+
 /// Guards against a server that is used for good after its entry is gone, because the last state of that entry was the
 /// one of an older run.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/router/src/cluster.rs
+++ b/crates/router/src/cluster.rs
@@ -307,8 +307,8 @@
         }
     }
 
-    /// Removes doubtful servers whose grace period is over, stops counting nodes that left, and closes connections that
-    /// were idle too long.
+    /// Removes doubtful servers whose grace period is over, takes entries of older runs that stand in the store, stops
+    /// counting nodes that left, and closes connections that were idle too long.
     pub fn sweep(&self, now: Moment) {
         let mut parts = self.parts();
         let has_left = |id: &&ServerId| parts.servers.get(*id).is_none_or(|server| server.has_left(now));
@@ -319,7 +319,8 @@
         parts.servers.values().for_each(|server| server.sweep(now));
         let gone_count = parts.gone_nodes.len();
         parts.gone_nodes.retain(|(_, until)| now < *until);
-        if !expired.is_empty() || parts.gone_nodes.len() < gone_count {
+        let is_replaced = self.take_older_entries(&mut parts, now);
+        if !expired.is_empty() || parts.gone_nodes.len() < gone_count || is_replaced {
             self.publish(&parts);
         }
     }
--- a/crates/router/src/cluster_parts.rs
+++ b/crates/router/src/cluster_parts.rs
@@ -23,6 +23,7 @@
 use crate::evacuation::EvacuationList;
 use crate::granters::choose_granters;
 use crate::interface::FeedPosition;
+use crate::older_entries::OlderEntries;
 use crate::peers::PeerNode;
 use crate::server::{Server, ServerShared};
 use crate::slow_periods::SlowPeriodTracker;
@@ -40,6 +41,8 @@
     pub(crate) servers_position: FeedPosition,
     /// Servers whose entry is gone and that are still used.
     pub(crate) doubtful: HashSet<ServerId>,
+    /// Entries of older runs that the store took after those of the known runs.
+    pub(crate) older_entries: OlderEntries,
     /// Used extra calls by service.
     pub(crate) budgets: HashMap<ServiceName, Arc<Mutex<ExtraBudget>>>,
     /// Queues of calls by service, for services with contention.
@@ -132,6 +135,7 @@
     /// Removes a server; returns whether it was known.
     pub(crate) fn remove_server(&mut self, id: &ServerId) -> bool {
         self.doubtful.remove(id);
+        self.older_entries.remove(id);
         let Some(server) = self.servers.remove(id) else { return false };
         server.mark_leaving();
         tracing::info!(event = "server_gone", server = %id, service = %server.service);
--- a/crates/router/src/cluster_servers.rs
+++ b/crates/router/src/cluster_servers.rs
@@ -1,6 +1,7 @@
 //! Updates of servers in the cluster state. They come from several sources, of which some may be behind others.
 
-use streamfold_model::{ServerEntry, ServerId};
+use streamfold_model::{ServerEntry, ServerId, ServerStart};
+use streamfold_policy::Moment;
 use streamfold_policy::departure::find_remaining_use;
 
 use crate::cluster::{Cluster, UpdateContext};
@@ -19,10 +20,13 @@
             return false;
         }
         if let Some(server) = parts.servers.get(&entry.id).filter(|server| is_older_run(entry, server)) {
-            server.note_older_entry(entry);
+            if server.revision() < entry.revision {
+                parts.older_entries.note(entry, now);
+            }
             return false;
         }
         parts.doubtful.remove(&entry.id);
+        parts.older_entries.remove(&entry.id);
         parts.retire_previous_run(entry);
         if let Some(server) = parts.servers.get(&entry.id) {
             server.note_entry(entry.revision);
@@ -47,11 +51,26 @@
                 draining = entry.is_draining
             );
         }
+        self.add_server(&mut parts, entry, now);
+        true
+    }
+
+    fn add_server(&self, parts: &mut ClusterParts, entry: &ServerEntry, now: Moment) {
         let shared = parts.server_shared(&entry.domain, self.context());
         let server = Server::new(entry, shared, now);
         parts.servers.insert(entry.id.clone(), server);
         parts.budgets.entry(entry.service.clone()).or_default();
-        true
+    }
+
+    /// Takes the entries of older runs that have stood in the store for long; returns whether there are any.
+    pub(crate) fn take_older_entries(&self, parts: &mut ClusterParts, now: Moment) -> bool {
+        let entries = parts.older_entries.take_standing(now);
+        for entry in &entries {
+            parts.doubtful.remove(&entry.id);
+            parts.retire_previous_run(entry);
+            self.add_server(parts, entry, now);
+        }
+        !entries.is_empty()
     }
 
     /// Handles the removal of a server's entry; returns whether the server was removed.
@@ -62,14 +81,16 @@
         context: &UpdateContext,
     ) -> bool {
         let Ok(id) = removed.name.parse::<ServerId>() else { return false };
-        let Some(server) = parts.servers.get(&id) else { return false };
-        if !server.loses_entry(removed.start) {
+        let Some(server) = parts.servers.get(&id).cloned() else { return false };
+        let is_older = removed.start != ServerStart(0) && removed.start < server.start;
+        if is_older && !parts.older_entries.has(&id, removed.start) {
             return false;
         }
         if context.position.precedes(server.revision()) {
             // The source does not know the entry yet.
             return false;
         }
+        parts.older_entries.remove(&id);
         if server.is_leaving() {
             return parts.remove_server(&id);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod machine_limits;
 pub mod memory_pool;
 pub mod node_sweep;
+mod older_entries;
 pub mod pace_report;
 pub mod peer_gather;
 pub mod peer_service;
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -23,8 +23,6 @@
 
 /// The value of `usable_until` of a server that has an entry.
 const NO_DOUBT: u64 = u64::MAX;
-/// The value of `replaced_by` of a server whose entry no older run has replaced. No start that can be decoded has it.
-const NOT_REPLACED: u64 = u64::MAX;
 
 /// State that a server shares with others.
 pub struct ServerShared {
@@ -58,8 +56,6 @@
     /// When the server is used no longer since its entry is gone, in microseconds on the node clock; [`NO_DOUBT`] while
     /// it has an entry.
     usable_until: AtomicU64,
-    /// The start in an entry of an older run that has replaced this one's in the store, or [`NOT_REPLACED`].
-    replaced_by: AtomicU64,
     /// Calls per second that this node may send while the server is cold.
     cold_quota: AtomicU32,
     cold_calls: Mutex<ColdCalls>,
@@ -113,7 +109,6 @@
             slots: entry.slots,
             leaving: AtomicBool::new(entry.is_draining),
             usable_until: AtomicU64::new(NO_DOUBT),
-            replaced_by: AtomicU64::new(NOT_REPLACED),
             cold_quota: AtomicU32::new(u32::MAX),
             cold_calls: Mutex::default(),
             state: Mutex::new(ReplicaState::new(entry.slots, now.plus(entry.warmup)).with_mechanisms(mechanisms)),
@@ -265,22 +260,6 @@
     pub fn note_entry(&self, revision: EntryRevision) {
         self.revision.fetch_max(revision.0, Ordering::Relaxed);
         self.usable_until.store(NO_DOUBT, Ordering::Relaxed);
-        self.replaced_by.store(NOT_REPLACED, Ordering::Relaxed);
-    }
-
-    /// Records an entry of an older run, which is not used. If the store took it after this run's, it is the one that the
-    /// store holds now.
-    pub fn note_older_entry(&self, entry: &ServerEntry) {
-        if self.revision() < entry.revision {
-            self.replaced_by.store(entry.start.0, Ordering::Relaxed);
-        }
-    }
-
-    /// Whether the removal of an entry with this start leaves the server without an entry. The entry of an older run may
-    /// be removed late, while that of this run is there.
-    pub fn loses_entry(&self, removed: ServerStart) -> bool {
-        let is_older = removed != ServerStart(0) && removed < self.start;
-        !is_older || self.replaced_by.load(Ordering::Relaxed) == removed.0
     }
 
     /// The revision of the server's entry.
