--- a/crates/lab/tests/routes_odd_contents.rs
+++ b/crates/lab/tests/routes_odd_contents.rs
@@ -356,6 +356,35 @@
     check_alive(&mut fleet, "an earlier start");
 }
 
+/// Guards against a node that no other one knows any more, after another writer has replaced its entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_stayed_unknown_after_another_writer_had_replaced_its_entry() {
+    let plan = RouteFleetPlan {
+        nodes: [3, 1],
+        servers: vec![local_server("i-0", "cart"), remote_server("i-find", "find")],
+        routes: routes(),
+        settings: "gone_after: 2s\n",
+        ..RouteFleetPlan::default()
+    };
+    let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
+    let mut uncallable = node_entry();
+    uncallable["peer_address"] = json!("0.0.0.0:0");
+    let contents =
+        [odd_values().swap_remove(0), OddContent { name: "no address".into(), text: uncallable.to_string() }];
+    for (content, replaced) in contents.iter().zip(1..) {
+        for node in &fleet.nodes {
+            put_raw(&fleet, NODES, &node.name, content);
+        }
+        for node in &fleet.nodes {
+            let what = format!("the entry of {} instead of one with {}", node.name, content.name);
+            wait_for(&what, async || node.logged(&["event=own_entry_missing"]).len() >= replaced).await;
+            wait_for(&what, async || node.logged(&["event=announced"]).len() > replaced).await;
+        }
+        wait_status(&fleet, StatusCode::OK, &content.name).await;
+    }
+    check_alive(&mut fleet, "replaced entries of nodes");
+}
+
 fn document(version: u64) -> Value {
     write_team_document(version, &routes(), &[write_team("blue", &[KEY], Some((1e6, 1e6)))])
 }
