--- a/crates/lab/tests/routes_recover.rs
+++ b/crates/lab/tests/routes_recover.rs
@@ -207,8 +207,7 @@
     for (kind, raw) in [(SERVERS, "NaN"), (SERVERS, "\"a\nb\""), (SERVERS, "{\u{0}"), (CONFIG, "NaN")] {
         let mut fleet = start().await;
         fleet.platform.state.page_len.store(500, Ordering::Relaxed);
-        fleet.platform.state.write_raw("raw", raw);
-        fleet.platform.state.put_object(kind, "other", json!("raw"));
+        fleet.platform.state.put_raw(kind, "other", raw.as_bytes());
         check_recovery(&fleet, "beside it").await;
         fleet.kill_all().await.expect("a kill");
         fleet.start_all_again().await.expect("a start");
