A stop of a node that serves indexes took longer than its grace, and callers lost their answers

Callers saw: with SIGTERM to a node that serves indexes while orders or queries take longer than `grace`, and SIGKILL after one `grace`, as the platform does, the connections of all requests in flight ended without an answer, orders that had run among them; tickets of the node were not handed over. Nodes that owned work for others were killed as well.

Cause: the stop served for `lame_duck`, waited `grace` for orders, handed over (3 s a node tried), waited `grace` for the rest, and then ended its tasks: up to twice the grace and more, and what was still in work at its end had no answer.

Now: `policy::stop_schedule` divides one grace: refuse, hand over at the latest, give up, end. In the new phase `GivingUp` work in flight ends with what is known of it: a query with the coverage that is in, an order that was passed on as outcome-unknown, one that was not (queued at this node, waiting for its claim, its body or admission) as not run; pieces for other nodes with their own outcome, so that the asking node passes on what has not been sent. An order is told as not run only by the task that would have passed it on, after that task has ended, so the answer is true. Connections are closed after their answer; ones that come until the process ends are accepted and told that nothing has run.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -81,7 +81,8 @@
     };
     stats::count_admission_wait();
     let _guard = WaitGuard { node, caller, deadline, number };
-    let granted = tokio::time::timeout(deadline.since(now), receiver).await;
+    let granted = node.unless_given_up(tokio::time::timeout(deadline.since(now), receiver)).await;
+    let granted = granted.ok_or(CallerError::Stopping)?;
     let overloaded = CallerError::Overloaded(deadline.since(now));
     granted.map_err(|_| overloaded.clone())?.map_err(|_| overloaded)
 }
--- a/crates/daemon/src/caller_input.rs
+++ b/crates/daemon/src/caller_input.rs
@@ -111,7 +111,7 @@
     Ok(Some(text.to_owned()))
 }
 
-/// Reads the body, at most `body_limit` bytes, until the deadline. Its memory counts as the caller's for as long as any
+/// Reads the body, at most `body_limit` bytes, until the deadline or the end of the node. Its memory counts as the caller's for as long as any
 /// part of it is in use.
 pub async fn read_body(node: &Node, request: Request<Body>, deadline: Moment) -> Result<Bytes, CallerError> {
     let limit = node.settings.body_limit.as_usize();
@@ -120,7 +120,8 @@
     let mut body = request.into_body();
     let left = deadline.since(node.clock.now());
     let reading = read_all(&mut body, limit, caller.start_body());
-    match tokio::time::timeout(left, reading).await.map_err(|_| CallerError::BodyLate)? {
+    let read = node.unless_given_up(tokio::time::timeout(left, reading)).await.ok_or(CallerError::Stopping)?;
+    match read.map_err(|_| CallerError::BodyLate)? {
         Ok(read) => Ok(read),
         Err(BodyError::Broken) => Err(CallerError::BodyBroken),
         Err(BodyError::NoMemory) => Err(CallerError::NoMemory),
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -14,7 +14,7 @@
 use hyper::service::Service;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::GracefulConnection;
 use hyper_util::service::TowerToHyperService;
 use streamfold_router::caller_connection::CallerConnection;
 use streamfold_router::caller_limits::CallerLimits;
@@ -34,20 +34,15 @@
 /// Delay after an error of `accept`.
 const ACCEPT_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves a router until the node has stopped, then waits for open requests to finish. A connection beyond the limits
-/// takes the place of one that waits, or is closed at once if there is none.
+/// Serves a router until the task is aborted. Once the node has stopped, a connection is closed when its request ends; a
+/// new one is still accepted, since its caller would otherwise not hear that its request is refused. A connection beyond
+/// the limits takes the place of one that waits, or is closed at once if there is none.
 pub async fn serve(node: Arc<Node>, listener: Arc<TcpListener>, router: Router, limits: Arc<CallerLimits>) {
     let mut builder = Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEADER_BYTES);
     builder.http2().max_concurrent_streams(MAX_STREAMS).max_header_list_size(MAX_HEADER_BYTES as u32);
-    let graceful = GracefulShutdown::new();
-    let mut phase = node.watch_phase();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == StopPhase::Ended) => break,
-        };
-        let Ok((stream, peer)) = accepted else {
+        let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_DELAY).await;
             continue;
         };
@@ -61,16 +56,29 @@
         let service =
             CountedService { router: TowerToHyperService::new(router.clone()), caller: entry.connection.clone() };
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-        let connection = graceful.watch(connection);
+        let connection = close_at_end(node.clone(), connection);
         tokio::spawn(async move {
             tokio::select! {
                 () = entry.connection.wait_cut() => {}
-                // The client notices when its connection fails.
-                _ = connection => {}
+                () = connection => {}
             }
         });
     }
-    graceful.shutdown().await;
+}
+
+/// Serves a connection; when the node has stopped, it is closed after its current request. A connection that is accepted
+/// after that serves requests until the process ends.
+async fn close_at_end<C: GracefulConnection>(node: Arc<Node>, connection: C) {
+    let mut phase = node.watch_phase();
+    let mut connection = std::pin::pin!(connection);
+    let is_late = node.phase() == StopPhase::Ended;
+    tokio::select! {
+        // The client notices when its connection fails.
+        _ = connection.as_mut() => return,
+        _ = phase.wait_for(|phase| *phase == StopPhase::Ended), if !is_late => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
 }
 
 /// Serves the requests of one connection and counts what they hold.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -187,7 +187,7 @@
             entry.config_age_ms = config_age_ms;
             entry.state = match phase {
                 StopPhase::Serving => MemberState::Live,
-                StopPhase::LameDuck | StopPhase::Refusing => MemberState::Leaving,
+                StopPhase::LameDuck | StopPhase::Refusing | StopPhase::GivingUp => MemberState::Leaving,
                 StopPhase::Ended => MemberState::Gone,
             };
         });
@@ -287,9 +287,19 @@
         self.phase() >= StopPhase::Refusing
     }
 
-    /// Whether the node has stopped.
-    pub fn is_ended(&self) -> bool {
-        self.phase() == StopPhase::Ended
+    /// Whether the node gives up the work in flight, since its process is about to end.
+    pub fn is_giving_up(&self) -> bool {
+        self.phase() >= StopPhase::GivingUp
+    }
+
+    /// Waits for a result, at most until the node gives up the work in flight; `None` if it did so first.
+    pub async fn unless_given_up<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut phase = self.watch_phase();
+        tokio::select! {
+            biased;
+            result = work => Some(result),
+            _ = phase.wait_for(|phase| *phase >= StopPhase::GivingUp) => None,
+        }
     }
 
     /// Subscribes to the phases of the graceful stop.
@@ -299,6 +309,9 @@
 
     pub(crate) fn enter_phase(&self, phase: StopPhase) {
         self.phase.send_replace(phase);
+        if phase >= StopPhase::GivingUp {
+            self.pools.give_up();
+        }
         self.beat();
         self.urgent.notify_one();
         tracing::info!(event = "stopping", phase = ?phase, in_flight = self.work_in_flight());
--- a/crates/daemon/src/order.rs
+++ b/crates/daemon/src/order.rs
@@ -80,10 +80,11 @@
         return OrderReply::Failed(OrderFailure::ClaimFailed);
     }
     let record = ClaimRecord { attempt: AttemptId(rand::random()), request: job.request, time_ms: wall_ms() };
-    match node.claims.claim(&job.caller, &job.key, &record).await {
-        Ok(()) => execute(node, job).await,
-        Err(streamfold_store::ClaimError::Taken) => OrderReply::Failed(OrderFailure::AlreadyTaken),
-        Err(error) => {
+    match node.unless_given_up(node.claims.claim(&job.caller, &job.key, &record)).await {
+        None => OrderReply::Failed(OrderFailure::Stopping),
+        Some(Ok(())) => execute(node, job).await,
+        Some(Err(streamfold_store::ClaimError::Taken)) => OrderReply::Failed(OrderFailure::AlreadyTaken),
+        Some(Err(error)) => {
             tracing::warn!(event = "claim_failed", request = %job.request, error = %error);
             OrderReply::Failed(OrderFailure::ClaimFailed)
         }
@@ -158,9 +159,10 @@
         ticket: job.key.clone(),
         body: job.body.clone(),
     };
-    match link.call(PATH_ORDER, &message, remaining).await {
-        Ok(reply) => ForwardResult::Replied(reply),
-        Err(error) => {
+    match node.unless_given_up(link.call(PATH_ORDER, &message, remaining)).await {
+        None => ForwardResult::Replied(OrderReply::Failed(OrderFailure::OutcomeUnknown)),
+        Some(Ok(reply)) => ForwardResult::Replied(reply),
+        Some(Err(error)) => {
             let left_ms = job.deadline.since(node.clock.now()).as_millis() as u64;
             tracing::info!(event = "order_not_forwarded", request = %job.request, holder = %holder, %error, left_ms);
             match error.is_not_sent() {
@@ -190,6 +192,9 @@
     let mut reason = MissingReason::NoOwner;
     for upstream in layout.shards[shard.0 as usize].iter() {
         for target in view.owners(*upstream) {
+            if node.is_giving_up() {
+                return OrderReply::Failed(OrderFailure::Stopping);
+            }
             let name = config.upstream(*upstream).name.clone();
             let piece = PieceRequest { piece: 0, upstream: name, shards: vec![shard] };
             let reply = send_piece(node, &view, target, job, piece).await;
@@ -204,7 +209,10 @@
             }
         }
     }
-    missing(reason)
+    match node.is_giving_up() {
+        true => OrderReply::Failed(OrderFailure::Stopping),
+        false => missing(reason),
+    }
 }
 
 fn done_reply(
@@ -249,13 +257,14 @@
         let (reply, ()) = tokio::join!(replies.recv(), run);
         return reply.unwrap_or(unknown);
     };
-    match tokio::time::timeout(remaining, link.call_without_timeout::<_, PieceReply>(PATH_BATCH, &batch)).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(error)) if error.is_not_sent() => lost(AttemptOutcome::NotSent, MissingReason::NoOwner),
-        Ok(Err(error)) => {
+    let call = tokio::time::timeout(remaining, link.call_without_timeout::<_, PieceReply>(PATH_BATCH, &batch));
+    match node.unless_given_up(call).await {
+        Some(Ok(Ok(reply))) => reply,
+        Some(Ok(Err(error))) if error.is_not_sent() => lost(AttemptOutcome::NotSent, MissingReason::NoOwner),
+        Some(Ok(Err(error))) => {
             tracing::info!(event = "order_piece_lost", request = %job.request, owner = %target.node, %error);
             unknown
         }
-        Err(_) => unknown,
+        Some(Err(_)) | None => unknown,
     }
 }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -13,7 +13,7 @@
 use streamfold_policy::owner::connection_share;
 use streamfold_policy::{AttemptRules, Moment};
 use streamfold_router::caller_limits::CallerLimits;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::clock::NodeClock;
 use crate::error::PieceFailure;
@@ -37,6 +37,7 @@
     answer_limit: usize,
     callers: Arc<CallerLimits>,
     rows: Mutex<HashMap<UpstreamName, PoolRow>>,
+    is_given_up: watch::Sender<bool>,
 }
 
 impl OwnerPools {
@@ -47,7 +48,7 @@
         answer_limit: usize,
         callers: Arc<CallerLimits>,
     ) -> Self {
-        Self { clock, rules, answer_limit, callers, rows: Mutex::default() }
+        Self { clock, rules, answer_limit, callers, rows: Mutex::default(), is_given_up: watch::Sender::new(false) }
     }
 
     fn rows(&self) -> std::sync::MutexGuard<'_, HashMap<UpstreamName, PoolRow>> {
@@ -87,8 +88,19 @@
         self.rows().values().map(|row| row.pool.clone()).collect()
     }
 
-    /// Runs the pieces of a batch concurrently and sends each reply as soon as the piece ends. At the deadline the
-    /// remaining pieces are reported as late. Dropping the future cancels the running pieces.
+    /// Gives up all pieces that are running, since the node ends.
+    pub fn give_up(&self) {
+        self.is_given_up.send_replace(true);
+    }
+
+    async fn wait_given_up(&self) {
+        // The sender lives as long as the pools, so this cannot fail.
+        let _ = self.is_given_up.subscribe().wait_for(|is_given_up| *is_given_up).await;
+    }
+
+    /// Runs the pieces of a batch concurrently and sends each reply as soon as the piece ends. The remaining pieces are
+    /// reported as late at the deadline, and as without an owner if the node gives them up. Dropping the future cancels
+    /// the running pieces.
     pub async fn run_batch(
         &self,
         config: &Configuration,
@@ -106,12 +118,16 @@
                 let _ = replies.send(reply).await;
             }
         };
-        let is_late = tokio::time::timeout(remaining, all).await.is_err();
+        let reason = tokio::select! {
+            biased;
+            () = all => return,
+            () = tokio::time::sleep(remaining) => MissingReason::Late,
+            () = self.wait_given_up() => MissingReason::NoOwner,
+        };
+        // A cancelled piece keeps the outcome that it has reached.
         drop(running);
-        if is_late {
-            for work in prepared.iter().filter(|work| !work.is_reported.load(Ordering::Relaxed)) {
-                let _ = replies.send(late_reply(&context, work)).await;
-            }
+        for work in prepared.iter().filter(|work| !work.is_reported.load(Ordering::Relaxed)) {
+            let _ = replies.send(cancelled_reply(&context, work, reason)).await;
         }
     }
 
@@ -161,9 +177,9 @@
     build_reply(context, work, result)
 }
 
-fn late_reply(context: &PieceContext, work: &PieceWork) -> PieceReply {
+fn cancelled_reply(context: &PieceContext, work: &PieceWork, reason: MissingReason) -> PieceReply {
     let outcome = work.progress.outcome();
-    build_reply(context, work, Err(PieceFailure { reason: MissingReason::Late, outcome }))
+    build_reply(context, work, Err(PieceFailure { reason, outcome }))
 }
 
 fn build_reply(context: &PieceContext, work: &PieceWork, result: Result<PieceAnswer, PieceFailure>) -> PieceReply {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -69,7 +69,7 @@
     let batch: BatchRequest = read_message(body, BATCH_LIMIT).await?;
     let _work = node.count_work();
     let config = node.view().config.clone();
-    let Some(config) = config.filter(|_| !node.is_ended()) else {
+    let Some(config) = config.filter(|_| !node.is_giving_up()) else {
         return refuse(respond);
     };
     let mut stream = respond.send_response(Response::new(()), false)?;
--- a/crates/daemon/src/query.rs
+++ b/crates/daemon/src/query.rs
@@ -134,7 +134,7 @@
     layout: &ShardLayout,
 ) -> Result<(), QueryFailure> {
     let config = view.config.as_ref().ok_or(QueryFailure::NoVersion)?;
-    while node.clock.now() < job.deadline {
+    while node.clock.now() < job.deadline && !node.is_giving_up() {
         let mut round = QueryRound::new(node, view, config, job, None, layout)?;
         round.run(false).await;
         if pin(view, job).is_some() {
--- a/crates/daemon/src/round.rs
+++ b/crates/daemon/src/round.rs
@@ -139,16 +139,18 @@
         RoundOutcome::Answer(std::mem::replace(&mut self.merger, empty))
     }
 
-    /// The next event; `Some(None)` if none arrives before the next timer, `None` at the deadline.
+    /// The next event; `Some(None)` if none arrives before the next timer, `None` at the deadline or when the node gives
+    /// up its work.
     async fn next_event(&mut self) -> Option<Option<PieceEvent>> {
-        let now = self.node.clock.now();
-        if now >= self.job.deadline {
+        if !self.has_time() {
             return None;
         }
+        let now = self.node.clock.now();
         let preferred = self.job.started.plus(self.job.rule.prefer_within);
         let later = [Some(preferred), self.owner_hedge_at].into_iter().flatten().filter(|moment| *moment > now);
         let wake_at = later.fold(self.job.deadline, Moment::min);
-        let waited = tokio::time::timeout(wake_at.since(now), self.events.1.recv()).await;
+        let waited = tokio::time::timeout(wake_at.since(now), self.events.1.recv());
+        let waited = self.node.unless_given_up(waited).await?;
         Some(waited.ok().flatten())
     }
 
@@ -180,6 +182,10 @@
         is_unresponsive && piece.owner + 1 < owners.len() && self.node.spend_owner_hedge()
     }
 
+    fn has_time(&self) -> bool {
+        self.node.clock.now() < self.job.deadline && !self.node.is_giving_up()
+    }
+
     fn is_enough(&self) -> bool {
         let elapsed = self.node.clock.now().since(self.job.started);
         self.version.is_some() && self.job.rule.is_enough(elapsed, self.merger.answered(), self.merger.len())
@@ -247,8 +253,7 @@
         if state.pending > 0 || state.is_answered {
             return;
         }
-        let has_time = self.node.clock.now() < self.job.deadline;
-        if has_time && self.version.is_some() && self.reroute(piece, reason) {
+        if self.has_time() && self.version.is_some() && self.reroute(piece, reason) {
             return self.send(&[piece]);
         }
         self.mark_missing(piece, reason);
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -5,8 +5,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use streamfold_policy::stop_schedule::StopSchedule;
 use streamfold_policy::{HandoverRecord, MemberEntry};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::gossip;
 use crate::node::Node;
@@ -15,8 +17,8 @@
 
 /// Timeout of the handover of tickets to one node.
 const ADOPT_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout for announcing the stop to the other nodes.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often a stopping node checks whether the work in flight has ended.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The phase of a graceful stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,24 +29,34 @@
     LameDuck,
     /// The node refuses new work and finishes the work in flight.
     Refusing,
+    /// The node gives up the work that is still in flight and answers its callers, since its process is about to end.
+    GivingUp,
     /// The node has stopped.
     Ended,
 }
 
 impl RunningNode {
     /// Stops gracefully: announces that the node is leaving, serves until load balancers have noticed, refuses new
-    /// work, hands over its tickets, waits for the work in flight and announces the stop. Work is cancelled only if it
-    /// takes longer than the grace period.
+    /// work, hands over its tickets, waits for the work in flight and announces the stop. All of that fits into the
+    /// grace period, after which the platform kills the process: work that takes longer is given up before, so that its
+    /// callers still get an answer.
     pub async fn stop(mut self) {
         let node = self.node.clone();
+        let started = Instant::now();
+        let schedule = StopSchedule::new(node.settings.lame_duck, node.settings.grace);
         node.enter_phase(StopPhase::LameDuck);
-        tokio::time::sleep(node.settings.lame_duck).await;
+        tokio::time::sleep_until(started + schedule.refuse_after).await;
         node.enter_phase(StopPhase::Refusing);
-        wait_for_zero(&node.orders, node.settings.grace).await;
-        hand_over(&node).await;
-        wait_for_zero(&node.work, node.settings.grace).await;
+        wait_for_zero(&node.orders, started + schedule.hand_over_after).await;
+        if tokio::time::timeout_at(started + schedule.give_up_after, hand_over(&node)).await.is_err() {
+            tracing::warn!(event = "tickets_not_handed_over", error = "no answer in time");
+        }
+        wait_for_zero(&node.work, started + schedule.give_up_after).await;
+        node.enter_phase(StopPhase::GivingUp);
+        let end = started + schedule.end_after;
+        wait_for_zero(&node.work, end).await;
         node.enter_phase(StopPhase::Ended);
-        announce_stop(&node).await;
+        tokio::join!(announce_stop(&node, end), wait_for_connections(&node, end));
         self.tasks.shutdown().await;
     }
 
@@ -54,15 +66,20 @@
     }
 }
 
-async fn wait_for_zero(counter: &AtomicUsize, grace: Duration) {
-    const POLL_INTERVAL: Duration = Duration::from_millis(5);
-    let until_zero = async {
-        while counter.load(Ordering::SeqCst) > 0 {
-            tokio::time::sleep(POLL_INTERVAL).await;
+async fn wait_for_zero(counter: &AtomicUsize, until: Instant) {
+    while counter.load(Ordering::SeqCst) > 0 {
+        if Instant::now() >= until {
+            tracing::warn!(event = "stop_grace_over", in_flight = counter.load(Ordering::SeqCst));
+            return;
         }
-    };
-    if tokio::time::timeout(grace, until_zero).await.is_err() {
-        tracing::warn!(event = "stop_grace_over", in_flight = counter.load(Ordering::SeqCst));
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Waits until callers have read their last answers and their connections are closed.
+async fn wait_for_connections(node: &Node, until: Instant) {
+    while node.callers.open_connections() > 0 && Instant::now() < until {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
 }
 
@@ -94,8 +111,8 @@
     tracing::warn!(event = "tickets_not_handed_over");
 }
 
-/// Announces the stop and the handover to every live node and waits for their answers.
-async fn announce_stop(node: &Arc<Node>) {
+/// Announces the stop and the handover to every live node and waits for their answers, at most until `end`.
+async fn announce_stop(node: &Arc<Node>, end: Instant) {
     let now = node.clock.now();
     let addresses: Vec<SocketAddr> = node.members().workers(now).map(|entry| entry.peer_address).collect();
     let mut exchanges = JoinSet::new();
@@ -103,5 +120,5 @@
         exchanges.spawn(gossip::exchange(node.clone(), node.links.for_address(address)));
     }
     // Nodes that are not reached receive the update from other nodes.
-    let _ = tokio::time::timeout(ANNOUNCE_TIMEOUT, async { while exchanges.join_next().await.is_some() {} }).await;
+    let _ = tokio::time::timeout_at(end, async { while exchanges.join_next().await.is_some() {} }).await;
 }
--- a/crates/router/src/caller_limits.rs
+++ b/crates/router/src/caller_limits.rs
@@ -155,6 +155,11 @@
         (short, len - short)
     }
 
+    /// The number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.table().len()
+    }
+
     /// Counts a new connection. If there are too many, it has one closed and waits for its end; `None` if none may be
     /// closed.
     pub async fn admit(self: &Arc<Self>, peer: SocketAddr) -> Option<ConnectionEntry> {
@@ -249,7 +254,7 @@
 
     /// Updates the metrics of what callers hold.
     pub fn report(&self) {
-        metrics::gauge!("streamfold_caller_connections").set(self.table().len() as f64);
+        metrics::gauge!("streamfold_caller_connections").set(self.open_connections() as f64);
         let kinds = [
             ("heads", MemoryKind::Heads),
             ("bodies", MemoryKind::Bodies),
