A request that was not passed on before its node ended was told that it may have run

Callers saw: in a planned stop of a routing node, a request whose body was still on its way at the end of the grace, or that no server had accepted, got 502 `lost`. One that must not run twice could not be repeated, though nothing had been sent.

Cause: at the phase `Ended` a request in flight was dropped as a whole, and `lost` is all that can be said of a dropped one.

Now: what precedes the calls (body, admission) and the calls to a single service see the end of the node themselves, and tell whether anything may have been sent: 503 with a time to come back if not (0.08 to 0.15 s: another node serves the caller), 502 if so. Requests over shards are still dropped as a whole; they may be repeated.

--- a/crates/policy/src/retry_after.rs
+++ b/crates/policy/src/retry_after.rs
@@ -61,6 +61,8 @@
     },
     /// There is no memory for the request.
     NoMemory,
+    /// The node is stopping and would end before the request.
+    Stopping,
     /// The content crashes servers, so it is quarantined.
     Quarantined {
         /// Time until the next trial.
@@ -76,6 +78,8 @@
         RefusalReason::RoutesUnknown { .. } => STORE_OUTAGE_DELAY,
         RefusalReason::NoServer => NO_SERVER_DELAY,
         RefusalReason::NoMemory => NO_MEMORY_DELAY,
+        // Another node may serve the caller as soon as it returns.
+        RefusalReason::Stopping => MIN_DELAY,
         RefusalReason::OverLimit { wait } => wait.max(MIN_DELAY),
         RefusalReason::Reserved { wait } => return wait + RESERVATION_JITTER.mul_f64(random),
         RefusalReason::NoReservation { wait } => return wait.max(MIN_DELAY).mul_f64(1.0 + (MAX_JITTER - 1.0) * random),
--- a/crates/policy/tests/retry_after.rs
+++ b/crates/policy/tests/retry_after.rs
@@ -37,3 +37,10 @@
     let most = returns.chunk_by(|a, b| a == b).map(<[u128]>::len).max();
     assert!(most.is_some_and(|most| most < 100), "{returns:?}");
 }
+
+/// Guards against callers that wait for a node that does not return: another node can serve them at once.
+#[test]
+fn callers_of_a_stopping_node_return_soon() {
+    let waits = [0.0, 0.5, 1.0].map(|random| choose_retry_after(RefusalReason::Stopping, random).as_millis());
+    assert_eq!(waits, [80, 115, 150]);
+}
--- a/crates/router/src/caller_port.rs
+++ b/crates/router/src/caller_port.rs
@@ -14,7 +14,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use streamfold_link::socket::set_tcp_options;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::caller_body::discard_rest;
@@ -35,11 +34,10 @@
 /// Accepts caller connections until the node starts closing. Then the port is closed as well: a request on a
 /// connection opened that late could not finish before the process exits.
 pub async fn serve(router: Arc<Router>, listener: Arc<TcpListener>) {
-    let mut phase = router.phase.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_phase(&mut phase, RouterPhase::Closing) => return,
+            () = router.wait_phase(RouterPhase::Closing) => return,
         };
         match accepted {
             Ok((stream, peer)) => {
@@ -84,7 +82,6 @@
     let service = service_fn(|request: Request<Incoming>| {
         let (router, is_answering) = (router.clone(), &is_answering);
         let accepted = Some(accepted).filter(|_| !has_read_request.swap(true, Ordering::Relaxed));
-        let mut phase = router.phase.subscribe();
         let guard = entry.connection.start_request();
         async move {
             guard.wait_if_cut().await;
@@ -95,7 +92,7 @@
             let handled = tokio::select! {
                 biased;
                 handled = task::catch_panic(front::handle(&router, parts, &mut body, accepted, guard.connection())) => handled,
-                () = wait_phase(&mut phase, RouterPhase::Ended) => None,
+                () = router.wait_phase(RouterPhase::Ended) => None,
             };
             discard_rest(body);
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
@@ -106,13 +103,12 @@
     let mut connection = std::pin::pin!(
         builder.serve_connection(TokioIo::new(CountedStream::new(stream, entry.connection.clone())), service)
     );
-    let mut phase = router.phase.subscribe();
     let ended = tokio::select! {
         // In this order, a request that has arrived is read before its connection is closed as idle.
         biased;
         () = entry.connection.wait_cut() => return,
         ended = connection.as_mut() => ended,
-        () = wait_phase(&mut phase, RouterPhase::Closing) => {
+        () = router.wait_phase(RouterPhase::Closing) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 () = entry.connection.wait_cut() => return,
@@ -141,9 +137,3 @@
         tracing::debug!(event = "caller_connection_ended", error);
     }
 }
-
-/// Waits until the node has reached a phase of its stop.
-async fn wait_phase(phase: &mut watch::Receiver<RouterPhase>, wanted: RouterPhase) {
-    // The sender lives as long as the node, so the wait only ends with the phase.
-    let _ = phase.wait_for(|phase| *phase >= wanted).await;
-}
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -77,7 +77,8 @@
         .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let team = authenticate(router, &routed, &head, &mut parts.headers)?;
     let deadline = find_deadline(&head, arrival, routed.route.timeout);
-    let body = read_body(body, routed.body_limit, router.clock.instant(deadline), connection)
+    let reading = read_body(body, routed.body_limit, router.clock.instant(deadline), connection);
+    let body = unless_ended(router, reading)
         .await
         .inspect_err(|kind| log_refused(router, &head.request, &parts.uri, *kind))?;
     let latencies = routed.view.latencies.get(&routed.route.name).cloned().unwrap_or_default();
@@ -108,6 +109,18 @@
     })
 }
 
+/// Runs a step before the calls of a request. If the node ends first, the request has certainly not run.
+async fn unless_ended<T>(
+    router: &Router,
+    step: impl Future<Output = Result<T, RefusalKind>>,
+) -> Result<T, RefusalKind> {
+    tokio::select! {
+        biased;
+        result = step => result,
+        () = router.wait_phase(RouterPhase::Ended) => Err(RefusalKind::not_run(RefusalReason::Stopping)),
+    }
+}
+
 /// Logs a request that is refused because it has no route or its body cannot be read.
 fn log_refused(router: &Router, request: &HeaderValue, uri: &Uri, kind: RefusalKind) {
     tracing::info!(
@@ -196,7 +209,7 @@
 
 async fn run(router: &Arc<Router>, context: AttemptContext) -> CallerAnswer {
     let mut record = RequestRecord::new(context);
-    let admitted = admit(&mut record.context).await;
+    let admitted = unless_ended(router, admit(&mut record.context)).await;
     let has_credit = admitted.is_ok();
     let result = match admitted {
         Ok(()) => serve_admitted(&mut record).await,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,7 +1,7 @@
 //! The state of one router node that its connections, requests and background tasks share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -67,6 +67,8 @@
     pub cluster: Cluster,
     /// The current shutdown phase.
     pub phase: watch::Sender<RouterPhase>,
+    /// When a stopping node ends the requests that are still in flight; empty until it is asked to stop.
+    pub(crate) ends_at: OnceLock<Moment>,
     /// Number of requests in flight.
     pub requests: AtomicUsize,
     /// Number of open caller connections.
@@ -171,6 +173,7 @@
             feed,
             cluster: Cluster::new(context),
             phase: watch::Sender::new(RouterPhase::Serving),
+            ends_at: OnceLock::new(),
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             live_settings: ArcSwap::from_pointee(settings.clone()),
@@ -194,6 +197,12 @@
         }
     }
 
+    /// Waits until the node has reached a phase of its stop.
+    pub(crate) async fn wait_phase(&self, wanted: RouterPhase) {
+        // The sender lives as long as the node, so the wait only ends with the phase.
+        let _ = self.phase.subscribe().wait_for(|phase| *phase >= wanted).await;
+    }
+
     /// Whether an optional mechanism is enabled.
     pub fn has(&self, mechanism: Mechanism) -> bool {
         self.cluster.context().mechanisms.has(mechanism)
--- a/crates/router/src/router_stop.rs
+++ b/crates/router/src/router_stop.rs
@@ -67,11 +67,12 @@
     pub async fn stop(mut self) {
         let router = self.router.clone();
         let started = Instant::now();
+        let grace = router.live_settings.load().grace.0.saturating_sub(KILL_MARGIN);
+        router.ends_at.get_or_init(|| router.clock.now().plus(grace));
         router.set_phase(RouterPhase::LameDuck);
         tokio::join!(tokio::time::sleep(LAME_DUCK), router.withdraw());
         router.set_phase(RouterPhase::Closing);
-        let end = started + router.live_settings.load().grace.0.saturating_sub(KILL_MARGIN);
-        router.wait_idle(end).await;
+        router.wait_idle(started + grace).await;
         let given_up = router.requests.load(Ordering::SeqCst);
         router.set_phase(RouterPhase::Ended);
         router.wait_idle(Instant::now() + LAST_ANSWER_TIMEOUT).await;
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -16,6 +16,7 @@
 use crate::attempts::ServiceAttempts;
 use crate::call::{EndedCall, ServerReply};
 use crate::request::drop_hop_headers;
+use crate::router::RouterPhase;
 
 /// Picks a service by the weights of a traffic split. The request stays with that service: if it has no free capacity,
 /// the request is refused rather than moved, since the other services would otherwise get more than their share.
@@ -67,6 +68,7 @@
         let deadline = self.context.request.deadline;
         let mut watch = TimerWatch::default();
         let mut timer = pin!(tokio::time::sleep(Duration::ZERO));
+        let mut ended = pin!(self.context.router.wait_phase(RouterPhase::Ended));
         while self.attempts.is_open() {
             if clock.now() >= deadline {
                 return None;
@@ -81,6 +83,7 @@
                         return Some(reply);
                     }
                 }
+                () = &mut ended => return None,
                 () = &mut timer => {
                     let now = clock.now();
                     if now < deadline && watch.is_due(now, wake) {
@@ -124,10 +127,17 @@
         None
     }
 
+    fn not_run_reason(&self) -> RefusalReason {
+        match self.context.router.ends_at.get() {
+            Some(_) => RefusalReason::Stopping,
+            None => RefusalReason::NoServer,
+        }
+    }
+
     fn refusal(&self) -> RefusalKind {
         let has_run = self.attempts.may_run();
         match has_run {
-            false => RefusalKind::not_run(RefusalReason::NoServer),
+            false => RefusalKind::not_run(self.not_run_reason()),
             true if self.context.now() >= self.context.request.deadline => RefusalKind::Late,
             true => RefusalKind::Lost,
         }
