A stopping node took requests and made calls that it knew it would abandon

Callers saw: requests that reached a routing node after SIGTERM were passed on although their servers usually work longer than the node had left; at the end of the grace they were abandoned with 502 `lost`, ones that must not run twice among them. Calls in flight were hedged and retried until then.

Cause: nothing compared the time that is left of the grace with how long calls take.

Now: `policy::stop_admission` decides: a call is not made if its route's measured usual duration (the median of 20 answers or more), or what two observations of each usable server tell, does not fit into what is left. A request for which no server fits, or too few shards, is refused at once: 503, not run, come back in 0.08 to 0.15 s; later calls (hedges, retries, queued calls) stop with `node_ends`. Requests that end by their own deadline before the node does, and ones of which nothing is known, are taken as before. It is best for the callers: another node serves them while their deadline lasts.

Held before and now, and stay as guards: requests that end in time are served until the port is closed, and 24 callers that use their connections to the end lose no request that ran.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod server_exclusion;
 pub mod shard_health;
 pub mod split_rule;
+pub mod stop_admission;
 pub mod stop_schedule;
 pub mod store_backoff;
 pub mod team_scheduler;
--- a/crates/router/src/attempt_context.rs
+++ b/crates/router/src/attempt_context.rs
@@ -171,6 +171,9 @@
         if let Some(stop) = self.find_attempt_limit(attempts) {
             return Err(stop);
         }
+        if !self.has_time_for(service) {
+            return Err(AttemptStop::NodeEnds);
+        }
         // Content that crashed the servers that ran it crashes the next one too, whatever the request id.
         let permission = self.call_permission();
         match permission {
--- a/crates/router/src/attempts.rs
+++ b/crates/router/src/attempts.rs
@@ -30,6 +30,8 @@
     Quarantined,
     /// A call is queued until a server has a free slot.
     Queued,
+    /// This node is stopping and would end before the call.
+    NodeEnds,
     /// Another call of the request goes first as a canary, since the content may crash servers.
     Canary,
 }
@@ -43,6 +45,7 @@
             Self::Budget => "budget",
             Self::Quarantined => "quarantined",
             Self::Queued => "waiting",
+            Self::NodeEnds => "node_ends",
             Self::Canary => "canary",
         })
     }
--- a/crates/router/src/call_latencies.rs
+++ b/crates/router/src/call_latencies.rs
@@ -42,9 +42,14 @@
         histogram.quantile(quantile).filter(|_| histogram.samples() >= MIN_SAMPLES)
     }
 
+    /// The measured usual duration of a call; `None` while there are too few samples.
+    pub fn measured(&self, distance: Distance) -> Option<Duration> {
+        self.quantile(distance, TYPICAL_QUANTILE)
+    }
+
     /// The usual duration of a call.
     pub fn typical(&self, distance: Distance, target: Duration) -> Duration {
-        self.quantile(distance, TYPICAL_QUANTILE).unwrap_or(target.mul_f64(ASSUMED_TYPICAL_SHARE))
+        self.measured(distance).unwrap_or(target.mul_f64(ASSUMED_TYPICAL_SHARE))
     }
 
     /// The time after which a call is overdue and may be hedged.
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -24,7 +24,7 @@
 use crate::interface::{CallerHead, FeedTopic};
 use crate::request::{CallerRequest, RequestArrival, find_deadline};
 use crate::router::{LiveCount, Router, RouterPhase};
-use crate::{entry, gather, quarantine, single, usage};
+use crate::{entry, gather, quarantine, single, stop_check, usage};
 
 /// A request to a single server is refused if no server accepts it within this share of its target latency.
 const EARLY_REFUSAL_SHARE: f64 = 0.2;
@@ -184,6 +184,7 @@
 
 /// Admits a request, refuses it, or admits it as the single trial of quarantined content.
 async fn admit(context: &mut AttemptContext) -> Result<(), RefusalKind> {
+    stop_check::check(context)?;
     entry::check(context)?;
     let router = &context.router;
     let content = context.request.suspect.content;
--- a/crates/router/src/hedge.rs
+++ b/crates/router/src/hedge.rs
@@ -116,7 +116,7 @@
     /// Charges and records a hedge that another node is to make. Returns false if it is not allowed.
     fn delegate_hedge(&self, attempts: &mut ServiceAttempts, server: &Arc<Server>) -> bool {
         let Some(service) = self.view.services.get(&attempts.service) else { return false };
-        if self.is_at_attempt_limit(attempts) || !self.charge(attempts, service) {
+        if self.is_at_attempt_limit(attempts) || !self.has_time_for(service) || !self.charge(attempts, service) {
             return false;
         }
         let hedge_delay = self.times.hedge_delay(server.distance, self.route.target_latency);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod shortage;
 pub mod single;
 pub mod slow_periods;
+mod stop_check;
 pub mod store_call;
 pub mod store_turn;
 pub mod task;
