Requests that waited unseen while a stopping node closed its port were reset

Callers saw: connections that the system had accepted and the node had not, and requests whose first bytes the node had not seen, were reset as the node began to close, 2.5 s after SIGTERM.

Cause: the port was closed as soon as the phase was `Closing`, and with no request and no connection counted the stop went on to `Ended` and the end of all tasks within 20 ms. A node that had no processor (or a wait that a signal interrupts) learns of its timers before it learns of arrived bytes, so that all that had arrived in that time was lost.

Now: after the start of `Closing` connections are accepted, and ones that rest kept open, for 50 ms more; the stop waits for the port to be closed before it counts what is left.

--- a/crates/lab/tests/routes_late_in_stop.rs
+++ b/crates/lab/tests/routes_late_in_stop.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use streamfold_lab::client::{CallAnswer, CallError, LabClient};
-use streamfold_lab::fleet::send_signal;
+use streamfold_lab::fleet::{pause_process, send_signal};
 use streamfold_lab::route_checks::{check_answer, header, local_server};
 use streamfold_lab::route_fleet::{HOST, RouteFleet, RouteFleetPlan, write_route};
 use streamfold_lab::wait::{MAX_WAIT, wait_for};
@@ -26,6 +27,8 @@
 const SHORT_WORK_MS: u64 = 30;
 /// Callers that use a connection of their own until the node has ended.
 const CALLERS: usize = 24;
+/// How long a node has no processor.
+const PAUSE: Duration = Duration::from_secs(3);
 
 /// Starts a node and servers behind the routes `/any/` (repeatable) and `/once/`.
 async fn start(work_ms: u64) -> RouteFleet {
@@ -212,3 +215,32 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
     check_exit(&mut fleet).await;
 }
+
+/// Guards against connections that the system has accepted and the node has not, or whose first bytes it has not seen,
+/// when it closes its port: they were reset. The node has no processor for a while, as on a busy machine.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_wait_while_the_node_closes_its_port_are_served() {
+    let mut fleet = start(SHORT_WORK_MS).await;
+    stop(&mut fleet).await;
+    pause_process(&fleet.nodes[0].process).await;
+    let mut waiting = Vec::new();
+    for caller in 0..CALLERS {
+        let mut connection = TcpStream::connect(fleet.nodes[0].addresses.callers).await.expect("a connection");
+        let request = format!(
+            "POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r-waiting-{caller}\r\nContent-Length: 0\r\n\r\n"
+        );
+        connection.write_all(request.as_bytes()).await.expect("a sent request");
+        waiting.push(connection);
+    }
+    // Longer than the node accepts connections after the signal, and shorter than its grace period.
+    tokio::time::sleep(PAUSE).await;
+    send_signal(&fleet.nodes[0].process, "CONT").await;
+    let mut unanswered = 0;
+    for mut connection in waiting {
+        let mut answer = Vec::new();
+        let read = tokio::time::timeout(MAX_WAIT, connection.read_to_end(&mut answer)).await.expect("an end");
+        unanswered += usize::from(read.is_err() || !answer.starts_with(b"HTTP/1.1 200 "));
+    }
+    assert_eq!(unanswered, 0, "of {CALLERS} requests");
+    check_exit(&mut fleet).await;
+}
--- a/crates/router/src/caller_port.rs
+++ b/crates/router/src/caller_port.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use streamfold_link::socket::set_tcp_options;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::caller_body::discard_rest;
@@ -25,6 +26,9 @@
 
 /// The delay after a failed accept, for example when no file descriptors are left.
 pub const ACCEPT_DELAY: Duration = Duration::from_millis(20);
+/// How long a node that starts closing still takes what has arrived: connections that wait to be accepted, and requests on
+/// connections that are otherwise closed as idle.
+const LAST_ARRIVAL_TIME: Duration = Duration::from_millis(50);
 /// The smallest request head buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER: usize = 8 << 10;
 /// The head buffer and the idle timeout while no routes, and thus no configured limits, are known.
@@ -32,23 +36,24 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Accepts caller connections until the node starts closing. Then the port is closed as well: a request on a
-/// connection opened that late could not finish before the process exits.
+/// connection opened that late could not finish before the process exits. Connections that already wait to be accepted
+/// are served, since closing the port would reset them.
 pub async fn serve(router: Arc<Router>, listener: Arc<TcpListener>) {
+    router.is_accepting.store(true, Ordering::SeqCst);
+    accept_connections(&router, &listener).await;
+    accept_waiting(&router, &listener).await;
+    router.is_accepting.store(false, Ordering::SeqCst);
+}
+
+/// Accepts connections until the node starts closing.
+async fn accept_connections(router: &Arc<Router>, listener: &TcpListener) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = router.wait_phase(RouterPhase::Closing) => return,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let Some(entry) = router.callers.admit(peer).await else {
-                    note_unadmitted(peer);
-                    continue;
-                };
-                // Counted before its task runs, so that a shutdown waits for it.
-                router.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(serve_connection(router.clone(), stream, entry));
-            }
+            Ok((stream, peer)) => start_connection(router, stream, peer).await,
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 tokio::time::sleep(ACCEPT_DELAY).await;
@@ -57,6 +62,25 @@
     }
 }
 
+/// Accepts the connections that wait to be accepted. A node that had no processor learns of them only some time after it
+/// has learnt that it is to close.
+async fn accept_waiting(router: &Arc<Router>, listener: &TcpListener) {
+    let until = Instant::now() + LAST_ARRIVAL_TIME;
+    while let Ok(Ok((stream, peer))) = tokio::time::timeout_at(until, listener.accept()).await {
+        start_connection(router, stream, peer).await;
+    }
+}
+
+/// Starts to serve a connection, unless there are too many.
+async fn start_connection(router: &Arc<Router>, stream: TcpStream, peer: SocketAddr) {
+    let Some(entry) = router.callers.admit(peer).await else {
+        return note_unadmitted(peer);
+    };
+    // Counted before its task runs, so that a shutdown waits for it.
+    router.connections.fetch_add(1, Ordering::SeqCst);
+    tokio::spawn(serve_connection(router.clone(), stream, entry));
+}
+
 /// Records a connection that is closed at once since there are too many, none of which may be closed in its place.
 pub fn note_unadmitted(peer: SocketAddr) {
     metrics::counter!("streamfold_connections_refused_total").increment(1);
@@ -109,10 +133,17 @@
         () = entry.connection.wait_cut() => return,
         ended = connection.as_mut() => ended,
         () = router.wait_phase(RouterPhase::Closing) => {
-            connection.as_mut().graceful_shutdown();
+            let close = async {
+                // Bytes of a request may have arrived without having been seen.
+                if let Ok(ended) = tokio::time::timeout(LAST_ARRIVAL_TIME, connection.as_mut()).await {
+                    return ended;
+                }
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            };
             tokio::select! {
                 () = entry.connection.wait_cut() => return,
-                ended = connection => ended,
+                ended = close => ended,
             }
         }
     };
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -73,6 +73,8 @@
     pub requests: AtomicUsize,
     /// Number of open caller connections.
     pub connections: AtomicUsize,
+    /// Whether the port for callers is open.
+    pub(crate) is_accepting: AtomicBool,
     /// Links to the seed nodes.
     pub seed_links: Vec<Arc<PeerLink>>,
     /// Notified when another node reports newer routes.
@@ -176,6 +178,7 @@
             ends_at: OnceLock::new(),
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            is_accepting: AtomicBool::new(false),
             live_settings: ArcSwap::from_pointee(settings.clone()),
             seed_links: seed_links(&settings),
             newer_routes: Notify::new(),
--- a/crates/router/src/router_stop.rs
+++ b/crates/router/src/router_stop.rs
@@ -37,9 +37,11 @@
         }
     }
 
-    /// Whether requests are in flight or callers are connected.
+    /// Whether requests are in flight, or callers are connected or can connect.
     fn is_busy(&self) -> bool {
-        self.connections.load(Ordering::SeqCst) > 0 || self.requests.load(Ordering::SeqCst) > 0
+        self.is_accepting.load(Ordering::SeqCst)
+            || self.connections.load(Ordering::SeqCst) > 0
+            || self.requests.load(Ordering::SeqCst) > 0
     }
 
     /// Waits until no requests are in flight and no callers are connected, at most until `end`.
