A request over shards lost the shards that were in when its node ended

Callers saw: a request over shards in flight at the end of a stop's grace got 502 `lost`, though enough shards had answered, or though nothing had been sent.

Cause: as with requests to a single service, the request was dropped as a whole at the phase `Ended`.

Now: it sees the end of the node itself: 200 with the shards that are in if they are enough, 503 if nothing was sent, else 502.

--- a/crates/lab/tests/routes_late_in_stop.rs
+++ b/crates/lab/tests/routes_late_in_stop.rs
@@ -244,3 +244,27 @@
     assert_eq!(unanswered, 0, "of {CALLERS} requests");
     check_exit(&mut fleet).await;
 }
+
+/// Guards against the loss of the shards that are in when a node ends while others are still waited for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_over_shards_is_answered_with_those_that_are_in_when_its_node_ends() {
+    let target = json!({
+        "gather": ["s-0", "s-1"], "topK": 4, "minCoverage": 0.5, "timeoutMs": 20_000, "targetLatencyMs": 20_000
+    });
+    let routes = vec![write_route("all", "/all/", &target)];
+    let servers = vec![local_server("i-0", "s-0"), local_server("i-1", "s-1")];
+    let plan = RouteFleetPlan { nodes: [1, 0], servers, routes, ..RouteFleetPlan::default() };
+    let mut fleet = RouteFleet::start(plan).await.expect("a fleet");
+    fleet.servers[1].state.switches.work_ms.store(LONG_WORK_MS * 2, Ordering::Relaxed);
+    let (client, callers) = (fleet.client.clone(), fleet.nodes[0].addresses.callers);
+    let in_flight = tokio::spawn(async move {
+        let headers = [("host", HOST), (names::REQUEST_ID, "r-shards"), (names::DEADLINE_MS, "20000")];
+        client.call(Method::POST, callers, "/all/x", &headers, Bytes::new(), MAX_WAIT).await
+    });
+    wait_for("a call to each shard", async || fleet.count_calls("r-shards") >= 2).await;
+    stop(&mut fleet).await;
+    let answer = in_flight.await.expect("a caller").expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_eq!(header(&answer, names::MISSING_SHARDS), Some("1"), "{answer:?}");
+    check_exit(&mut fleet).await;
+}
--- a/crates/router/src/caller_port.rs
+++ b/crates/router/src/caller_port.rs
@@ -112,7 +112,7 @@
             is_answering.store(true, Ordering::Relaxed);
             let (parts, mut body) = request.into_parts();
             // After a panic it is unknown what was sent, so the request may have run. The same holds for a request
-            // that is abandoned since the node ends.
+            // that does not end by itself when the node does.
             let handled = tokio::select! {
                 biased;
                 handled = task::catch_panic(front::handle(&router, parts, &mut body, accepted, guard.connection())) => handled,
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -14,7 +14,6 @@
 use streamfold_policy::canary::RequestVerdict;
 use streamfold_policy::fold_rule::{FoldRule, FoldStep};
 use streamfold_policy::late_timer::TimerWatch;
-use streamfold_policy::retry_after::RefusalReason;
 use tokio::time::Sleep;
 
 use crate::answer::{CallerAnswer, RefusalKind};
@@ -25,6 +24,7 @@
 use crate::delegate::{BatchSlot, PendingBatches};
 use crate::fold::{ShardPart, fold_records};
 use crate::quarantine_news;
+use crate::router::RouterPhase;
 
 /// The most missing shards that a log line names.
 const MAX_NAMED_SHARDS: usize = 5;
@@ -188,8 +188,19 @@
         hedges.chain(takeovers).min()
     }
 
-    /// Handles events until it is decided whether to answer.
+    /// Handles events until it is decided whether to answer. A node that ends answers with the shards that are in.
     pub(crate) async fn wait(&mut self) -> FoldStep {
+        let context = self.context;
+        let mut ended = pin!(context.router.wait_phase(RouterPhase::Ended));
+        tokio::select! {
+            biased;
+            step = self.wait_for_step() => return step,
+            () = &mut ended => {}
+        }
+        if self.rule.is_enough(self.answered()) { FoldStep::Answer } else { FoldStep::GiveUp }
+    }
+
+    async fn wait_for_step(&mut self) -> FoldStep {
         let clock = self.context.router.clock;
         let mut timer = pin!(tokio::time::sleep(Duration::ZERO));
         loop {
@@ -360,7 +371,7 @@
     fn refusal(&self) -> RefusalKind {
         let has_run = self.slots.iter().any(|slot| self.may_run(slot));
         match has_run {
-            false => RefusalKind::not_run(RefusalReason::NoServer),
+            false => RefusalKind::not_run(self.context.not_run_reason()),
             true if self.context.now() >= self.context.request.deadline => RefusalKind::Late,
             true => RefusalKind::Lost,
         }
--- a/crates/router/src/single.rs
+++ b/crates/router/src/single.rs
@@ -127,17 +127,10 @@
         None
     }
 
-    fn not_run_reason(&self) -> RefusalReason {
-        match self.context.router.ends_at.get() {
-            Some(_) => RefusalReason::Stopping,
-            None => RefusalReason::NoServer,
-        }
-    }
-
     fn refusal(&self) -> RefusalKind {
         let has_run = self.attempts.may_run();
         match has_run {
-            false => RefusalKind::not_run(self.not_run_reason()),
+            false => RefusalKind::not_run(self.context.not_run_reason()),
             true if self.context.now() >= self.context.request.deadline => RefusalKind::Late,
             true => RefusalKind::Lost,
         }
--- a/crates/router/src/stop_check.rs
+++ b/crates/router/src/stop_check.rs
@@ -45,6 +45,14 @@
         Some(ends_at.since(self.now()))
     }
 
+    /// Why a request of which nothing was sent has no answer.
+    pub(crate) fn not_run_reason(&self) -> RefusalReason {
+        match self.router.ends_at.get() {
+            Some(_) => RefusalReason::Stopping,
+            None => RefusalReason::NoServer,
+        }
+    }
+
     /// Whether a call to some server of a service is expected to end before this node does.
     pub(crate) fn has_time_for(&self, service: &Service) -> bool {
         self.time_for_calls().is_none_or(|left| self.is_service_in_time(service, left))
