--- a/crates/router/src/caller_port.rs
+++ b/crates/router/src/caller_port.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use streamfold_link::socket::set_tcp_options;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::answer::{CallerAnswer, RefusalKind, refuse};
 use crate::caller_body::discard_rest;
@@ -26,6 +26,9 @@
 
 /// The delay after a failed accept, for example when no file descriptors are left.
 pub const ACCEPT_DELAY: Duration = Duration::from_millis(20);
+/// How long a node that starts closing still takes what has arrived: connections that wait to be accepted, and requests on
+/// connections that are otherwise closed as idle.
+const LAST_ARRIVAL_TIME: Duration = Duration::from_millis(50);
 /// The smallest request head buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER: usize = 8 << 10;
 /// The head buffer and the idle timeout while no routes, and thus no configured limits, are known.
@@ -33,24 +36,24 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Accepts caller connections until the node starts closing. Then the port is closed as well: a request on a
-/// connection opened that late could not finish before the process exits.
+/// connection opened that late could not finish before the process exits. Connections that already wait to be accepted
+/// are served, since closing the port would reset them.
 pub async fn serve(router: Arc<Router>, listener: Arc<TcpListener>) {
-    let mut phase = router.phase.subscribe();
+    router.is_accepting.store(true, Ordering::SeqCst);
+    accept_connections(&router, &listener).await;
+    accept_waiting(&router, &listener).await;
+    router.is_accepting.store(false, Ordering::SeqCst);
+}
+
+/// Accepts connections until the node starts closing.
+async fn accept_connections(router: &Arc<Router>, listener: &TcpListener) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_phase(&mut phase, RouterPhase::Closing) => return,
+            () = router.wait_phase(RouterPhase::Closing) => return,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let Some(entry) = router.callers.admit(peer).await else {
-                    note_unadmitted(peer);
-                    continue;
-                };
-                // Counted before its task runs, so that a shutdown waits for it.
-                router.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(serve_connection(router.clone(), stream, entry));
-            }
+            Ok((stream, peer)) => start_connection(router, stream, peer).await,
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 tokio::time::sleep(ACCEPT_DELAY).await;
@@ -59,6 +62,25 @@
     }
 }
 
+/// Accepts the connections that wait to be accepted. A node that had no processor learns of them only some time after it
+/// has learnt that it is to close.
+async fn accept_waiting(router: &Arc<Router>, listener: &TcpListener) {
+    let until = Instant::now() + LAST_ARRIVAL_TIME;
+    while let Ok(Ok((stream, peer))) = tokio::time::timeout_at(until, listener.accept()).await {
+        start_connection(router, stream, peer).await;
+    }
+}
+
+/// Starts to serve a connection, unless there are too many.
+async fn start_connection(router: &Arc<Router>, stream: TcpStream, peer: SocketAddr) {
+    let Some(entry) = router.callers.admit(peer).await else {
+        return note_unadmitted(peer);
+    };
+    // Counted before its task runs, so that a shutdown waits for it.
+    router.connections.fetch_add(1, Ordering::SeqCst);
+    tokio::spawn(serve_connection(router.clone(), stream, entry));
+}
+
 /// Records a connection that is closed at once since there are too many, none of which may be closed in its place.
 pub fn note_unadmitted(peer: SocketAddr) {
     metrics::counter!("streamfold_connections_refused_total").increment(1);
@@ -84,18 +106,17 @@
     let service = service_fn(|request: Request<Incoming>| {
         let (router, is_answering) = (router.clone(), &is_answering);
         let accepted = Some(accepted).filter(|_| !has_read_request.swap(true, Ordering::Relaxed));
-        let mut phase = router.phase.subscribe();
         let guard = entry.connection.start_request();
         async move {
             guard.wait_if_cut().await;
             is_answering.store(true, Ordering::Relaxed);
             let (parts, mut body) = request.into_parts();
             // After a panic it is unknown what was sent, so the request may have run. The same holds for a request
-            // that is abandoned since the node ends.
+            // that does not end by itself when the node does.
             let handled = tokio::select! {
                 biased;
                 handled = task::catch_panic(front::handle(&router, parts, &mut body, accepted, guard.connection())) => handled,
-                () = wait_phase(&mut phase, RouterPhase::Ended) => None,
+                () = router.wait_phase(RouterPhase::Ended) => None,
             };
             discard_rest(body);
             let answer = handled.unwrap_or_else(|| refuse(&*router.format, RefusalKind::Lost));
@@ -106,17 +127,23 @@
     let mut connection = std::pin::pin!(
         builder.serve_connection(TokioIo::new(CountedStream::new(stream, entry.connection.clone())), service)
     );
-    let mut phase = router.phase.subscribe();
     let ended = tokio::select! {
         // In this order, a request that has arrived is read before its connection is closed as idle.
         biased;
         () = entry.connection.wait_cut() => return,
         ended = connection.as_mut() => ended,
-        () = wait_phase(&mut phase, RouterPhase::Closing) => {
-            connection.as_mut().graceful_shutdown();
+        () = router.wait_phase(RouterPhase::Closing) => {
+            let close = async {
+                // Bytes of a request may have arrived without having been seen.
+                if let Ok(ended) = tokio::time::timeout(LAST_ARRIVAL_TIME, connection.as_mut()).await {
+                    return ended;
+                }
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            };
             tokio::select! {
                 () = entry.connection.wait_cut() => return,
-                ended = connection => ended,
+                ended = close => ended,
             }
         }
     };
@@ -141,9 +168,3 @@
         tracing::debug!(event = "caller_connection_ended", error);
     }
 }
-
-/// Waits until the node has reached a phase of its stop.
-async fn wait_phase(phase: &mut watch::Receiver<RouterPhase>, wanted: RouterPhase) {
-    // The sender lives as long as the node, so the wait only ends with the phase.
-    let _ = phase.wait_for(|phase| *phase >= wanted).await;
-}
--- a/crates/router/src/router_stop.rs
+++ b/crates/router/src/router_stop.rs
@@ -37,9 +37,11 @@
         }
     }
 
-    /// Whether requests are in flight or callers are connected.
+    /// Whether requests are in flight, or callers are connected or can connect.
     fn is_busy(&self) -> bool {
-        self.connections.load(Ordering::SeqCst) > 0 || self.requests.load(Ordering::SeqCst) > 0
+        self.is_accepting.load(Ordering::SeqCst)
+            || self.connections.load(Ordering::SeqCst) > 0
+            || self.requests.load(Ordering::SeqCst) > 0
     }
 
     /// Waits until no requests are in flight and no callers are connected, at most until `end`.
@@ -67,11 +69,12 @@
     pub async fn stop(mut self) {
         let router = self.router.clone();
         let started = Instant::now();
+        let grace = router.live_settings.load().grace.0.saturating_sub(KILL_MARGIN);
+        router.ends_at.get_or_init(|| router.clock.now().plus(grace));
         router.set_phase(RouterPhase::LameDuck);
         tokio::join!(tokio::time::sleep(LAME_DUCK), router.withdraw());
         router.set_phase(RouterPhase::Closing);
-        let end = started + router.live_settings.load().grace.0.saturating_sub(KILL_MARGIN);
-        router.wait_idle(end).await;
+        router.wait_idle(started + grace).await;
         let given_up = router.requests.load(Ordering::SeqCst);
         router.set_phase(RouterPhase::Ended);
         router.wait_idle(Instant::now() + LAST_ANSWER_TIMEOUT).await;
