A node's answer without end filled the memory of the command line

What callers saw: streamfold status, audit, query and the other commands kept every byte of an answer until 30 s were over, as fast as the node's port sent them.

Cause: the body was collected without a limit; only the time of a call was limited.

Now a body ends at 128 MB, with an error of its own and the exit code for an unknown outcome. A configuration of 64 MB, the longest that a node takes, fits as JSON.

Heads without end were ended by the HTTP library before, too, and still are.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -15,6 +15,8 @@
 
 /// Time limit of a call, from connecting to the end of the answer's body.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// The longest body of an answer, in bytes: the files of a configuration as JSON, and the answers of every shard.
+const MAX_ANSWER_LEN: usize = 128 << 20;
 
 /// A request to one port of a node.
 pub struct NodeCall<'a> {
@@ -39,7 +41,7 @@
     ///
     /// # Errors
     /// `Problem` if the node refused the request, `Unreachable` if nothing was sent, `AnswerLost` if the outcome is
-    /// unknown, `BadAnswer` for an error status whose body is not a problem document, and `Request` if the request
+    /// unknown, `AnswerTooLong` for an answer beyond its limit, `BadAnswer` for an error status whose body is not a problem document, and `Request` if the request
     /// cannot be built.
     pub async fn send(self) -> Result<Bytes, CliError> {
         let address = self.address;
@@ -68,8 +70,17 @@
             false => CliError::AnswerLost { address },
         })?;
         let status = response.status().as_u16();
-        let body = response.into_body().collect().await.map_err(|_| CliError::AnswerLost { address })?;
-        Ok((status, body.to_bytes()))
+        let mut body = response.into_body();
+        let mut bytes = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| CliError::AnswerLost { address })?;
+            let Ok(data) = frame.into_data() else { continue };
+            if bytes.len() + data.len() > MAX_ANSWER_LEN {
+                return Err(CliError::AnswerTooLong { address });
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok((status, Bytes::from(bytes)))
     }
 
     /// Sends the request and decodes the body of the answer as JSON.
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -48,6 +48,12 @@
         /// The address of the port.
         address: SocketAddr,
     },
+    /// The answer is longer than any that a node gives; the request may have taken effect.
+    #[error("{address} sends more than any answer takes; the outcome is unknown")]
+    AnswerTooLong {
+        /// The address of the port.
+        address: SocketAddr,
+    },
     /// The node answered with a problem document.
     #[error("{}", .0.detail)]
     Problem(Box<ProblemDetails>),
@@ -72,7 +78,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::NoFiles(_) | Self::NothingToApply | Self::BadConfiguration(_) | Self::Request(_) => EXIT_BAD_INPUT,
-            Self::AnswerLost { .. } => EXIT_UNKNOWN,
+            Self::AnswerLost { .. } | Self::AnswerTooLong { .. } => EXIT_UNKNOWN,
             Self::Problem(problem) => exit_code_of(problem),
             Self::Read { .. } | Self::Unreachable { .. } | Self::BadAnswer { .. } | Self::Json(_) => EXIT_FAILED,
         }
