An upstream's bytes without end were read on where the node serves indexes

What was seen: a node read for as long as a faulty upstream sent. Over HTTP/1.1 informational responses were read until the call's deadline. Over HTTP/2, which carries many calls, the frames that flow control does not limit (informational responses, PING, SETTINGS, WINDOW_UPDATE, PRIORITY, RST_STREAM, unknown ones) were read as long as the server answered the node's own pings, past the deadline of any call. A head over HTTP/2 could be 16 MB once decoded, at each of many calls: a byte on the wire repeats a header of the decoder's table.

Cause: the limits were those of the HTTP libraries, and HTTP/2 has none for such frames.

Now both modes share one mechanism, in streamfold-link: a stream that counts what it reads (counted_stream, read_limit). Over HTTP/1.1 it is used as in routing mode. Over HTTP/2 (exchange_limit) a request allows a head and a stream's window, received data allow as much again, and an answered ping a little; anything else uses up the allowance of four connection windows, 16 MB, and ends the connection with event=answer_discarded reason=too_long. Ordinary answers extend it by as much as they take, also those of calls that were given up. A head ends at 64 KB. A false length is refused at once. The answers of health checks take of the memory for answers, as those of calls do.

--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -16,10 +16,10 @@
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
+use streamfold_link::counted_stream::CountedStream;
 use streamfold_router::caller_connection::CallerConnection;
 use streamfold_router::caller_limits::CallerLimits;
 use streamfold_router::caller_port::note_unadmitted;
-use streamfold_router::counted_stream::CountedStream;
 use tokio::net::TcpListener;
 
 use crate::node::Node;
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -65,7 +65,7 @@
             return row.pool.clone();
         }
         let share = connection_share(spec.connections, owners);
-        let pool = UpstreamPool::open(spec.clone(), share, self.rules.clone(), self.clock);
+        let pool = UpstreamPool::open(spec.clone(), share, self.rules.clone(), self.clock, self.callers.clone());
         rows.insert(spec.name.clone(), PoolRow { pool: pool.clone(), last_used: now });
         pool
     }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -12,6 +12,7 @@
 use streamfold_policy::{
     AttemptRules, CallReport, HeldVersions, Moment, QueueSubmission, ServerState, UpstreamQueue, WaitId, WorkItem,
 };
+use streamfold_router::caller_limits::CallerLimits;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
@@ -37,6 +38,8 @@
     /// The configuration of the upstream when the pool was opened.
     pub spec: Arc<UpstreamSpec>,
     clock: NodeClock,
+    /// The memory that answers share.
+    callers: Arc<CallerLimits>,
     queue: Mutex<UpstreamQueue<oneshot::Sender<SlotPermit>>>,
     links: Vec<Arc<ServerLink>>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
@@ -76,6 +79,7 @@
         max_connections: u32,
         rules: Arc<dyn AttemptRules>,
         clock: NodeClock,
+        callers: Arc<CallerLimits>,
     ) -> Arc<Self> {
         let max_limit = match spec.protocol {
             streamfold_model::ServerProtocol::H2 => spec.slots.saturating_mul(LIMIT_PER_SLOT),
@@ -85,7 +89,7 @@
         let opened = spec.servers.iter().map(|server| ServerLink::open(*server, spec.protocol, max_connections));
         let (links, tasks): (Vec<_>, Vec<_>) = opened.unzip();
         let queue = Mutex::new(UpstreamQueue::new(rules, servers));
-        let pool = Arc::new(Self { spec, clock, queue, links, tasks: Mutex::new(tasks) });
+        let pool = Arc::new(Self { spec, clock, callers, queue, links, tasks: Mutex::new(tasks) });
         pool.start_health_checks();
         pool
     }
@@ -130,7 +134,8 @@
         let link = &self.links[server];
         let mut request = Request::new(Bytes::new());
         *request.uri_mut() = link.uri(PathAndQuery::from_static("/health"));
-        let answered = tokio::time::timeout(HEALTH_TIMEOUT, link.call(request, HEALTH_LIMIT)).await;
+        let answered = tokio::time::timeout(HEALTH_TIMEOUT, link.call_counted(request, HEALTH_LIMIT, &self.callers));
+        let answered = answered.await;
         let Ok(Ok(response)) = answered else { return };
         let Ok(report) = serde_json::from_slice::<HealthReport>(response.body()) else { return };
         let now = self.clock.now();
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -11,10 +11,13 @@
 use http::uri::{Authority, Parts, PathAndQuery, Scheme};
 use http::{Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use streamfold_link::counted_stream::CountedStream;
+use streamfold_link::exchange_limit::{ExchangeAllowance, MAX_HTTP2_HEAD_LEN};
+use streamfold_link::read_limit::ReadAllowance;
 use streamfold_model::{AttemptOutcome, IndexName, IndexVersion, ServerAddress, ServerProtocol};
 use streamfold_policy::HeldVersions;
 use streamfold_router::answer_memory::AnswerReservation;
@@ -38,6 +41,13 @@
 /// window of its stream.
 const WINDOW_SIZE: u32 = 4 << 20;
 const STREAM_WINDOW_SIZE: u32 = 1 << 20;
+/// The longest head accepted over HTTP/1.1, in bytes.
+const MAX_HTTP1_HEAD_LEN: usize = 64 << 10;
+/// What may be read until the head is complete, in bytes: the head, the start of the body that comes with its end, and
+/// informational responses, which precede a head.
+const MAX_READ_WITH_HEAD: usize = 2 * MAX_HTTP1_HEAD_LEN;
+/// How many times its length a body may take as it is sent, since its chunks have heads of their own.
+const MAX_CHUNKED_FACTOR: usize = 2;
 /// Number of HTTP/1.1 connections that are opened ahead of demand.
 const MIN_IDLE_HTTP1: u32 = 2;
 
@@ -86,12 +96,25 @@
     authority: Authority,
     protocol: ServerProtocol,
     max_connections: u32,
-    http2_sender: ArcSwapOption<SendRequest<Bytes>>,
-    idle: Mutex<Vec<http1::SendRequest<Full<Bytes>>>>,
+    http2: ArcSwapOption<Http2Connection>,
+    idle: Mutex<Vec<Http1Connection>>,
     open_count: Arc<AtomicU32>,
     state: watch::Sender<LinkState>,
 }
 
+/// An HTTP/2 connection, which carries many calls.
+#[derive(Clone)]
+struct Http2Connection {
+    sender: SendRequest<Bytes>,
+    allowance: Arc<ExchangeAllowance>,
+}
+
+/// An HTTP/1.1 connection, which carries one call at a time.
+struct Http1Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    allowance: Arc<ReadAllowance>,
+}
+
 /// Counts an open connection until it is dropped.
 struct ConnectionGuard(Arc<AtomicU32>);
 
@@ -109,7 +132,7 @@
             authority: make_authority(address),
             protocol,
             max_connections,
-            http2_sender: ArcSwapOption::empty(),
+            http2: ArcSwapOption::empty(),
             idle: Mutex::new(Vec::new()),
             open_count: Arc::default(),
             state: watch::Sender::new(LinkState::Connecting),
@@ -195,11 +218,12 @@
         request: Request<Bytes>,
         collector: AnswerCollector,
     ) -> Result<Response<Bytes>, AttemptOutcome> {
-        let http2_sender = self.http2_sender.load_full().ok_or(AttemptOutcome::NotSent)?;
-        let sender = SendRequest::clone(&http2_sender);
+        let connection = self.http2.load_full().ok_or(AttemptOutcome::NotSent)?;
+        let Http2Connection { sender, allowance } = Http2Connection::clone(&connection);
         let mut sender = sender.ready().await.map_err(|_| AttemptOutcome::NotSent)?;
         let (parts, body) = request.into_parts();
         let is_bodyless = body.is_empty();
+        allowance.note_request();
         let sent = sender.send_request(Request::from_parts(parts, ()), is_bodyless);
         let (response, mut stream) = sent.map_err(|_| AttemptOutcome::NotSent)?;
         if !is_bodyless {
@@ -207,7 +231,7 @@
             stream.send_data(body, true).map_err(|error| classify(&error))?;
         }
         let response = response.await.map_err(|error| classify(&error))?;
-        collect_http2(response, collector).await
+        collect_http2(response, collector, &allowance).await
     }
 
     async fn call_http1(
@@ -215,24 +239,39 @@
         request: Request<Bytes>,
         collector: AnswerCollector,
     ) -> Result<Response<Bytes>, AttemptOutcome> {
-        let mut sender = self.take_http1().await?;
-        let sent = sender.try_send_request(request.map(Full::new)).await;
+        let mut connection = self.take_http1().await?;
+        let allowance = connection.allowance.clone();
+        allowance.start(MAX_READ_WITH_HEAD);
+        let sent = connection.sender.try_send_request(request.map(Full::new)).await;
         let response = sent.map_err(|mut failed| match failed.take_message() {
             Some(_) => AttemptOutcome::NotSent,
-            None => AttemptOutcome::Unknown,
+            None => self.note_lost_answer(&allowance),
         })?;
-        let response = collect(response, collector).await?;
-        self.keep_idle(sender);
+        allowance.extend(collector.limit().saturating_mul(MAX_CHUNKED_FACTOR));
+        let response = collect(response, collector).await.map_err(|_| self.note_lost_answer(&allowance))?;
+        self.keep_idle(connection);
         Ok(response)
     }
 
-    async fn take_http1(&self) -> Result<http1::SendRequest<Full<Bytes>>, AttemptOutcome> {
+    /// The outcome of a call whose answer was lost; logs it if the answer was too long.
+    fn note_lost_answer(&self, allowance: &ReadAllowance) -> AttemptOutcome {
+        if allowance.is_exceeded() {
+            self.log_too_long();
+        }
+        AttemptOutcome::Unknown
+    }
+
+    fn log_too_long(&self) {
+        tracing::warn!(event = "answer_discarded", server = %self.address, reason = "too_long");
+    }
+
+    async fn take_http1(&self) -> Result<Http1Connection, AttemptOutcome> {
         loop {
             let idle = self.idle.lock().ok().and_then(|mut idle| idle.pop());
             match idle {
-                Some(mut sender) => {
-                    if sender.ready().await.is_ok() {
-                        return Ok(sender);
+                Some(mut connection) => {
+                    if connection.sender.ready().await.is_ok() {
+                        return Ok(connection);
                     }
                 }
                 None => break,
@@ -255,16 +294,19 @@
         Some(stream)
     }
 
-    async fn connect_http1(&self) -> Option<http1::SendRequest<Full<Bytes>>> {
+    async fn connect_http1(&self) -> Option<Http1Connection> {
         let count = self.count_open()?;
         let stream = self.connect_tcp().await?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let allowance = Arc::new(ReadAllowance::default());
+        let stream = TokioIo::new(CountedStream::new(stream, allowance.clone()));
+        let handshake = http1::Builder::new().max_buf_size(MAX_HTTP1_HEAD_LEN).handshake(stream);
+        let (sender, connection) = handshake.await.ok()?;
         tokio::spawn(async move {
             // The holder of the sender gets the error.
             let _ = connection.await;
             drop(count);
         });
-        Some(sender)
+        Some(Http1Connection { sender, allowance })
     }
 
     /// Opens the HTTP/2 connection and drives it until it ends; false if the connect failed.
@@ -273,16 +315,22 @@
         let Some(stream) = self.connect_tcp().await else { return false };
         let mut builder = h2::client::Builder::new();
         builder.initial_window_size(STREAM_WINDOW_SIZE).initial_connection_window_size(WINDOW_SIZE).enable_push(false);
+        builder.max_header_list_size(MAX_HTTP2_HEAD_LEN);
+        let allowance = Arc::new(ExchangeAllowance::new(STREAM_WINDOW_SIZE, WINDOW_SIZE));
+        let stream = CountedStream::new(stream, allowance.clone());
         let Ok((sender, mut connection)) = builder.handshake::<_, Bytes>(stream).await else { return false };
         let pings = connection.ping_pong();
-        self.http2_sender.store(Some(Arc::new(sender)));
+        self.http2.store(Some(Arc::new(Http2Connection { sender, allowance: allowance.clone() })));
         self.state.send_replace(LinkState::Up);
         // The error is dropped, since a failed connection is opened again.
         tokio::select! {
             _ = connection => {}
-            () = watch_pings(pings) => {}
+            () = watch_pings(pings, &allowance) => {}
+        }
+        if allowance.is_exceeded() {
+            self.log_too_long();
         }
-        self.http2_sender.store(None);
+        self.http2.store(None);
         self.state.send_replace(LinkState::Connecting);
         drop(count);
         true
@@ -292,7 +340,7 @@
     async fn keep_warm_http1(&self) -> bool {
         let target = MIN_IDLE_HTTP1.min(self.max_connections);
         let Ok(idle_count) = self.idle.lock().map(|mut idle| {
-            idle.retain(|sender| !sender.is_closed());
+            idle.retain(|connection| !connection.sender.is_closed());
             idle.len() as u32
         }) else {
             return false;
@@ -301,16 +349,16 @@
             return true;
         }
         match self.connect_http1().await {
-            Some(sender) => self.keep_idle(sender),
+            Some(connection) => self.keep_idle(connection),
             None => return false,
         }
         self.state.send_replace(LinkState::Up);
         true
     }
 
-    fn keep_idle(&self, sender: http1::SendRequest<Full<Bytes>>) {
+    fn keep_idle(&self, connection: Http1Connection) {
         if let Ok(mut idle) = self.idle.lock() {
-            idle.push(sender);
+            idle.push(connection);
         }
     }
 }
@@ -337,7 +385,7 @@
 }
 
 /// Returns when the server no longer answers pings.
-async fn watch_pings(pings: Option<h2::PingPong>) {
+async fn watch_pings(pings: Option<h2::PingPong>, allowance: &ExchangeAllowance) {
     let Some(mut pings) = pings else { return std::future::pending().await };
     loop {
         tokio::time::sleep(PING_INTERVAL).await;
@@ -345,6 +393,7 @@
         if !matches!(answered, Ok(Ok(_))) {
             return;
         }
+        allowance.note_reply();
     }
 }
 
@@ -364,6 +413,11 @@
 }
 
 impl AnswerCollector {
+    /// The longest body, in bytes.
+    fn limit(&self) -> usize {
+        self.buffer.limit()
+    }
+
     async fn push(&mut self, data: &[u8]) -> Result<(), AttemptOutcome> {
         let growth = self.buffer.growth(data.len()).map_err(|_| AttemptOutcome::Unknown)?;
         if let Some(reservation) = &mut self.reservation
@@ -389,10 +443,12 @@
 async fn collect_http2(
     response: Response<h2::RecvStream>,
     mut collector: AnswerCollector,
+    allowance: &ExchangeAllowance,
 ) -> Result<Response<Bytes>, AttemptOutcome> {
     let (parts, mut body) = response.into_parts();
     while let Some(data) = body.data().await {
         let data = data.map_err(|error| classify(&error))?;
+        allowance.note_data(data.len());
         collector.push(&data).await?;
         // Only now, so that the server sends no more than there is memory for.
         body.flow_control().release_capacity(data.len()).map_err(|error| classify(&error))?;
@@ -405,6 +461,9 @@
     mut collector: AnswerCollector,
 ) -> Result<Response<Bytes>, AttemptOutcome> {
     let (parts, mut body) = response.into_parts();
+    if body.size_hint().lower() > collector.limit() as u64 {
+        return Err(AttemptOutcome::Unknown);
+    }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| AttemptOutcome::Unknown)?;
         if let Ok(data) = frame.into_data() {
--- a/crates/daemon/tests/pool.rs
+++ b/crates/daemon/tests/pool.rs
@@ -89,7 +89,7 @@
         protocol: ServerProtocol::Http1,
         servers: servers.iter().copied().map(ServerAddress).collect(),
     };
-    UpstreamPool::open(Arc::new(spec), CONNECTIONS, Arc::new(AdaptiveRules::default()), clock)
+    UpstreamPool::open(Arc::new(spec), CONNECTIONS, Arc::new(AdaptiveRules::default()), clock, Arc::default())
 }
 
 #[tokio::test]
--- a/crates/daemon/tests/statuses.rs
+++ b/crates/daemon/tests/statuses.rs
@@ -83,7 +83,7 @@
         protocol: ServerProtocol::Http1,
         servers: vec![ServerAddress(start_server(status).await)],
     };
-    UpstreamPool::open(Arc::new(spec), CONNECTIONS, Arc::new(AdaptiveRules::default()), clock)
+    UpstreamPool::open(Arc::new(spec), CONNECTIONS, Arc::new(AdaptiveRules::default()), clock, Arc::default())
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,8 +1,11 @@
 //! Transport between nodes: any bincode message in length-prefixed frames on HTTP/2 streams.
 
+pub mod counted_stream;
 pub mod error;
+pub mod exchange_limit;
 pub mod frame;
 pub mod link;
+pub mod read_limit;
 pub mod server;
 pub mod socket;
 
--- a/crates/router/src/read_limit.rs
+++ b/crates/link/src/read_limit.rs
@@ -27,6 +27,13 @@
         self.left.fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// Allows further bytes, as long as no more than `limit` are allowed then.
+    pub fn extend_up_to(&self, bytes: usize, limit: usize) {
+        let add = |left: usize| Some(left.max(left.saturating_add(bytes).min(limit)));
+        // The closure returns a value always, so this cannot fail.
+        let _ = self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+    }
+
     /// Whether any byte was read since the start.
     pub fn has_read(&self) -> bool {
         self.has_read.load(Ordering::Relaxed)
--- a/crates/router/src/caller_connection.rs
+++ b/crates/router/src/caller_connection.rs
@@ -11,8 +11,8 @@
 use tokio::sync::Notify;
 
 use crate::caller_limits::{CallerLimits, CutReason, MemoryKind};
-use crate::counted_stream::ReadCounter;
 use crate::memory_pool::{HeldBytes, MemoryHold};
+use streamfold_link::counted_stream::ReadCounter;
 
 /// A connection that counts against the limits until it is dropped. On HTTP/2 several requests and answers may be under way
 /// at once; the connection then counts as receiving or sending, since what it holds is that of all of them.
--- a/crates/router/src/caller_port.rs
+++ b/crates/router/src/caller_port.rs
@@ -20,9 +20,9 @@
 use crate::caller_body::discard_rest;
 use crate::caller_connection::RequestGuard;
 use crate::caller_limits::ConnectionEntry;
-use crate::counted_stream::CountedStream;
 use crate::router::{LiveCount, Router, RouterPhase};
 use crate::{front, task};
+use streamfold_link::counted_stream::CountedStream;
 
 /// The delay after a failed accept, for example when no file descriptors are left.
 pub const ACCEPT_DELAY: Duration = Duration::from_millis(20);
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -20,10 +20,10 @@
 
 use crate::answer_memory::AnswerReservation;
 use crate::caller_limits::CallerLimits;
-use crate::counted_stream::CountedStream;
 use crate::error::ExchangeError;
 use crate::growing_buffer::GrowingBuffer;
-use crate::read_limit::ReadAllowance;
+use streamfold_link::counted_stream::CountedStream;
+use streamfold_link::read_limit::ReadAllowance;
 
 /// The longest head accepted from a server, in bytes.
 const MAX_HEAD_LEN: usize = 64 << 10;
--- a/crates/router/src/growing_buffer.rs
+++ b/crates/router/src/growing_buffer.rs
@@ -41,6 +41,11 @@
         Self { limit, bytes: BufferBytes::Short(Vec::new()) }
     }
 
+    /// The most bytes that it may get.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// The number of bytes in it.
     pub fn len(&self) -> usize {
         match &self.bytes {
--- a/crates/router/src/ready.rs
+++ b/crates/router/src/ready.rs
@@ -15,8 +15,8 @@
 
 use crate::caller_limits::{CallerLimits, ConnectionEntry};
 use crate::caller_port::{ACCEPT_DELAY, note_unadmitted, send_counted};
-use crate::counted_stream::CountedStream;
 use crate::router::Router;
+use streamfold_link::counted_stream::CountedStream;
 
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
