Another node's bytes without end were read on

What was seen: on a link, frames that flow control does not limit were read for as long as the other node sent them, past the deadline of every message, and a head could be 16 MB once decoded.

A message gets PeerError::AnswerTooLong, which never counts as not sent, and the log has event=answer_discarded reason=too_long.

--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -1,11 +1,14 @@
 //! Messages as bincode in length-prefixed frames. The size of every decoded frame is limited.
 
+use std::sync::Arc;
+
 use bincode::config::{Configuration as BincodeConfig, Limit, LittleEndian, Varint};
 use bincode::{Decode, Encode};
 use bytes::{Buf, Bytes, BytesMut};
 use h2::{RecvStream, SendStream};
 
 use crate::error::PeerError;
+use crate::exchange_limit::ExchangeAllowance;
 
 /// The largest message in a frame, in bytes.
 pub const MAX_FRAME_LEN: usize = 64 << 20;
@@ -52,12 +55,19 @@
     stream: RecvStream,
     buffer: BytesMut,
     limit: usize,
+    /// What may be read of the connection, if it is limited.
+    allowance: Option<Arc<ExchangeAllowance>>,
 }
 
 impl FrameReader {
     /// Creates a reader that accepts frames of at most `limit` bytes.
     pub fn new(stream: RecvStream, limit: usize) -> Self {
-        Self { stream, buffer: BytesMut::new(), limit }
+        Self { stream, buffer: BytesMut::new(), limit, allowance: None }
+    }
+
+    /// The same, for a connection of which only so much may be read.
+    pub fn with_allowance(self, allowance: Arc<ExchangeAllowance>) -> Self {
+        Self { allowance: Some(allowance), ..self }
     }
 
     /// Returns the next message, or `None` if the stream ended after a whole frame.
@@ -72,12 +82,23 @@
             let Some(data) = self.stream.data().await else {
                 return if self.buffer.is_empty() { Ok(None) } else { Err(PeerError::EndedEarly) };
             };
-            let data = data?;
+            let data = data.map_err(|error| self.describe(error))?;
+            if let Some(allowance) = &self.allowance {
+                allowance.note_data(data.len());
+            }
             self.stream.flow_control().release_capacity(data.len())?;
             self.buffer.extend_from_slice(&data);
         }
     }
 
+    /// Why the stream failed.
+    fn describe(&self, error: h2::Error) -> PeerError {
+        match &self.allowance {
+            Some(allowance) if allowance.is_exceeded() => PeerError::AnswerTooLong,
+            _ => PeerError::Stream(error),
+        }
+    }
+
     fn take_frame(&mut self) -> Result<Option<BytesMut>, PeerError> {
         let Some(prefix) = self.buffer.first_chunk::<4>() else { return Ok(None) };
         let length = u32::from_be_bytes(*prefix) as usize;
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -14,7 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
+use crate::counted_stream::CountedStream;
 use crate::error::PeerError;
+use crate::exchange_limit::{ExchangeAllowance, MAX_HTTP2_HEAD_LEN};
 use crate::frame::{FrameReader, MAX_FRAME_LEN, encode_frame_within, send_frame};
 use crate::socket::set_tcp_options;
 
@@ -31,9 +33,11 @@
 
 /// A connection that new messages use. A separate task drives it until its last stream ends, even after new messages
 /// have moved to another connection.
+#[derive(Clone)]
 struct OpenConnection {
     id: u64,
     sender: SendRequest<Bytes>,
+    allowance: Arc<ExchangeAllowance>,
 }
 
 /// The link to one node.
@@ -74,7 +78,7 @@
     /// # Errors
     /// The node cannot be reached.
     pub async fn ensure_connected(self: &Arc<Self>) -> Result<(), PeerError> {
-        self.sender().await.map(|_| ())
+        self.open_connection().await.map(|_| ())
     }
 
     /// Records that the other node replied at this time.
@@ -87,22 +91,22 @@
         self.last_reply.load(Ordering::Relaxed) < since.0
     }
 
-    async fn sender(self: &Arc<Self>) -> Result<SendRequest<Bytes>, PeerError> {
+    async fn open_connection(self: &Arc<Self>) -> Result<OpenConnection, PeerError> {
         if let Some(open) = self.current.load().as_ref() {
-            return Ok(open.sender.clone());
+            return Ok(OpenConnection::clone(open));
         }
         let mut last_failure = self.last_failure.lock().await;
         if let Some(open) = self.current.load().as_ref() {
-            return Ok(open.sender.clone());
+            return Ok(OpenConnection::clone(open));
         }
         if last_failure.is_some_and(|at| at.elapsed() < RECONNECT_DELAY) {
             return Err(PeerError::NotConnected);
         }
         let result = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
         match result {
-            Ok(Ok(sender)) => {
+            Ok(Ok(open)) => {
                 *last_failure = None;
-                Ok(sender)
+                Ok(open)
             }
             _ => {
                 *last_failure = Some(Instant::now());
@@ -111,27 +115,34 @@
         }
     }
 
-    async fn connect(self: &Arc<Self>) -> Result<SendRequest<Bytes>, PeerError> {
+    async fn connect(self: &Arc<Self>) -> Result<OpenConnection, PeerError> {
         let stream = TcpStream::connect(self.address).await.map_err(|_| PeerError::NotConnected)?;
         set_tcp_options(&stream).map_err(|_| PeerError::NotConnected)?;
         let mut builder = h2::client::Builder::new();
         builder.initial_window_size(PEER_WINDOW_SIZE).initial_connection_window_size(PEER_WINDOW_SIZE);
-        builder.max_frame_size(PEER_HTTP2_FRAME_SIZE);
+        builder.max_frame_size(PEER_HTTP2_FRAME_SIZE).max_header_list_size(MAX_HTTP2_HEAD_LEN);
         // Late answers to cancelled messages count towards this limit over the whole life of the connection, which would
         // end with all messages in flight.
         builder.max_local_error_reset_streams(None);
+        let allowance = Arc::new(ExchangeAllowance::new(PEER_WINDOW_SIZE, PEER_WINDOW_SIZE));
+        let stream = CountedStream::new(stream, allowance.clone());
         let (sender, connection) = builder.handshake(stream).await?;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        self.current.store(Some(Arc::new(OpenConnection { id, sender: sender.clone() })));
+        let open = OpenConnection { id, sender, allowance: allowance.clone() };
+        self.current.store(Some(Arc::new(open.clone())));
         let link = Arc::downgrade(self);
+        let address = self.address;
         tokio::spawn(async move {
             // Every stream on the connection reports its error.
             let _ = connection.await;
+            if allowance.is_exceeded() {
+                tracing::warn!(event = "answer_discarded", %address, reason = "too_long");
+            }
             if let Some(link) = link.upgrade() {
                 link.retire(id);
             }
         });
-        Ok(sender)
+        Ok(open)
     }
 
     /// Stops sending new messages on a connection, unless a newer one has replaced it already.
@@ -162,16 +173,20 @@
         limit: usize,
     ) -> Result<FrameReader, PeerError> {
         let frame = encode_frame_within(message, limit)?;
-        let sender = self.sender().await?;
+        let OpenConnection { sender, allowance, .. } = self.open_connection().await?;
         let mut sender = sender.ready().await.map_err(|_| PeerError::NotConnected)?;
         let request = Request::post(format!("http://{}{path}", self.address)).body(())?;
+        allowance.note_request();
         let (response, mut body) = sender.send_request(request, false)?;
         send_frame(&mut body, frame, true).await?;
-        let response = response.await?;
+        let response = response.await.map_err(|error| match allowance.is_exceeded() {
+            true => PeerError::AnswerTooLong,
+            false => PeerError::Stream(error),
+        })?;
         if !response.status().is_success() {
             return Err(PeerError::BadStatus(response.status().as_u16()));
         }
-        Ok(FrameReader::new(response.into_body(), MAX_FRAME_LEN))
+        Ok(FrameReader::new(response.into_body(), MAX_FRAME_LEN).with_allowance(allowance))
     }
 
     /// Sends a message and returns its single answer.
