An answer of the store in tiny chunks took 330 MB of a node of 160 MB

What callers saw: bytes without end from the platform's store, in chunks of one byte, took 330,952 KB of a node whose machine has 160 MB (x86_64); on such a machine the process ends and loses its requests. Bodies of 8 MB at several topics took 65 MB. Informational responses were read until the deadline (706 MB were sent in one test).

Cause: the body of an answer was kept as the pieces in which it arrived, each with some 32 bytes and the buffer that it was read into, and only its length was limited, for each answer alone.

Now the client of the store uses the connections of routing mode (ServerConnection): limits of heads and of all that is read, a buffer without pieces, and memory that all answers share, a part of the machine's. An answer that breaks a limit is StoreError::AnswerTooLong, logged as store_answer_discarded; a write with it may have taken effect, and the store counts as not accepting calls, as before.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -130,7 +130,7 @@
         let clock = NodeClock::start();
         let now = clock.now();
         let incarnation = Incarnation(wall_ms());
-        let platform = Arc::new(PlatformClient::new(settings.platform));
+        let platform = Arc::new(PlatformClient::new(settings.platform).with_machine(settings.machine));
         let store: Arc<dyn ObjectStore> = Arc::new(MeteredStore::new(platform.clone()));
         let times = MemberTimes {
             suspect_after: settings.heartbeat * SUSPECT_AFTER_BEATS,
--- a/crates/daemon/src/route_node.rs
+++ b/crates/daemon/src/route_node.rs
@@ -100,7 +100,7 @@
 /// # Errors
 /// A port cannot be opened.
 pub async fn start(settings: RouterSettings) -> Result<RunningRouter, StartError> {
-    let store = Arc::new(PlatformClient::new(settings.platform));
+    let store = Arc::new(PlatformClient::new(settings.platform).with_machine(settings.machine()));
     let running = router_start::start(settings, Arc::new(PlatformHeaders), store, metrics_text::render).await;
     running.map_err(StartError::Router)
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod crowd;
 pub mod demo;
+pub mod endless;
 pub mod experiments;
 pub mod fleet;
 pub mod fleet_plan;
--- a/crates/router/src/machine_limits.rs
+++ b/crates/router/src/machine_limits.rs
@@ -12,6 +12,8 @@
 const SHORT_ANSWERS_FRACTION: usize = 8;
 const LONG_ANSWERS_FRACTION: usize = 4;
 const CONNECTIONS_FRACTION: usize = 8;
+/// The part of the machine whose memory limits, as those of callers, apply to the answers of the store.
+const STORE_FRACTION: usize = 4;
 /// What a connection costs besides the heads, bodies and answers on it, in bytes: its buffers and its task.
 const CONNECTION_LEN: usize = 16 << 10;
 /// File descriptors that are not for sockets.
@@ -47,6 +49,11 @@
         }
     }
 
+    /// The part of the machine for the answers of the store, which are decoded into several times their length.
+    pub fn store_part(self) -> Self {
+        Self { memory: self.memory / STORE_FRACTION, ..self }
+    }
+
     /// The memory for request heads that are being read, in bytes.
     pub fn heads_len(self) -> usize {
         self.memory / HEADS_FRACTION
--- a/crates/router/src/store_call.rs
+++ b/crates/router/src/store_call.rs
@@ -112,6 +112,7 @@
         StoreError::Unavailable(_) | StoreError::Unreachable => "refused",
         StoreError::ConnectionBroken => "broken",
         StoreError::AnswerLost => "lost",
+        StoreError::AnswerTooLong => "too_long",
         StoreError::HistoryGone => "history_gone",
         StoreError::Conflict => "conflict",
         _ => "failed",
--- a/crates/router/src/store_turn.rs
+++ b/crates/router/src/store_turn.rs
@@ -156,5 +156,8 @@
 /// Whether an error means that the store currently accepts no calls. A late answer does not, since other calls may be
 /// answered.
 pub(crate) fn is_refusal_error(error: &StoreError) -> bool {
-    matches!(error, StoreError::Unavailable(_) | StoreError::Unreachable | StoreError::ConnectionBroken)
+    matches!(
+        error,
+        StoreError::Unavailable(_) | StoreError::Unreachable | StoreError::ConnectionBroken | StoreError::AnswerTooLong
+    )
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -55,6 +55,9 @@
     /// The connection failed before an answer arrived; a write may have taken effect.
     #[error("the connection to the platform broke")]
     ConnectionBroken,
+    /// The answer is longer than accepted, or there is no memory left for it; a write may have taken effect.
+    #[error("the platform's answer is too long")]
+    AnswerTooLong,
     /// The value is over [`MAX_OBJECT_LEN`]; nothing was written.
     #[error("the value of {0} bytes is larger than the platform holds")]
     TooLarge(usize),
@@ -72,7 +75,10 @@
 impl StoreError {
     /// Whether a write that failed with this error may have taken effect.
     pub fn may_have_written(&self) -> bool {
-        matches!(self, Self::AnswerLost | Self::ConnectionBroken | Self::BadStatus(_) | Self::Malformed(_))
+        matches!(
+            self,
+            Self::AnswerLost | Self::ConnectionBroken | Self::AnswerTooLong | Self::BadStatus(_) | Self::Malformed(_)
+        )
     }
 }
 
