Long messages of other nodes took 730 MB of a node

Cause: a frame was limited for itself only, and nothing limited how many were being read.

Now the frames that are being read take of a memory that all links of the process share, an eighth of the machine's; the first 64 KB of each are not counted, so that short messages are read whatever the long ones hold. A message without memory ends with PeerError::AnswerTooLong, which never counts as not sent, and event=answer_discarded reason=no_memory. Messages that this node is sent, rather than answered, keep the limits of their kinds.

A message longer than the limit cannot be read: a configuration of more than an eighth of the machine's memory is such a one.

--- a/crates/daemon/src/node_start.rs
+++ b/crates/daemon/src/node_start.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use streamfold_link::frame_memory;
 use streamfold_router::task::NodeTasks;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
@@ -52,6 +53,7 @@
     let (operators_listener, operators) = listen("operators", settings.operators).await?;
     let (peers_listener, peers) = listen("peers", settings.peers).await?;
     let addresses = NodeAddresses { callers, operators, peers };
+    frame_memory::set_limit(settings.machine.messages_len());
     let node = Arc::new(Node::new(settings, addresses));
     tracing::info!(
         event = "listening",
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -24,7 +24,7 @@
     /// There is no memory for a message of this node.
     #[error("no memory for the message")]
     NoMemory,
-    /// The other node sends more than is accepted, in answers or in what is no answer.
+    /// The other node sends more than is accepted, in answers or in what is no answer, or than there is memory for.
     #[error("the node sends more than is accepted")]
     AnswerTooLong,
     /// The stream ended in the middle of a message, or no answer came in time.
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -9,6 +9,7 @@
 
 use crate::error::PeerError;
 use crate::exchange_limit::ExchangeAllowance;
+use crate::frame_memory::FrameHold;
 
 /// The largest message in a frame, in bytes.
 pub const MAX_FRAME_LEN: usize = 64 << 20;
@@ -55,14 +56,15 @@
     stream: RecvStream,
     buffer: BytesMut,
     limit: usize,
-    /// What may be read of the connection, if it is limited.
+    /// What may be read of the connection, if it is limited. The memory of messages is limited then, too.
     allowance: Option<Arc<ExchangeAllowance>>,
+    hold: FrameHold,
 }
 
 impl FrameReader {
     /// Creates a reader that accepts frames of at most `limit` bytes.
     pub fn new(stream: RecvStream, limit: usize) -> Self {
-        Self { stream, buffer: BytesMut::new(), limit, allowance: None }
+        Self { stream, buffer: BytesMut::new(), limit, allowance: None, hold: FrameHold::default() }
     }
 
     /// The same, for a connection of which only so much may be read.
@@ -73,7 +75,8 @@
     /// Returns the next message, or `None` if the stream ended after a whole frame.
     ///
     /// # Errors
-    /// The stream fails or ends within a frame, or the frame exceeds the limit or is malformed.
+    /// The stream fails or ends within a frame, or the frame exceeds the limit or is malformed, or there is no memory for
+    /// it.
     pub async fn next<M: Decode<()>>(&mut self) -> Result<Option<M>, PeerError> {
         loop {
             if let Some(body) = self.take_frame()? {
@@ -86,11 +89,22 @@
             if let Some(allowance) = &self.allowance {
                 allowance.note_data(data.len());
             }
+            self.hold_memory(data.len())?;
             self.stream.flow_control().release_capacity(data.len())?;
             self.buffer.extend_from_slice(&data);
         }
     }
 
+    /// Takes memory for what is in the buffer and `more` bytes.
+    fn hold_memory(&mut self, more: usize) -> Result<(), PeerError> {
+        let len = self.buffer.len() + more;
+        if self.allowance.is_none() || self.hold.grow(len) {
+            return Ok(());
+        }
+        tracing::warn!(event = "answer_discarded", len, reason = "no_memory");
+        Err(PeerError::AnswerTooLong)
+    }
+
     /// Why the stream failed.
     fn describe(&self, error: h2::Error) -> PeerError {
         match &self.allowance {
@@ -109,7 +123,9 @@
             return Ok(None);
         }
         self.buffer.advance(4);
-        Ok(Some(self.buffer.split_to(length)))
+        let body = self.buffer.split_to(length);
+        self.hold.shrink(self.buffer.len());
+        Ok(Some(body))
     }
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod error;
 pub mod exchange_limit;
 pub mod frame;
+pub mod frame_memory;
 pub mod link;
 pub mod read_limit;
 pub mod server;
--- a/crates/router/src/machine_limits.rs
+++ b/crates/router/src/machine_limits.rs
@@ -14,6 +14,8 @@
 const CONNECTIONS_FRACTION: usize = 8;
 /// The part of the machine whose memory limits, as those of callers, apply to the answers of the store.
 const STORE_FRACTION: usize = 4;
+/// The fraction of the machine's memory for messages of other nodes that are being read.
+const MESSAGES_FRACTION: usize = 8;
 /// What a connection costs besides the heads, bodies and answers on it, in bytes: its buffers and its task.
 const CONNECTION_LEN: usize = 16 << 10;
 /// File descriptors that are not for sockets.
@@ -54,6 +56,11 @@
         Self { memory: self.memory / STORE_FRACTION, ..self }
     }
 
+    /// The memory for messages of other nodes that are being read, in bytes.
+    pub fn messages_len(self) -> usize {
+        self.memory / MESSAGES_FRACTION
+    }
+
     /// The memory for request heads that are being read, in bytes.
     pub fn heads_len(self) -> usize {
         self.memory / HEADS_FRACTION
--- a/crates/router/src/router_start.rs
+++ b/crates/router/src/router_start.rs
@@ -6,6 +6,8 @@
 use streamfold_policy::Mechanism;
 use tokio::net::TcpListener;
 
+use streamfold_link::frame_memory;
+
 use crate::error::RouterError;
 use crate::freshness_check::OverdueTopics;
 use crate::interface::{CallFormat, ClusterFeed};
@@ -42,6 +44,7 @@
     let readiness = listen("ready", settings.ready).await?;
     let metrics = listen("metrics", settings.metrics).await?;
     let peers_listener = listen("peers", settings.peers).await?;
+    frame_memory::set_limit(settings.machine().messages_len());
     let router = Arc::new(Router::new(settings, format, feed));
     tracing::info!(
         event = "started",
