--- a/crates/lab/src/endless.rs
+++ b/crates/lab/src/endless.rs
@@ -1,11 +1,12 @@
 //! A proxy that turns into a faulty server: from a moment on it sends bytes that are no answer, without end, until its
-//! caller closes the connection.
+//! caller closes the connection. And a faulty node, whose messages have no end.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -159,3 +160,64 @@
         () = reading => {}
     }
 }
+
+/// A node that answers each message with the beginning of the longest frame, and goes on until its stream ends.
+pub struct EndlessPeer {
+    /// The address on which it listens.
+    pub address: SocketAddr,
+    /// The messages whose answers the caller has ended.
+    pub ended: Arc<AtomicU64>,
+    task: JoinHandle<()>,
+}
+
+impl EndlessPeer {
+    /// Starts a faulty node.
+    ///
+    /// # Errors
+    /// The port cannot be opened.
+    pub async fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let ended = Arc::new(AtomicU64::new(0));
+        let counted = ended.clone();
+        let task = tokio::spawn(async move {
+            let mut links = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                links.spawn(serve_peer(stream, counted.clone()));
+            }
+        });
+        Ok(Self { address, ended, task })
+    }
+}
+
+impl Drop for EndlessPeer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve_peer(stream: TcpStream, ended: Arc<AtomicU64>) {
+    let Ok(mut connection) = h2::server::handshake(stream).await else { return };
+    while let Some(Ok((request, mut respond))) = connection.accept().await {
+        let ended = ended.clone();
+        tokio::spawn(async move {
+            let mut message = request.into_body();
+            while message.data().await.is_some() {}
+            let Ok(mut body) = respond.send_response(http::Response::new(()), false) else { return };
+            // The longest frame is 64 MB; an error means that the stream has ended.
+            let _ = body.send_data(Bytes::from_static(&[4, 0, 0, 0]), false);
+            while send_piece(&mut body).await.is_some() {}
+            ended.fetch_add(1, Ordering::SeqCst);
+        });
+    }
+}
+
+/// A piece of a message.
+const PIECE: &[u8] = &[1; 64 << 10];
+
+/// Sends a piece once the caller accepts it; `None` when the stream has ended.
+async fn send_piece(body: &mut h2::SendStream<Bytes>) -> Option<()> {
+    body.reserve_capacity(PIECE.len());
+    let len = std::future::poll_fn(|cx| body.poll_capacity(cx)).await?.ok()?;
+    body.send_data(Bytes::from_static(&PIECE[..len.min(PIECE.len())]), false).ok()
+}
