Informational responses to a message that is not accepted filled the memory

What was seen: another node that accepts nothing of a message (its window lets no more through) and sends informational responses has them kept: they are taken out of the stream only once the whole message was sent, and flow control does not limit them.

Cause: a link sent the message first and looked at the response after it. Now it does both at the same time.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use streamfold_link::counted_stream::CountedStream;
-use streamfold_link::exchange_limit::{ExchangeAllowance, MAX_HTTP2_HEAD_LEN};
+use streamfold_link::exchange_limit::{ExchangeAllowance, ExchangeGuard, MAX_HTTP2_HEAD_LEN};
 use streamfold_link::read_limit::ReadAllowance;
 use streamfold_model::{AttemptOutcome, IndexName, IndexVersion, ServerAddress, ServerProtocol};
 use streamfold_policy::HeldVersions;
@@ -223,7 +223,7 @@
         let mut sender = sender.ready().await.map_err(|_| AttemptOutcome::NotSent)?;
         let (parts, body) = request.into_parts();
         let is_bodyless = body.is_empty();
-        allowance.note_request();
+        let mut exchange = allowance.begin();
         let sent = sender.send_request(Request::from_parts(parts, ()), is_bodyless);
         let (response, mut stream) = sent.map_err(|_| AttemptOutcome::NotSent)?;
         if !is_bodyless {
@@ -231,7 +231,9 @@
             stream.send_data(body, true).map_err(|error| classify(&error))?;
         }
         let response = response.await.map_err(|error| classify(&error))?;
-        collect_http2(response, collector, &allowance).await
+        let response = collect_http2(response, collector, &exchange).await?;
+        exchange.finish();
+        Ok(response)
     }
 
     async fn call_http1(
@@ -443,12 +445,12 @@
 async fn collect_http2(
     response: Response<h2::RecvStream>,
     mut collector: AnswerCollector,
-    allowance: &ExchangeAllowance,
+    exchange: &ExchangeGuard,
 ) -> Result<Response<Bytes>, AttemptOutcome> {
     let (parts, mut body) = response.into_parts();
     while let Some(data) = body.data().await {
         let data = data.map_err(|error| classify(&error))?;
-        allowance.note_data(data.len());
+        exchange.note_data(data.len());
         collector.push(&data).await?;
         // Only now, so that the server sends no more than there is memory for.
         body.flow_control().release_capacity(data.len()).map_err(|error| classify(&error))?;
--- a/crates/daemon/tests/endless_frames/mod.rs
+++ b/crates/daemon/tests/endless_frames/mod.rs
@@ -30,7 +30,7 @@
 pub const END_HEADERS: u8 = 4;
 /// The header block of an answer with status 200, one of an informational response, and a header.
 pub const STATUS_200: &[u8] = &[0x88];
-const STATUS_100: &[u8] = &[0x08, 3, b'1', b'0', b'0'];
+pub const STATUS_100: &[u8] = &[0x08, 3, b'1', b'0', b'0'];
 const HEADER: &[u8] = &[0, 1, b'x', 1, b'x'];
 
 /// Encodes an HTTP/2 frame.
--- a/crates/daemon/tests/endless_peer.rs
+++ b/crates/daemon/tests/endless_peer.rs
@@ -9,8 +9,8 @@
 use streamfold_link::{PeerError, PeerLink};
 
 use crate::endless_frames::{
-    CONTINUATION, DATA, END_HEADERS, END_STREAM, ENDLESS, EndlessFrames, EndlessServer, HEADERS, PING, STATUS_200,
-    frame,
+    CONTINUATION, DATA, END_HEADERS, END_STREAM, ENDLESS, EndlessFrames, EndlessServer, HEADERS, PING, STATUS_100,
+    STATUS_200, frame,
 };
 
 /// The time that a message has.
@@ -18,6 +18,9 @@
 /// The pause between two pieces of a slow answer.
 const DRIP_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The most memory that this process may take, in KB.
+const MAX_MEMORY: u64 = 100 << 10;
+
 /// Sends one message; returns its error, and the link, which stays open without it.
 async fn call(peer: &EndlessServer, name: &str) -> (PeerError, Arc<PeerLink>) {
     let link = PeerLink::new(peer.address);
@@ -67,3 +70,30 @@
     let _link = call(&peer, LONG_HEAD.name).await;
     assert_eq!(peer.find_unclosed(LONG_HEAD.name).await, None);
 }
+
+/// Guards against informational responses that are kept while the other node accepts no message, which is as long as the
+/// other node likes.
+#[tokio::test(flavor = "multi_thread")]
+async fn informational_responses_to_a_message_that_is_not_accepted_are_not_kept() {
+    static HELD_MESSAGE: EndlessFrames = EndlessFrames {
+        name: "informational responses before the message",
+        beginning: |_| Vec::new(),
+        piece: |stream| frame(HEADERS, END_HEADERS, stream, STATUS_100),
+    };
+    let peer = EndlessServer::start(&HELD_MESSAGE, Duration::ZERO).await;
+    let link = PeerLink::new(peer.address);
+    // Longer than the windows that every connection begins with.
+    let message = vec![1_u8; 4 << 20];
+    let error = link.call::<Vec<u8>, Vec<u8>>("/x", &message, CALL_TIME).await.expect_err("no answer");
+    assert!(!error.is_not_sent(), "{error}");
+    assert_eq!(peer.find_unclosed(HELD_MESSAGE.name).await, None);
+    let memory = peak_memory_kb();
+    println!("{memory} KB");
+    assert!(memory < MAX_MEMORY, "{memory} KB");
+}
+
+fn peak_memory_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the state of this process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its memory");
+    line.split_whitespace().next().and_then(|number| number.parse().ok()).expect("a number")
+}
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -1,14 +1,12 @@
 //! Messages as bincode in length-prefixed frames. The size of every decoded frame is limited.
 
-use std::sync::Arc;
-
 use bincode::config::{Configuration as BincodeConfig, Limit, LittleEndian, Varint};
 use bincode::{Decode, Encode};
 use bytes::{Buf, Bytes, BytesMut};
 use h2::{RecvStream, SendStream};
 
 use crate::error::PeerError;
-use crate::exchange_limit::ExchangeAllowance;
+use crate::exchange_limit::ExchangeGuard;
 use crate::frame_memory::FrameHold;
 
 /// The largest message in a frame, in bytes.
@@ -56,20 +54,30 @@
     stream: RecvStream,
     buffer: BytesMut,
     limit: usize,
-    /// What may be read of the connection, if it is limited. The memory of messages is limited then, too.
-    allowance: Option<Arc<ExchangeAllowance>>,
+    /// The exchange, if what may be read of its connection is limited. The memory of messages is limited then, too.
+    exchange: Option<ExchangeGuard>,
     hold: FrameHold,
 }
 
 impl FrameReader {
     /// Creates a reader that accepts frames of at most `limit` bytes.
     pub fn new(stream: RecvStream, limit: usize) -> Self {
-        Self { stream, buffer: BytesMut::new(), limit, allowance: None, hold: FrameHold::default() }
+        Self { stream, buffer: BytesMut::new(), limit, exchange: None, hold: FrameHold::default() }
     }
 
-    /// The same, for a connection of which only so much may be read.
-    pub fn with_allowance(self, allowance: Arc<ExchangeAllowance>) -> Self {
-        Self { allowance: Some(allowance), ..self }
+    /// The same, for an exchange on a connection of which only so much may be read.
+    pub fn with_exchange(mut self, exchange: ExchangeGuard) -> Self {
+        self.exchange = Some(exchange);
+        self.note_data(0);
+        self
+    }
+
+    fn note_data(&mut self, bytes: usize) {
+        let Some(exchange) = &mut self.exchange else { return };
+        exchange.note_data(bytes);
+        if self.stream.is_end_stream() {
+            exchange.finish();
+        }
     }
 
     /// Returns the next message, or `None` if the stream ended after a whole frame.
@@ -86,9 +94,7 @@
                 return if self.buffer.is_empty() { Ok(None) } else { Err(PeerError::EndedEarly) };
             };
             let data = data.map_err(|error| self.describe(error))?;
-            if let Some(allowance) = &self.allowance {
-                allowance.note_data(data.len());
-            }
+            self.note_data(data.len());
             self.hold_memory(data.len())?;
             self.stream.flow_control().release_capacity(data.len())?;
             self.buffer.extend_from_slice(&data);
@@ -98,7 +104,7 @@
     /// Takes memory for what is in the buffer and `more` bytes.
     fn hold_memory(&mut self, more: usize) -> Result<(), PeerError> {
         let len = self.buffer.len() + more;
-        if self.allowance.is_none() || self.hold.grow(len) {
+        if self.exchange.is_none() || self.hold.grow(len) {
             return Ok(());
         }
         tracing::warn!(event = "answer_discarded", len, reason = "no_memory");
@@ -107,8 +113,8 @@
 
     /// Why the stream failed.
     fn describe(&self, error: h2::Error) -> PeerError {
-        match &self.allowance {
-            Some(allowance) if allowance.is_exceeded() => PeerError::AnswerTooLong,
+        match &self.exchange {
+            Some(exchange) if exchange.is_exceeded() => PeerError::AnswerTooLong,
             _ => PeerError::Stream(error),
         }
     }
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -176,17 +176,20 @@
         let OpenConnection { sender, allowance, .. } = self.open_connection().await?;
         let mut sender = sender.ready().await.map_err(|_| PeerError::NotConnected)?;
         let request = Request::post(format!("http://{}{path}", self.address)).body(())?;
-        allowance.note_request();
+        let exchange = allowance.begin();
         let (response, mut body) = sender.send_request(request, false)?;
-        send_frame(&mut body, frame, true).await?;
-        let response = response.await.map_err(|error| match allowance.is_exceeded() {
-            true => PeerError::AnswerTooLong,
-            false => PeerError::Stream(error),
-        })?;
+        // The response is polled meanwhile: informational ones are kept until then, and may come without end while the
+        // other node accepts nothing.
+        let (sent, response) = tokio::join!(send_frame(&mut body, frame, true), response);
+        if exchange.is_exceeded() {
+            return Err(PeerError::AnswerTooLong);
+        }
+        sent?;
+        let response = response?;
         if !response.status().is_success() {
             return Err(PeerError::BadStatus(response.status().as_u16()));
         }
-        Ok(FrameReader::new(response.into_body(), MAX_FRAME_LEN).with_allowance(allowance))
+        Ok(FrameReader::new(response.into_body(), MAX_FRAME_LEN).with_exchange(exchange))
     }
 
     /// Sends a message and returns its single answer.
