--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -6,6 +6,8 @@
 use h2::{RecvStream, SendStream};
 
 use crate::error::PeerError;
+use crate::exchange_limit::ExchangeGuard;
+use crate::frame_memory::FrameHold;
 
 /// The largest message in a frame, in bytes.
 pub const MAX_FRAME_LEN: usize = 64 << 20;
@@ -52,18 +54,37 @@
     stream: RecvStream,
     buffer: BytesMut,
     limit: usize,
+    /// The exchange, if what may be read of its connection is limited. The memory of messages is limited then, too.
+    exchange: Option<ExchangeGuard>,
+    hold: FrameHold,
 }
 
 impl FrameReader {
     /// Creates a reader that accepts frames of at most `limit` bytes.
     pub fn new(stream: RecvStream, limit: usize) -> Self {
-        Self { stream, buffer: BytesMut::new(), limit }
+        Self { stream, buffer: BytesMut::new(), limit, exchange: None, hold: FrameHold::default() }
+    }
+
+    /// The same, for an exchange on a connection of which only so much may be read.
+    pub fn with_exchange(mut self, exchange: ExchangeGuard) -> Self {
+        self.exchange = Some(exchange);
+        self.note_data(0);
+        self
+    }
+
+    fn note_data(&mut self, bytes: usize) {
+        let Some(exchange) = &mut self.exchange else { return };
+        exchange.note_data(bytes);
+        if self.stream.is_end_stream() {
+            exchange.finish();
+        }
     }
 
     /// Returns the next message, or `None` if the stream ended after a whole frame.
     ///
     /// # Errors
-    /// The stream fails or ends within a frame, or the frame exceeds the limit or is malformed.
+    /// The stream fails or ends within a frame, or the frame exceeds the limit or is malformed, or there is no memory for
+    /// it.
     pub async fn next<M: Decode<()>>(&mut self) -> Result<Option<M>, PeerError> {
         loop {
             if let Some(body) = self.take_frame()? {
@@ -72,12 +93,32 @@
             let Some(data) = self.stream.data().await else {
                 return if self.buffer.is_empty() { Ok(None) } else { Err(PeerError::EndedEarly) };
             };
-            let data = data?;
+            let data = data.map_err(|error| self.describe(error))?;
+            self.note_data(data.len());
+            self.hold_memory(data.len())?;
             self.stream.flow_control().release_capacity(data.len())?;
             self.buffer.extend_from_slice(&data);
         }
     }
 
+    /// Takes memory for what is in the buffer and `more` bytes.
+    fn hold_memory(&mut self, more: usize) -> Result<(), PeerError> {
+        let len = self.buffer.len() + more;
+        if self.exchange.is_none() || self.hold.grow(len) {
+            return Ok(());
+        }
+        tracing::warn!(event = "answer_discarded", len, reason = "no_memory");
+        Err(PeerError::AnswerTooLong)
+    }
+
+    /// Why the stream failed.
+    fn describe(&self, error: h2::Error) -> PeerError {
+        match &self.exchange {
+            Some(exchange) if exchange.is_exceeded() => PeerError::AnswerTooLong,
+            _ => PeerError::Stream(error),
+        }
+    }
+
     fn take_frame(&mut self) -> Result<Option<BytesMut>, PeerError> {
         let Some(prefix) = self.buffer.first_chunk::<4>() else { return Ok(None) };
         let length = u32::from_be_bytes(*prefix) as usize;
@@ -88,7 +129,9 @@
             return Ok(None);
         }
         self.buffer.advance(4);
-        Ok(Some(self.buffer.split_to(length)))
+        let body = self.buffer.split_to(length);
+        self.hold.shrink(self.buffer.len());
+        Ok(Some(body))
     }
 }
 
